--- /dev/null
+++ b/crates/godwitspool-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/godwitspool-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: callers, trainers, routing, streams and rollouts.
--- /dev/null
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of slopes and policies, one command a table.
--- /dev/null
+++ b/crates/godwitspool-request/src/lib.rs
@@ -0,0 +1,1 @@
+//! What lives for a request: admission, routing, limits, retries, quarantine and refusals.
--- /dev/null
+++ b/crates/godwitspool-rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Steps, groups and samples of trainers: freshness, stragglers, shares and weight rollout.
