Target client: pooled lanes with an idle bound per read

Cause: a stream may last as long as it flows, but the HTTP library bounds the whole body only; and whether a request left the process decides what a refusal may say. Change: a transport wrapper bounds each read and records whether a byte was sent; pooled lanes are reused only after a clean end; headers pass by list. Conclusion: CallError::ran follows from what left the process.

--- a/crates/godwitspool-connection/src/lib.rs
+++ b/crates/godwitspool-connection/src/lib.rs
@@ -4,6 +4,16 @@
 //! Wire types are types of their own. The platform and the targets speak JSON over HTTP; the system's
 //! own processes speak postcard over TCP and UDP.
 
+mod call_error;
 pub mod engine;
+mod lane;
 pub mod messages;
+mod plain_call;
 pub mod platform;
+mod target_client;
+mod token_stream;
+
+pub use call_error::CallError;
+pub use plain_call::{Header, PlainAnswer, PlainCall};
+pub use target_client::TargetClient;
+pub use token_stream::TokenStream;
--- a/crates/godwitspool-types/src/key.rs
+++ b/crates/godwitspool-types/src/key.rs
@@ -6,7 +6,8 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
-const KEY_BYTES: usize = 24;
+/// Bytes of a key's random part.
+const KEY_BYTES: usize = 16;
 
 /// A caller's key in clear text. Its debug form hides the text.
 #[derive(Clone)]
@@ -16,11 +17,7 @@
     /// Draws a new key at random.
     pub fn random() -> Self {
         let bytes: [u8; KEY_BYTES] = rand::random();
-        let text = bytes
-            .iter()
-            .map(|byte| format!("{byte:02x}"))
-            .collect::<String>();
-        Self(format!("gsk-{text}"))
+        Self(format!("gsk-{:032x}", u128::from_be_bytes(bytes)))
     }
 
     /// Returns the clear text, to be shown once to the operator who issued it.
