Request: refusals, keys, retries, breaker, silence, stitching, homes

Cause: the entry needs these decisions before its thin path can be built on them. Change: pure modules of godwitspool-request with tests.

--- /dev/null
+++ b/crates/godwitspool-request/src/keys.rs
@@ -0,0 +1,196 @@
+//! Whose request it is: keys, open routes and names of services.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    hash::{BuildHasher, RandomState},
+};
+
+use godwitspool_types::{KeyDigest, Millis, RequestId, ServiceName, Workspace};
+use godwitspool_version::{Configuration, UnconfirmedKeys};
+
+use crate::Reason;
+
+/// Who calls, and which service is meant.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Caller {
+    /// The service, qualified.
+    pub service: ServiceName,
+    /// The workspace; empty on an open route without a key.
+    pub workspace: Workspace,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    digest: KeyDigest,
+    withdrawn: bool,
+    workspace: Workspace,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Rules {
+    services: BTreeMap<ServiceName, ServiceName>,
+    unconfirmed: UnconfirmedKeys,
+}
+
+/// The keys of a configuration, by digest.
+///
+/// Digests are found under a hash that is seeded at random in each process and are compared in
+/// constant time. A key that isn't known costs a comparison as well.
+///
+/// ```
+/// use godwitspool_request::{KeyTable, Reason};
+/// use godwitspool_types::{Key, Millis, ServiceName};
+/// use godwitspool_version::Configuration;
+///
+/// let table = KeyTable::from(&Configuration::default());
+/// let digest = Key::from("guess").digest();
+/// let refused = table.check(Some(&digest), &ServiceName::from("lookup"), Millis::ZERO);
+/// assert_eq!(refused, Err(Reason::KeyUnknown));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct KeyTable {
+    buckets: HashMap<u64, Vec<Holder>>,
+    open: BTreeSet<ServiceName>,
+    rules: BTreeMap<Workspace, Rules>,
+    seed: RandomState,
+    services: BTreeSet<ServiceName>,
+}
+
+impl KeyTable {
+    /// Finds the caller of a request from the key's digest, or from the route when it is open.
+    ///
+    /// `age` is the time since the configuration was last confirmed.
+    ///
+    /// # Errors
+    ///
+    /// The reason for which the request is refused.
+    pub fn check(
+        &self,
+        digest: Option<&KeyDigest>,
+        service: &ServiceName,
+        age: Millis,
+    ) -> Result<Caller, Reason> {
+        let Some(digest) = digest else {
+            return self.check_open(service);
+        };
+        let holder = self.find(digest).ok_or(Reason::KeyUnknown)?;
+        if holder.withdrawn {
+            return Err(Reason::KeyWithdrawn);
+        }
+        let rules = self
+            .rules
+            .get(&holder.workspace)
+            .ok_or(Reason::KeyUnknown)?;
+        if let UnconfirmedKeys::RefuseAfterS(seconds) = rules.unconfirmed
+            && age > Millis(u64::from(seconds) * 1_000)
+        {
+            return Err(Reason::KeysUnconfirmed);
+        }
+        let service = rules
+            .services
+            .get(service)
+            .or_else(|| self.open.get(service))
+            .ok_or(Reason::ServiceUnknown)?;
+        Ok(Caller {
+            service: service.clone(),
+            workspace: holder.workspace.clone(),
+        })
+    }
+
+    /// Returns those of the open requests whose key doesn't hold any more and which are cut.
+    ///
+    /// ```
+    /// use godwitspool_request::KeyTable;
+    /// use godwitspool_types::{Key, Millis, RequestId};
+    ///
+    /// let table = KeyTable::default();
+    /// let open = [(RequestId(1), Key::from("k").digest())];
+    /// assert_eq!(table.cut(&open, Millis::ZERO), [RequestId(1)]);
+    /// ```
+    pub fn cut(&self, open: &[(RequestId, KeyDigest)], age: Millis) -> Vec<RequestId> {
+        open.iter()
+            .filter(|(_, digest)| !self.holds(digest, age))
+            .map(|&(id, _)| id)
+            .collect()
+    }
+
+    fn holds(&self, digest: &KeyDigest, age: Millis) -> bool {
+        let Some(holder) = self.find(digest).filter(|holder| !holder.withdrawn) else {
+            return false;
+        };
+        match self
+            .rules
+            .get(&holder.workspace)
+            .map(|rules| rules.unconfirmed)
+        {
+            Some(UnconfirmedKeys::RefuseAfterS(seconds)) => {
+                age <= Millis(u64::from(seconds) * 1_000)
+            }
+            Some(UnconfirmedKeys::Serve) => true,
+            None => false,
+        }
+    }
+
+    fn check_open(&self, service: &ServiceName) -> Result<Caller, Reason> {
+        let service = self.open.get(service).ok_or(Reason::KeyMissing)?;
+        if !self.services.contains(service) {
+            return Err(Reason::ServiceUnknown);
+        }
+        Ok(Caller {
+            service: service.clone(),
+            workspace: Workspace::default(),
+        })
+    }
+
+    fn find(&self, digest: &KeyDigest) -> Option<&Holder> {
+        let Some(bucket) = self.buckets.get(&self.seed.hash_one(digest)) else {
+            // A miss compares too, so that it takes as long as a hit.
+            std::hint::black_box(digest.matches(&KeyDigest([0; 32])));
+            return None;
+        };
+        let mut found = None;
+        for holder in bucket {
+            // A digest that is listed twice holds only if it is withdrawn nowhere.
+            if holder.digest.matches(digest) && found.is_none_or(|other: &Holder| !other.withdrawn)
+            {
+                found = Some(holder);
+            }
+        }
+        found
+    }
+}
+
+impl From<&Configuration> for KeyTable {
+    fn from(configuration: &Configuration) -> Self {
+        let mut table = Self {
+            open: configuration.open_routes.clone(),
+            services: configuration.services.keys().cloned().collect(),
+            ..Self::default()
+        };
+        for (workspace, rules) in &configuration.workspaces {
+            let services = rules
+                .services
+                .iter()
+                .map(|(name, target)| (name.clone(), target.service.clone()))
+                .collect();
+            let unconfirmed = rules.unconfirmed_keys;
+            table.rules.insert(
+                workspace.clone(),
+                Rules {
+                    services,
+                    unconfirmed,
+                },
+            );
+            for key in &rules.keys {
+                let holder = Holder {
+                    digest: key.digest,
+                    withdrawn: key.withdrawn,
+                    workspace: workspace.clone(),
+                };
+                let hash = table.seed.hash_one(key.digest);
+                table.buckets.entry(hash).or_default().push(holder);
+            }
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-request/tests/retry.rs
@@ -0,0 +1,151 @@
+//! Retries and breakers.
+
+use godwitspool_request::{Attempts, Breaker, Health, Reason, RetryBudget, RetryReason, Verdict};
+use godwitspool_types::{Millis, Ran};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+
+fn idempotent() -> Attempts {
+    Attempts {
+        deadline: Millis(10_000),
+        idempotent: true,
+        ..Attempts::default()
+    }
+}
+
+fn fail(attempts: &mut Attempts, reason: RetryReason, after: Option<Millis>) -> Verdict {
+    let (mut one, mut two) = (RetryBudget::default(), RetryBudget::default());
+    let mut rng = StdRng::seed_from_u64(1);
+    attempts.fail(reason, after, [&mut one, &mut two], Millis::ZERO, &mut rng)
+}
+
+#[rstest]
+#[case(RetryReason::TargetLost, Reason::TargetLost)]
+#[case(RetryReason::TargetSilent, Reason::TargetSilent)]
+#[case(RetryReason::StreamBroken, Reason::ResumeFailed)]
+fn a_call_that_may_have_run_is_not_repeated(#[case] retry: RetryReason, #[case] reason: Reason) {
+    let mut attempts = Attempts {
+        idempotent: false,
+        ..idempotent()
+    };
+    let Verdict::Refuse(refusal) = fail(&mut attempts, retry, None) else {
+        panic!("retried");
+    };
+    assert_eq!((refusal.reason, refusal.ran), (reason, Ran::Unknown));
+}
+
+#[test]
+fn a_call_that_did_not_run_is_repeated_and_then_refused_as_not_run() {
+    let mut attempts = Attempts {
+        idempotent: false,
+        ..idempotent()
+    };
+    for _ in 0..Attempts::MAX_RETRIES {
+        let verdict = fail(&mut attempts, RetryReason::ConnectFailed, None);
+        assert!(matches!(verdict, Verdict::Retry(_)));
+    }
+    let Verdict::Refuse(refusal) = fail(&mut attempts, RetryReason::ConnectFailed, None) else {
+        panic!("retried");
+    };
+    assert_eq!(refusal.ran, Ran::NotRun);
+}
+
+#[test]
+fn an_earlier_attempt_that_may_have_run_is_remembered() {
+    let mut attempts = idempotent();
+    fail(&mut attempts, RetryReason::TargetLost, None);
+    attempts.retried = Attempts::MAX_RETRIES;
+    let Verdict::Refuse(refusal) = fail(&mut attempts, RetryReason::ConnectFailed, None) else {
+        panic!("retried");
+    };
+    assert_eq!(refusal.ran, Ran::Unknown);
+}
+
+#[test]
+fn retry_after_is_honoured_within_the_deadline() {
+    let after = Some(Millis(3_000));
+    let Verdict::Retry(pause) = fail(&mut idempotent(), RetryReason::TargetRefused, after) else {
+        panic!("refused");
+    };
+    assert!(pause >= Millis(3_000));
+    let after = Some(Millis(10_000));
+    let verdict = fail(&mut idempotent(), RetryReason::TargetRefused, after);
+    assert_eq!(verdict, Verdict::Refuse(Reason::TargetRefused.into()));
+}
+
+#[test]
+fn a_spent_budget_of_either_side_ends_retries_and_keeps_the_other() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let (mut spent, mut whole) = (RetryBudget::default(), RetryBudget::default());
+    while spent.take() {}
+    let budgets = [&mut whole, &mut spent];
+    let verdict = idempotent().fail(
+        RetryReason::TargetLost,
+        None,
+        budgets,
+        Millis::ZERO,
+        &mut rng,
+    );
+    assert!(matches!(verdict, Verdict::Refuse(_)));
+    assert_eq!(whole, RetryBudget::default());
+}
+
+proptest! {
+    #[test]
+    fn retries_stay_under_a_tenth_of_successes(outcomes in prop::collection::vec(any::<bool>(), 1..2_000)) {
+        let mut budget = RetryBudget::default();
+        let (mut retries, mut successes) = (0, 0);
+        for good in outcomes {
+            if good {
+                successes += 1;
+                budget.succeed();
+            } else if budget.take() {
+                retries += 1;
+            }
+        }
+        prop_assert!(retries <= 5 + successes / 10);
+    }
+
+    #[test]
+    fn one_caller_never_closes_a_target_to_others(
+        failures in 1..200_u32,
+        caller in 0..5_u64,
+        seed in any::<u64>(),
+    ) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut breaker = Breaker::default();
+        for turn in 0..failures {
+            breaker.record(Health::Failed(caller), Millis(u64::from(turn) * 10), &mut rng);
+        }
+        let now = Millis(u64::from(failures) * 10);
+        prop_assert!(breaker.allows(caller + 1, now));
+        prop_assert_eq!(breaker.allows(caller, now), failures < 3);
+    }
+}
+
+#[test]
+fn failures_of_two_callers_open_the_breaker_and_it_closes_by_itself() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut breaker = Breaker::default();
+    for caller in [1, 2, 1] {
+        breaker.record(Health::Failed(caller), Millis(100), &mut rng);
+    }
+    assert!(!breaker.allows(9, Millis(101)));
+    assert!(breaker.allows(9, Millis(1_000)));
+    breaker.record(Health::Failed(1), Millis(1_000), &mut rng);
+    assert!(
+        !breaker.allows(9, Millis(1_900)),
+        "the second opening is longer"
+    );
+    breaker.record(Health::Answered, Millis(1_950), &mut rng);
+    assert!(breaker.allows(1, Millis(1_950)));
+}
+
+#[test]
+fn refused_connections_open_the_breaker_whoever_meets_them() {
+    let mut rng = StdRng::seed_from_u64(rand::rng().random());
+    let mut breaker = Breaker::default();
+    (0..3).for_each(|_| breaker.record(Health::Unreachable, Millis(0), &mut rng));
+    assert!(!breaker.allows(1, Millis(1)));
+}
