--- a/crates/godwitspool-request/src/lib.rs
+++ b/crates/godwitspool-request/src/lib.rs
@@ -12,18 +12,40 @@
 //! assert_eq!(refusal.to_string(), "queue-full (not-run)");
 //! ```
 
+mod admission;
 mod breaker;
+mod idempotency;
 mod keys;
+mod limits;
+mod pool;
+mod prefixes;
+mod quarantine;
 mod refusal;
 mod rendezvous;
 mod resume;
 mod retry;
 mod silence;
+mod target;
+mod targets;
+mod training_share;
 
+pub use admission::{Admission, AdmissionAction, AdmissionEvent, Ticket};
 pub use breaker::{Breaker, Health};
+pub use idempotency::{
+    ClaimAnswer, Fate, Handed, IdempotencyKey, KEY_HOMES, KeyHome, KeyLoss, KeyRecord,
+};
 pub use keys::{Caller, KeyTable};
+pub use limits::{Grant, LimitHome, Limits, Usage, Want};
+pub use prefixes::{PrefixEvent, Prefixes};
+pub use quarantine::{
+    Blame, Record, Standing, SuspectAction, SuspectEvent, SuspectList, Suspects, WHOLE_BLAME,
+    share_blame,
+};
 pub use refusal::{Reason, Refusal};
 pub use rendezvous::{homes, stable_hash};
 pub use resume::{Piece, Stitch, Stitched};
 pub use retry::{Attempts, RetryBudget, RetryReason, Verdict};
 pub use silence::{Line, LineAction, Pace, Wait, decide_silence};
+pub use target::{LoadReport, TargetFacts, TargetId};
+pub use targets::{Choice, Need, Targets};
+pub use training_share::TrainingShare;
--- /dev/null
+++ b/crates/godwitspool-request/src/quarantine.rs
@@ -0,0 +1,308 @@
+//! Requests that crash targets: found, tried one at a time, quarantined.
+//!
+//! When a target crashes, every request in flight on it is a suspect and bears a part of the blame.
+//! A suspect's fingerprint has one home host by rendezvous, which lets one copy run at a time in the
+//! whole fleet, on a target with no other suspect. A suspect that crashes a target so is
+//! quarantined; one that is answered is cleared.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use godwitspool_types::{HostName, Millis, TargetName};
+
+/// Blame for a whole crash.
+pub const WHOLE_BLAME: u32 = 1_000;
+
+/// A request's part in a crash.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Blame {
+    /// Part of the blame, in thousandths.
+    pub part: u32,
+    /// Fingerprint of the request.
+    pub print: u64,
+    /// Target that crashed.
+    pub target: TargetName,
+}
+
+/// What is known of a suspect.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Record {
+    /// Blame, in thousandths of a crash.
+    pub blame: u32,
+    /// Targets that crashed with the request in flight.
+    pub crashed: BTreeSet<TargetName>,
+    /// Quarantined until then, when it is.
+    pub until: Option<Millis>,
+}
+
+/// Where a fingerprint stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Nothing is held against it.
+    Clear,
+    /// It isn't run.
+    Quarantined,
+    /// It runs only on trial.
+    Suspect,
+}
+
+/// Shares out the blame for a crash among the requests in flight on the target.
+///
+/// When one of them was on trial it bears the blame alone, and those beside it none.
+///
+/// ```
+/// use godwitspool_request::share_blame;
+/// use godwitspool_types::TargetName;
+///
+/// let target = TargetName::from("t1");
+/// let blames = share_blame(&target, &[7, 8], None);
+/// assert_eq!(blames.iter().map(|blame| blame.part).collect::<Vec<_>>(), [500, 500]);
+/// assert_eq!(share_blame(&target, &[7, 8], Some(8)).len(), 1);
+/// ```
+pub fn share_blame(target: &TargetName, flying: &[u64], trial: Option<u64>) -> Vec<Blame> {
+    let prints: BTreeSet<u64> = match trial {
+        Some(print) => [print].into(),
+        None => flying.iter().copied().collect(),
+    };
+    let part = WHOLE_BLAME / prints.len().max(1) as u32;
+    let blame = |print| Blame {
+        part,
+        print,
+        target: target.clone(),
+    };
+    prints.into_iter().map(blame).collect()
+}
+
+// ---------------------------------------------------------------------------
+
+/// What a host tells the home of a fingerprint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SuspectEvent {
+    /// A host wants to run a copy.
+    Ask {
+        /// The host.
+        host: HostName,
+        /// What the host knows, in case this home is new.
+        known: Record,
+        /// Fingerprint.
+        print: u64,
+    },
+    /// A target crashed with the request in flight.
+    Blamed(Blame),
+    /// An operator lifts the quarantine.
+    Lift(u64),
+    /// The trial ended with no crash.
+    Over {
+        /// Whether the request was answered.
+        answered: bool,
+        /// Fingerprint.
+        print: u64,
+    },
+}
+
+/// What the home answers, and what it tells all hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SuspectAction {
+    /// All hosts are told where the fingerprint stands.
+    Announce(u64, Record),
+    /// Another copy is on trial.
+    Busy,
+    /// All hosts forget the fingerprint.
+    Clear(u64),
+    /// The request is quarantined for this long.
+    Refuse(Millis),
+    /// The host may run its copy, by itself among suspects.
+    Try,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Case {
+    record: Record,
+    seen: Millis,
+    trial: Option<Millis>,
+}
+
+/// The suspects of which a host is the home.
+///
+/// ```
+/// use godwitspool_request::{Blame, SuspectAction, SuspectEvent, Suspects};
+/// use godwitspool_types::{Millis, TargetName};
+///
+/// let mut suspects = Suspects::default();
+/// for target in ["t1", "t2"] {
+///     let blame = Blame { part: 1_000, print: 7, target: TargetName::from(target) };
+///     suspects.decide(SuspectEvent::Blamed(blame), Millis(0));
+/// }
+/// assert_eq!(suspects.quarantined(Millis(1)), [7]);
+/// assert_eq!(suspects.quarantined(Millis(600_001)), []);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    cases: BTreeMap<u64, Case>,
+}
+
+impl Suspects {
+    /// How long a request stays quarantined.
+    pub const QUARANTINE: Millis = Millis(600_000);
+    /// How long a suspect is remembered.
+    const MEMORY: Millis = Millis(600_000);
+    /// How long a trial holds when its host says nothing more.
+    const TRIAL: Millis = Millis(60_000);
+    /// Crashed targets before a request is quarantined.
+    const CRASHES: usize = 2;
+    /// Crashed targets at which it is quarantined whatever its part in the blame.
+    const MOST_CRASHES: usize = 3;
+    /// Most suspects that are remembered.
+    const MOST: usize = 65_536;
+
+    /// Decides what an event leads to.
+    pub fn decide(&mut self, event: SuspectEvent, now: Millis) -> Vec<SuspectAction> {
+        self.cases
+            .retain(|_, case| now < case.seen + Self::MEMORY || case.on_trial(now));
+        match event {
+            SuspectEvent::Ask { known, print, .. } => vec![self.ask(print, known, now)],
+            SuspectEvent::Blamed(blame) => self.blame(&blame, now),
+            SuspectEvent::Lift(print) => self.clear(print),
+            SuspectEvent::Over { answered, print } => self.end_trial(print, answered),
+        }
+    }
+
+    /// Returns the fingerprints that are quarantined.
+    pub fn quarantined(&self, now: Millis) -> Vec<u64> {
+        self.cases
+            .iter()
+            .filter(|(_, case)| case.record.until.is_some_and(|until| now < until))
+            .map(|(&print, _)| print)
+            .collect()
+    }
+
+    fn ask(&mut self, print: u64, known: Record, now: Millis) -> SuspectAction {
+        let case = self.cases.entry(print).or_insert_with(|| Case {
+            seen: now,
+            ..Case::default()
+        });
+        case.record.merge(known);
+        if let Some(until) = case.record.until.filter(|&until| now < until) {
+            return SuspectAction::Refuse(until - now);
+        }
+        if case.on_trial(now) {
+            return SuspectAction::Busy;
+        }
+        case.trial = Some(now + Self::TRIAL);
+        SuspectAction::Try
+    }
+
+    fn blame(&mut self, blame: &Blame, now: Millis) -> Vec<SuspectAction> {
+        if self.cases.len() >= Self::MOST && !self.cases.contains_key(&blame.print) {
+            return Vec::new();
+        }
+        let case = self.cases.entry(blame.print).or_default();
+        case.seen = now;
+        case.trial = None;
+        let record = &mut case.record;
+        if record.crashed.insert(blame.target.clone()) {
+            record.blame += blame.part;
+        }
+        let crashes = record.crashed.len();
+        let guilty = crashes >= Self::CRASHES && record.blame >= WHOLE_BLAME;
+        if guilty || crashes >= Self::MOST_CRASHES {
+            record.until = Some(now + Self::QUARANTINE);
+        }
+        vec![SuspectAction::Announce(blame.print, record.clone())]
+    }
+
+    fn end_trial(&mut self, print: u64, answered: bool) -> Vec<SuspectAction> {
+        if answered {
+            return self.clear(print);
+        }
+        if let Some(case) = self.cases.get_mut(&print) {
+            case.trial = None;
+        }
+        Vec::new()
+    }
+
+    fn clear(&mut self, print: u64) -> Vec<SuspectAction> {
+        let known = self.cases.remove(&print).is_some();
+        if known {
+            vec![SuspectAction::Clear(print)]
+        } else {
+            Vec::new()
+        }
+    }
+}
+
+impl Case {
+    fn on_trial(&self, now: Millis) -> bool {
+        self.trial.is_some_and(|until| now < until)
+    }
+}
+
+impl Record {
+    /// Adds what another host knows; it never takes blame away.
+    fn merge(&mut self, other: Self) {
+        self.blame = self.blame.max(other.blame);
+        self.crashed.extend(other.crashed);
+        self.until = self.until.max(other.until);
+    }
+}
+
+// ---------------------------------------------------------------------------
+
+/// What a host has been told of suspects.
+///
+/// ```
+/// use godwitspool_request::{Record, Standing, SuspectList};
+/// use godwitspool_types::Millis;
+///
+/// let mut list = SuspectList::default();
+/// list.announce(7, Record::default(), Millis(0));
+/// assert_eq!(list.standing(7, Millis(1)), Standing::Suspect);
+/// assert_eq!(list.standing(8, Millis(1)), Standing::Clear);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct SuspectList {
+    records: BTreeMap<u64, (Record, Millis)>,
+}
+
+impl SuspectList {
+    /// Takes an announcement.
+    ///
+    /// `until` in the record counts on this host's clock: the receiver turns the span that it was
+    /// sent into a time.
+    pub fn announce(&mut self, print: u64, record: Record, now: Millis) {
+        self.records.retain(|_, (_, forget)| now < *forget);
+        if self.records.len() < Suspects::MOST || self.records.contains_key(&print) {
+            self.records.insert(print, (record, now + Suspects::MEMORY));
+        }
+    }
+
+    /// Forgets a fingerprint.
+    pub fn clear(&mut self, print: u64) {
+        self.records.remove(&print);
+    }
+
+    /// Tells where a fingerprint stands.
+    pub fn standing(&self, print: u64, now: Millis) -> Standing {
+        match self.records.get(&print) {
+            Some((record, _)) if record.until.is_some_and(|until| now < until) => {
+                Standing::Quarantined
+            }
+            Some((_, forget)) if now < *forget => Standing::Suspect,
+            _ => Standing::Clear,
+        }
+    }
+
+    /// Returns what is known of a fingerprint, to tell its home.
+    pub fn record(&self, print: u64) -> Record {
+        self.records
+            .get(&print)
+            .map_or_else(Record::default, |(record, _)| record.clone())
+    }
+
+    /// Returns the fingerprints that are quarantined.
+    pub fn quarantined(&self, now: Millis) -> Vec<u64> {
+        let prints = self.records.keys().copied();
+        prints
+            .filter(|&print| self.standing(print, now) == Standing::Quarantined)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-request/tests/quarantine.rs
@@ -0,0 +1,211 @@
+//! Requests that crash targets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use godwitspool_request::{
+    Blame, Record, Standing, SuspectAction, SuspectEvent, SuspectList, Suspects, share_blame,
+};
+use godwitspool_types::{HostName, Millis, TargetName};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
+fn ask(print: u64, known: Record) -> SuspectEvent {
+    SuspectEvent::Ask {
+        host: HostName::from("h"),
+        known,
+        print,
+    }
+}
+
+fn crash(suspects: &mut Suspects, target: &str, flying: &[u64], trial: Option<u64>) {
+    for blame in share_blame(&TargetName::from(target), flying, trial) {
+        suspects.decide(SuspectEvent::Blamed(blame), Millis(0));
+    }
+}
+
+#[test]
+fn a_suspect_that_crashes_its_trial_is_quarantined_and_those_beside_it_are_not() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, "t1", &[1, 2, 3, 4], None);
+    assert_eq!(suspects.quarantined(Millis(0)), []);
+    assert_eq!(
+        suspects.decide(ask(3, Record::default()), Millis(1)),
+        [SuspectAction::Try]
+    );
+    crash(&mut suspects, "t2", &[3, 5, 6], Some(3));
+    assert_eq!(suspects.quarantined(Millis(2)), [3]);
+    let refused = suspects.decide(ask(3, Record::default()), Millis(1_000));
+    assert_eq!(
+        refused,
+        [SuspectAction::Refuse(Suspects::QUARANTINE - Millis(1_000))]
+    );
+}
+
+#[test]
+fn one_copy_runs_at_a_time_and_an_answer_clears() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, "t1", &[1], None);
+    assert_eq!(
+        suspects.decide(ask(1, Record::default()), Millis(1)),
+        [SuspectAction::Try]
+    );
+    assert_eq!(
+        suspects.decide(ask(1, Record::default()), Millis(2)),
+        [SuspectAction::Busy]
+    );
+    let over = |answered| SuspectEvent::Over { answered, print: 1 };
+    assert_eq!(suspects.decide(over(false), Millis(3)), []);
+    assert_eq!(
+        suspects.decide(ask(1, Record::default()), Millis(4)),
+        [SuspectAction::Try]
+    );
+    assert_eq!(
+        suspects.decide(over(true), Millis(5)),
+        [SuspectAction::Clear(1)]
+    );
+}
+
+#[test]
+fn a_quarantine_ends_by_itself_and_can_be_lifted() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, "t1", &[1], None);
+    crash(&mut suspects, "t2", &[1], Some(1));
+    assert_eq!(suspects.quarantined(Suspects::QUARANTINE - Millis(1)), [1]);
+    assert_eq!(suspects.quarantined(Suspects::QUARANTINE), []);
+    let lifted = suspects.decide(SuspectEvent::Lift(1), Millis(5));
+    assert_eq!(lifted, [SuspectAction::Clear(1)]);
+    assert_eq!(suspects.quarantined(Millis(6)), []);
+}
+
+#[test]
+fn two_reports_of_one_crash_count_once() {
+    let mut suspects = Suspects::default();
+    for _ in 0..5 {
+        crash(&mut suspects, "t1", &[1], None);
+    }
+    assert_eq!(suspects.quarantined(Millis(0)), []);
+}
+
+#[test]
+fn a_new_home_learns_from_the_host_that_asks() {
+    let mut list = SuspectList::default();
+    let record = Record {
+        blame: 200,
+        crashed: BTreeSet::from([TargetName::from("t1")]),
+        until: None,
+    };
+    list.announce(9, record, Millis(0));
+    assert_eq!(list.standing(9, Millis(1)), Standing::Suspect);
+    let mut fresh = Suspects::default();
+    assert_eq!(
+        fresh.decide(ask(9, list.record(9)), Millis(1)),
+        [SuspectAction::Try]
+    );
+    crash(&mut fresh, "t2", &[9], Some(9));
+    assert_eq!(fresh.quarantined(Millis(2)), [9]);
+}
+
+#[test]
+fn a_list_forgets() {
+    let mut list = SuspectList::default();
+    let record = Record {
+        until: Some(Millis(100)),
+        ..Record::default()
+    };
+    list.announce(9, record, Millis(0));
+    assert_eq!(list.quarantined(Millis(99)), [9]);
+    assert_eq!(list.standing(9, Millis(100)), Standing::Suspect);
+    assert_eq!(list.standing(9, Millis(600_000)), Standing::Clear);
+    list.clear(9);
+    assert_eq!(list.standing(9, Millis(99)), Standing::Clear);
+}
+
+/// A fleet in which a poison is sent again and again among innocents; returns the crashes and the
+/// innocents that were quarantined.
+fn run_fleet(seed: u64, targets: u64) -> (BTreeSet<u64>, Vec<u64>) {
+    const POISON: u64 = 0;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut suspects = Suspects::default();
+    let mut known = BTreeMap::<u64, Standing>::new();
+    let mut crashed = BTreeSet::new();
+    for turn in 0..200_u64 {
+        let now = Millis(turn * 100);
+        let alive: Vec<u64> = (0..targets).filter(|id| !crashed.contains(id)).collect();
+        let mut flying = BTreeMap::<u64, Vec<u64>>::new();
+        let mut trials = BTreeMap::<u64, u64>::new();
+        let innocents = (0..30).map(|_| rng.random_range(1..400));
+        let mut prints: Vec<u64> = innocents.collect();
+        prints.insert(rng.random_range(0..prints.len()), POISON);
+        for print in prints {
+            let target = *alive.choose(&mut rng).expect("some targets live");
+            match known.get(&print).copied().unwrap_or(Standing::Clear) {
+                Standing::Quarantined => continue,
+                Standing::Suspect => {
+                    let asked = suspects.decide(ask(print, Record::default()), now);
+                    if trials.contains_key(&target) || asked != [SuspectAction::Try] {
+                        continue;
+                    }
+                    trials.insert(target, print);
+                }
+                Standing::Clear => {}
+            }
+            flying.entry(target).or_default().push(print);
+        }
+        for (target, prints) in flying {
+            let trial = trials.get(&target).copied();
+            let mut actions = Vec::new();
+            if prints.contains(&POISON) {
+                crashed.insert(target);
+                let name = TargetName::from(format!("t{target}"));
+                for blame in share_blame(&name, &prints, trial) {
+                    actions.extend(suspects.decide(SuspectEvent::Blamed(blame), now));
+                }
+            } else if let Some(print) = trial {
+                let over = SuspectEvent::Over {
+                    answered: true,
+                    print,
+                };
+                actions.extend(suspects.decide(over, now));
+            }
+            for action in actions {
+                match action {
+                    SuspectAction::Announce(print, record) => {
+                        let quarantined = record.until.is_some();
+                        let standing = if quarantined {
+                            Standing::Quarantined
+                        } else {
+                            Standing::Suspect
+                        };
+                        known.insert(print, standing);
+                    }
+                    SuspectAction::Clear(print) => {
+                        known.remove(&print);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    let blamed = suspects
+        .quarantined(Millis(1))
+        .into_iter()
+        .filter(|print| *print != POISON);
+    (crashed, blamed.collect())
+}
+
+proptest! {
+    #[test]
+    fn a_poison_crashes_three_targets_at_most_and_no_innocent_is_quarantined(seed: u64) {
+        let (crashed, blamed) = run_fleet(seed, 14);
+        prop_assert!((1..=3).contains(&crashed.len()), "{crashed:?}");
+        prop_assert_eq!(blamed, Vec::<u64>::new());
+    }
+
+    #[test]
+    fn blame_for_a_crash_is_never_more_than_whole(flying in prop::collection::vec(any::<u64>(), 0..40)) {
+        let blames: Vec<Blame> = share_blame(&TargetName::from("t"), &flying, None);
+        prop_assert!(blames.iter().map(|blame| blame.part).sum::<u32>() <= 1_000);
+        let distinct: BTreeSet<u64> = flying.into_iter().collect();
+        prop_assert_eq!(blames.len(), distinct.len());
+    }
+}
