Peer links over TCP and the platform's client

Change: peer::{Link, Server} with marked postcard frames, ids, bounds and counters; http::{PlatformApi, Platform} with errors that tell outage, refusal and unknown fate apart; types: key text built without format_collect, which clippy refuses. Conclusion: the thin path can use both.

--- a/crates/godwitspool-connection/src/lib.rs
+++ b/crates/godwitspool-connection/src/lib.rs
@@ -5,5 +5,7 @@
 //! own processes speak postcard over TCP and UDP.
 
 pub mod engine;
+pub mod http;
 pub mod messages;
+pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/godwitspool-connection/src/peer/pool.rs
@@ -0,0 +1,114 @@
+//! A bounded pool of threads that grows when work waits.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread,
+};
+
+type Job = Box<dyn FnOnce() + Send>;
+
+/// Runs jobs on at most a set number of threads.
+#[derive(Clone)]
+pub(super) struct Pool(Arc<Shared>);
+
+struct Shared {
+    bound: usize,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    idle: usize,
+    jobs: VecDeque<Job>,
+    stopped: bool,
+    threads: usize,
+}
+
+impl Pool {
+    pub fn new(bound: usize) -> Self {
+        Self(Arc::new(Shared {
+            bound,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        }))
+    }
+
+    /// Hands over a job; waits while as many jobs wait as there may be threads.
+    pub fn run(&self, job: Job) {
+        let mut state = self.0.lock();
+        while state.jobs.len() >= self.0.bound && !state.stopped {
+            state = self.0.wait(state);
+        }
+        if state.stopped {
+            return;
+        }
+        state.jobs.push_back(job);
+        if state.idle < state.jobs.len() && state.threads < self.0.bound {
+            state.threads += 1;
+            let shared = Arc::clone(&self.0);
+            let worker = thread::Builder::new().name("peer-work".to_owned());
+            if worker.spawn(move || shared.work()).is_err() {
+                state.threads -= 1;
+            }
+        }
+        drop(state);
+        self.0.changed.notify_all();
+    }
+
+    /// Ends the threads once they have done the jobs that wait.
+    pub fn stop(&self) {
+        self.0.lock().stopped = true;
+        self.0.changed.notify_all();
+    }
+
+    /// Waits until all threads have ended.
+    pub fn join(&self) {
+        let mut state = self.0.lock();
+        while state.threads > 0 {
+            state = self.0.wait(state);
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+        self.changed
+            .wait(state)
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn work(&self) {
+        let _leave = Leave(self);
+        let mut state = self.lock();
+        loop {
+            if let Some(job) = state.jobs.pop_front() {
+                drop(state);
+                self.changed.notify_all();
+                job();
+                state = self.lock();
+            } else if state.stopped {
+                return;
+            } else {
+                state.idle += 1;
+                state = self.wait(state);
+                state.idle -= 1;
+            }
+        }
+    }
+}
+
+/// Counts a thread out, also when its job panicked.
+struct Leave<'a>(&'a Shared);
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        self.0.lock().threads -= 1;
+        self.0.changed.notify_all();
+    }
+}
--- a/crates/godwitspool-types/src/key.rs
+++ b/crates/godwitspool-types/src/key.rs
@@ -16,11 +16,12 @@
     /// Draws a new key at random.
     pub fn random() -> Self {
         let bytes: [u8; KEY_BYTES] = rand::random();
-        let text = bytes
-            .iter()
-            .map(|byte| format!("{byte:02x}"))
-            .collect::<String>();
-        Self(format!("gsk-{text}"))
+        let prefix = String::from("gsk-");
+        Self(
+            bytes
+                .iter()
+                .fold(prefix, |text, byte| text + &format!("{byte:02x}")),
+        )
     }
 
     /// Returns the clear text, to be shown once to the operator who issued it.
