Measure: tables, fits and the command line

Cause: every part adds measurements, each as a table with its baselines. Change: Command, Options, Table and Fit; no command yet. Conclusion: a part adds a module and a line in Command::ALL.

--- /dev/null
+++ b/crates/godwitspool-measure/src/command.rs
@@ -0,0 +1,30 @@
+//! The commands by name.
+
+use crate::{Options, Table};
+
+/// A measurement.
+#[derive(Clone, Copy, Debug)]
+pub struct Command {
+    /// What it measures, in a line.
+    pub about: &'static str,
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Measures and returns the tables.
+    pub run: fn(&Options) -> Vec<Table>,
+}
+
+impl Command {
+    /// Every command, in order of name.
+    pub const ALL: &'static [Self] = &[];
+
+    /// Finds a command.
+    ///
+    /// ```
+    /// use godwitspool_measure::Command;
+    ///
+    /// assert!(Command::named("no such table").is_none());
+    /// ```
+    pub fn named(name: &str) -> Option<&'static Self> {
+        Self::ALL.iter().find(|command| command.name == name)
+    }
+}
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -1,1 +1,18 @@
 //! Measurements of slopes and policies, one command a table.
+//!
+//! ```sh
+//! cargo run --release --bin godwitspool-measure -- herd --seed 7 --out docs/measurements
+//! ```
+//!
+//! Every command fills a [`Table`], prints it and writes it as CSV. A policy and its simple baselines
+//! stand in the same table, from the same run and seed.
+
+mod command;
+mod fit;
+mod options;
+mod table;
+
+pub use command::Command;
+pub use fit::{Fit, Point};
+pub use options::Options;
+pub use table::Table;
