--- a/crates/godwitspool-connection/src/peer.rs
+++ b/crates/godwitspool-connection/src/peer.rs
@@ -28,7 +28,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 pub use frame::FrameError;
-pub use link::{CallError, Link, LinkBounds};
+pub use link::{Link, LinkBounds, LinkError};
 pub use server::{ServeBounds, Server, ServerCounts};
 
 /// Lets the operating system end a connection whose other end is gone without a word.
--- a/crates/godwitspool-connection/src/peer/link.rs
+++ b/crates/godwitspool-connection/src/peer/link.rs
@@ -68,7 +68,7 @@
 
 /// Why a call has no answer.
 #[derive(Debug, Snafu)]
-pub enum CallError {
+pub enum LinkError {
     /// No connection could be opened; nothing was sent.
     #[snafu(display("can't connect to {address}: {source}"))]
     Connect {
@@ -109,7 +109,7 @@
     },
 }
 
-impl CallError {
+impl LinkError {
     /// Returns whether the other end may have carried out the request.
     pub fn ran(&self) -> Ran {
         match self {
@@ -169,8 +169,8 @@
     ///
     /// # Errors
     ///
-    /// [`CallError::ran`] says whether the other end may have carried out the request.
-    pub fn call(&self, request: &Request) -> Result<Answer, CallError> {
+    /// [`LinkError::ran`] says whether the other end may have carried out the request.
+    pub fn call(&self, request: &Request) -> Result<Answer, LinkError> {
         self.call_within(request, self.bounds.answer)
     }
 
@@ -178,8 +178,8 @@
     ///
     /// # Errors
     ///
-    /// [`CallError::ran`] says whether the other end may have carried out the request.
-    pub fn call_within(&self, request: &Request, bound: Millis) -> Result<Answer, CallError> {
+    /// [`LinkError::ran`] says whether the other end may have carried out the request.
+    pub fn call_within(&self, request: &Request, bound: Millis) -> Result<Answer, LinkError> {
         let address = self.address;
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let message = Envelope { id, body: request };
@@ -207,7 +207,7 @@
         }
     }
 
-    fn connection(&self) -> Result<Arc<Connection>, CallError> {
+    fn connection(&self) -> Result<Arc<Connection>, LinkError> {
         let mut current = lock(&self.current);
         if let Some(connection) = current.as_ref().filter(|c| c.waiting.is_open()) {
             return Ok(Arc::clone(connection));
--- a/crates/godwitspool-connection/tests/peer.rs
+++ b/crates/godwitspool-connection/tests/peer.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_connection::peer::{CallError, Link, LinkBounds, ServeBounds, Server};
+use godwitspool_connection::peer::{Link, LinkBounds, LinkError, ServeBounds, Server};
 use godwitspool_types::{Millis, Ran};
 use rstest::rstest;
 
@@ -106,7 +106,7 @@
     let link = Link::<u64, u64>::new(address, LinkBounds::default().with_answer(Millis(30)));
     for calls in 1..=2 {
         let error = link.call(&7).unwrap_err();
-        assert!(matches!(error, CallError::Timeout { .. }), "{error}");
+        assert!(matches!(error, LinkError::Timeout { .. }), "{error}");
         assert_eq!(error.ran(), Ran::Unknown);
         wait_until("a connection of its own for each call", || {
             accepted.load(Ordering::SeqCst) == calls
