--- /dev/null
+++ b/crates/godwitspool-version/src/coverage.rs
@@ -0,0 +1,124 @@
+//! Which requests of which entry lives the seals have covered.
+
+use std::collections::BTreeMap;
+
+use godwitspool_types::{HostName, Incarnation};
+use serde::{Deserialize, Serialize};
+
+use crate::{HostLife, UsageRange};
+
+/// Requests covered so far, by host and life.
+///
+/// ```
+/// use godwitspool_version::{Coverage, HostLife, UsageRange};
+///
+/// let mut coverage = Coverage::default();
+/// let source = HostLife::default();
+/// let ranges = [UsageRange { first: 1, last: 5, source: source.clone() }];
+/// assert!(coverage.cover(&ranges, 0));
+/// assert!(!coverage.cover(&ranges, 0));
+/// assert!(coverage.contains(&source, 5));
+/// assert!(!coverage.contains(&source, 6));
+/// ```
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Coverage {
+    lives: BTreeMap<HostName, BTreeMap<Incarnation, LifeCoverage>>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct LifeCoverage {
+    spans: Vec<Span>,
+    window: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+struct Span {
+    first: u64,
+    last: u64,
+}
+
+impl Coverage {
+    /// Covers the ranges, all or none, and tells whether they were free of requests that are already
+    /// covered.
+    pub fn cover(&mut self, ranges: &[UsageRange], window: u64) -> bool {
+        if !self.is_free(ranges) || !are_disjoint(ranges) {
+            return false;
+        }
+        for range in ranges {
+            let life = self
+                .lives
+                .entry(range.source.host.clone())
+                .or_default()
+                .entry(range.source.incarnation)
+                .or_default();
+            life.add(Span {
+                first: range.first,
+                last: range.last,
+            });
+            life.window = life.window.max(window);
+        }
+        true
+    }
+
+    /// Tells whether a request is covered.
+    pub fn contains(&self, source: &HostLife, sequence: u64) -> bool {
+        self.life(source).is_some_and(|life| {
+            life.spans
+                .iter()
+                .any(|span| span.first <= sequence && sequence <= span.last)
+        })
+    }
+
+    /// Forgets lives that no seal has named since before the window.
+    pub fn forget_before(&mut self, window: u64) {
+        for lives in self.lives.values_mut() {
+            lives.retain(|_, life| life.window >= window);
+        }
+        self.lives.retain(|_, lives| !lives.is_empty());
+    }
+
+    /// Counts the lives that are kept.
+    pub fn lives(&self) -> usize {
+        self.lives.values().map(BTreeMap::len).sum()
+    }
+
+    fn is_free(&self, ranges: &[UsageRange]) -> bool {
+        ranges.iter().all(|range| {
+            self.life(&range.source).is_none_or(|life| {
+                life.spans
+                    .iter()
+                    .all(|span| range.last < span.first || span.last < range.first)
+            })
+        })
+    }
+
+    fn life(&self, source: &HostLife) -> Option<&LifeCoverage> {
+        self.lives.get(&source.host)?.get(&source.incarnation)
+    }
+}
+
+impl LifeCoverage {
+    fn add(&mut self, added: Span) {
+        self.spans.push(added);
+        self.spans.sort_unstable();
+        let mut merged = Vec::<Span>::with_capacity(self.spans.len());
+        for span in &self.spans {
+            match merged.last_mut() {
+                Some(last) if last.last.saturating_add(1) >= span.first => {
+                    last.last = last.last.max(span.last);
+                }
+                _ => merged.push(*span),
+            }
+        }
+        self.spans = merged;
+    }
+}
+
+fn are_disjoint(ranges: &[UsageRange]) -> bool {
+    let mut sorted = ranges.iter().collect::<Vec<_>>();
+    sorted.sort_unstable_by(|a, b| (&a.source, a.first).cmp(&(&b.source, b.first)));
+    sorted.iter().all(|range| range.first <= range.last)
+        && sorted
+            .windows(2)
+            .all(|pair| pair[0].source != pair[1].source || pair[0].last < pair[1].first)
+}
--- a/crates/godwitspool-version/src/lib.rs
+++ b/crates/godwitspool-version/src/lib.rs
@@ -3,10 +3,45 @@
 //!
 //! Everything here is plain data and pure functions. The log's records are folded by offset into
 //! one [`Configuration`] and the states beside it; no clock, socket or lock is used.
+//!
+//! | module's main type | what it is |
+//! |---|---|
+//! | [`Record`] | one record of the log |
+//! | [`Fold`] | what the records up to an offset have put in force |
+//! | [`LeaseCandidate`] | what one host does to get, keep and use a lease |
+//! | [`OrderBook`], [`WindowBook`] | target orders and usage windows as folded |
+//! | [`SnapshotParts`], [`SnapshotCadence`] | snapshots read and written |
+//! | [`AppendBudget`] | what each stream of records may append |
 
+mod append_budget;
+mod candidate;
+mod change;
 mod configuration;
+mod coverage;
+mod fold;
+mod lease;
+mod order_book;
+mod record;
+mod snapshot;
+mod window_book;
 
+pub use append_budget::{AppendBudget, AppendCounts, Stream, StreamRate};
+pub use candidate::{LeaseAction, LeaseCandidate, LeaseEvent, LeaseRules};
+pub use change::ConfigurationChange;
 pub use configuration::{
     ClassRules, Configuration, DcRules, KeyRule, ServiceKind, ServiceRef, ServiceRules,
     TrainerRules, UnconfirmedKeys, WorkspaceRules,
 };
+pub use coverage::Coverage;
+pub use fold::{Change, Fold, FoldCounts, FoldError, RecordOutcome};
+pub use lease::{Lease, LeaseHolder};
+pub use order_book::{ClosedOrder, OpenOrder, OrderBook};
+pub use record::{
+    DecodeError, HostLife, LeaseKind, LeaseRecord, LeaseStep, OrderId, OrderIntent, OrderOutcome,
+    OrderReason, Publish, Record, RecordBody, RecordId, SnapshotPart, TargetAction, UsageFigures,
+    UsageRange, UsageSeal, WeightsTarget, WindowFrozen,
+};
+pub use snapshot::{
+    SnapshotCadence, SnapshotError, SnapshotParts, SnapshotPosition, snapshot_records,
+};
+pub use window_book::{SealedFigures, WindowBook, WindowState, sum_figures};
--- /dev/null
+++ b/crates/godwitspool-version/src/order_book.rs
@@ -0,0 +1,95 @@
+//! Target orders as the log knows them: open until an outcome is recorded.
+
+use std::collections::VecDeque;
+
+use godwitspool_types::{Offset, Term};
+use serde::{Deserialize, Serialize};
+
+use crate::{OrderId, OrderIntent, OrderOutcome};
+
+const MAX_CLOSED: usize = 128;
+
+/// Orders that were begun, as folded from the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderBook {
+    /// The latest orders that ended, oldest first.
+    pub closed: VecDeque<ClosedOrder>,
+    /// Orders without an outcome.
+    pub open: Vec<OpenOrder>,
+}
+
+/// An order without an outcome.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OpenOrder {
+    /// What is ordered.
+    pub intent: OrderIntent,
+    /// Where the intent stands in the log.
+    pub offset: Offset,
+}
+
+/// An order that ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClosedOrder {
+    /// What was ordered.
+    pub intent: OrderIntent,
+    /// Where the outcome stands in the log.
+    pub offset: Offset,
+    /// How it ended.
+    pub outcome: OrderOutcome,
+}
+
+impl OrderBook {
+    /// Opens an order and tells whether that counts: only under the term of the current holder, and
+    /// only once for each identity.
+    pub fn open(&mut self, offset: Offset, intent: &OrderIntent, holder: Option<Term>) -> bool {
+        if holder != Some(intent.term) || self.is_known(intent.order) {
+            return false;
+        }
+        self.open.push(OpenOrder {
+            intent: intent.clone(),
+            offset,
+        });
+        true
+    }
+
+    /// Closes an order and tells whether it was open.
+    pub fn close(&mut self, offset: Offset, order: OrderId, outcome: &OrderOutcome) -> bool {
+        let Some(index) = self.open.iter().position(|open| open.intent.order == order) else {
+            return false;
+        };
+        let open = self.open.remove(index);
+        if self.closed.len() == MAX_CLOSED {
+            self.closed.pop_front();
+        }
+        self.closed.push_back(ClosedOrder {
+            intent: open.intent,
+            offset,
+            outcome: outcome.clone(),
+        });
+        true
+    }
+
+    /// Counts open orders by whether they are of the term.
+    ///
+    /// ```
+    /// use godwitspool_types::Term;
+    /// use godwitspool_version::OrderBook;
+    ///
+    /// assert_eq!(OrderBook::default().open_under(Term(3)), 0);
+    /// ```
+    pub fn open_under(&self, term: Term) -> usize {
+        self.open
+            .iter()
+            .filter(|open| open.intent.term == term)
+            .count()
+    }
+
+    fn is_known(&self, order: OrderId) -> bool {
+        let is_open = self.open.iter().any(|open| open.intent.order == order);
+        is_open
+            || self
+                .closed
+                .iter()
+                .any(|closed| closed.intent.order == order)
+    }
+}
