Stand-ins: engine, plain service, scorer and platform on real sockets

Cause: demo, tests and measurements need engines and a platform that refuse, delay and lose for real. Change: godwitspool-fakes with Engine (continuous batching, bounded KV blocks, prefix cache events late and with gaps, lagging load, resume, export, swap faults, fencing, poison crash), PlainService, Scorer, Platform (log with outage, rate, lost answers, retention; lagging lists; orders; usage; weight store) and Relay, which cuts, silences or refuses connections in front of a listener.

--- a/crates/godwitspool-fakes/src/lib.rs
+++ b/crates/godwitspool-fakes/src/lib.rs
@@ -1,1 +1,43 @@
-//! Small stand-ins for what the system meets: engines, plain services and the platform.
+//! Small stand-ins for what the system meets: engines, plain services, a scorer and the platform.
+//!
+//! Each stand-in runs on real sockets in threads of the process that starts it and stops when it is
+//! dropped. Faults are switched on and off while it runs, and each keeps a history of what it saw.
+//!
+//! ```
+//! use godwitspool_fakes::{Engine, EngineOptions};
+//!
+//! let engine = Engine::start(EngineOptions::default())?;
+//! assert!(engine.address().ip().is_loopback());
+//! assert!(engine.history().is_empty());
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+mod batch;
+mod engine;
+mod engine_event;
+mod engine_http;
+mod engine_options;
+mod fleet;
+mod plain_service;
+mod platform;
+mod platform_event;
+mod platform_http;
+mod platform_log;
+mod platform_options;
+mod prefix_cache;
+mod relay;
+mod scorer;
+mod server;
+mod token;
+
+pub use engine::Engine;
+pub use engine_event::{EngineEvent, EngineRecord, VersionSpan};
+pub use engine_options::{EngineOptions, SwapFault};
+pub use plain_service::{PlainCall, PlainFault, PlainOptions, PlainService};
+pub use platform::Platform;
+pub use platform_event::{PlatformEvent, PlatformRecord};
+pub use platform_options::{ClassOptions, PlatformOptions, TargetKind};
+pub use relay::Relay;
+pub use scorer::{ScoreRequest, Scored, Scorer};
+pub use server::wall_ms;
+pub use token::{answer_tokens, prompt_hash, token};
