--- /dev/null
+++ b/crates/godwitspool-process/src/folder/check.rs
@@ -0,0 +1,126 @@
+//! Checks what only the joined files can show: what is missing, and what doesn't fit together.
+
+use godwitspool_types::{Finding, Place};
+use godwitspool_version::{Configuration, ServiceKind};
+
+use super::read::Places;
+
+/// Checks a joined configuration.
+pub(super) fn check(configuration: &Configuration, places: &Places) -> Vec<Finding> {
+    let mut checker = Checker {
+        configuration,
+        findings: Vec::new(),
+        places,
+    };
+    checker.classes();
+    checker.dcs();
+    checker.open_routes();
+    checker.services();
+    checker.trainers();
+    checker.weights();
+    checker.findings
+}
+
+struct Checker<'a> {
+    configuration: &'a Configuration,
+    findings: Vec<Finding>,
+    places: &'a Places,
+}
+
+impl Checker<'_> {
+    fn classes(&mut self) {
+        for (name, class) in &self.configuration.classes {
+            if class.service.as_str().is_empty() {
+                let place = self.places.of("classes", name.as_str());
+                self.find(place, format!("class {name} has no service"));
+            }
+        }
+    }
+
+    fn dcs(&mut self) {
+        for (name, dc) in &self.configuration.dcs {
+            for (class, floor) in &dc.floor {
+                let ceiling = dc.ceiling.get(class).copied().unwrap_or_default();
+                if *floor > ceiling {
+                    let place = self.places.of("dcs", name.as_str());
+                    let message = format!(
+                        "floor of {class} in {name} is {floor}, above its ceiling of {ceiling}"
+                    );
+                    self.find(place, message);
+                }
+            }
+        }
+    }
+
+    fn open_routes(&mut self) {
+        for route in &self.configuration.open_routes {
+            let kind = self
+                .configuration
+                .services
+                .get(route)
+                .map(|rules| rules.kind);
+            if kind == Some(ServiceKind::Engine) {
+                let place = self.places.of("services", route.as_str());
+                let message = format!("{route} is an open route, expected a plain service");
+                self.find(place, message);
+            }
+        }
+    }
+
+    fn services(&mut self) {
+        for (name, service) in &self.configuration.services {
+            let has_model = !service.model.as_str().is_empty();
+            let place = self.places.of("services", name.as_str());
+            match service.kind {
+                ServiceKind::Engine if !has_model => {
+                    self.find(place, format!("engine service {name} has no model"));
+                }
+                ServiceKind::Engine if !self.configuration.weights.contains_key(&service.model) => {
+                    let model = &service.model;
+                    self.find(
+                        place,
+                        format!("model {model} of {name} has no weights version"),
+                    );
+                }
+                ServiceKind::Plain if has_model => {
+                    self.find(place, format!("plain service {name} has a model"));
+                }
+                ServiceKind::Engine | ServiceKind::Plain => {}
+            }
+        }
+    }
+
+    fn trainers(&mut self) {
+        for (name, trainer) in &self.configuration.trainers {
+            let place = self.places.of("trainers", name.as_str());
+            if trainer.service.as_str().is_empty() {
+                self.find(place.clone(), format!("trainer {name} has no service"));
+            }
+            if trainer.workspace.as_str().is_empty() {
+                self.find(place.clone(), format!("trainer {name} has no workspace"));
+            }
+            let service = self.configuration.services.get(&trainer.service);
+            if service.is_some_and(|service| service.kind == ServiceKind::Plain) {
+                let message = format!("trainer {name} uses the plain service {}", trainer.service);
+                self.find(place, message);
+            }
+        }
+    }
+
+    fn weights(&mut self) {
+        for model in self.configuration.weights.keys() {
+            let mut services = self.configuration.services.values();
+            if !services.any(|service| service.model == *model) {
+                let place = self.places.of("weights", model.as_str());
+                self.find(
+                    place,
+                    format!("weights name the model {model}, which no service has"),
+                );
+            }
+        }
+    }
+
+    fn find(&mut self, place: Place, message: String) {
+        self.findings.push(Finding { place, message });
+    }
+}
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod clock;
 mod findings;
+pub mod folder;
 pub mod settings;
 mod timer;
 pub mod yaml;
--- a/crates/godwitspool-process/src/yaml.rs
+++ b/crates/godwitspool-process/src/yaml.rs
@@ -6,4 +6,5 @@
 mod node;
 
 pub use fields::{Fields, parse_duration};
+pub(crate) use fields::{NAME, is_name};
 pub use node::{Entry, Node, Value, parse};
