Log lines, metrics, operators' HTTP and signals

Change: logs::{install, line}, Metrics with a counter a reason, HttpListener that reopens its server on the same socket, OperatorHttp with the Operated trait, signals::watch.

--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -13,11 +13,19 @@
 mod clock;
 mod findings;
 pub mod folder;
+mod http_listener;
+pub mod logs;
+mod metrics;
+mod operator_http;
 pub mod settings;
+pub mod signals;
 mod timer;
 pub mod yaml;
 
 pub use clock::Clock;
 pub use findings::Findings;
+pub use http_listener::HttpListener;
+pub use metrics::{Metrics, Reasons};
+pub use operator_http::{Operated, OperatorHttp, Readiness};
 pub use settings::{EntrySettings, LogFormat, StewardSettings};
 pub use timer::{Tick, Timer};
