--- /dev/null
+++ b/crates/godwitspool-history/src/check/answers.rs
@@ -0,0 +1,109 @@
+//! Checks of what callers were told.
+
+use std::collections::HashMap;
+
+use godwitspool_types::{HostName, Ran};
+
+use crate::{Answer, Event, History, Line, Promise, Violation, index::Index};
+
+/// A caller gets the whole answer to its own request.
+pub(crate) fn whole(history: &History) -> Vec<Violation> {
+    let broken = history.lines().iter().filter_map(|line| {
+        let answer = match &line.event {
+            Event::Answered { answer, .. } | Event::Delivered { answer, .. } => *answer,
+            _ => return None,
+        };
+        let reason = match answer {
+            Answer::Cut => "an answer that was told to be complete is cut",
+            Answer::Foreign => "an answer belongs to another request",
+            Answer::Whole => return None,
+        };
+        Some(Violation::new(Promise::WholeAnswer, reason, [line]))
+    });
+    broken.collect()
+}
+
+/// A refusal that says "not run" is true.
+pub(crate) fn not_run(index: &Index<'_>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for sent in &index.sent {
+        let Event::Sent { request, work, .. } = &sent.event else {
+            continue;
+        };
+        let refusal = index.outcomes(*request).iter().find(|line| {
+            matches!(
+                line.event,
+                Event::Refused {
+                    ran: Ran::NotRun,
+                    ..
+                }
+            )
+        });
+        let Some(refusal) = refusal else {
+            continue;
+        };
+        let ran = index.received(*work);
+        if !ran.is_empty() {
+            let lines = [*sent, *refusal].into_iter().chain(ran.iter().copied());
+            let reason = "a target got a request that was refused as not run";
+            violations.push(Violation::new(Promise::NotRun, reason, lines));
+        }
+    }
+    violations
+}
+
+/// A non-idempotent request runs at most once.
+pub(crate) fn runs_once(index: &Index<'_>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for sent in &index.sent {
+        let Event::Sent {
+            repeatable: false,
+            work,
+            ..
+        } = &sent.event
+        else {
+            continue;
+        };
+        let ran = index.received(*work);
+        if ran.len() > 1 {
+            let lines = [*sent].into_iter().chain(ran.iter().copied());
+            let reason = format!("targets got it {} times", ran.len());
+            violations.push(Violation::new(Promise::RunsOnce, reason, lines));
+        }
+    }
+    violations
+}
+
+/// A graceful shutdown cuts no request.
+pub(crate) fn shutdown(history: &History, index: &Index<'_>) -> Vec<Violation> {
+    let stopping = stops(history);
+    let mut violations = Vec::new();
+    for sent in &index.sent {
+        let Event::Sent { host, request, .. } = &sent.event else {
+            continue;
+        };
+        let Some(stop) = stopping.get(host).filter(|stop| stop.at > sent.at) else {
+            continue;
+        };
+        let outcomes = index.outcomes(*request);
+        let broken = outcomes
+            .iter()
+            .find(|line| matches!(line.event, Event::Broken(_)));
+        if let Some(broken) = broken.filter(|broken| broken.at >= stop.at) {
+            let reason = format!("a request was cut while {host} was shutting down");
+            let lines = [*sent, *stop, *broken];
+            violations.push(Violation::new(Promise::Shutdown, reason, lines));
+        }
+    }
+    violations
+}
+
+fn stops(history: &History) -> HashMap<&HostName, &Line> {
+    let mut stops = HashMap::new();
+    for line in history.lines() {
+        if let Event::Stopping(host) = &line.event {
+            stops.entry(host).or_insert(line);
+        }
+    }
+    stops
+}
--- /dev/null
+++ b/crates/godwitspool-history/src/check/configuration.rs
@@ -0,0 +1,102 @@
+//! Checks of the configuration in force, seen by which keys work where.
+
+use std::collections::HashMap;
+
+use godwitspool_types::{HostName, KeyDigest};
+
+use crate::{Bounds, Event, History, Line, Promise, Violation, index::Index};
+
+/// An issued key works everywhere within seconds, until it is withdrawn.
+pub(crate) fn in_force(bounds: &Bounds, index: &Index<'_>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (sent, key, outcome) in key_outcomes(index) {
+        let Event::Refused { key: true, .. } = outcome.event else {
+            continue;
+        };
+        let Some(issued) = index.issued.get(&key) else {
+            continue;
+        };
+        let withdrawn = index.withdrawn.get(&key);
+        let valid = withdrawn.is_none_or(|withdrawn| outcome.at < withdrawn.at);
+        if valid && sent.at > index.due(issued.at, bounds.in_force) {
+            let reason = format!("a key was refused {} after its issue", sent.at - issued.at);
+            let lines = [*issued, sent, outcome];
+            violations.push(Violation::new(Promise::ConfigurationInForce, reason, lines));
+        }
+    }
+    violations
+}
+
+/// A host that acted on a configuration never acts on an older one.
+pub(crate) fn kept(history: &History, index: &Index<'_>) -> Vec<Violation> {
+    let mut violations = reverted_offsets(history);
+    violations.extend(reverted_keys(index));
+    violations
+}
+
+fn reverted_offsets(history: &History) -> Vec<Violation> {
+    let mut last = HashMap::<(&HostName, u64), (&Line, _)>::new();
+    let mut violations = Vec::new();
+    for line in history.lines() {
+        let Event::InForce { host, life, offset } = &line.event else {
+            continue;
+        };
+        if let Some((earlier, known)) = last.get(&(host, *life))
+            && known > offset
+        {
+            let reason = format!("{host} went back from offset {known} to {offset}");
+            let lines = [*earlier, line];
+            violations.push(Violation::new(Promise::ConfigurationKept, reason, lines));
+        }
+        last.insert((host, *life), (line, *offset));
+    }
+    violations
+}
+
+/// A withdrawn key that a host has refused must not work there again.
+fn reverted_keys(index: &Index<'_>) -> Vec<Violation> {
+    let mut refused = HashMap::<(&HostName, KeyDigest), &Line>::new();
+    let mut violations = Vec::new();
+    for (sent, key, outcome) in key_outcomes(index) {
+        let Event::Sent { host, .. } = &sent.event else {
+            continue;
+        };
+        let Some(withdrawn) = index.withdrawn.get(&key) else {
+            continue;
+        };
+        match &outcome.event {
+            Event::Refused { key: true, .. } if outcome.at >= withdrawn.at => {
+                refused.entry((host, key)).or_insert(outcome);
+            }
+            Event::Answered { .. } => {
+                let earlier = refused
+                    .get(&(host, key))
+                    .filter(|earlier| earlier.at < sent.at);
+                if let Some(earlier) = earlier {
+                    let reason = format!("{host} refused a withdrawn key and took it again");
+                    let lines = [*withdrawn, *earlier, sent, outcome];
+                    violations.push(Violation::new(Promise::ConfigurationKept, reason, lines));
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// Returns the sendings with a key and what came of them, in order of sending.
+fn key_outcomes<'a>(index: &'a Index<'a>) -> impl Iterator<Item = (&'a Line, KeyDigest, &'a Line)> {
+    index.sent.iter().flat_map(|sent| {
+        let (key, request) = match &sent.event {
+            Event::Sent {
+                key: Some(key),
+                open: false,
+                request,
+                ..
+            } => (Some(*key), *request),
+            _ => (None, godwitspool_types::RequestId(0)),
+        };
+        let outcomes = index.outcomes(request).iter();
+        outcomes.filter_map(move |outcome| key.map(|key| (*sent, key, *outcome)))
+    })
+}
--- /dev/null
+++ b/crates/godwitspool-history/src/recorder.rs
@@ -0,0 +1,67 @@
+//! Records observations from many threads.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use godwitspool_types::Millis;
+
+use crate::{Event, History, Line};
+
+/// Records observations from many threads; clones record into the same history.
+///
+/// ```
+/// use godwitspool_history::{Event, Recorder};
+///
+/// let recorder = Recorder::start();
+/// recorder.clone().record(Event::Stopping("a".into()));
+/// assert_eq!(recorder.history().lines().len(), 1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Recorder {
+    epoch_ms: u64,
+    lines: Arc<Mutex<Vec<Line>>>,
+}
+
+impl Recorder {
+    /// Starts a history at this moment.
+    pub fn start() -> Self {
+        Self {
+            epoch_ms: wall_ms(),
+            lines: Arc::default(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Millis {
+        Millis(wall_ms().saturating_sub(self.epoch_ms))
+    }
+
+    /// Records what is observed now.
+    pub fn record(&self, event: Event) {
+        self.record_at(self.now(), event);
+    }
+
+    /// Records what was observed at a time of the wall clock, in milliseconds.
+    pub fn record_wall(&self, at_ms: u64, event: Event) {
+        self.record_at(Millis(at_ms.saturating_sub(self.epoch_ms)), event);
+    }
+
+    /// Returns what was recorded so far, in order of time.
+    pub fn history(&self) -> History {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.iter().cloned().collect()
+    }
+
+    fn record_at(&self, at: Millis, event: Event) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(Line { at, event });
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -0,0 +1,214 @@
+//! Checks of keys, answers, shutdowns and configuration.
+
+mod common;
+
+use common::{answered, broken, issued, key, received, refused, sent, sent_with};
+use godwitspool_history::{Answer, Event, Promise, Work};
+use godwitspool_types::{Offset, Ran, RequestId};
+use rstest::rstest;
+
+#[test]
+fn an_ordinary_call_breaks_nothing() {
+    let events = [
+        (1, issued("k", "linen")),
+        (2, sent(1)),
+        (3, received(1)),
+        (4, answered(1)),
+    ];
+    assert_eq!(broken(events), []);
+}
+
+#[rstest]
+#[case::none(None)]
+#[case::never_issued(Some("other"))]
+#[case::of_another_workspace(Some("foreign"))]
+fn a_request_with_an_unfit_key_must_not_run(#[case] shown: Option<&str>) {
+    let start = || {
+        [
+            (1, issued("k", "linen")),
+            (1, issued("foreign", "seals")),
+            (2, sent_with(1, shown)),
+        ]
+    };
+    assert_eq!(
+        broken(start().into_iter().chain([(3, received(1))])),
+        [Promise::WorkspaceKey]
+    );
+    let refusal = [(3, refused(1, true, Ran::NotRun))];
+    assert_eq!(broken(start().into_iter().chain(refusal)), []);
+}
+
+#[test]
+fn an_open_route_needs_no_key() {
+    let mut open = sent_with(1, None);
+    if let Event::Sent { open, .. } = &mut open {
+        *open = true;
+    }
+    assert_eq!(broken([(2, open), (3, received(1)), (4, answered(1))]), []);
+}
+
+#[test]
+fn a_key_at_a_target_is_a_violation() {
+    let seen = Event::Received {
+        key: Some("header cookie".into()),
+        target: "t".into(),
+        work: Work::Prompt(1),
+    };
+    assert_eq!(broken([(1, seen)]), [Promise::KeyHidden]);
+}
+
+#[rstest]
+#[case::in_time(3_000, &[])]
+#[case::late(3_100, &[Promise::KeyWithdrawn])]
+fn an_open_answer_of_a_withdrawn_key_ends(#[case] after: u64, #[case] expected: &[Promise]) {
+    let events = [
+        (1, issued("k", "linen")),
+        (5, sent(1)),
+        (6, received(1)),
+        (10, Event::Withdrawn(key("k"))),
+        (10 + after, Event::Progress(RequestId(1))),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
+#[test]
+fn a_new_request_with_a_withdrawn_key_does_not_run() {
+    let events = [
+        (1, issued("k", "linen")),
+        (10, Event::Withdrawn(key("k"))),
+        (4_000, sent(1)),
+        (4_001, received(1)),
+        (4_002, answered(1)),
+    ];
+    assert_eq!(
+        broken(events),
+        [Promise::WorkspaceKey, Promise::KeyWithdrawn]
+    );
+}
+
+#[rstest]
+#[case::soon_after(7_900, &[])]
+#[case::long_after(8_100, &[Promise::KeyWithdrawn])]
+fn the_bound_of_a_withdrawal_begins_anew_after_a_cut(
+    #[case] at: u64,
+    #[case] expected: &[Promise],
+) {
+    let events = [
+        (1, issued("k", "linen")),
+        (5, sent(1)),
+        (10, Event::Withdrawn(key("k"))),
+        (20, Event::CutOff(Some("gori".into()))),
+        (5_000, Event::Rejoined(Some("gori".into()))),
+        (at, Event::Progress(RequestId(1))),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
+#[rstest]
+#[case::cut(Answer::Cut)]
+#[case::foreign(Answer::Foreign)]
+fn an_answer_is_whole_and_the_callers_own(#[case] answer: Answer) {
+    let told = Event::Answered {
+        answer,
+        request: RequestId(1),
+    };
+    let events = [
+        (1, issued("k", "linen")),
+        (2, sent(1)),
+        (3, received(1)),
+        (4, told),
+    ];
+    assert_eq!(broken(events), [Promise::WholeAnswer]);
+}
+
+#[rstest]
+#[case::not_run(Ran::NotRun, &[Promise::NotRun])]
+#[case::unknown(Ran::Unknown, &[])]
+#[case::ran(Ran::Ran, &[])]
+fn not_run_is_true(#[case] ran: Ran, #[case] expected: &[Promise]) {
+    let events = [
+        (1, issued("k", "linen")),
+        (2, sent(1)),
+        (3, received(1)),
+        (4, refused(1, false, ran)),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
+#[rstest]
+#[case::repeatable(true, &[])]
+#[case::not_repeatable(false, &[Promise::RunsOnce])]
+fn a_call_runs_twice_only_if_it_may(#[case] may: bool, #[case] expected: &[Promise]) {
+    let mut call = sent(1);
+    if let Event::Sent { repeatable, .. } = &mut call {
+        *repeatable = may;
+    }
+    let runs = [(3, received(1)), (4, received(1)), (5, answered(1))];
+    let events = [(1, issued("k", "linen")), (2, call)];
+    assert_eq!(broken(events.into_iter().chain(runs)), expected);
+}
+
+#[rstest]
+#[case::before(5, 8, 10, &[])]
+#[case::during(5, 12, 10, &[Promise::Shutdown])]
+#[case::sent_after(11, 12, 10, &[])]
+fn a_shutdown_cuts_no_request(
+    #[case] sent_at: u64,
+    #[case] broken_at: u64,
+    #[case] stop: u64,
+    #[case] expected: &[Promise],
+) {
+    let events = [
+        (1, issued("k", "linen")),
+        (sent_at, sent(1)),
+        (broken_at, Event::Broken(RequestId(1))),
+        (stop, Event::Stopping("h".into())),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
+#[rstest]
+#[case::in_time(9_000, &[])]
+#[case::late(9_100, &[Promise::ConfigurationInForce])]
+fn an_issued_key_works_everywhere_soon(#[case] after: u64, #[case] expected: &[Promise]) {
+    let events = [
+        (1, issued("k", "linen")),
+        (1 + after, sent(1)),
+        (2 + after, refused(1, true, Ran::NotRun)),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
+#[test]
+fn a_key_that_was_refused_after_withdrawal_never_works_again() {
+    let events = [
+        (1, issued("k", "linen")),
+        (10, Event::Withdrawn(key("k"))),
+        (11, sent(1)),
+        (12, refused(1, true, Ran::NotRun)),
+        (13, sent(2)),
+        (14, answered(2)),
+    ];
+    assert_eq!(broken(events), [Promise::ConfigurationKept]);
+}
+
+#[rstest]
+#[case::back(1, 7, 6, &[Promise::ConfigurationKept])]
+#[case::onward(1, 7, 8, &[])]
+#[case::another_life(2, 7, 6, &[])]
+fn a_process_never_goes_back(
+    #[case] life: u64,
+    #[case] first: u64,
+    #[case] second: u64,
+    #[case] expected: &[Promise],
+) {
+    let told = |life, offset| Event::InForce {
+        host: "h".into(),
+        life,
+        offset: Offset(offset),
+    };
+    assert_eq!(
+        broken([(1, told(1, first)), (2, told(life, second))]),
+        expected
+    );
+}
