Stand-ins: a view of the platform for each data centre, and a UDP relay

Cause: the demo separates data centres from the platform and from each other. Conclusion: partitions need no hook in the daemons.

--- a/crates/godwitspool-fakes/src/lib.rs
+++ b/crates/godwitspool-fakes/src/lib.rs
@@ -29,6 +29,7 @@
 mod scorer;
 mod server;
 mod token;
+mod udp_relay;
 
 pub use engine::Engine;
 pub use engine_event::{EngineEvent, EngineRecord, VersionSpan};
@@ -41,3 +42,4 @@
 pub use scorer::{ScoreRequest, Scored, Scorer};
 pub use server::wall_ms;
 pub use token::{answer_tokens, prompt_hash, token};
+pub use udp_relay::UdpRelay;
--- a/crates/godwitspool-fakes/src/platform.rs
+++ b/crates/godwitspool-fakes/src/platform.rs
@@ -25,10 +25,12 @@
     platform_http,
     platform_log::{Lagging, Log, RateLimit},
     platform_options::PlatformOptions,
+    relay::Relay,
     server::{HttpServer, lock, wall_ms},
 };
 
 const HTTP_WORKERS: usize = 16;
+const VIEW_WORKERS: usize = 8;
 const TICK: Duration = Duration::from_millis(10);
 
 /// The platform.
@@ -46,6 +48,14 @@
     server: HttpServer,
     shared: Arc<Shared>,
     ticker: Option<JoinHandle<()>>,
+    views: Mutex<BTreeMap<Dc, View>>,
+}
+
+/// A listener of its own for a data centre, which can be cut off.
+struct View {
+    relay: Relay,
+    // Dropped after the relay, so that its connections have ended.
+    _server: HttpServer,
 }
 
 /// What the threads of the platform share.
@@ -61,7 +71,7 @@
     pub(crate) downloads: RateLimit,
     pub(crate) fleet: Fleet,
     pub(crate) history: Vec<PlatformRecord>,
-    pub(crate) hosts: Lagging<HostList>,
+    pub(crate) hosts: BTreeMap<Option<Dc>, Lagging<HostList>>,
     pub(crate) log: Log,
     pub(crate) lost_answers: u32,
     pub(crate) others: Vec<TargetEntry>,
@@ -84,7 +94,7 @@
             downloads: RateLimit::new(options.weight_rate),
             fleet: Fleet::start(options.classes.clone(), now)?,
             history: Vec::new(),
-            hosts: Lagging::new(options.lag_ms),
+            hosts: BTreeMap::new(),
             log: Log::new(options.retention),
             lost_answers: 0,
             others: Vec::new(),
@@ -93,12 +103,7 @@
             slow_ms: 0,
             targets: Lagging::new(options.lag_ms),
         };
-        state.hosts.set(
-            HostList {
-                hosts: options.hosts.clone(),
-            },
-            now,
-        );
+        state.set_hosts(None, options.hosts.clone(), options.lag_ms);
         state.tick(now);
         let listen = options.listen;
         let stopped = AtomicBool::new(false);
@@ -110,7 +115,7 @@
         let server = {
             let shared = Arc::clone(&shared);
             HttpServer::start(listen, HTTP_WORKERS, move |request| {
-                platform_http::handle(request, &shared);
+                platform_http::handle(request, &shared, None);
             })?
         };
         let ticker = {
@@ -126,6 +131,7 @@
             server,
             shared,
             ticker: Some(ticker),
+            views: Mutex::default(),
         })
     }
 
@@ -151,9 +157,44 @@
 
     /// Sets the hosts; readers see them later.
     pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
-        lock(&self.shared.state)
-            .hosts
-            .set(HostList { hosts }, wall_ms());
+        let lag_ms = self.shared.options.lag_ms;
+        lock(&self.shared.state).set_hosts(None, hosts, lag_ms);
+    }
+
+    /// Opens an address for one data centre, where hosts may have addresses of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding an address.
+    pub fn open_view(&self, dc: &Dc, hosts: Vec<HostEntry>) -> io::Result<SocketAddr> {
+        self.set_view_hosts(dc, hosts);
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let shared = Arc::clone(&self.shared);
+        let seen_by = dc.clone();
+        let server = HttpServer::start(local, VIEW_WORKERS, move |request| {
+            platform_http::handle(request, &shared, Some(&seen_by));
+        })?;
+        let relay = Relay::start(local, server.address())?;
+        let address = relay.address();
+        let view = View {
+            relay,
+            _server: server,
+        };
+        lock(&self.views).insert(dc.clone(), view);
+        Ok(address)
+    }
+
+    /// Sets the hosts as one data centre is to see them.
+    pub fn set_view_hosts(&self, dc: &Dc, hosts: Vec<HostEntry>) {
+        let lag_ms = self.shared.options.lag_ms;
+        lock(&self.shared.state).set_hosts(Some(dc), hosts, lag_ms);
+    }
+
+    /// Cuts a data centre's view off until unset: connections stay open and say nothing.
+    pub fn set_view_cut(&self, dc: &Dc, on: bool) {
+        if let Some(view) = lock(&self.views).get(dc) {
+            view.relay.set_partition(on);
+        }
     }
 
     /// Lists targets that run elsewhere, beside those that the platform started.
@@ -262,6 +303,21 @@
         });
     }
 
+    /// Sets the hosts as a view sees them.
+    fn set_hosts(&mut self, view: Option<&Dc>, hosts: Vec<HostEntry>, lag_ms: u64) {
+        let seen = self
+            .hosts
+            .entry(view.cloned())
+            .or_insert_with(|| Lagging::new(lag_ms));
+        seen.set(HostList { hosts }, wall_ms());
+    }
+
+    /// Returns the hosts as a view sees them now.
+    pub(crate) fn hosts(&mut self, view: Option<&Dc>) -> HostList {
+        let hosts = self.hosts.get_mut(&view.cloned());
+        hosts.map(|hosts| hosts.get(wall_ms())).unwrap_or_default()
+    }
+
     /// Moves targets on and publishes their list.
     pub(crate) fn tick(&mut self, now_ms: u64) {
         self.fleet.tick(now_ms);
--- a/crates/godwitspool-fakes/src/platform_http.rs
+++ b/crates/godwitspool-fakes/src/platform_http.rs
@@ -3,7 +3,7 @@
 use std::{thread, time::Duration};
 
 use godwitspool_connection::platform::{AppendRequest, Appended, TargetOrder, UsageReport};
-use godwitspool_types::Offset;
+use godwitspool_types::{Dc, Offset};
 use serde::Serialize;
 use tiny_http::{Method, Request, Response};
 
@@ -15,8 +15,8 @@
 
 const PAGE_RECORDS: usize = 1_000;
 
-/// Answers one request.
-pub(crate) fn handle(mut request: Request, shared: &Shared) {
+/// Answers one request, which came by a data centre's view or by the common address.
+pub(crate) fn handle(mut request: Request, shared: &Shared, view: Option<&Dc>) {
     let body = read_body(&mut request);
     let url = request.url().to_owned();
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
@@ -29,7 +29,7 @@
         (Method::Post, ["log", "append"]) => append(request, &body, shared),
         (Method::Get, ["log"]) => page(request, query, shared),
         (Method::Get, ["hosts"]) => {
-            let hosts = lock(&shared.state).hosts.get(wall_ms());
+            let hosts = lock(&shared.state).hosts(view);
             respond_json(request, &hosts);
         }
         (Method::Get, ["targets"]) => {
--- a/crates/godwitspool-fakes/tests/platform.rs
+++ b/crates/godwitspool-fakes/tests/platform.rs
@@ -7,8 +7,8 @@
 };
 
 use godwitspool_connection::platform::{
-    AppendRequest, Appended, LogPage, OrderAction, OrderAnswer, TargetList, TargetOrder,
-    TargetState, UsageReport, UsageRow,
+    AppendRequest, Appended, HostEntry, HostList, LogPage, OrderAction, OrderAnswer, TargetList,
+    TargetOrder, TargetState, UsageReport, UsageRow,
 };
 use godwitspool_fakes::{
     ClassOptions, EngineOptions, Platform, PlatformEvent, PlatformOptions, TargetKind,
@@ -249,3 +249,32 @@
         Err(ureq::Error::StatusCode(429))
     ));
 }
+
+#[test]
+fn a_data_centre_has_its_own_view_and_can_be_cut_off() {
+    let platform = Platform::start(PlatformOptions::default()).unwrap();
+    let dc = Dc::from("gori");
+    let host = HostEntry {
+        address: [127, 0, 0, 9].into(),
+        dc: dc.clone(),
+        entry_port: 1,
+        host: "one".into(),
+        leaving: false,
+        steward_port: 2,
+    };
+    let address = platform.open_view(&dc, vec![host.clone()]).unwrap();
+    let hosts = || {
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .timeout_global(Some(Duration::from_millis(500)))
+            .build()
+            .into();
+        let mut answer = agent.get(format!("http://{address}/hosts")).call()?;
+        answer.body_mut().read_json::<HostList>()
+    };
+    assert_eq!(hosts().unwrap().hosts, [host]);
+    assert!(get::<HostList>(&platform, "/hosts").hosts.is_empty());
+    platform.set_view_cut(&dc, true);
+    assert!(hosts().is_err());
+    platform.set_view_cut(&dc, false);
+    assert!(hosts().is_ok());
+}
