Request: tests name their types

Cause: with serde_json in the build, empty arrays in comparisons of u64 became ambiguous. Change: is_empty and typed vectors in the tests; the checks are as strict as before.

--- a/crates/godwitspool-request/src/quarantine.rs
+++ b/crates/godwitspool-request/src/quarantine.rs
@@ -133,7 +133,7 @@
 ///     suspects.decide(SuspectEvent::Blamed(blame), Millis(0));
 /// }
 /// assert_eq!(suspects.quarantined(Millis(1)), [7]);
-/// assert_eq!(suspects.quarantined(Millis(600_001)), []);
+/// assert!(suspects.quarantined(Millis(600_001)).is_empty());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
--- a/crates/godwitspool-request/tests/quarantine.rs
+++ b/crates/godwitspool-request/tests/quarantine.rs
@@ -27,13 +27,13 @@
 fn a_suspect_that_crashes_its_trial_is_quarantined_and_those_beside_it_are_not() {
     let mut suspects = Suspects::default();
     crash(&mut suspects, "t1", &[1, 2, 3, 4], None);
-    assert_eq!(suspects.quarantined(Millis(0)), []);
+    assert!(suspects.quarantined(Millis(0)).is_empty());
     assert_eq!(
         suspects.decide(ask(3, Record::default()), Millis(1)),
         [SuspectAction::Try]
     );
     crash(&mut suspects, "t2", &[3, 5, 6], Some(3));
-    assert_eq!(suspects.quarantined(Millis(2)), [3]);
+    assert_eq!(suspects.quarantined(Millis(2)), vec![3_u64]);
     let refused = suspects.decide(ask(3, Record::default()), Millis(1_000));
     assert_eq!(
         refused,
@@ -70,11 +70,14 @@
     let mut suspects = Suspects::default();
     crash(&mut suspects, "t1", &[1], None);
     crash(&mut suspects, "t2", &[1], Some(1));
-    assert_eq!(suspects.quarantined(Suspects::QUARANTINE - Millis(1)), [1]);
-    assert_eq!(suspects.quarantined(Suspects::QUARANTINE), []);
+    assert_eq!(
+        suspects.quarantined(Suspects::QUARANTINE - Millis(1)),
+        vec![1_u64]
+    );
+    assert!(suspects.quarantined(Suspects::QUARANTINE).is_empty());
     let lifted = suspects.decide(SuspectEvent::Lift(1), Millis(5));
     assert_eq!(lifted, [SuspectAction::Clear(1)]);
-    assert_eq!(suspects.quarantined(Millis(6)), []);
+    assert!(suspects.quarantined(Millis(6)).is_empty());
 }
 
 #[test]
@@ -83,7 +86,7 @@
     for _ in 0..5 {
         crash(&mut suspects, "t1", &[1], None);
     }
-    assert_eq!(suspects.quarantined(Millis(0)), []);
+    assert!(suspects.quarantined(Millis(0)).is_empty());
 }
 
 #[test]
@@ -102,7 +105,7 @@
         [SuspectAction::Try]
     );
     crash(&mut fresh, "t2", &[9], Some(9));
-    assert_eq!(fresh.quarantined(Millis(2)), [9]);
+    assert_eq!(fresh.quarantined(Millis(2)), vec![9_u64]);
 }
 
 #[test]
@@ -113,7 +116,7 @@
         ..Record::default()
     };
     list.announce(9, record, Millis(0));
-    assert_eq!(list.quarantined(Millis(99)), [9]);
+    assert_eq!(list.quarantined(Millis(99)), vec![9_u64]);
     assert_eq!(list.standing(9, Millis(100)), Standing::Suspect);
     assert_eq!(list.standing(9, Millis(600_000)), Standing::Clear);
     list.clear(9);
