--- a/crates/godwitspool-request/tests/admission.rs
+++ b/crates/godwitspool-request/tests/admission.rs
@@ -205,6 +205,8 @@
     assert_eq!(share.cuts(10), 0);
     share.observe(6, Millis(10));
     assert_eq!(share.cuts(10), 3);
+    share.observe(5, Millis(20));
+    assert_eq!(share.cuts(8), 0, "half of the headroom is still free");
     share.observe(0, Millis(60_000));
     assert_eq!(share.room(0), 12, "the peak fades");
 }
@@ -269,6 +271,22 @@
     assert!(home.ask(&host, want, LIMITS, Millis(13_001)).is_some());
 }
 
+#[test]
+fn an_idle_host_saves_up_no_more_than_a_second() {
+    let mut usage = Usage::default();
+    let grant = Grant {
+        concurrency: 1_000,
+        rate: 20.0,
+    };
+    let mut passed = 0;
+    for now in [0, 2_000] {
+        usage.grant(grant, Millis(now));
+        let begins = (0..100).filter(|_| usage.begin(LIMITS, Millis(now)).is_ok());
+        passed += begins.count();
+    }
+    assert_eq!(passed, 40);
+}
+
 #[test]
 fn a_host_whose_grant_ended_falls_back_to_the_fixed_part() {
     let mut usage = Usage::default();
--- a/crates/godwitspool-request/tests/idempotency.rs
+++ b/crates/godwitspool-request/tests/idempotency.rs
@@ -71,6 +71,23 @@
     assert_eq!(home.claim(&key("k"), 1, &b, Millis(0)), ClaimAnswer::New);
 }
 
+#[test]
+fn what_ran_through_a_lost_host_has_an_unknown_fate() {
+    let mut home = KeyHome::default();
+    let (a, b) = (HostName::from("a"), HostName::from("b"));
+    home.claim(&key("k"), 1, &a, Millis(0));
+    home.claim(&key("l"), 1, &b, Millis(0));
+    home.host_lost(&a);
+    assert_eq!(
+        home.claim(&key("k"), 1, &b, Millis(1)),
+        ClaimAnswer::Unknown
+    );
+    assert_eq!(
+        home.claim(&key("l"), 1, &a, Millis(1)),
+        ClaimAnswer::InProgress
+    );
+}
+
 #[rstest]
 #[case(ClaimAnswer::Unknown, ClaimAnswer::Unknown)]
 #[case(ClaimAnswer::InProgress, ClaimAnswer::InProgress)]
--- a/crates/godwitspool-request/tests/quarantine.rs
+++ b/crates/godwitspool-request/tests/quarantine.rs
@@ -84,8 +84,9 @@
 fn two_reports_of_one_crash_count_once() {
     let mut suspects = Suspects::default();
     for _ in 0..5 {
-        crash(&mut suspects, "t1", &[1], None);
+        crash(&mut suspects, "t1", &[1, 2], None);
     }
+    crash(&mut suspects, "t2", &[1, 5, 6, 7], None);
     assert!(suspects.quarantined(Millis(0)).is_empty());
 }
 
--- a/crates/godwitspool-request/tests/targets.rs
+++ b/crates/godwitspool-request/tests/targets.rs
@@ -305,6 +305,7 @@
         let mut prefixes = Prefixes::default();
         let cut = cut.min(events.len() - 1);
         prefixes.fold(&target, &events[..cut], cut as u64);
+        prefixes.fold(&target, &events[..cut / 2], cut as u64);
         let from = if lost { cut + 1 } else { cut / 2 };
         prefixes.fold(&target, &events[from..], events.len() as u64);
         let trusted = if lost { &events[from..] } else { &events[..] };
