--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod folder;
 mod http_listener;
 pub mod logs;
+pub mod membership;
 mod metrics;
 mod operator_http;
 pub mod settings;
