--- /dev/null
+++ b/crates/godwitspool-rollout/src/step/replication.rs
@@ -0,0 +1,327 @@
+//! How records reach the replica.
+
+use godwitspool_types::{HostName, Millis};
+
+use super::{Epoch, Image, PeerMessage, Record, Role, StepAction, TrainerSteps};
+
+const RESEND_MS: Millis = Millis(500);
+const MOST_UNHELD: usize = 4_096;
+
+impl TrainerSteps {
+    // -----------------------------------------------------------------------------------------------
+    // Home's side
+
+    /// Applies a record and sends it to the replica.
+    pub(super) fn record(&mut self, record: Record, now: Millis, actions: &mut Vec<StepAction>) {
+        self.image.apply(&record);
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        home.sequence += 1;
+        let Some(replica) = &mut home.replica else {
+            return;
+        };
+        if replica.held.is_some() {
+            let message = PeerMessage::Records {
+                epoch: self.epoch.clone(),
+                first: home.sequence,
+                records: vec![record.clone()],
+            };
+            replica.sent_at = now;
+            let to = replica.host.clone();
+            actions.push(StepAction::Send { to, message });
+        }
+        home.unheld.push_back(record);
+        if home.unheld.len() > MOST_UNHELD {
+            home.unheld.clear();
+            replica.held = None;
+        }
+    }
+
+    /// Gives the answers whose records the replica holds.
+    pub(super) fn release(&mut self, actions: &mut Vec<StepAction>) {
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        let held = match &home.replica {
+            Some(replica) => replica.held,
+            None => Some(u64::MAX),
+        };
+        let ready = |sequence: u64| held.is_some_and(|held| held >= sequence);
+        for pending in home
+            .pending
+            .extract_if(.., |pending| ready(pending.sequence))
+        {
+            let (reply, answer) = (pending.reply, pending.answer);
+            actions.push(StepAction::Answer { reply, answer });
+        }
+    }
+
+    /// Sends again what the replica hasn't confirmed.
+    pub(super) fn resend(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        if let Role::Idle {
+            silent: Some(silent),
+        } = &self.role
+        {
+            for to in silent {
+                let (to, message) = (to.clone(), PeerMessage::Probe);
+                actions.push(StepAction::Send { to, message });
+            }
+        }
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        let Some(replica) = &mut home.replica else {
+            return;
+        };
+        if now - replica.sent_at < RESEND_MS {
+            return;
+        }
+        match replica.held {
+            None => self.send_image(now, actions),
+            Some(held) if held < home.sequence => {
+                replica.sent_at = now;
+                let message = PeerMessage::Records {
+                    epoch: self.epoch.clone(),
+                    first: held + 1,
+                    records: home.unheld.iter().cloned().collect(),
+                };
+                let to = replica.host.clone();
+                actions.push(StepAction::Send { to, message });
+            }
+            Some(_) => self.hand_over(now, actions),
+        }
+    }
+
+    pub(super) fn send_image(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        if let Some(replica) = &mut home.replica {
+            replica.sent_at = now;
+            replica.held = None;
+            home.unheld.clear();
+            let message = PeerMessage::Image {
+                epoch: self.epoch.clone(),
+                image: Box::new(self.image.clone()),
+                sequence: home.sequence,
+            };
+            let to = replica.host.clone();
+            actions.push(StepAction::Send { to, message });
+        }
+    }
+
+    /// Offers the home to the replica when that ranks first and holds everything.
+    pub(super) fn hand_over(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        let Some(replica) = &mut home.replica else {
+            return;
+        };
+        let is_first = self.ranked.first() == Some(&replica.host);
+        if is_first && replica.held == Some(home.sequence) {
+            replica.sent_at = now;
+            let message = PeerMessage::Handover {
+                epoch: self.epoch.clone(),
+                sequence: home.sequence,
+            };
+            let to = replica.host.clone();
+            actions.push(StepAction::Send { to, message });
+        }
+    }
+
+    fn confirm(&mut self, from: &HostName, held: u64, now: Millis, actions: &mut Vec<StepAction>) {
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        let Some(replica) = home
+            .replica
+            .as_mut()
+            .filter(|replica| replica.host == *from)
+        else {
+            return;
+        };
+        for to in home.former.drain(..) {
+            let message = PeerMessage::Drop(self.epoch.clone());
+            actions.push(StepAction::Send { to, message });
+        }
+        replica.held = Some(replica.held.unwrap_or(0).max(held));
+        let unheld = home.sequence.saturating_sub(replica.held.unwrap_or(0)) as usize;
+        let confirmed = home.unheld.len().saturating_sub(unheld);
+        home.unheld.drain(..confirmed);
+        // Records made while the image was on its way were not sent.
+        let is_behind = home.unheld.len() < unheld;
+        self.release(actions);
+        if is_behind {
+            self.send_image(now, actions);
+        } else {
+            self.hand_over(now, actions);
+        }
+    }
+
+    // -----------------------------------------------------------------------------------------------
+    // Messages
+
+    pub(super) fn hear(
+        &mut self,
+        from: HostName,
+        message: PeerMessage,
+        now: Millis,
+        actions: &mut Vec<StepAction>,
+    ) {
+        let answer = match message {
+            PeerMessage::Drop(epoch) => {
+                if epoch > self.epoch && epoch.host != self.host {
+                    self.step_down(epoch, actions);
+                }
+                None
+            }
+            PeerMessage::Handover { epoch, sequence } => {
+                Some(self.accept_home(epoch, sequence, now, actions))
+            }
+            PeerMessage::Held { epoch, sequence } => {
+                if epoch == self.epoch {
+                    self.confirm(&from, sequence, now, actions);
+                }
+                None
+            }
+            PeerMessage::Image {
+                epoch,
+                image,
+                sequence,
+            } => self.take_image(epoch, *image, sequence, actions),
+            PeerMessage::Merge(image) => {
+                self.merge(image, now, actions);
+                None
+            }
+            PeerMessage::Missing(epoch) => {
+                if epoch == self.epoch {
+                    self.send_image(now, actions);
+                }
+                None
+            }
+            PeerMessage::Probe => {
+                // A home that asks has been replaced under its name and holds nothing.
+                if self.is_replica() && self.epoch.host == from {
+                    self.become_home(now, actions);
+                }
+                Some(PeerMessage::Probed {
+                    holds: !matches!(self.role, Role::Idle { .. }),
+                })
+            }
+            PeerMessage::Probed { holds } => {
+                self.probed(&from, holds, now, actions);
+                None
+            }
+            PeerMessage::Records {
+                epoch,
+                first,
+                records,
+            } => Some(self.take_records(epoch, first, &records, actions)),
+            PeerMessage::Superseded(epoch) => {
+                if epoch > self.epoch && self.is_home() {
+                    self.step_down(epoch, actions);
+                }
+                None
+            }
+        };
+        if let Some(message) = answer {
+            actions.push(StepAction::Send { to: from, message });
+        }
+    }
+
+    fn merge(&mut self, image: Box<Image>, now: Millis, actions: &mut Vec<StepAction>) {
+        if !self.is_home() {
+            return;
+        }
+        self.record(Record::Merged(image), now, actions);
+        let image = &self.image;
+        self.running.retain(|id, _| {
+            let is_open = image.step(id.step).is_some();
+            if !is_open {
+                actions.push(StepAction::Cancel { id: id.clone() });
+            }
+            is_open
+        });
+        self.start_missing(actions);
+    }
+
+    fn accept_home(
+        &mut self,
+        epoch: Epoch,
+        offered: u64,
+        now: Millis,
+        actions: &mut Vec<StepAction>,
+    ) -> PeerMessage {
+        if epoch < self.epoch {
+            return PeerMessage::Superseded(self.epoch.clone());
+        }
+        match self.role {
+            Role::Replica { sequence } if epoch == self.epoch && sequence >= offered => {
+                self.become_home(now, actions);
+                PeerMessage::Superseded(self.epoch.clone())
+            }
+            _ => PeerMessage::Missing(epoch),
+        }
+    }
+
+    fn take_image(
+        &mut self,
+        epoch: Epoch,
+        image: Image,
+        sequence: u64,
+        actions: &mut Vec<StepAction>,
+    ) -> Option<PeerMessage> {
+        if epoch < self.epoch {
+            return Some(PeerMessage::Superseded(self.epoch.clone()));
+        }
+        if epoch.host == self.host {
+            return None;
+        }
+        let held = match self.role {
+            Role::Replica { sequence } if epoch == self.epoch => sequence,
+            _ => 0,
+        };
+        if self.is_home() {
+            self.step_down(epoch.clone(), actions);
+        }
+        if sequence >= held {
+            self.image = image;
+            self.role = Role::Replica { sequence };
+        }
+        self.epoch = epoch.clone();
+        Some(PeerMessage::Held {
+            epoch,
+            sequence: sequence.max(held),
+        })
+    }
+
+    fn take_records(
+        &mut self,
+        epoch: Epoch,
+        first: u64,
+        records: &[Record],
+        actions: &mut Vec<StepAction>,
+    ) -> PeerMessage {
+        if epoch < self.epoch {
+            return PeerMessage::Superseded(self.epoch.clone());
+        }
+        if epoch > self.epoch && self.is_home() {
+            self.step_down(epoch.clone(), actions);
+        }
+        let Role::Replica { sequence: held } = &mut self.role else {
+            return PeerMessage::Missing(epoch);
+        };
+        if epoch != self.epoch || first > *held + 1 {
+            return PeerMessage::Missing(epoch);
+        }
+        let known = (*held + 1 - first) as usize;
+        for record in records.iter().skip(known) {
+            self.image.apply(record);
+            *held += 1;
+        }
+        let sequence = *held;
+        PeerMessage::Held { epoch, sequence }
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-rollout/src/step/role.rs
@@ -0,0 +1,156 @@
+//! Which host is home, and how that changes.
+
+use godwitspool_types::{HostName, Millis};
+
+use super::{Answer, Epoch, Home, PeerMessage, Refusal, Replica, Role, StepAction, TrainerSteps};
+use crate::SampleId;
+
+impl TrainerSteps {
+    pub(super) fn rank(
+        &mut self,
+        ranked: Vec<HostName>,
+        now: Millis,
+        actions: &mut Vec<StepAction>,
+    ) {
+        self.ranked = ranked;
+        match &self.role {
+            Role::Home(_) => self.choose_replica(now, actions),
+            Role::Idle { .. } => self.probe(now, actions),
+            Role::Replica { .. } => {
+                if !self.ranked.contains(&self.epoch.host) {
+                    self.become_home(now, actions);
+                }
+            }
+        }
+    }
+
+    pub(super) fn believed_home(&self) -> Option<HostName> {
+        let believed = match self.role {
+            Role::Replica { .. } => Some(&self.epoch.host),
+            _ => self.ranked.first(),
+        };
+        believed.filter(|host| **host != self.host).cloned()
+    }
+
+    /// Asks the other hosts whether they hold the steps, when this host ranks first.
+    pub(super) fn probe(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let is_first = self.ranked.first() == Some(&self.host);
+        let Role::Idle { silent } = &mut self.role else {
+            return;
+        };
+        if !is_first {
+            *silent = None;
+            return;
+        }
+        let others = self.ranked.iter().filter(|host| **host != self.host);
+        *silent = Some(others.cloned().collect());
+        for to in silent.iter().flatten() {
+            let (to, message) = (to.clone(), PeerMessage::Probe);
+            actions.push(StepAction::Send { to, message });
+        }
+        self.become_home_if_unheld(now, actions);
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        from: &HostName,
+        holds: bool,
+        now: Millis,
+        actions: &mut Vec<StepAction>,
+    ) {
+        if let Role::Idle { silent } = &mut self.role {
+            if holds {
+                // The holder hands over once it sees this host rank first.
+                *silent = None;
+            } else if let Some(silent) = silent {
+                silent.retain(|host| host != from);
+            }
+        }
+        self.become_home_if_unheld(now, actions);
+    }
+
+    fn become_home_if_unheld(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        if matches!(&self.role, Role::Idle { silent: Some(silent) } if silent.is_empty()) {
+            self.become_home(now, actions);
+        }
+    }
+
+    pub(super) fn become_home(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        self.epoch = Epoch {
+            number: self.epoch.number + 1,
+            host: self.host.clone(),
+        };
+        self.counts.takeovers += 1;
+        self.image.catch_up(&self.known);
+        self.role = Role::Home(Home::default());
+        self.choose_replica(now, actions);
+        self.start_missing(actions);
+    }
+
+    /// Starts the samples that are neither whole nor being made.
+    pub(super) fn start_missing(&mut self, actions: &mut Vec<StepAction>) {
+        let mut missing = Vec::new();
+        for (step, groups) in self.image.open() {
+            for group in groups.values() {
+                let indices = group.samples.iter().enumerate();
+                let open = indices.filter(|(_, sample)| sample.is_none());
+                missing.extend(open.map(|(index, _)| (step, group.spec.clone(), index as u32)));
+            }
+        }
+        for (step, spec, index) in missing {
+            let id = SampleId {
+                trainer: self.trainer.clone(),
+                step,
+                group: spec.group,
+                index,
+            };
+            if !self.running.contains_key(&id) {
+                self.start(step, &spec, index, actions);
+            }
+        }
+    }
+
+    fn choose_replica(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        let next = self.ranked.iter().find(|host| **host != self.host);
+        let former = home.replica.as_ref().map(|replica| replica.host.clone());
+        if next == former.as_ref() {
+            self.hand_over(now, actions);
+            return;
+        }
+        home.former.extend(former);
+        home.former.retain(|host| Some(host) != next);
+        home.replica = next.map(|host| Replica {
+            held: None,
+            host: host.clone(),
+            sent_at: now,
+        });
+        // Above the tenure that a former replica would begin, which holds less than the next one.
+        self.epoch.number += 2;
+        self.send_image(now, actions);
+        self.release(actions);
+    }
+
+    /// Ends this host's part: the streams are cancelled and the callers sent to the new home.
+    pub(super) fn step_down(&mut self, epoch: Epoch, actions: &mut Vec<StepAction>) {
+        let ids = std::mem::take(&mut self.running).into_keys();
+        actions.extend(ids.map(|id| StepAction::Cancel { id }));
+        let role = std::mem::replace(&mut self.role, Role::Idle { silent: None });
+        let image = std::mem::take(&mut self.image);
+        if let Role::Home(home) = role {
+            let successor = home.replica.as_ref().map(|replica| &replica.host);
+            if successor != Some(&epoch.host) {
+                let (to, message) = (epoch.host.clone(), PeerMessage::Merge(Box::new(image)));
+                actions.push(StepAction::Send { to, message });
+            }
+            for pending in home.pending {
+                let answer = Answer::Refused(Refusal::Moving(Some(epoch.host.clone())));
+                let reply = pending.reply;
+                actions.push(StepAction::Answer { reply, answer });
+            }
+        }
+        self.epoch = epoch;
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-rollout/src/straggler.rs
@@ -0,0 +1,255 @@
+//! Which running samples hold up a step, and what to do about each.
+//!
+//! A sample is late for one of two reasons. Its target is slow: then another target makes the rest
+//! sooner. Or its answer is long: then no other target of the same pace helps, and only an early
+//! start or a faster (emptier) target does. Both are judged by one figure, the time until the
+//! sample is whole, on its present target and on the best other one.
+
+use std::collections::BTreeMap;
+
+use godwitspool_types::{Millis, TargetName};
+
+use crate::{Lengths, SampleId};
+
+const UNLEARNT_ANSWERS: f64 = 50.0;
+const MIGRATE_TOKENS: u32 = 200;
+
+/// Bounds of the remedies.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StragglerRules {
+    /// Part of a step's tokens that remedies may cost.
+    pub extra_work: f64,
+    /// Answers of the group from which on its own lengths count.
+    pub group_answers: u64,
+    /// Time saved that a move has to bring, on top of what it costs.
+    pub least_gain_ms: Millis,
+    /// Tokens of prompt that a target reads in the time of one generated token.
+    pub prefill_ratio: f64,
+    /// Time without a token after which a stream counts as silent.
+    pub silent_ms: Millis,
+}
+
+impl Default for StragglerRules {
+    fn default() -> Self {
+        Self {
+            extra_work: 0.04,
+            group_answers: 4,
+            least_gain_ms: Millis(1_000),
+            prefill_ratio: 20.0,
+            silent_ms: Millis(5_000),
+        }
+    }
+}
+
+/// A sample that is being made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Attempt {
+    /// Sample.
+    pub id: SampleId,
+    /// When its last token came.
+    pub heard: Millis,
+    /// Most tokens.
+    pub max_tokens: u32,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// When it started on its present target.
+    pub started: Millis,
+    /// Target.
+    pub target: TargetName,
+    /// Tokens so far.
+    pub tokens: u32,
+    /// Tokens that it brought to its present target.
+    pub resumed: u32,
+    /// Second target, when it is hedged.
+    pub hedge: Option<TargetName>,
+}
+
+/// How fast a target that has room generates.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetPace {
+    /// Target.
+    pub target: TargetName,
+    /// Tokens that one stream gets a second, with one stream more than now.
+    pub tokens_per_s: f64,
+    /// Streams that it can take.
+    pub room: u32,
+}
+
+/// What to do about a late sample.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Remedy {
+    /// Runs a second stream elsewhere, behind the tokens so far; the first whole one wins.
+    Hedge {
+        /// Sample.
+        id: SampleId,
+        /// Second target.
+        to: TargetName,
+    },
+    /// Exports the KV cache and continues elsewhere.
+    Migrate {
+        /// Sample.
+        id: SampleId,
+        /// New target.
+        to: TargetName,
+    },
+    /// Cancels the stream and continues elsewhere, behind the tokens so far.
+    Resume {
+        /// Sample.
+        id: SampleId,
+        /// New target.
+        to: TargetName,
+    },
+}
+
+/// Lengths and budget of one trainer's steps.
+#[derive(Debug, Default)]
+pub struct Stragglers {
+    extra: f64,
+    groups: BTreeMap<u32, Lengths>,
+    made: f64,
+    model: Lengths,
+    rules: StragglerRules,
+}
+
+impl Stragglers {
+    /// Creates the judge of a trainer's stragglers.
+    ///
+    /// ```
+    /// use godwitspool_rollout::{StragglerRules, Stragglers};
+    ///
+    /// assert_eq!(Stragglers::new(StragglerRules::default()).extra_work(), 0.0);
+    /// ```
+    pub fn new(rules: StragglerRules) -> Self {
+        Self {
+            rules,
+            ..Self::default()
+        }
+    }
+
+    /// Learns the length of a whole answer.
+    pub fn learn(&mut self, group: u32, tokens: u32) {
+        self.model.add(u64::from(tokens));
+        self.groups.entry(group).or_default().add(u64::from(tokens));
+        self.made += f64::from(tokens);
+    }
+
+    /// Begins a step: group numbers start anew, the model's lengths stay.
+    pub fn begin_step(&mut self) {
+        self.groups.clear();
+        self.extra = 0.0;
+        self.made = 0.0;
+    }
+
+    /// Returns the part of the step's tokens that remedies have cost.
+    pub fn extra_work(&self) -> f64 {
+        if self.made > 0.0 {
+            self.extra / self.made
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the tokens still to expect from a sample of a group that has `tokens` already.
+    pub fn expected_rest(&self, group: u32, tokens: u32, max_tokens: u32) -> f64 {
+        let own = self.groups.get(&group);
+        let own = own.filter(|lengths| lengths.len() >= self.rules.group_answers);
+        let model = self.model.expected_rest(u64::from(tokens));
+        let rest = match own {
+            // A group may have seen no answer as long as this one; the model has.
+            Some(own) => own.expected_rest(u64::from(tokens)).max(model),
+            None => model,
+        };
+        rest.min(f64::from(max_tokens.saturating_sub(tokens)))
+    }
+
+    /// Orders groups that wait: those with the longest answers to expect first.
+    pub fn longest_first(&self, waiting: &mut [(u32, u32)]) {
+        waiting.sort_by(|a, b| {
+            let rest = |(group, max): (u32, u32)| self.expected_rest(group, 0, max);
+            rest(*b).total_cmp(&rest(*a)).then(a.cmp(b))
+        });
+    }
+
+    /// Chooses remedies for the running samples.
+    ///
+    /// `queue_ms` is how long the samples that wait keep the targets busy: nothing that ends
+    /// before that is late. `paces` are the targets with room, which shrinks as remedies take it.
+    pub fn decide(
+        &mut self,
+        running: &[Attempt],
+        paces: &mut [TargetPace],
+        queue_ms: Millis,
+        now: Millis,
+    ) -> Vec<Remedy> {
+        let mut late: Vec<_> = running
+            .iter()
+            .filter(|attempt| attempt.hedge.is_none())
+            .map(|attempt| (self.remaining_ms(attempt, now), attempt))
+            .collect();
+        late.sort_by(|a, b| b.0.total_cmp(&a.0));
+        // The step can't end before the queue, nor before the samples that stay or were moved.
+        let mut end = queue_ms.0 as f64;
+        let mut remedies = Vec::new();
+        for (remaining, attempt) in late {
+            if remaining <= end {
+                break;
+            }
+            match self.remedy(attempt, remaining, end, paces, now) {
+                Some((remedy, elsewhere)) => {
+                    end = end.max(elsewhere);
+                    remedies.push(remedy);
+                }
+                None => end = end.max(remaining),
+            }
+        }
+        remedies
+    }
+
+    /// Returns the milliseconds until a sample is whole on its present target.
+    fn remaining_ms(&self, attempt: &Attempt, now: Millis) -> f64 {
+        let rest = self.expected_rest(attempt.id.group, attempt.tokens, attempt.max_tokens);
+        let made = f64::from(attempt.tokens.saturating_sub(attempt.resumed).max(1));
+        let spent = (now - attempt.started).0 as f64;
+        let silent = (now - attempt.heard).0 as f64;
+        rest * (spent.max(1.0) / made) + silent
+    }
+
+    fn remedy(
+        &mut self,
+        attempt: &Attempt,
+        remaining: f64,
+        end: f64,
+        paces: &mut [TargetPace],
+        now: Millis,
+    ) -> Option<(Remedy, f64)> {
+        let others = paces.iter_mut().filter(|pace| {
+            pace.room > 0 && pace.tokens_per_s > 0.0 && pace.target != attempt.target
+        });
+        let best = others.max_by(|a, b| a.tokens_per_s.total_cmp(&b.tokens_per_s))?;
+        let rest = self.expected_rest(attempt.id.group, attempt.tokens, attempt.max_tokens);
+        let read = f64::from(attempt.prompt + attempt.tokens) / self.rules.prefill_ratio;
+        let is_silent = now - attempt.heard >= self.rules.silent_ms;
+        // A hedge runs the rest twice; a move only reads what it brings along.
+        let cost = if is_silent { read + rest } else { read };
+        let ms_per_token = 1_000.0 / best.tokens_per_s;
+        let elsewhere = (read + rest) * ms_per_token;
+        let gain = remaining - elsewhere.max(end);
+        let pays = gain > cost * ms_per_token / f64::from(best.room.max(1))
+            && gain >= self.rules.least_gain_ms.0 as f64;
+        let budget = self.rules.extra_work * self.made.max(self.model.mean() * UNLEARNT_ANSWERS);
+        if !pays || self.extra + cost > budget {
+            return None;
+        }
+        self.extra += cost;
+        best.room -= 1;
+        let (id, to) = (attempt.id.clone(), best.target.clone());
+        let remedy = if is_silent {
+            Remedy::Hedge { id, to }
+        } else if attempt.tokens >= MIGRATE_TOKENS {
+            Remedy::Migrate { id, to }
+        } else {
+            Remedy::Resume { id, to }
+        };
+        Some((remedy, elsewhere))
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-rollout/tests/histories.rs
@@ -0,0 +1,77 @@
+//! Exactly once, whole and fresh under random interleavings.
+
+mod world;
+
+use proptest::prelude::*;
+
+use world::{Op, World};
+
+/// Losses, repeats, reorderings and one replaced host at a time, with true views of who lives.
+fn calm() -> impl Strategy<Value = Op> {
+    let at = 0..1_000_usize;
+    prop_oneof![
+        8 => at.clone().prop_map(Op::Deliver),
+        1 => at.clone().prop_map(Op::Duplicate),
+        1 => at.clone().prop_map(Op::Lose),
+        6 => at.clone().prop_map(Op::Finish),
+        2 => Just(Op::Tick),
+        1 => Just(Op::Publish),
+        8 => (0..3_usize, any::<bool>()).prop_map(|(host, lost)| Op::Trainer(host, lost)),
+    ]
+}
+
+/// As above, with hosts that hold others for dead that live.
+fn partitioned() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        20 => calm(),
+        2 => (0..3_usize, 0..4_usize).prop_map(|(host, dead)| Op::Rank(host, dead)),
+    ]
+}
+
+/// Lets messages through until home and replica stand.
+fn settle(world: &mut World) {
+    for _ in 0..8 {
+        (0..64).for_each(|_| world.run(Op::Deliver(0)));
+        world.run(Op::Tick);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_500))]
+
+    #[test]
+    fn a_host_that_dies_changes_and_loses_nothing(
+        before in prop::collection::vec(calm(), 0..120),
+        victim in 0..3_usize,
+        after in prop::collection::vec(calm(), 0..120),
+    ) {
+        let mut world = World::new();
+        settle(&mut world);
+        for op in before {
+            world.run(op);
+        }
+        world.run(Op::Kill(victim));
+        for op in after {
+            world.run(op);
+        }
+        world.finish_all(4);
+        world.trainer.check();
+        prop_assert_eq!(world.trainer.lost_steps, 0);
+        for digests in world.trainer.digests.values() {
+            prop_assert_eq!(digests.len(), 1, "a step was given as two batches");
+        }
+    }
+
+    #[test]
+    fn hosts_that_lose_each_other_mix_nothing(
+        ops in prop::collection::vec(partitioned(), 0..300),
+    ) {
+        let mut world = World::new();
+        settle(&mut world);
+        for op in ops {
+            world.run(op);
+        }
+        world.finish_all(4);
+        world.trainer.check();
+    }
+}
