Rollout: replication in bounded messages, tenures above former replicas

Change: the state goes without samples, which follow as records in messages of 256 KiB with at most 1,024 unconfirmed; a new home no longer raises its tenure by three; tests of former replicas, merges and hosts replaced unnoticed.

--- a/crates/godwitspool-rollout/src/step/home.rs
+++ b/crates/godwitspool-rollout/src/step/home.rs
@@ -88,7 +88,7 @@
         self.check_done(step)?;
         self.freeze_if_whole(step, now, actions);
         let held = self.image.step(step).ok_or(Refusal::UnknownStep)?;
-        let Stage::Frozen(batch) = &held.stage else {
+        let Stage::Frozen { batch, .. } = &held.stage else {
             return match digest {
                 // The trainer began at another home: what it has is no part of this one's batch.
                 Some(_) => Err(Refusal::WrongBatch(Digest::default())),
--- a/crates/godwitspool-rollout/src/step/image.rs
+++ b/crates/godwitspool-rollout/src/step/image.rs
@@ -62,7 +62,7 @@
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Stage {
-    Frozen(Batch),
+    Frozen { batch: Batch, specs: Vec<GroupSpec> },
     Open(BTreeMap<u32, Group>),
 }
 
@@ -72,6 +72,18 @@
     pub(crate) spec: GroupSpec,
 }
 
+impl Record {
+    /// Returns about how many bytes the record takes in a message.
+    pub(crate) fn bytes(&self) -> usize {
+        let payload = match self {
+            Self::Finished(sample) => sample.bytes(),
+            Self::Submitted { groups, .. } => groups.iter().map(GroupSpec::bytes).sum(),
+            _ => 0,
+        };
+        payload + size_of::<Self>()
+    }
+}
+
 impl Image {
     /// Returns the order of the versions.
     pub fn order(&self) -> &VersionOrder {
@@ -98,7 +110,7 @@
     /// Returns a sample that is whole and not yet acknowledged.
     pub fn sample(&self, id: &SampleId) -> Option<&Arc<Sample>> {
         match &self.steps.get(&id.step)?.stage {
-            Stage::Frozen(batch) => batch.samples.iter().find(|sample| sample.id == *id),
+            Stage::Frozen { batch, .. } => batch.samples.iter().find(|sample| sample.id == *id),
             Stage::Open(groups) => groups
                 .get(&id.group)?
                 .samples
@@ -120,6 +132,25 @@
         self.steps.values().map(Step::bytes).sum()
     }
 
+    /// Returns the state with all steps open and no sample whole.
+    pub(crate) fn without_samples(&self) -> Self {
+        let mut image = self.clone();
+        image.steps.values_mut().for_each(Step::forget_samples);
+        image
+    }
+
+    /// Returns the records that lead from the state without samples to this one.
+    pub(crate) fn sample_records(&self) -> impl Iterator<Item = Record> {
+        self.steps.iter().flat_map(|(step, held)| {
+            let frozen =
+                matches!(held.stage, Stage::Frozen { .. }).then_some(Record::Frozen(*step));
+            held.samples()
+                .into_iter()
+                .map(Record::Finished)
+                .chain(frozen)
+        })
+    }
+
     /// Returns the oldest step that is remembered when `step` is older than that.
     pub(crate) fn gone(&self, step: StepNumber) -> Option<StepNumber> {
         (step < self.gone_below).then_some(self.gone_below)
@@ -138,7 +169,7 @@
             .iter()
             .filter_map(|(step, held)| match &held.stage {
                 Stage::Open(groups) => Some((*step, groups)),
-                Stage::Frozen(_) => None,
+                Stage::Frozen { .. } => None,
             })
     }
 
@@ -228,10 +259,7 @@
         for spec in groups {
             if let Entry::Vacant(entry) = open.entry(spec.group) {
                 held.specs.insert(spec.group, spec_hash(spec));
-                entry.insert(Group {
-                    samples: vec![None; spec.samples as usize],
-                    spec: spec.clone(),
-                });
+                entry.insert(Group::new(spec.clone()));
             }
         }
     }
@@ -240,7 +268,7 @@
 impl Step {
     pub(crate) fn progress(&self) -> Progress {
         match &self.stage {
-            Stage::Frozen(batch) => Progress {
+            Stage::Frozen { batch, .. } => Progress {
                 done: batch.samples.len() as u32,
                 groups: self.total,
                 samples: batch.samples.len() as u32,
@@ -260,22 +288,55 @@
 
     fn bytes(&self) -> usize {
         match &self.stage {
-            Stage::Frozen(batch) => batch.samples.iter().map(|sample| sample.bytes()).sum(),
+            Stage::Frozen { batch, .. } => batch.samples.iter().map(|sample| sample.bytes()).sum(),
             Stage::Open(groups) => groups.values().map(Group::bytes).sum(),
         }
     }
 
+    fn samples(&self) -> Vec<Arc<Sample>> {
+        match &self.stage {
+            Stage::Frozen { batch, .. } => batch.samples.clone(),
+            Stage::Open(groups) => {
+                let samples = groups.values().flat_map(|group| &group.samples);
+                samples.flatten().cloned().collect()
+            }
+        }
+    }
+
     fn freeze(&mut self) {
+        let batch = Batch::new(self.samples());
         if let Stage::Open(groups) = &mut self.stage {
-            let samples = std::mem::take(groups)
-                .into_values()
-                .flat_map(|group| group.samples);
-            self.stage = Stage::Frozen(Batch::new(samples.flatten().collect()));
+            let specs = std::mem::take(groups).into_values().map(|group| group.spec);
+            self.stage = Stage::Frozen {
+                batch,
+                specs: specs.collect(),
+            };
+        }
+    }
+
+    fn forget_samples(&mut self) {
+        match &mut self.stage {
+            Stage::Frozen { specs, .. } => {
+                let groups = std::mem::take(specs).into_iter();
+                self.stage =
+                    Stage::Open(groups.map(|spec| (spec.group, Group::new(spec))).collect());
+            }
+            Stage::Open(groups) => {
+                let slots = groups.values_mut().flat_map(|group| &mut group.samples);
+                slots.for_each(|slot| *slot = None);
+            }
         }
     }
 }
 
 impl Group {
+    fn new(spec: GroupSpec) -> Self {
+        Self {
+            samples: vec![None; spec.samples as usize],
+            spec,
+        }
+    }
+
     fn bytes(&self) -> usize {
         let samples = self.samples.iter().flatten().map(|sample| sample.bytes());
         samples.sum::<usize>() + self.samples.len() * size_of::<usize>() + self.spec.bytes()
--- a/crates/godwitspool-rollout/src/step/mod.rs
+++ b/crates/godwitspool-rollout/src/step/mod.rs
@@ -99,6 +99,7 @@
 struct Replica {
     held: Option<u64>,
     host: HostName,
+    sent: u64,
     sent_at: Millis,
 }
 
--- a/crates/godwitspool-rollout/src/step/replication.rs
+++ b/crates/godwitspool-rollout/src/step/replication.rs
@@ -5,7 +5,8 @@
 use super::{Epoch, Image, PeerMessage, Record, Role, StepAction, TrainerSteps};
 
 const RESEND_MS: Millis = Millis(500);
-const MOST_UNHELD: usize = 4_096;
+const MOST_MESSAGE_BYTES: usize = 256 << 10;
+const MOST_UNCONFIRMED: u64 = 1_024;
 
 impl TrainerSteps {
     // -----------------------------------------------------------------------------------------------
@@ -14,28 +15,13 @@
     /// Applies a record and sends it to the replica.
     pub(super) fn record(&mut self, record: Record, now: Millis, actions: &mut Vec<StepAction>) {
         self.image.apply(&record);
-        let Role::Home(home) = &mut self.role else {
-            return;
-        };
-        home.sequence += 1;
-        let Some(replica) = &mut home.replica else {
-            return;
-        };
-        if replica.held.is_some() {
-            let message = PeerMessage::Records {
-                epoch: self.epoch.clone(),
-                first: home.sequence,
-                records: vec![record.clone()],
-            };
-            replica.sent_at = now;
-            let to = replica.host.clone();
-            actions.push(StepAction::Send { to, message });
-        }
-        home.unheld.push_back(record);
-        if home.unheld.len() > MOST_UNHELD {
-            home.unheld.clear();
-            replica.held = None;
+        if let Role::Home(home) = &mut self.role {
+            home.sequence += 1;
+            if home.replica.is_some() {
+                home.unheld.push_back(record);
+            }
         }
+        self.pump(now, actions);
     }
 
     /// Gives the answers whose records the replica holds.
@@ -57,6 +43,33 @@
         }
     }
 
+    /// Sends records that were not sent yet, as far as the unconfirmed ones leave room.
+    fn pump(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let Role::Home(home) = &mut self.role else {
+            return;
+        };
+        let Some(replica) = &mut home.replica else {
+            return;
+        };
+        let Some(held) = replica.held else {
+            return;
+        };
+        while replica.sent < home.sequence && replica.sent - held < MOST_UNCONFIRMED {
+            let unsent = home.unheld.iter().skip((replica.sent - held) as usize);
+            let records = message_of(unsent);
+            let first = replica.sent + 1;
+            replica.sent += records.len() as u64;
+            replica.sent_at = now;
+            let message = PeerMessage::Records {
+                epoch: self.epoch.clone(),
+                first,
+                records,
+            };
+            let to = replica.host.clone();
+            actions.push(StepAction::Send { to, message });
+        }
+    }
+
     /// Sends again what the replica hasn't confirmed.
     pub(super) fn resend(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
         if let Role::Idle {
@@ -80,35 +93,36 @@
         match replica.held {
             None => self.send_image(now, actions),
             Some(held) if held < home.sequence => {
-                replica.sent_at = now;
-                let message = PeerMessage::Records {
-                    epoch: self.epoch.clone(),
-                    first: held + 1,
-                    records: home.unheld.iter().cloned().collect(),
-                };
-                let to = replica.host.clone();
-                actions.push(StepAction::Send { to, message });
+                replica.sent = held;
+                self.pump(now, actions);
             }
             Some(_) => self.hand_over(now, actions),
         }
     }
 
+    /// Sends the state without its samples, which follow as records.
     pub(super) fn send_image(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
         let Role::Home(home) = &mut self.role else {
             return;
         };
-        if let Some(replica) = &mut home.replica {
-            replica.sent_at = now;
-            replica.held = None;
-            home.unheld.clear();
-            let message = PeerMessage::Image {
-                epoch: self.epoch.clone(),
-                image: Box::new(self.image.clone()),
-                sequence: home.sequence,
-            };
-            let to = replica.host.clone();
-            actions.push(StepAction::Send { to, message });
+        let Some(replica) = &mut home.replica else {
+            return;
+        };
+        let message = PeerMessage::Image {
+            epoch: self.epoch.clone(),
+            image: Box::new(self.image.without_samples()),
+            sequence: home.sequence,
+        };
+        replica.held = None;
+        replica.sent = home.sequence;
+        replica.sent_at = now;
+        home.unheld = self.image.sample_records().collect();
+        home.sequence += home.unheld.len() as u64;
+        for pending in &mut home.pending {
+            pending.sequence = home.sequence;
         }
+        let to = replica.host.clone();
+        actions.push(StepAction::Send { to, message });
     }
 
     /// Offers the home to the replica when that ranks first and holds everything.
@@ -142,22 +156,20 @@
         else {
             return;
         };
+        let base = home.sequence - home.unheld.len() as u64;
+        if held < base || held > home.sequence {
+            return;
+        }
+        home.unheld.drain(..(held - base) as usize);
+        replica.held = Some(held);
+        replica.sent = replica.sent.max(held);
         for to in home.former.drain(..) {
             let message = PeerMessage::Drop(self.epoch.clone());
             actions.push(StepAction::Send { to, message });
         }
-        replica.held = Some(replica.held.unwrap_or(0).max(held));
-        let unheld = home.sequence.saturating_sub(replica.held.unwrap_or(0)) as usize;
-        let confirmed = home.unheld.len().saturating_sub(unheld);
-        home.unheld.drain(..confirmed);
-        // Records made while the image was on its way were not sent.
-        let is_behind = home.unheld.len() < unheld;
         self.release(actions);
-        if is_behind {
-            self.send_image(now, actions);
-        } else {
-            self.hand_over(now, actions);
-        }
+        self.pump(now, actions);
+        self.hand_over(now, actions);
     }
 
     // -----------------------------------------------------------------------------------------------
@@ -325,3 +337,17 @@
         PeerMessage::Held { epoch, sequence }
     }
 }
+
+/// Takes as many records as a message may hold, and at least one.
+fn message_of<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<Record> {
+    let mut bytes = 0;
+    let mut taken = Vec::new();
+    for record in records {
+        bytes += record.bytes();
+        if bytes > MOST_MESSAGE_BYTES && !taken.is_empty() {
+            break;
+        }
+        taken.push(record.clone());
+    }
+    taken
+}
--- a/crates/godwitspool-rollout/src/step/role.rs
+++ b/crates/godwitspool-rollout/src/step/role.rs
@@ -83,7 +83,8 @@
         self.counts.takeovers += 1;
         self.image.catch_up(&self.known);
         self.role = Role::Home(Home::default());
-        self.choose_replica(now, actions);
+        let replica = self.ranked.iter().find(|host| **host != self.host).cloned();
+        self.appoint(replica, now, actions);
         self.start_missing(actions);
     }
 
@@ -110,25 +111,33 @@
         }
     }
 
+    /// Changes the replica when the ranking names another one.
     fn choose_replica(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let next = self.ranked.iter().find(|host| **host != self.host).cloned();
         let Role::Home(home) = &mut self.role else {
             return;
         };
-        let next = self.ranked.iter().find(|host| **host != self.host);
         let former = home.replica.as_ref().map(|replica| replica.host.clone());
-        if next == former.as_ref() {
+        if next == former {
             self.hand_over(now, actions);
             return;
         }
         home.former.extend(former);
-        home.former.retain(|host| Some(host) != next);
-        home.replica = next.map(|host| Replica {
-            held: None,
-            host: host.clone(),
-            sent_at: now,
-        });
+        home.former.retain(|host| Some(host) != next.as_ref());
         // Above the tenure that a former replica would begin, which holds less than the next one.
         self.epoch.number += 2;
+        self.appoint(next, now, actions);
+    }
+
+    fn appoint(&mut self, replica: Option<HostName>, now: Millis, actions: &mut Vec<StepAction>) {
+        if let Role::Home(home) = &mut self.role {
+            home.replica = replica.map(|host| Replica {
+                held: None,
+                host,
+                sent: 0,
+                sent_at: now,
+            });
+        }
         self.send_image(now, actions);
         self.release(actions);
     }
@@ -142,7 +151,8 @@
         if let Role::Home(home) = role {
             let successor = home.replica.as_ref().map(|replica| &replica.host);
             if successor != Some(&epoch.host) {
-                let (to, message) = (epoch.host.clone(), PeerMessage::Merge(Box::new(image)));
+                let message = PeerMessage::Merge(Box::new(image.without_samples()));
+                let to = epoch.host.clone();
                 actions.push(StepAction::Send { to, message });
             }
             for pending in home.pending {
--- a/crates/godwitspool-rollout/tests/histories.rs
+++ b/crates/godwitspool-rollout/tests/histories.rs
@@ -43,6 +43,7 @@
     fn a_host_that_dies_changes_and_loses_nothing(
         before in prop::collection::vec(calm(), 0..120),
         victim in 0..3_usize,
+        is_noticed in any::<bool>(),
         after in prop::collection::vec(calm(), 0..120),
     ) {
         let mut world = World::new();
@@ -50,7 +51,7 @@
         for op in before {
             world.run(op);
         }
-        world.run(Op::Kill(victim));
+        world.run(Op::Kill(victim, is_noticed));
         for op in after {
             world.run(op);
         }
@@ -75,3 +76,59 @@
         world.trainer.check();
     }
 }
+
+#[test]
+fn one_host_is_home_and_one_other_holds_its_records() {
+    let mut world = World::new();
+    settle(&mut world);
+    world.run(Op::Rank(0, 1));
+    settle(&mut world);
+    let holds: Vec<_> = world
+        .hosts
+        .iter()
+        .map(|host| host.is_home() || host.is_replica())
+        .collect();
+    assert_eq!(holds, [true, false, true]);
+}
+
+#[test]
+fn what_a_home_accepted_while_cut_off_is_merged() {
+    let mut world = World::new();
+    settle(&mut world);
+    // The two lose each other, and the third host still hears both.
+    world.run(Op::Rank(1, 0));
+    world.deliver_all();
+    world.run(Op::Trainer(1, false));
+    world.deliver_all();
+    assert!(world.hosts[1].is_home());
+    world.run(Op::Rank(0, 1));
+    world.deliver_all();
+    world.finish_all(1);
+    assert!(world.hosts[0].is_home());
+    assert_eq!(world.trainer.lost_steps, 0);
+}
+
+#[test]
+fn a_former_replica_never_wins_over_the_present_one() {
+    let mut world = World::new();
+    settle(&mut world);
+    world.run(Op::Rank(0, 1));
+    settle(&mut world);
+    assert!(world.hosts[2].is_replica());
+    // Back to the first replica; the other is never told that it is one no more.
+    world.heal();
+    for _ in 0..8 {
+        world.lose_to(2);
+        world.run(Op::Deliver(0));
+    }
+    assert!(world.hosts[1].is_replica() && world.hosts[2].is_replica());
+    world.run(Op::Trainer(0, false));
+    world.lose_to(2);
+    world.run(Op::Deliver(0));
+    world.run(Op::Deliver(0));
+    world.run(Op::Rank(2, 0));
+    world.deliver_all();
+    world.run(Op::Kill(0, true));
+    world.finish_all(1);
+    assert_eq!(world.trainer.lost_steps, 0);
+}
--- a/crates/godwitspool-rollout/tests/world/mod.rs
+++ b/crates/godwitspool-rollout/tests/world/mod.rs
@@ -17,8 +17,8 @@
     Deliver(usize),
     Duplicate(usize),
     Finish(usize),
-    /// Replaces a host by an empty one of the same name.
-    Kill(usize),
+    /// Replaces a host by an empty one of the same name; the others may not notice.
+    Kill(usize, bool),
     Lose(usize),
     Publish,
     /// Gives one host its own view of who lives.
@@ -94,7 +94,7 @@
             Op::Deliver(at) => self.deliver(at, true),
             Op::Duplicate(at) => self.deliver(at, false),
             Op::Finish(at) => self.finish(at),
-            Op::Kill(host) => self.kill(host),
+            Op::Kill(host, is_noticed) => self.kill(host, is_noticed),
             Op::Lose(at) => {
                 if !self.network.is_empty() {
                     let at = at % self.network.len();
@@ -128,9 +128,7 @@
             if self.trainer.batches.len() >= steps {
                 return;
             }
-            while !self.network.is_empty() {
-                self.run(Op::Deliver(0));
-            }
+            self.deliver_all();
             while !self.running.is_empty() {
                 self.run(Op::Finish(0));
             }
@@ -143,7 +141,20 @@
         );
     }
 
-    fn heal(&mut self) {
+    /// Delivers all messages in their order, and those that follow from them.
+    pub fn deliver_all(&mut self) {
+        while !self.network.is_empty() {
+            self.run(Op::Deliver(0));
+        }
+    }
+
+    /// Loses all messages on their way to a host.
+    pub fn lose_to(&mut self, host: usize) {
+        self.network.retain(|(_, to, _)| *to != name(host));
+    }
+
+    /// Gives all hosts the view that all live.
+    pub fn heal(&mut self) {
         for host in 0..HOSTS {
             self.tell(host, StepEvent::Ranked((0..HOSTS).map(name).collect()));
         }
@@ -153,7 +164,7 @@
         format!("v{}", self.version).as_str().into()
     }
 
-    fn kill(&mut self, host: usize) {
+    fn kill(&mut self, host: usize, is_noticed: bool) {
         self.lives += 1;
         self.hosts[host] = TrainerSteps::new("t".into(), name(host), rules());
         self.frozen[host] = 0;
@@ -162,12 +173,11 @@
         self.running.retain(|(home, ..)| *home != host);
         let version = self.current();
         self.tell(host, StepEvent::Published(version));
-        // The others see it gone and then back.
-        for other in (0..HOSTS).filter(|other| *other != host) {
-            self.run(Op::Rank(other, host));
-        }
-        while !self.network.is_empty() {
-            self.run(Op::Deliver(0));
+        if is_noticed {
+            for other in (0..HOSTS).filter(|other| *other != host) {
+                self.run(Op::Rank(other, host));
+            }
+            self.deliver_all();
         }
         self.heal();
     }
