Stand-ins: a relay's listener is closed or bound before set_down returns

Change: Relay::set_down waits until its listener is as asked. Conclusion: a restarted stand-in serves when restart returns.

--- a/crates/godwitspool-fakes/src/relay.rs
+++ b/crates/godwitspool-fakes/src/relay.rs
@@ -43,10 +43,17 @@
     links: Mutex<Vec<Arc<Link>>>,
     /// New connections are accepted and stay silent.
     mute: AtomicBool,
-    phase: Mutex<Phase>,
+    gate: Mutex<Gate>,
     wake: Condvar,
 }
 
+#[derive(Default)]
+struct Gate {
+    /// Whether the listener is bound.
+    open: bool,
+    phase: Phase,
+}
+
 #[derive(Clone, Copy, Default, Eq, PartialEq)]
 enum Phase {
     /// Accepts connections.
@@ -74,6 +81,7 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
+        lock(&shared.gate).open = true;
         let accept = {
             let shared = Arc::clone(&shared);
             thread::spawn(move || accept(listener, address, upstream, &shared))
@@ -120,13 +128,21 @@
         }
     }
 
+    /// Returns once the listener is closed or bound, as the phase asks.
     fn set_phase(&self, phase: Phase) {
-        *lock(&self.shared.phase) = phase;
+        lock(&self.shared.gate).phase = phase;
         self.shared.wake.notify_all();
         if phase != Phase::Up {
             // Wakes the thread that waits in accept.
             drop(TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT));
         }
+        let gate = lock(&self.shared.gate);
+        let changing = |gate: &mut Gate| gate.phase == phase && gate.open != (phase == Phase::Up);
+        drop(
+            self.shared
+                .wake
+                .wait_timeout_while(gate, CONNECT_TIMEOUT, changing),
+        );
     }
 }
 
@@ -159,32 +175,44 @@
 fn accept(listener: TcpListener, address: SocketAddr, upstream: SocketAddr, shared: &Arc<Shared>) {
     let mut listener = Some(listener);
     loop {
-        let phase = *lock(&shared.phase);
-        match phase {
-            Phase::Stopped => return,
-            Phase::Down => {
-                listener = None;
-                let guard = lock(&shared.phase);
-                drop(shared.wake.wait_while(guard, |phase| *phase == Phase::Down));
+        let phase = {
+            let mut gate = lock(&shared.gate);
+            gate.open = listener.is_some();
+            shared.wake.notify_all();
+            gate.phase
+        };
+        match (phase, &listener) {
+            (Phase::Stopped, _) => break,
+            (Phase::Down, Some(_)) => listener = None,
+            (Phase::Down, None) => {
+                let gate = lock(&shared.gate);
+                drop(
+                    shared
+                        .wake
+                        .wait_while(gate, |gate| gate.phase == Phase::Down),
+                );
             }
-            Phase::Up => match &listener {
-                None => match TcpListener::bind(address) {
-                    Ok(bound) => listener = Some(bound),
-                    Err(_) => thread::sleep(BIND_RETRY),
-                },
-                Some(bound) => {
-                    let accepted = bound.accept();
-                    if *lock(&shared.phase) != Phase::Up {
-                        continue;
-                    }
-                    match accepted {
-                        Ok((client, _)) => drop(link(client, upstream, shared)),
-                        Err(_) => thread::sleep(BIND_RETRY),
-                    }
-                }
+            (Phase::Up, None) => match TcpListener::bind(address) {
+                Ok(bound) => listener = Some(bound),
+                Err(_) => thread::sleep(BIND_RETRY),
             },
+            (Phase::Up, Some(bound)) => accept_one(bound, upstream, shared),
         }
     }
+    drop(listener);
+    lock(&shared.gate).open = false;
+    shared.wake.notify_all();
+}
+
+fn accept_one(bound: &TcpListener, upstream: SocketAddr, shared: &Arc<Shared>) {
+    let accepted = bound.accept();
+    if lock(&shared.gate).phase != Phase::Up {
+        return;
+    }
+    match accepted {
+        Ok((client, _)) => drop(link(client, upstream, shared)),
+        Err(_) => thread::sleep(BIND_RETRY),
+    }
 }
 
 fn link(client: TcpStream, upstream: SocketAddr, shared: &Arc<Shared>) -> io::Result<()> {
