--- /dev/null
+++ b/crates/godwitspool-entry/src/connection/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for one connection.
+
+pub(crate) mod answer;
+pub(crate) mod callers;
--- /dev/null
+++ b/crates/godwitspool-entry/src/process/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for the process.
+
+pub(crate) mod entry;
+pub(crate) mod shared;
--- /dev/null
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -0,0 +1,150 @@
+//! State that the daemon's threads share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+
+use godwitspool_connection::{TargetClient, messages::View};
+use godwitspool_process::EntrySettings;
+use godwitspool_types::TargetName;
+
+/// State that the daemon's threads share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    clients: Mutex<HashMap<SocketAddr, TargetClient>>,
+    draining: AtomicBool,
+    in_flight: Mutex<HashMap<TargetName, u32>>,
+    in_progress: AtomicUsize,
+    pub(crate) settings: EntrySettings,
+    stopped: AtomicBool,
+    view: RwLock<Arc<View>>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: EntrySettings) -> Self {
+        Self {
+            clients: Mutex::default(),
+            draining: AtomicBool::new(false),
+            in_flight: Mutex::default(),
+            in_progress: AtomicUsize::new(0),
+            settings,
+            stopped: AtomicBool::new(false),
+            view: RwLock::default(),
+        }
+    }
+
+    /// Returns the view as last heard.
+    pub(crate) fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the view unless the new one is older; a configuration never reverts.
+    pub(crate) fn replace_view(&self, view: View) {
+        let mut current = self.view.write().unwrap_or_else(PoisonError::into_inner);
+        if view.offset >= current.offset {
+            *current = Arc::new(view);
+        }
+    }
+
+    /// Returns the client of a target's address.
+    pub(crate) fn client(&self, address: SocketAddr) -> TargetClient {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients
+            .entry(address)
+            .or_insert_with(|| TargetClient::new(address))
+            .clone()
+    }
+
+    // -----------------------------------------------------------------------
+    // Work in progress
+
+    /// Returns this entry's requests in flight on a target.
+    pub(crate) fn in_flight(&self, target: &TargetName) -> u32 {
+        let counts = self
+            .in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        counts.get(target).copied().unwrap_or(0)
+    }
+
+    /// Counts a request on a target until the guard is dropped.
+    pub(crate) fn enter_target(self: &Arc<Self>, target: &TargetName) -> OnTarget {
+        let mut counts = self
+            .in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(target.clone()).or_insert(0) += 1;
+        OnTarget {
+            shared: Arc::clone(self),
+            target: target.clone(),
+        }
+    }
+
+    /// Counts a caller's request until the guard is dropped.
+    pub(crate) fn enter_request(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        InProgress {
+            shared: Arc::clone(self),
+        }
+    }
+
+    pub(crate) fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Acquire)
+    }
+
+    // -----------------------------------------------------------------------
+    // End of the process
+
+    pub(crate) fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+}
+
+/// Counts a request on a target while it lives.
+#[derive(Debug)]
+pub(crate) struct OnTarget {
+    shared: Arc<Shared>,
+    target: TargetName,
+}
+
+impl Drop for OnTarget {
+    fn drop(&mut self) {
+        let mut counts = self
+            .shared
+            .in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = counts.get_mut(&self.target) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+/// Counts a caller's request while it lives.
+#[derive(Debug)]
+pub(crate) struct InProgress {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.shared.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-entry/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for one request.
+
+pub(crate) mod authorize;
+pub(crate) mod generation;
+pub(crate) mod plain;
+pub(crate) mod refusal;
+pub(crate) mod route;
--- /dev/null
+++ b/crates/godwitspool-entry/src/version/mod.rs
@@ -0,0 +1,3 @@
+//! What lives for one version of the view.
+
+pub(crate) mod feed;
--- /dev/null
+++ b/crates/godwitspool-steward/src/connection/mod.rs
@@ -0,0 +1,3 @@
+//! What lives for one connection.
+
+pub(crate) mod answers;
--- /dev/null
+++ b/crates/godwitspool-steward/src/process/mod.rs
@@ -0,0 +1,3 @@
+//! What lives for the process.
+
+pub(crate) mod steward;
--- /dev/null
+++ b/crates/godwitspool-steward/src/version/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for one version.
+
+pub(crate) mod board;
+pub(crate) mod follow;
