--- a/crates/godwitspool-connection/src/lib.rs
+++ b/crates/godwitspool-connection/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod call_error;
 pub mod engine;
+pub mod http;
 mod lane;
 pub mod messages;
+pub mod peer;
 mod plain_call;
 pub mod platform;
 mod target_client;
