Thin whole path: log to view to a streamed answer, as separate processes

Cause: the complete path comes first. A first try refused a key that was in force: the view went out as soon as the list of targets was read, before the log had been folded to its end. Ruled out: the key's digest (the same key served once the fold had caught up).

--- a/crates/godwitspool-entry/src/main.rs
+++ b/crates/godwitspool-entry/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, process::ExitCode};
 
 use godwitspool_entry::Entry;
-use godwitspool_process::{DaemonCommand, EntrySettings, FINDINGS_STATUS, Termination, start_log};
+use godwitspool_process::{DaemonCommand, EntrySettings, FINDINGS_STATUS, Termination};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -45,14 +45,10 @@
 }
 
 fn run(settings: EntrySettings) -> ExitCode {
-    if let Err(error) = start_log(settings.log) {
-        eprintln!("godwitspool-entry: log: {error}");
-        return ExitCode::FAILURE;
-    }
     match serve(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("entry is not started: {error}");
+            eprintln!("godwitspool-entry: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/godwitspool-entry/src/request/authorize.rs
+++ b/crates/godwitspool-entry/src/request/authorize.rs
@@ -38,7 +38,8 @@
     for (name, rules) in &configuration.workspaces {
         for key in &rules.keys {
             // Every digest is compared, so the time tells nothing about which one matched.
-            if key.digest.matches(&digest) & !key.withdrawn {
+            let matches = key.digest.matches(&digest);
+            if matches && !key.withdrawn {
                 found = Some((name, rules));
             }
         }
--- a/crates/godwitspool-entry/src/request/generation.rs
+++ b/crates/godwitspool-entry/src/request/generation.rs
@@ -45,6 +45,7 @@
     }
     generate.request = id.to_string();
     generate.stream = true;
+    log::debug!(request:% = id, workspace:? = authorized.workspace; "generation starts");
     attempt(shared, &view, &authorized.service, &generate)
 }
 
--- a/crates/godwitspool-process/src/daemon.rs
+++ b/crates/godwitspool-process/src/daemon.rs
@@ -62,7 +62,11 @@
             }
         }
         let path = path.ok_or("no settings file; see --help")?;
-        Ok(if check { Self::Check(path) } else { Self::Run(path) })
+        Ok(if check {
+            Self::Check(path)
+        } else {
+            Self::Run(path)
+        })
     }
 }
 
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod clock;
+mod daemon;
 mod findings;
 pub mod folder;
 pub mod settings;
@@ -18,6 +19,7 @@
 pub mod yaml;
 
 pub use clock::Clock;
+pub use daemon::{DaemonCommand, FINDINGS_STATUS, Termination};
 pub use findings::Findings;
 pub use settings::{EntrySettings, LogFormat, StewardSettings};
 pub use timer::{Tick, Timer};
--- a/crates/godwitspool-steward/src/connection/answers.rs
+++ b/crates/godwitspool-steward/src/connection/answers.rs
@@ -10,9 +10,9 @@
 const VIEW_WAIT: Duration = Duration::from_secs(1);
 
 /// Answers one request.
-pub(crate) fn answer(board: &Arc<Board>, request: StewardRequest) -> StewardAnswer {
+pub(crate) fn answer(board: &Arc<Board>, request: &StewardRequest) -> StewardAnswer {
     match request {
-        StewardRequest::View(known) => match board.wait(known, VIEW_WAIT) {
+        StewardRequest::View(known) => match board.wait(*known, VIEW_WAIT) {
             Some(view) => StewardAnswer::View(Box::new(view)),
             None => StewardAnswer::NotReady,
         },
--- a/crates/godwitspool-steward/src/main.rs
+++ b/crates/godwitspool-steward/src/main.rs
@@ -2,9 +2,7 @@
 
 use std::{path::Path, process::ExitCode};
 
-use godwitspool_process::{
-    DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination, start_log,
-};
+use godwitspool_process::{DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination};
 use godwitspool_steward::Steward;
 
 #[global_allocator]
@@ -47,14 +45,10 @@
 }
 
 fn run(settings: StewardSettings) -> ExitCode {
-    if let Err(error) = start_log(settings.log) {
-        eprintln!("godwitspool-steward: log: {error}");
-        return ExitCode::FAILURE;
-    }
     match serve(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("steward is not started: {error}");
+            eprintln!("godwitspool-steward: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/godwitspool-steward/src/process/steward.rs
+++ b/crates/godwitspool-steward/src/process/steward.rs
@@ -42,7 +42,7 @@
         let server = {
             let board = Arc::clone(&board);
             let listener = TcpListener::bind(settings.steward)?;
-            let handler = move |request| answers::answer(&board, request);
+            let handler = move |request| answers::answer(&board, &request);
             Server::start(listener, ServeBounds::default(), handler)?
         };
         let mut threads = Vec::new();
--- a/crates/godwitspool-steward/src/version/board.rs
+++ b/crates/godwitspool-steward/src/version/board.rs
@@ -35,19 +35,27 @@
 
     /// Notes that the log's end was read just now.
     pub(crate) fn confirm(&self) {
-        self.lock().confirmed = Some(Instant::now());
+        let mut posted = self.lock();
+        if posted.confirmed.is_none() {
+            posted.view.revision += 1;
+            self.changed.notify_all();
+        }
+        posted.confirmed = Some(Instant::now());
     }
 
-    /// Waits until the revision differs from `known`, at most for `bound`; none before the first.
+    /// Waits until the revision differs from `known`, at most for `bound`.
+    ///
+    /// None until the log has been folded up to its end: a configuration that lacks records would
+    /// refuse keys that are in force.
     pub(crate) fn wait(&self, known: u64, bound: Duration) -> Option<View> {
         let same = |posted: &mut Posted| posted.view.revision == known;
         let (posted, _) = self
             .changed
             .wait_timeout_while(self.lock(), bound, same)
             .unwrap_or_else(PoisonError::into_inner);
-        let age = posted.confirmed.map(|confirmed| confirmed.elapsed());
-        let age_ms = age.map_or(u64::MAX, |age| age.as_millis() as u64);
-        (posted.view.revision > 0).then(|| View {
+        let confirmed = posted.confirmed?;
+        let age_ms = confirmed.elapsed().as_millis() as u64;
+        Some(View {
             age_ms,
             ..posted.view.clone()
         })
--- a/crates/godwitspool-steward/src/version/follow.rs
+++ b/crates/godwitspool-steward/src/version/follow.rs
@@ -16,7 +16,7 @@
     platform::HostEntry,
 };
 use godwitspool_types::Offset;
-use godwitspool_version::{Fold, Record};
+use godwitspool_version::Fold;
 
 use crate::version::board::Board;
 
@@ -28,36 +28,27 @@
 pub(crate) fn follow_log(platform: &Platform, board: &Arc<Board>, stopped: &AtomicBool) {
     let mut fold = Fold::default();
     while !stopped.load(Ordering::Acquire) {
-        match read_page(platform, &mut fold) {
-            Ok(end) if fold.next() >= end => {
-                board.confirm();
-                thread::sleep(LOG_POLL);
-            }
-            Ok(_) => {}
-            Err(error) => {
-                log::warn!("log is not read: {error}");
-                thread::sleep(LOG_POLL);
-            }
-        }
+        let page = read_page(platform, &mut fold);
         board.update(|view| {
             if view.offset != fold.next() {
-                view.configuration = Arc::new(fold.configuration().clone());
+                view.configuration = Arc::clone(fold.configuration());
                 view.offset = fold.next();
             }
         });
+        match page {
+            Ok(end) if fold.next() < end => continue,
+            Ok(_) => board.confirm(),
+            Err(error) => log::warn!("log is not read: {error}"),
+        }
+        thread::sleep(LOG_POLL);
     }
 }
 
 fn read_page(platform: &Platform, fold: &mut Fold) -> Result<Offset, PlatformError> {
     let page = platform.read(fold.next(), MAX_PAGE_RECORDS)?;
     for record in &page.records {
-        match Record::decode(&record.body) {
-            Ok(decoded) => {
-                if let Err(error) = fold.apply(record.offset, &decoded) {
-                    log::error!(offset:% = record.offset; "{error}");
-                }
-            }
-            Err(error) => log::error!(offset:% = record.offset; "{error}"),
+        if let Err(error) = fold.apply_text(record.offset, &record.body) {
+            log::error!(offset:% = record.offset; "{error}");
         }
     }
     Ok(page.end)
