--- /dev/null
+++ b/crates/godwitspool-demo/src/inject.rs
@@ -0,0 +1,197 @@
+//! Brings faults about.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use godwitspool_fakes::{Engine, SwapFault};
+use godwitspool_history::{Event, Recorder};
+use godwitspool_types::{Dc, HostName, Offset};
+use godwitspool_version::{LeaseKind, Record, RecordBody};
+
+use crate::{
+    Fault, FaultKind,
+    caller::{Caller, Session, lock},
+    client::Client,
+    host::Host,
+    operator::Operator,
+    system::System,
+};
+
+const LOST_ANSWERS: u32 = 3;
+const POISON_TIMES: u32 = 6;
+const RECLAIM_NOTICE_MS: u64 = 2_500;
+/// Time between the issue of a new key and the withdrawal of the old one.
+const KEY_OVERLAP: Duration = Duration::from_secs(2);
+/// Time for which some callers go on with a withdrawn key.
+const OLD_KEY_KEPT: Duration = Duration::from_secs(6);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Brings faults about.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Injector<'a> {
+    pub(crate) operator: &'a Operator,
+    pub(crate) recorder: &'a Recorder,
+    pub(crate) sessions: &'a [Arc<Session>],
+    pub(crate) stop: &'a AtomicBool,
+    pub(crate) system: &'a System,
+}
+
+impl Injector<'_> {
+    /// Brings each fault about at its time, and ends it.
+    pub(crate) fn run(&self, faults: &[Fault], start: Instant) {
+        thread::scope(|scope| {
+            for fault in faults {
+                self.wait_until(start + Duration::from_millis(fault.at_ms));
+                if self.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                self.recorder.record(Event::Fault(fault.kind.to_string()));
+                scope.spawn(move || self.bring_about(*fault));
+            }
+        });
+    }
+
+    fn bring_about(&self, fault: Fault) {
+        let lasting = Duration::from_millis(fault.lasting_ms);
+        match fault.kind {
+            FaultKind::EngineCrash => self.with_engine(fault.pick, Engine::crash),
+            FaultKind::HostRestart => self.restart_host(fault.pick),
+            FaultKind::KeyWithdrawal => self.withdraw_key(fault.pick),
+            FaultKind::LogOutage => self.log_outage(lasting),
+            FaultKind::LostAnswer => self.system.platform.lose_answers(LOST_ANSWERS),
+            FaultKind::Partition => self.partition(fault.pick, lasting),
+            FaultKind::PausedHolder => self.pause_holder(lasting),
+            FaultKind::Poison => self.poison(fault.pick),
+            FaultKind::Reclaim => {
+                let dc = &self.host(fault.pick).place.dc;
+                drop(self.system.platform.reclaim(dc, RECLAIM_NOTICE_MS));
+            }
+            FaultKind::StreamSilence => self.with_engine(fault.pick, Engine::silence),
+            FaultKind::SwapFailure => self.fail_swaps(fault.pick, lasting),
+        }
+    }
+
+    fn log_outage(&self, lasting: Duration) {
+        self.recorder.record(Event::CutOff(None));
+        self.system.platform.set_outage(true);
+        self.wait_until(Instant::now() + lasting);
+        self.system.platform.set_outage(false);
+        self.recorder.record(Event::Rejoined(None));
+    }
+
+    fn partition(&self, pick: u64, lasting: Duration) {
+        let dc = &self.host(pick).place.dc;
+        self.recorder.record(Event::CutOff(Some(dc.clone())));
+        self.system.set_partition(dc, true);
+        self.wait_until(Instant::now() + lasting);
+        self.system.set_partition(dc, false);
+        self.recorder.record(Event::Rejoined(Some(dc.clone())));
+    }
+
+    fn pause_holder(&self, lasting: Duration) {
+        let Some(dc) = self.holder_dc() else {
+            return;
+        };
+        self.recorder.record(Event::CutOff(Some(dc.clone())));
+        self.system.platform.set_view_held(&dc, true);
+        self.wait_until(Instant::now() + lasting);
+        self.system.platform.set_view_held(&dc, false);
+        self.recorder.record(Event::Rejoined(Some(dc)));
+    }
+
+    /// Finds the data centre of the host that claimed the orders lease last.
+    fn holder_dc(&self) -> Option<Dc> {
+        let log = self.system.platform.log(Offset(0));
+        let holder = log.iter().rev().find_map(|record| holder(&record.body))?;
+        let mut hosts = self.system.hosts.iter();
+        hosts
+            .find(|host| host.place.host == holder)
+            .map(|host| host.place.dc.clone())
+    }
+
+    fn withdraw_key(&self, pick: u64) {
+        let session = self.session(pick);
+        let old = lock(&session.keys).current.clone();
+        let Some(new) = self.operator.issue(&session.workspace) else {
+            return;
+        };
+        self.wait_until(Instant::now() + KEY_OVERLAP);
+        {
+            let mut keys = lock(&session.keys);
+            keys.current = new;
+            keys.old = Some(old.clone());
+        }
+        if self.operator.withdraw(&old) {
+            self.wait_until(Instant::now() + OLD_KEY_KEPT);
+        }
+        lock(&session.keys).old = None;
+    }
+
+    fn poison(&self, pick: u64) {
+        let caller = Caller {
+            client: Client::new(),
+            keeps_old_key: false,
+            recorder: self.recorder.clone(),
+            session: Arc::clone(self.session(pick)),
+        };
+        caller.poison(POISON_TIMES, self.stop);
+    }
+
+    fn restart_host(&self, pick: u64) {
+        let host = self.host(pick);
+        self.recorder
+            .record(Event::Stopping(host.place.host.clone()));
+        if let Err(error) = host.restart_entry() {
+            log::error!(host:% = host.place.host; "entry is not started again: {error}");
+        }
+        self.recorder
+            .record(Event::Started(host.place.host.clone()));
+    }
+
+    fn fail_swaps(&self, pick: u64, lasting: Duration) {
+        let faults = [SwapFault::Fails, SwapFault::FalseSuccess, SwapFault::Late];
+        let engines = self.system.platform.running_engines();
+        for (index, engine) in engines.iter().enumerate() {
+            let fault = faults.get((pick as usize + index) % (2 * faults.len()));
+            engine.set_swap_fault(fault.copied().unwrap_or_default());
+        }
+        self.wait_until(Instant::now() + lasting);
+        for engine in engines {
+            engine.set_swap_fault(SwapFault::None);
+        }
+    }
+
+    fn with_engine(&self, pick: u64, act: impl FnOnce(&Engine)) {
+        let engines = self.system.platform.running_engines();
+        if let Some(engine) = engines.get(pick as usize % engines.len().max(1)) {
+            act(engine);
+        }
+    }
+
+    fn host(&self, pick: u64) -> &Host {
+        &self.system.hosts[pick as usize % self.system.hosts.len()]
+    }
+
+    fn session(&self, pick: u64) -> &Arc<Session> {
+        &self.sessions[pick as usize % self.sessions.len()]
+    }
+
+    fn wait_until(&self, end: Instant) {
+        while Instant::now() < end && !self.stop.load(Ordering::Relaxed) {
+            thread::sleep(POLL);
+        }
+    }
+}
+
+fn holder(body: &str) -> Option<HostName> {
+    match Record::decode(body).ok()?.body {
+        RecordBody::Lease(lease) if lease.lease == LeaseKind::Orders => Some(lease.holder.host),
+        _ => None,
+    }
+}
--- a/crates/godwitspool-fakes/src/engine_event.rs
+++ b/crates/godwitspool-fakes/src/engine_event.rs
@@ -36,6 +36,10 @@
     Received {
         /// Where a caller's key was seen.
         key: Option<String>,
+        /// Most tokens asked for.
+        max_tokens: u32,
+        /// Hash of the prompt alone, as with seed 0.
+        messages: u64,
         /// Hash of prompt and seed.
         prompt: u64,
         /// Identity on the engine.
--- a/crates/godwitspool-fakes/src/engine_http.rs
+++ b/crates/godwitspool-fakes/src/engine_http.rs
@@ -73,6 +73,8 @@
         .map_or(asked.resume.len() as u32, |kv| kv.tokens);
     let event = EngineEvent::Received {
         key,
+        max_tokens: asked.max_tokens,
+        messages: prompt_hash(&asked.messages, 0),
         prompt,
         request: asked.request.clone(),
         start: next,
--- a/crates/godwitspool-fakes/src/platform.rs
+++ b/crates/godwitspool-fakes/src/platform.rs
@@ -197,6 +197,13 @@
         }
     }
 
+    /// Keeps back what a data centre and the platform send each other until unset.
+    pub fn set_view_held(&self, dc: &Dc, on: bool) {
+        if let Some(view) = lock(&self.views).get(dc) {
+            view.relay.set_held(on);
+        }
+    }
+
     /// Lists targets that run elsewhere, beside those that the platform started.
     pub fn set_targets(&self, targets: Vec<TargetEntry>) {
         lock(&self.shared.state).others = targets;
--- a/crates/godwitspool-fakes/src/relay.rs
+++ b/crates/godwitspool-fakes/src/relay.rs
@@ -41,9 +41,12 @@
 #[derive(Default)]
 struct Shared {
     links: Mutex<Vec<Arc<Link>>>,
+    /// What connections carry is kept back.
+    held: Mutex<bool>,
     /// New connections are accepted and stay silent.
     mute: AtomicBool,
     gate: Mutex<Gate>,
+    release: Condvar,
     wake: Condvar,
 }
 
@@ -120,6 +123,12 @@
         }
     }
 
+    /// Keeps back what connections carry until unset, and then delivers it.
+    pub fn set_held(&self, on: bool) {
+        *lock(&self.shared.held) = on;
+        self.shared.release.notify_all();
+    }
+
     /// Closes the listener and all open connections until unset.
     pub fn set_down(&self, on: bool) {
         self.set_phase(if on { Phase::Down } else { Phase::Up });
@@ -156,6 +165,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        self.set_held(false);
         self.set_phase(Phase::Stopped);
         self.cut();
         if let Some(accept) = self.accept.take() {
@@ -244,7 +254,7 @@
         } else {
             (&link.server, &link.client)
         };
-        copy(from, to, &link.silent);
+        copy(from, to, &link.silent, &shared);
         // A silent connection tells neither end that the other has gone.
         if !link.silent.load(Ordering::Relaxed) {
             drop(to.shutdown(Shutdown::Write));
@@ -266,13 +276,14 @@
     lock(&shared.links).retain(|other| !Arc::ptr_eq(other, link));
 }
 
-fn copy(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool) {
+fn copy(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool, shared: &Shared) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         match from.read(&mut buffer) {
             Ok(0) | Err(_) => return,
             Ok(_) if silent.load(Ordering::Relaxed) => {}
             Ok(count) => {
+                drop(shared.release.wait_while(lock(&shared.held), |held| *held));
                 if to.write_all(&buffer[..count]).is_err() {
                     return;
                 }
--- a/crates/godwitspool-fakes/tests/platform.rs
+++ b/crates/godwitspool-fakes/tests/platform.rs
@@ -277,4 +277,12 @@
     assert!(hosts().is_err());
     platform.set_view_cut(&dc, false);
     assert!(hosts().is_ok());
+    platform.set_view_held(&dc, true);
+    thread::scope(|scope| {
+        let held = scope.spawn(hosts);
+        thread::sleep(Duration::from_millis(50));
+        assert!(!held.is_finished());
+        platform.set_view_held(&dc, false);
+        assert!(held.join().unwrap().is_ok());
+    });
 }
--- a/crates/godwitspool-history/src/event.rs
+++ b/crates/godwitspool-history/src/event.rs
@@ -225,6 +225,8 @@
     },
     /// A host was asked to shut down gracefully.
     Stopping(HostName),
+    /// A host that had shut down was started again.
+    Started(HostName),
     /// A host told which configuration is in force on it.
     InForce {
         /// Host.
--- a/crates/godwitspool-history/src/recorder.rs
+++ b/crates/godwitspool-history/src/recorder.rs
@@ -54,6 +54,15 @@
         lines.iter().cloned().collect()
     }
 
+    /// Returns the name of the fault that was recorded last.
+    pub fn last_fault(&self) -> Option<String> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.iter().rev().find_map(|line| match &line.event {
+            Event::Fault(name) => Some(name.clone()),
+            _ => None,
+        })
+    }
+
     fn record_at(&self, at: Millis, event: Event) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         lines.push(Line { at, event });
--- a/crates/godwitspool-history/tests/callers.rs
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -152,6 +152,7 @@
 #[case::before(5, 8, 10, &[])]
 #[case::during(5, 12, 10, &[Promise::Shutdown])]
 #[case::sent_after(11, 12, 10, &[])]
+#[case::cut_after_the_restart(5, 30, 10, &[])]
 fn a_shutdown_cuts_no_request(
     #[case] sent_at: u64,
     #[case] broken_at: u64,
@@ -163,6 +164,8 @@
         (sent_at, sent(1)),
         (broken_at, Event::Broken(RequestId(1))),
         (stop, Event::Stopping("h".into())),
+        (20, Event::Started("h".into())),
+        (40, Event::Stopping("h".into())),
     ];
     assert_eq!(broken(events), expected);
 }
