History: a refusal as not run speaks of its own sending

Change: runs from one sending to the next of the same work count; a test for both sides. Conclusion: as strict for each sending; at-most-once still counts over all sendings.

--- a/crates/godwitspool-demo/src/client.rs
+++ b/crates/godwitspool-demo/src/client.rs
@@ -15,7 +15,7 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// What came of a request.
 #[derive(Clone, Debug)]
--- a/crates/godwitspool-history/src/check/answers.rs
+++ b/crates/godwitspool-history/src/check/answers.rs
@@ -42,7 +42,8 @@
         let Some(refusal) = refusal else {
             continue;
         };
-        let ran = index.received(*work);
+        // A caller may send the same again, and the earlier sending may have run.
+        let ran = index.received_after(*work, sent.at);
         if !ran.is_empty() {
             let lines = [*sent, *refusal].into_iter().chain(ran.iter().copied());
             let reason = "a target got a request that was refused as not run";
--- a/crates/godwitspool-history/src/index.rs
+++ b/crates/godwitspool-history/src/index.rs
@@ -17,6 +17,8 @@
     pub(crate) outcomes: HashMap<RequestId, Vec<&'a Line>>,
     /// Targets' lines of getting a request, by what it asks.
     pub(crate) received: HashMap<Work, Vec<&'a Line>>,
+    /// Sendings by what they ask.
+    asked: HashMap<Work, Vec<Millis>>,
     /// Sendings, in order of time.
     pub(crate) sent: Vec<&'a Line>,
     /// Withdrawals of keys.
@@ -29,7 +31,10 @@
         let mut held = HashMap::new();
         for line in history.lines() {
             match &line.event {
-                Event::Sent { .. } => index.sent.push(line),
+                Event::Sent { work, .. } => {
+                    index.asked.entry(*work).or_default().push(line.at);
+                    index.sent.push(line);
+                }
                 Event::Progress(request) | Event::Broken(request) => index.outcome(*request, line),
                 Event::Answered { request, .. } | Event::Refused { request, .. } => {
                     index.outcome(*request, line);
@@ -84,6 +89,19 @@
         self.received.get(&work).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the lines of targets that got what was asked, from one sending to the next of the same.
+    pub(crate) fn received_after(&self, work: Work, sent: Millis) -> Vec<&'a Line> {
+        let again = self
+            .asked
+            .get(&work)
+            .and_then(|all| all.iter().find(|at| **at > sent));
+        let end = again.copied().unwrap_or(Millis::MAX);
+        let lines = self.received(work).iter().copied();
+        lines
+            .filter(|line| line.at >= sent && line.at < end)
+            .collect()
+    }
+
     fn outcome(&mut self, request: RequestId, line: &'a Line) {
         self.outcomes.entry(request).or_default().push(line);
     }
--- a/crates/godwitspool-history/tests/callers.rs
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -135,6 +135,39 @@
     assert_eq!(broken(events), expected);
 }
 
+#[rstest]
+#[case::earlier_one_ran(3, &[])]
+#[case::this_one_ran(12, &[Promise::NotRun])]
+fn not_run_speaks_of_the_sending_that_was_refused(
+    #[case] received_at: u64,
+    #[case] expected: &[Promise],
+) {
+    let again = |request| {
+        let mut again = sent(request);
+        if let Event::Sent {
+            repeatable, work, ..
+        } = &mut again
+        {
+            (*repeatable, *work) = (true, Work::Prompt(5));
+        }
+        again
+    };
+    let ran = Event::Received {
+        key: None,
+        target: "t".into(),
+        work: Work::Prompt(5),
+    };
+    let events = [
+        (1, issued("k", "linen")),
+        (2, again(1)),
+        (received_at, ran),
+        (4, Event::Broken(RequestId(1))),
+        (10, again(2)),
+        (14, refused(2, false, Ran::NotRun)),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
 #[rstest]
 #[case::repeatable(true, &[])]
 #[case::not_repeatable(false, &[Promise::RunsOnce])]
