Entries talk to entries: one peer port, messages of each part apart

Cause: the interactive and the trainers' path both need messages between entries and would change the same enum. Change: EntryRequest wraps ServingRequest and RolloutRequest, each in a file of its own with its own handler; trainers' paths are dispatched. Conclusion: both parts can grow without touching each other's files.

--- a/crates/godwitspool-connection/src/messages.rs
+++ b/crates/godwitspool-connection/src/messages.rs
@@ -1,5 +1,8 @@
 //! Messages between the system's own processes, coded with postcard.
 
+mod rollout;
+mod serving;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use godwitspool_types::{Dc, HostName, Offset, RequestId, ServiceName, TargetName, Workspace};
@@ -8,6 +11,9 @@
 
 use crate::platform::{LogRecord, TargetEntry};
 
+pub use rollout::{RolloutAnswer, RolloutRequest};
+pub use serving::{ServingAnswer, ServingRequest};
+
 /// Asks a steward.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum StewardRequest {
@@ -50,6 +56,28 @@
     View(Box<View>),
 }
 
+/// Asks another entry.
+///
+/// Each part of the entry has messages of its own.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum EntryRequest {
+    /// Of the trainers' path.
+    Rollout(RolloutRequest),
+    /// Of the interactive path.
+    Serving(ServingRequest),
+}
+
+/// Answers another entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum EntryAnswer {
+    /// The entry has stopped serving peers, or doesn't know the request.
+    Refused,
+    /// Of the trainers' path.
+    Rollout(RolloutAnswer),
+    /// Of the interactive path.
+    Serving(ServingAnswer),
+}
+
 /// What an entry needs to serve, as its steward knows it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct View {
--- a/crates/godwitspool-entry/src/connection/callers.rs
+++ b/crates/godwitspool-entry/src/connection/callers.rs
@@ -14,6 +14,7 @@
     connection::answer,
     process::shared::Shared,
     request::{generation, plain, refusal::Refusal},
+    rollout::trainers,
 };
 
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -90,6 +91,8 @@
         generation::handle(request, shared);
     } else if let Some(rest) = path.strip_prefix("/services/") {
         plain::handle(request, rest, shared);
+    } else if let Some(rest) = path.strip_prefix("/v1/trainers/") {
+        trainers::handle(request, rest, shared);
     } else {
         answer::refuse(request, &Refusal::UnknownPath);
     }
--- a/crates/godwitspool-entry/src/connection/mod.rs
+++ b/crates/godwitspool-entry/src/connection/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod answer;
 pub(crate) mod callers;
+pub(crate) mod peers;
--- a/crates/godwitspool-entry/src/lib.rs
+++ b/crates/godwitspool-entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! | module | lives for |
 //! |---|---|
 //! | `request` | one request: authorization, routing, streams, refusals |
+//! | `rollout` | one step: trainers' groups, samples and batches |
 //! | `connection` | one connection: the callers' listener and their answers |
 //! | `version` | one version of the view |
 //! | `process` | the process: start, shared state, drain |
@@ -13,6 +14,7 @@
 mod connection;
 mod process;
 mod request;
+mod rollout;
 mod version;
 
 pub use process::entry::Entry;
--- a/crates/godwitspool-entry/src/process/entry.rs
+++ b/crates/godwitspool-entry/src/process/entry.rs
@@ -11,10 +11,14 @@
     time::{Duration, Instant},
 };
 
+use godwitspool_connection::peer::{ServeBounds, Server};
 use godwitspool_process::EntrySettings;
 
 use crate::{
-    connection::callers::{self, Callers},
+    connection::{
+        callers::{self, Callers},
+        peers,
+    },
     process::shared::Shared,
     version::feed,
 };
@@ -28,6 +32,8 @@
     address: SocketAddr,
     callers: Option<Callers>,
     feed: Option<JoinHandle<()>>,
+    peer: SocketAddr,
+    peers: Option<Server>,
     shared: Arc<Shared>,
 }
 
@@ -45,10 +51,13 @@
             move || feed::follow(&shared)
         })?;
         let callers = callers::listen(listener, Arc::clone(&shared))?;
+        let peers = serve_peers(&shared)?;
         Ok(Self {
             address,
             callers: Some(callers),
             feed: Some(feed),
+            peer: peers.address(),
+            peers: Some(peers),
             shared,
         })
     }
@@ -58,6 +67,11 @@
         self.address
     }
 
+    /// Returns the address on which other entries are answered.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Tells whether a view has come in, so that requests can be served.
     pub fn ready(&self) -> bool {
         self.shared.view().revision > 0
@@ -77,10 +91,20 @@
     }
 }
 
+fn serve_peers(shared: &Arc<Shared>) -> io::Result<Server> {
+    let listener = TcpListener::bind(shared.settings.peers)?;
+    let shared = Arc::clone(shared);
+    let handler = move |message| peers::answer(&shared, message);
+    Server::start(listener, ServeBounds::default(), handler)
+}
+
 impl Drop for Entry {
     fn drop(&mut self) {
         self.shared.stop();
         self.callers = None;
+        if let Some(peers) = self.peers.take() {
+            peers.stop();
+        }
         if let Some(feed) = self.feed.take() {
             // A panicked feed has nothing left to stop.
             drop(feed.join());
--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -13,6 +13,8 @@
 use godwitspool_process::EntrySettings;
 use godwitspool_types::TargetName;
 
+use crate::connection::peers::Links;
+
 /// State that the daemon's threads share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -20,6 +22,7 @@
     draining: AtomicBool,
     in_flight: Mutex<HashMap<TargetName, u32>>,
     in_progress: AtomicUsize,
+    pub(crate) links: Links,
     pub(crate) settings: EntrySettings,
     stopped: AtomicBool,
     view: RwLock<Arc<View>>,
@@ -32,6 +35,7 @@
             draining: AtomicBool::new(false),
             in_flight: Mutex::default(),
             in_progress: AtomicUsize::new(0),
+            links: Links::default(),
             settings,
             stopped: AtomicBool::new(false),
             view: RwLock::default(),
--- a/crates/godwitspool-entry/src/request/mod.rs
+++ b/crates/godwitspool-entry/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod authorize;
 pub(crate) mod generation;
+pub(crate) mod peers;
 pub(crate) mod plain;
 pub(crate) mod refusal;
 pub(crate) mod route;
--- /dev/null
+++ b/crates/godwitspool-entry/src/rollout/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for a step: trainers' groups, samples and batches.
+
+pub(crate) mod peers;
+pub(crate) mod trainers;
