--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table};
+use crate::{Options, Table, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -15,7 +15,11 @@
 
 impl Command {
     /// Every command, in order of name.
-    pub const ALL: &'static [Self] = &[];
+    pub const ALL: &'static [Self] = &[Self {
+        about: "what a unit more of each thing costs, with a line fitted to each",
+        name: "slopes",
+        run: slopes::run,
+    }];
 
     /// Finds a command.
     ///
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -10,9 +10,12 @@
 mod command;
 mod fit;
 mod options;
+mod series;
+mod slopes;
 mod table;
 
 pub use command::Command;
 pub use fit::{Fit, Point};
 pub use options::Options;
+pub use series::{Series, time_us};
 pub use table::Table;
--- /dev/null
+++ b/crates/godwitspool-measure/src/slopes/configuration.rs
@@ -0,0 +1,238 @@
+//! Slopes of the configuration, the log's records, the fold, snapshots and the entries' view.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+
+use godwitspool_connection::{
+    messages::{Member, View},
+    platform::{TargetEntry, TargetState},
+};
+use godwitspool_types::{Key, Offset, Workspace};
+use godwitspool_version::{
+    Configuration, ConfigurationChange, Fold, HostLife, KeyRule, LeaseKind, LeaseRecord, LeaseStep,
+    Publish, Record, RecordBody, ServiceRef, WorkspaceRules,
+};
+
+use crate::series::{Series, time_us};
+
+const KEYS_OF_WORKSPACE: usize = 3;
+const SERVICES_OF_WORKSPACE: usize = 3;
+const SIZES: [usize; 4] = [10, 100, 1_000, 3_000];
+
+pub(super) fn measure() -> Vec<Series> {
+    vec![
+        Series::measure("view-bytes", "targets", "bytes", &SIZES, |n| {
+            encode(&view(n, 0, 0)).len() as f64
+        }),
+        Series::measure("view-member-bytes", "hosts", "bytes", &SIZES, |n| {
+            encode(&view(0, n, 0)).len() as f64
+        }),
+        Series::measure("view-workspace-bytes", "workspaces", "bytes", &SIZES, |n| {
+            encode(&view(0, 0, n)).len() as f64
+        }),
+        Series::measure("view-code-us", "targets", "us", &SIZES, |n| {
+            let view = view(n, 0, 0);
+            time_us(20, || decode(&encode(&view)))
+        }),
+        Series::measure("view-member-code-us", "hosts", "us", &SIZES, |n| {
+            let view = view(0, n, 0);
+            time_us(20, || decode(&encode(&view)))
+        }),
+        Series::measure("view-workspace-code-us", "workspaces", "us", &SIZES, |n| {
+            let view = view(0, 0, n);
+            time_us(20, || decode(&encode(&view)))
+        }),
+        Series::measure("publish-bytes", "workspaces", "bytes", &[1, 10, 100], |n| {
+            publish(0, n).encode().len() as f64
+        }),
+        Series::measure(
+            "publish-fold-us",
+            "records",
+            "us",
+            &[100, 1_000, 5_000],
+            fold_us,
+        ),
+        Series::measure(
+            "lease-fold-us",
+            "records",
+            "us",
+            &[100, 1_000, 10_000],
+            lease_fold_us,
+        ),
+        Series::measure("snapshot-bytes", "workspaces", "bytes", &SIZES, |n| {
+            folded(n).snapshot().len() as f64
+        }),
+        Series::measure("snapshot-write-us", "workspaces", "us", &SIZES, |n| {
+            let fold = folded(n);
+            time_us(5, || fold.snapshot())
+        }),
+        Series::measure("snapshot-load-us", "workspaces", "us", &SIZES, |n| {
+            let text = folded(n).snapshot();
+            time_us(5, || Fold::restore(&text).is_ok())
+        }),
+    ]
+}
+
+// ---------------------------------------------------------------------------
+// Views
+
+fn view(targets: usize, hosts: usize, workspaces: usize) -> View {
+    View {
+        configuration: Arc::new(configuration(workspaces)),
+        members: (0..hosts).map(member).collect(),
+        targets: (0..targets).map(target).collect(),
+        ..View::default()
+    }
+}
+
+fn encode(view: &View) -> Vec<u8> {
+    postcard::to_stdvec(view).expect("a view has a postcard form")
+}
+
+fn decode(bytes: &[u8]) -> View {
+    postcard::from_bytes(bytes).expect("the view was encoded just now")
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        host: format!("dc-{}-host-{index}", index % 29).into(),
+        dc: format!("dc-{}", index % 29).into(),
+        entry: address(index, 8_002),
+        leaving: false,
+        steward: address(index, 8_003),
+    }
+}
+
+fn target(index: usize) -> TargetEntry {
+    TargetEntry {
+        address: address(index, 9_000),
+        class: "reserved".into(),
+        dc: format!("dc-{}", index % 29).into(),
+        model: "assistant".into(),
+        service: "party/assistant".into(),
+        state: TargetState::Live,
+        target: format!("reserved-{index}").into(),
+    }
+}
+
+fn address(index: usize, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index as u32), port))
+}
+
+// ---------------------------------------------------------------------------
+// Configuration and log
+
+fn configuration(workspaces: usize) -> Configuration {
+    let workspaces = (0..workspaces).map(|index| (workspace_name(index), workspace(index)));
+    Configuration {
+        workspaces: workspaces.collect(),
+        ..Configuration::default()
+    }
+}
+
+fn workspace_name(index: usize) -> Workspace {
+    format!("party/workspace-{index}").into()
+}
+
+fn workspace(index: usize) -> WorkspaceRules {
+    let key = |key| {
+        let digest = Key::from(format!("key-{index}-{key}").as_str()).digest();
+        KeyRule {
+            digest,
+            withdrawn: false,
+        }
+    };
+    let service = |service| {
+        let name = format!("service-{service}");
+        (
+            name.as_str().into(),
+            ServiceRef {
+                service: format!("party/{name}").into(),
+            },
+        )
+    };
+    WorkspaceRules {
+        keys: (0..KEYS_OF_WORKSPACE).map(key).collect(),
+        services: (0..SERVICES_OF_WORKSPACE).map(service).collect(),
+        ..WorkspaceRules::default()
+    }
+}
+
+fn publish(first: usize, workspaces: usize) -> Record {
+    let changed = first..first + workspaces;
+    let change = ConfigurationChange {
+        workspaces: changed
+            .map(|index| (workspace_name(index), Some(workspace(index))))
+            .collect::<BTreeMap<_, _>>(),
+        ..ConfigurationChange::default()
+    };
+    Record::new(RecordBody::Publish(Publish {
+        change,
+        ..Publish::default()
+    }))
+}
+
+fn folded(workspaces: usize) -> Fold {
+    let mut fold = Fold::default();
+    apply(&mut fold, &publish(0, workspaces));
+    fold
+}
+
+fn apply(fold: &mut Fold, record: &Record) {
+    fold.apply(fold.next(), record)
+        .expect("the offset is the next one");
+}
+
+/// Folds publishes of one workspace each, over a configuration of a hundred.
+fn fold_us(records: usize) -> f64 {
+    let texts = chain(records);
+    time_us(1, || {
+        let mut fold = Fold::default();
+        for (offset, text) in texts.iter().enumerate() {
+            fold.apply_text(Offset(offset as u64), text)
+                .expect("offsets are in order");
+        }
+        fold
+    })
+}
+
+/// Publishes that each follow the one before.
+fn chain(records: usize) -> Vec<String> {
+    let mut base = None;
+    (0..records)
+        .map(|offset| {
+            let mut record = publish(offset % 100, 1);
+            if let RecordBody::Publish(publish) = &mut record.body {
+                publish.base = base;
+            }
+            base = Some(Offset(offset as u64));
+            record.encode()
+        })
+        .collect()
+}
+
+fn lease_fold_us(records: usize) -> f64 {
+    let mut last = None;
+    let texts: Vec<_> = (0..records)
+        .map(|offset| {
+            let claim = LeaseRecord {
+                holder: HostLife::default(),
+                lease: LeaseKind::Orders,
+                step: LeaseStep::Claim { after: last },
+            };
+            last = Some(Offset(offset as u64));
+            Record::new(RecordBody::Lease(claim)).encode()
+        })
+        .collect();
+    time_us(1, || {
+        let mut fold = Fold::default();
+        for (offset, text) in texts.iter().enumerate() {
+            fold.apply_text(Offset(offset as u64), text)
+                .expect("offsets are in order");
+        }
+        fold
+    })
+}
--- /dev/null
+++ b/crates/godwitspool-measure/src/slopes/mod.rs
@@ -0,0 +1,42 @@
+//! Slopes: what a unit more of something costs, measured at three or more sizes.
+
+mod configuration;
+mod serving;
+mod usage;
+
+use crate::{Options, Series, Table};
+
+/// Measures every slope and fits a line to each.
+pub(crate) fn run(options: &Options) -> Vec<Table> {
+    let mut points = Series::table("slopes");
+    let columns = [
+        "series",
+        "of",
+        "unit",
+        "intercept",
+        "slope",
+        "residual_percent",
+    ];
+    let mut fits = Table::new("fits", &columns);
+    for series in measure_all(options) {
+        series.add_to(&mut points);
+        if let Some(fit) = series.fit() {
+            fits.row([
+                series.name.to_owned(),
+                series.of.to_owned(),
+                series.unit.to_owned(),
+                format!("{:.4}", fit.intercept),
+                format!("{:.6}", fit.slope),
+                format!("{:.1}", fit.residual * 100.0),
+            ]);
+        }
+    }
+    vec![points, fits]
+}
+
+fn measure_all(options: &Options) -> Vec<Series> {
+    let mut all = configuration::measure();
+    all.extend(usage::measure());
+    all.extend(serving::measure(options.seed));
+    all
+}
