--- a/crates/godwitspool-fakes/src/relay.rs
+++ b/crates/godwitspool-fakes/src/relay.rs
@@ -41,12 +41,22 @@
 #[derive(Default)]
 struct Shared {
     links: Mutex<Vec<Arc<Link>>>,
+    /// What connections carry is kept back.
+    held: Mutex<bool>,
     /// New connections are accepted and stay silent.
     mute: AtomicBool,
-    phase: Mutex<Phase>,
+    gate: Mutex<Gate>,
+    release: Condvar,
     wake: Condvar,
 }
 
+#[derive(Default)]
+struct Gate {
+    /// Whether the listener is bound.
+    open: bool,
+    phase: Phase,
+}
+
 #[derive(Clone, Copy, Default, Eq, PartialEq)]
 enum Phase {
     /// Accepts connections.
@@ -74,6 +84,7 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
+        lock(&shared.gate).open = true;
         let accept = {
             let shared = Arc::clone(&shared);
             thread::spawn(move || accept(listener, address, upstream, &shared))
@@ -112,6 +123,12 @@
         }
     }
 
+    /// Keeps back what connections carry until unset, and then delivers it.
+    pub fn set_held(&self, on: bool) {
+        *lock(&self.shared.held) = on;
+        self.shared.release.notify_all();
+    }
+
     /// Closes the listener and all open connections until unset.
     pub fn set_down(&self, on: bool) {
         self.set_phase(if on { Phase::Down } else { Phase::Up });
@@ -120,13 +137,21 @@
         }
     }
 
+    /// Returns once the listener is closed or bound, as the phase asks.
     fn set_phase(&self, phase: Phase) {
-        *lock(&self.shared.phase) = phase;
+        lock(&self.shared.gate).phase = phase;
         self.shared.wake.notify_all();
         if phase != Phase::Up {
             // Wakes the thread that waits in accept.
             drop(TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT));
         }
+        let gate = lock(&self.shared.gate);
+        let changing = |gate: &mut Gate| gate.phase == phase && gate.open != (phase == Phase::Up);
+        drop(
+            self.shared
+                .wake
+                .wait_timeout_while(gate, CONNECT_TIMEOUT, changing),
+        );
     }
 }
 
@@ -140,6 +165,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        self.set_held(false);
         self.set_phase(Phase::Stopped);
         self.cut();
         if let Some(accept) = self.accept.take() {
@@ -159,32 +185,44 @@
 fn accept(listener: TcpListener, address: SocketAddr, upstream: SocketAddr, shared: &Arc<Shared>) {
     let mut listener = Some(listener);
     loop {
-        let phase = *lock(&shared.phase);
-        match phase {
-            Phase::Stopped => return,
-            Phase::Down => {
-                listener = None;
-                let guard = lock(&shared.phase);
-                drop(shared.wake.wait_while(guard, |phase| *phase == Phase::Down));
+        let phase = {
+            let mut gate = lock(&shared.gate);
+            gate.open = listener.is_some();
+            shared.wake.notify_all();
+            gate.phase
+        };
+        match (phase, &listener) {
+            (Phase::Stopped, _) => break,
+            (Phase::Down, Some(_)) => listener = None,
+            (Phase::Down, None) => {
+                let gate = lock(&shared.gate);
+                drop(
+                    shared
+                        .wake
+                        .wait_while(gate, |gate| gate.phase == Phase::Down),
+                );
             }
-            Phase::Up => match &listener {
-                None => match TcpListener::bind(address) {
-                    Ok(bound) => listener = Some(bound),
-                    Err(_) => thread::sleep(BIND_RETRY),
-                },
-                Some(bound) => {
-                    let accepted = bound.accept();
-                    if *lock(&shared.phase) != Phase::Up {
-                        continue;
-                    }
-                    match accepted {
-                        Ok((client, _)) => drop(link(client, upstream, shared)),
-                        Err(_) => thread::sleep(BIND_RETRY),
-                    }
-                }
+            (Phase::Up, None) => match TcpListener::bind(address) {
+                Ok(bound) => listener = Some(bound),
+                Err(_) => thread::sleep(BIND_RETRY),
             },
+            (Phase::Up, Some(bound)) => accept_one(bound, upstream, shared),
         }
     }
+    drop(listener);
+    lock(&shared.gate).open = false;
+    shared.wake.notify_all();
+}
+
+fn accept_one(bound: &TcpListener, upstream: SocketAddr, shared: &Arc<Shared>) {
+    let accepted = bound.accept();
+    if lock(&shared.gate).phase != Phase::Up {
+        return;
+    }
+    match accepted {
+        Ok((client, _)) => drop(link(client, upstream, shared)),
+        Err(_) => thread::sleep(BIND_RETRY),
+    }
 }
 
 fn link(client: TcpStream, upstream: SocketAddr, shared: &Arc<Shared>) -> io::Result<()> {
@@ -216,7 +254,7 @@
         } else {
             (&link.server, &link.client)
         };
-        copy(from, to, &link.silent);
+        copy(from, to, &link.silent, &shared);
         // A silent connection tells neither end that the other has gone.
         if !link.silent.load(Ordering::Relaxed) {
             drop(to.shutdown(Shutdown::Write));
@@ -238,13 +276,14 @@
     lock(&shared.links).retain(|other| !Arc::ptr_eq(other, link));
 }
 
-fn copy(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool) {
+fn copy(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool, shared: &Shared) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         match from.read(&mut buffer) {
             Ok(0) | Err(_) => return,
             Ok(_) if silent.load(Ordering::Relaxed) => {}
             Ok(count) => {
+                drop(shared.release.wait_while(lock(&shared.held), |held| *held));
                 if to.write_all(&buffer[..count]).is_err() {
                     return;
                 }
