--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -1,1 +1,33 @@
 //! What lives for a process: settings, timers, logs, metrics, membership and the log reader.
+//!
+//! Settings and the operators' folder are YAML; everything wrong in them is collected as findings
+//! with file, line and column and reported together.
+//!
+//! ```
+//! use godwitspool_process::{EntrySettings, Findings};
+//!
+//! let findings: Findings = EntrySettings::parse("entry.yaml", "drain: 30\n").unwrap_err();
+//! assert!(findings.to_string().contains("entry.yaml:1:8: drain is 30, expected a duration"));
+//! ```
+
+mod clock;
+mod daemon;
+mod findings;
+pub mod folder;
+mod http_listener;
+pub mod logs;
+mod metrics;
+mod operator_http;
+pub mod settings;
+pub mod signals;
+mod timer;
+pub mod yaml;
+
+pub use clock::Clock;
+pub use daemon::{DaemonCommand, FINDINGS_STATUS, Termination};
+pub use findings::Findings;
+pub use http_listener::HttpListener;
+pub use metrics::{Metrics, Reasons};
+pub use operator_http::{Operated, OperatorHttp, Readiness};
+pub use settings::{EntrySettings, LogFormat, StewardSettings};
+pub use timer::{Tick, Timer};
