--- a/crates/godwitspool-history/tests/callers.rs
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -135,6 +135,39 @@
     assert_eq!(broken(events), expected);
 }
 
+#[rstest]
+#[case::earlier_one_ran(3, &[])]
+#[case::this_one_ran(12, &[Promise::NotRun])]
+fn not_run_speaks_of_the_sending_that_was_refused(
+    #[case] received_at: u64,
+    #[case] expected: &[Promise],
+) {
+    let again = |request| {
+        let mut again = sent(request);
+        if let Event::Sent {
+            repeatable, work, ..
+        } = &mut again
+        {
+            (*repeatable, *work) = (true, Work::Prompt(5));
+        }
+        again
+    };
+    let ran = Event::Received {
+        key: None,
+        target: "t".into(),
+        work: Work::Prompt(5),
+    };
+    let events = [
+        (1, issued("k", "linen")),
+        (2, again(1)),
+        (received_at, ran),
+        (4, Event::Broken(RequestId(1))),
+        (10, again(2)),
+        (14, refused(2, false, Ran::NotRun)),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
 #[rstest]
 #[case::repeatable(true, &[])]
 #[case::not_repeatable(false, &[Promise::RunsOnce])]
@@ -152,6 +185,7 @@
 #[case::before(5, 8, 10, &[])]
 #[case::during(5, 12, 10, &[Promise::Shutdown])]
 #[case::sent_after(11, 12, 10, &[])]
+#[case::cut_after_the_restart(5, 30, 10, &[])]
 fn a_shutdown_cuts_no_request(
     #[case] sent_at: u64,
     #[case] broken_at: u64,
@@ -163,6 +197,8 @@
         (sent_at, sent(1)),
         (broken_at, Event::Broken(RequestId(1))),
         (stop, Event::Stopping("h".into())),
+        (20, Event::Started("h".into())),
+        (40, Event::Stopping("h".into())),
     ];
     assert_eq!(broken(events), expected);
 }
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod clock;
+mod daemon;
 mod findings;
 pub mod folder;
 mod http_listener;
@@ -24,6 +25,7 @@
 pub mod yaml;
 
 pub use clock::Clock;
+pub use daemon::{DaemonCommand, FINDINGS_STATUS, Termination};
 pub use findings::Findings;
 pub use http_listener::HttpListener;
 pub use metrics::{Metrics, Reasons};
