--- a/crates/godwitspool-connection/src/messages.rs
+++ b/crates/godwitspool-connection/src/messages.rs
@@ -45,6 +45,8 @@
     },
     /// Records of the log.
     Tail {
+        /// Milliseconds since the steward last knew that all of the log was in force on it.
+        age_ms: u64,
         /// Records in order of offset.
         records: Vec<LogRecord>,
         /// End of the log as far as the steward knows.
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -15,12 +15,12 @@
 mod findings;
 pub mod folder;
 mod http_listener;
+pub mod log_reader;
 pub mod logs;
 pub mod membership;
 mod metrics;
 mod operator_http;
 pub mod settings;
-pub mod signals;
 mod timer;
 pub mod yaml;
 
