--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -11,18 +11,21 @@
 //! ```
 
 mod clock;
+mod daemon;
 mod findings;
 pub mod folder;
 mod http_listener;
+pub mod log_reader;
 pub mod logs;
+pub mod membership;
 mod metrics;
 mod operator_http;
 pub mod settings;
-pub mod signals;
 mod timer;
 pub mod yaml;
 
 pub use clock::Clock;
+pub use daemon::{DaemonCommand, FINDINGS_STATUS, Termination};
 pub use findings::Findings;
 pub use http_listener::HttpListener;
 pub use metrics::{Metrics, Reasons};
