Request and messages: trials on restarted targets, hosts alone, messages between entries

Cause: a target that restarts after a crash counted once only, so a poison on a small fleet was never quarantined; a host that is alone had to wait for a grant. Change: a crash in a trial always counts; a host alone holds all of its limits; messages of the interactive path (additive). Conclusion: the entry's path can be wired.

--- a/crates/godwitspool-connection/src/messages.rs
+++ b/crates/godwitspool-connection/src/messages.rs
@@ -12,7 +12,10 @@
 use crate::platform::{LogRecord, TargetEntry};
 
 pub use rollout::{RolloutAnswer, RolloutRequest};
-pub use serving::{ServingAnswer, ServingRequest};
+pub use serving::{
+    ClaimReply, KeyFate, KeyItem, KeyName, LimitPart, ServingAnswer, ServingRequest, SuspectRecord,
+    TargetLoad, TrialReply,
+};
 
 /// Asks a steward.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/godwitspool-request/src/limits.rs
+++ b/crates/godwitspool-request/src/limits.rs
@@ -35,7 +35,7 @@
 const GRANT_LIFE: Millis = Millis(3_000);
 
 impl Limits {
-    /// Returns what a host may use without a grant.
+    /// Returns what a host may use without a grant; a host alone may use all.
     ///
     /// ```
     /// use godwitspool_request::Limits;
@@ -46,6 +46,12 @@
     /// ```
     pub fn fixed(&self) -> Grant {
         let hosts = self.hosts.max(1);
+        if hosts == 1 {
+            return Grant {
+                concurrency: self.concurrency,
+                rate: f64::from(self.rate),
+            };
+        }
         Grant {
             concurrency: (self.concurrency / FIXED_PART / hosts).max(1),
             rate: f64::from(self.rate) / f64::from(FIXED_PART * hosts),
@@ -99,6 +105,11 @@
         Ok(())
     }
 
+    /// Tells whether a grant is in force.
+    pub fn granted(&self, now: Millis) -> bool {
+        self.grant.is_some_and(|(_, until)| now < until)
+    }
+
     /// Counts a request out.
     pub fn end(&mut self) {
         self.running = self.running.saturating_sub(1);
@@ -213,7 +224,8 @@
         };
         let part = demand / all;
         let fair = (f64::from(pool.concurrency) * part).floor() as u32;
-        let concurrency = fair.min(pool.concurrency.saturating_sub(granted.concurrency));
+        let left = pool.concurrency.saturating_sub(granted.concurrency);
+        let concurrency = fair.min(left);
         let rate = (pool.rate * part).min(pool.rate - granted.rate).max(0.0);
         let grant = Grant { concurrency, rate };
         self.askers.insert(
--- a/crates/godwitspool-request/src/quarantine.rs
+++ b/crates/godwitspool-request/src/quarantine.rs
@@ -30,6 +30,8 @@
     pub blame: u32,
     /// Targets that crashed with the request in flight.
     pub crashed: BTreeSet<TargetName>,
+    /// Crashes with the request in flight; one target may crash again.
+    pub crashes: u32,
     /// Quarantined until then, when it is.
     pub until: Option<Millis>,
 }
@@ -147,10 +149,10 @@
     const MEMORY: Millis = Millis(600_000);
     /// How long a trial holds when its host says nothing more.
     const TRIAL: Millis = Millis(60_000);
-    /// Crashed targets before a request is quarantined.
-    const CRASHES: usize = 2;
-    /// Crashed targets at which it is quarantined whatever its part in the blame.
-    const MOST_CRASHES: usize = 3;
+    /// Crashes before a request is quarantined.
+    const CRASHES: u32 = 2;
+    /// Crashes at which it is quarantined whatever its part in the blame.
+    const MOST_CRASHES: u32 = 3;
     /// Most suspects that are remembered.
     const MOST: usize = 65_536;
 
@@ -196,15 +198,17 @@
             return Vec::new();
         }
         let case = self.cases.entry(blame.print).or_default();
+        // Of one crash several hosts tell, but a trial has only one end.
+        let another = case.on_trial(now);
         case.seen = now;
         case.trial = None;
         let record = &mut case.record;
-        if record.crashed.insert(blame.target.clone()) {
+        if record.crashed.insert(blame.target.clone()) || another {
             record.blame += blame.part;
+            record.crashes += 1;
         }
-        let crashes = record.crashed.len();
-        let guilty = crashes >= Self::CRASHES && record.blame >= WHOLE_BLAME;
-        if guilty || crashes >= Self::MOST_CRASHES {
+        let guilty = record.crashes >= Self::CRASHES && record.blame >= WHOLE_BLAME;
+        if guilty || record.crashes >= Self::MOST_CRASHES {
             record.until = Some(now + Self::QUARANTINE);
         }
         vec![SuspectAction::Announce(blame.print, record.clone())]
@@ -241,6 +245,7 @@
     fn merge(&mut self, other: Self) {
         self.blame = self.blame.max(other.blame);
         self.crashed.extend(other.crashed);
+        self.crashes = self.crashes.max(other.crashes);
         self.until = self.until.max(other.until);
     }
 }
--- a/crates/godwitspool-request/src/refusal.rs
+++ b/crates/godwitspool-request/src/refusal.rs
@@ -52,6 +52,8 @@
     NoTarget,
     /// The entry host has no configuration yet.
     NotReady,
+    /// Nothing is served at the path.
+    PathUnknown,
     /// The request is quarantined, since targets crashed while they ran it.
     Quarantined,
     /// The deadline passed in the queue.
@@ -80,7 +82,7 @@
 
 impl Reason {
     /// Every reason, in order of its code.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::BodyTooLarge,
         Self::ConcurrencyLimit,
         Self::ConnectFailed,
@@ -98,6 +100,7 @@
         Self::KeysUnconfirmed,
         Self::NoTarget,
         Self::NotReady,
+        Self::PathUnknown,
         Self::Quarantined,
         Self::QueueExpired,
         Self::QueueFull,
@@ -132,6 +135,7 @@
             Self::KeysUnconfirmed => "keys-unconfirmed",
             Self::NoTarget => "no-target",
             Self::NotReady => "not-ready",
+            Self::PathUnknown => "path-unknown",
             Self::Quarantined => "quarantined",
             Self::QueueExpired => "queue-expired",
             Self::QueueFull => "queue-full",
@@ -154,7 +158,7 @@
             Self::KeyMissing | Self::KeyUnknown | Self::KeyWithdrawn | Self::KeyWithdrawnMidway => {
                 401
             }
-            Self::ServiceUnknown => 404,
+            Self::PathUnknown | Self::ServiceUnknown => 404,
             Self::FateUnknown | Self::KeyInProgress => 409,
             Self::BodyTooLarge => 413,
             Self::KeyMismatch | Self::Quarantined => 422,
--- a/crates/godwitspool-request/tests/quarantine.rs
+++ b/crates/godwitspool-request/tests/quarantine.rs
@@ -90,12 +90,22 @@
     assert!(suspects.quarantined(Millis(0)).is_empty());
 }
 
+#[test]
+fn a_trial_that_crashes_a_restarted_target_counts() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, "t1", &[1, 2], None);
+    suspects.decide(ask(1, Record::default()), Millis(0));
+    crash(&mut suspects, "t1", &[1], Some(1));
+    assert_eq!(suspects.quarantined(Millis(0)), vec![1_u64]);
+}
+
 #[test]
 fn a_new_home_learns_from_the_host_that_asks() {
     let mut list = SuspectList::default();
     let record = Record {
         blame: 200,
         crashed: BTreeSet::from([TargetName::from("t1")]),
+        crashes: 1,
         until: None,
     };
     list.announce(9, record, Millis(0));
