--- a/crates/godwitspool-entry/src/connection/answer.rs
+++ b/crates/godwitspool-entry/src/connection/answer.rs
@@ -1,12 +1,16 @@
 //! Answers to callers.
 
-use std::io::{self, Write};
+use std::{
+    fmt,
+    io::{self, Write},
+    sync::Arc,
+};
 
 use godwitspool_types::RequestId;
 use serde::Serialize;
 use tiny_http::{Header, Request, Response};
 
-use crate::request::refusal::Refusal;
+use crate::{process::shared::Shared, request::refusal::Refusal};
 
 /// Writes a refusal.
 pub(crate) fn refuse(request: Request, refusal: &Refusal) {
@@ -16,12 +20,7 @@
 /// Writes a refusal of a request that already has an identity.
 pub(crate) fn refuse_as(request: Request, refusal: &Refusal, id: RequestId) {
     log::info!(request:% = id, reason = refusal.code(); "refused");
-    let body = serde_json::json!({ "error": {
-        "message": refusal.to_string(),
-        "ran": refusal.ran(),
-        "reason": refusal.code(),
-        "request": id,
-    }});
+    let body = error_body(refusal, id);
     let mut response = Response::from_string(body.to_string())
         .with_status_code(refusal.status())
         .with_header(header("Content-Type", "application/json"))
@@ -46,6 +45,12 @@
     writer: Box<dyn Write + Send>,
 }
 
+impl fmt::Debug for EventWriter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EventWriter").finish_non_exhaustive()
+    }
+}
+
 impl EventWriter {
     /// Sends the head of the answer.
     pub(crate) fn start(request: Request, id: RequestId) -> io::Result<Self> {
@@ -78,3 +83,65 @@
         self.writer.flush()
     }
 }
+
+/// The answer to one request: a refusal while nothing has been sent, else a stream that ends with
+/// the terminator or an error event.
+#[derive(Debug)]
+pub(crate) struct Answering {
+    id: RequestId,
+    request: Option<Request>,
+    shared: Arc<Shared>,
+    writer: Option<EventWriter>,
+}
+
+impl Answering {
+    pub(crate) fn new(request: Request, id: RequestId, shared: Arc<Shared>) -> Self {
+        Self {
+            id,
+            request: Some(request),
+            shared,
+            writer: None,
+        }
+    }
+
+    /// Sends one event.
+    pub(crate) fn send(&mut self, event: &impl Serialize) -> io::Result<()> {
+        if let Some(request) = self.request.take() {
+            self.writer = Some(EventWriter::start(request, self.id)?);
+        }
+        match &mut self.writer {
+            Some(writer) => writer.send(event),
+            None => Err(io::ErrorKind::NotConnected.into()),
+        }
+    }
+
+    /// Ends a whole answer.
+    pub(crate) fn finish(&mut self) {
+        if let Some(writer) = self.writer.take()
+            && let Err(error) = writer.finish()
+        {
+            log::debug!(request:% = self.id; "caller left: {error}");
+        }
+    }
+
+    /// Refuses the request; a stream that has begun ends with an error event and no terminator.
+    pub(crate) fn refuse(&mut self, refusal: &Refusal) {
+        self.shared.serving.refused(self.id, refusal);
+        if let Some(request) = self.request.take() {
+            refuse_as(request, refusal, self.id);
+        } else if let Some(mut writer) = self.writer.take()
+            && let Err(error) = writer.send(&error_body(refusal, self.id))
+        {
+            log::debug!(request:% = self.id; "caller left: {error}");
+        }
+    }
+}
+
+fn error_body(refusal: &Refusal, id: RequestId) -> serde_json::Value {
+    serde_json::json!({ "error": {
+        "message": refusal.to_string(),
+        "ran": refusal.ran(),
+        "reason": refusal.code(),
+        "request": id,
+    }})
+}
--- a/crates/godwitspool-entry/src/connection/callers.rs
+++ b/crates/godwitspool-entry/src/connection/callers.rs
@@ -5,10 +5,11 @@
     net::TcpListener,
     sync::Arc,
     thread::{self, JoinHandle},
-    time::Duration,
 };
 
-use tiny_http::{Request, Server};
+use godwitspool_process::HttpListener;
+use godwitspool_request::Reason;
+use tiny_http::Request;
 
 use crate::{
     connection::answer,
@@ -17,59 +18,45 @@
     rollout::trainers,
 };
 
-const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause before the listener is opened again after accepting failed.
-const REOPEN_PAUSE: Duration = Duration::from_millis(50);
 /// Requests in progress at once.
 const MAX_IN_PROGRESS: usize = 2_000;
 
-/// The listener's thread. Dropping it joins the thread, once the shared state says stop.
+/// The listener's thread. Dropping it ends and joins the thread.
 #[derive(Debug)]
 pub(crate) struct Callers {
+    listener: Arc<HttpListener>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Drop for Callers {
     fn drop(&mut self) {
+        self.listener.stop();
         if let Some(thread) = self.thread.take() {
             drop(thread.join());
         }
     }
 }
 
-/// Serves callers until the shared state says stop.
-///
-/// The library's accept loop ends for good at its first error, so a clone of the listener is kept
-/// and a new server is opened on it.
+/// Serves callers until the result is dropped.
 pub(crate) fn listen(listener: TcpListener, shared: Arc<Shared>) -> io::Result<Callers> {
+    let listener = Arc::new(HttpListener::new(listener)?);
+    let own = Arc::clone(&listener);
     let thread = thread::Builder::new()
         .name("callers".to_owned())
         .spawn(move || {
-            while !shared.stopped() {
-                if let Err(error) = serve(&listener, &shared) {
-                    log::warn!("listener is opened again: {error}");
-                    thread::sleep(REOPEN_PAUSE);
-                }
+            while let Some(request) = own.next() {
+                start(request, &shared);
             }
         })?;
     Ok(Callers {
+        listener,
         thread: Some(thread),
     })
 }
 
-fn serve(listener: &TcpListener, shared: &Arc<Shared>) -> io::Result<()> {
-    let server = Server::from_listener(listener.try_clone()?, None).map_err(io::Error::other)?;
-    while !shared.stopped() {
-        if let Some(request) = server.recv_timeout(RECEIVE_TIMEOUT)? {
-            start(request, shared);
-        }
-    }
-    Ok(())
-}
-
 fn start(request: Request, shared: &Arc<Shared>) {
     if shared.in_progress() >= MAX_IN_PROGRESS {
-        answer::refuse(request, &Refusal::Overloaded);
+        answer::refuse(request, &Refusal::from(Reason::QueueFull));
         return;
     }
     let guard = shared.enter_request();
--- a/crates/godwitspool-entry/src/process/entry.rs
+++ b/crates/godwitspool-entry/src/process/entry.rs
@@ -12,19 +12,24 @@
 };
 
 use godwitspool_connection::peer::{ServeBounds, Server};
-use godwitspool_process::EntrySettings;
+use godwitspool_process::{EntrySettings, OperatorHttp};
 
 use crate::{
     connection::{
         callers::{self, Callers},
         peers,
     },
-    process::shared::Shared,
+    process::{operators, shared::Shared, upkeep},
+    request::keyed,
     version::feed,
 };
 
 /// Pause between looks at what is still in progress during a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// Time for which new requests are served on, while the balancer has not yet noticed the leaving.
+const BALANCER_LAG: Duration = Duration::from_secs(5);
+/// The balancer's lag takes at most this part of a drain.
+const LAG_PART: u32 = 3;
 
 /// A running entry daemon. Dropping it stops its threads.
 #[derive(Debug)]
@@ -32,9 +37,11 @@
     address: SocketAddr,
     callers: Option<Callers>,
     feed: Option<JoinHandle<()>>,
+    operators: OperatorHttp,
     peer: SocketAddr,
     peers: Option<Server>,
     shared: Arc<Shared>,
+    upkeep: Vec<JoinHandle<()>>,
 }
 
 impl Entry {
@@ -50,15 +57,19 @@
             let shared = Arc::clone(&shared);
             move || feed::follow(&shared)
         })?;
+        let operators = operators::serve(&shared)?;
+        let upkeep = upkeep::start(&shared)?;
         let callers = callers::listen(listener, Arc::clone(&shared))?;
         let peers = serve_peers(&shared)?;
         Ok(Self {
             address,
             callers: Some(callers),
             feed: Some(feed),
+            operators,
             peer: peers.address(),
             peers: Some(peers),
             shared,
+            upkeep,
         })
     }
 
@@ -72,21 +83,33 @@
         self.peer
     }
 
+    /// Returns the address on which operators are answered.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// Tells whether a view has come in, so that requests can be served.
     pub fn ready(&self) -> bool {
         self.shared.view().revision > 0
     }
 
-    /// Takes no new work and waits for what is in progress, at most for `bound` or until `hurry`.
+    /// Leaves: serves on while the balancer lags, then takes no new work and waits for what is in
+    /// progress; at most for `bound` in all or until `hurry`.
     ///
     /// Returns the number of requests that were cut.
     pub fn drain(&self, bound: Duration, hurry: &AtomicBool) -> usize {
-        self.shared.begin_drain();
+        self.shared.begin_leaving();
         let end = Instant::now() + bound;
+        let lag = Instant::now() + BALANCER_LAG.min(bound / LAG_PART);
+        while Instant::now() < lag && !hurry.load(Ordering::Acquire) {
+            thread::sleep(DRAIN_POLL);
+        }
+        self.shared.begin_drain();
         let waits = || Instant::now() < end && !hurry.load(Ordering::Acquire);
         while self.shared.in_progress() > 0 && waits() {
             thread::sleep(DRAIN_POLL);
         }
+        keyed::hand_over(&self.shared);
         self.shared.in_progress()
     }
 }
@@ -105,6 +128,9 @@
         if let Some(peers) = self.peers.take() {
             peers.stop();
         }
+        for thread in self.upkeep.drain(..) {
+            drop(thread.join());
+        }
         if let Some(feed) = self.feed.take() {
             // A panicked feed has nothing left to stop.
             drop(feed.join());
--- a/crates/godwitspool-entry/src/process/mod.rs
+++ b/crates/godwitspool-entry/src/process/mod.rs
@@ -1,4 +1,7 @@
 //! What lives for the process.
 
 pub(crate) mod entry;
+pub(crate) mod operators;
+pub(crate) mod serving;
 pub(crate) mod shared;
+pub(crate) mod upkeep;
--- /dev/null
+++ b/crates/godwitspool-entry/src/process/operators.rs
@@ -0,0 +1,70 @@
+//! What the entry tells its operators.
+
+use std::{io, net::TcpListener, sync::Arc};
+
+use godwitspool_process::{Operated, OperatorHttp, Readiness};
+use godwitspool_types::RequestId;
+use serde_json::{Value, json};
+
+use crate::{process::shared::Shared, request::suspicion};
+
+const EXPLAIN: &str = "/explain/";
+const LIFT: &str = "/quarantine/lift/";
+const QUARANTINE: &str = "/quarantine";
+
+/// Answers operators for the entry.
+#[derive(Debug)]
+struct Pages(Arc<Shared>);
+
+/// Starts to answer operators.
+pub(crate) fn serve(shared: &Arc<Shared>) -> io::Result<OperatorHttp> {
+    let listener = TcpListener::bind(shared.settings.operators)?;
+    let metrics = Arc::clone(&shared.serving.metrics);
+    OperatorHttp::start(listener, metrics, Arc::new(Pages(Arc::clone(shared))))
+}
+
+impl Operated for Pages {
+    fn readiness(&self) -> Readiness {
+        if self.0.leaving() {
+            return Readiness::NotReady("entry leaves".to_owned());
+        }
+        if self.0.view().revision == 0 {
+            return Readiness::NotReady("no configuration found yet".to_owned());
+        }
+        Readiness::Ready
+    }
+
+    fn status(&self) -> Value {
+        let view = self.0.view();
+        json!({
+            "age_ms": view.age_ms,
+            "host": self.0.settings.host,
+            "in_progress": self.0.in_progress(),
+            "leaving": self.0.leaving(),
+            "members": view.members.len(),
+            "offset": view.offset,
+            "services": self.0.serving.dispatch.status(),
+            "targets": view.targets.len(),
+        })
+    }
+
+    fn page(&self, path: &str) -> Option<Value> {
+        if let Some(id) = path.strip_prefix(EXPLAIN) {
+            let id: RequestId = id.parse().ok()?;
+            return self.0.serving.journal.explain(id);
+        }
+        if path == QUARANTINE {
+            let now = self.0.serving.now();
+            let prints = self.0.serving.suspicion.quarantined(now);
+            let prints: Vec<String> = prints.iter().map(|print| format!("{print:016x}")).collect();
+            return Some(json!({ "quarantined": prints }));
+        }
+        None
+    }
+
+    fn act(&self, path: &str) -> Option<Value> {
+        let print = u64::from_str_radix(path.strip_prefix(LIFT)?, 16).ok()?;
+        suspicion::lift(&self.0, print);
+        Some(json!({ "lifted": format!("{print:016x}") }))
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-entry/src/process/serving.rs
@@ -0,0 +1,131 @@
+//! State of the interactive path.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use godwitspool_connection::messages::{
+    EntryAnswer, EntryRequest, ServingAnswer, ServingRequest, View,
+};
+use godwitspool_process::{Clock, EntrySettings, Metrics, Reasons};
+use godwitspool_request::homes;
+use godwitspool_types::{HostName, Millis, RequestId};
+
+use crate::{
+    process::shared::Shared,
+    request::{
+        authorize::Keys,
+        dispatch::Dispatch,
+        journal::{Journal, Step},
+        keyed::Keyed,
+        peers,
+        quota::Quota,
+        refusal::Refusal,
+        suspicion::Suspicion,
+    },
+};
+
+/// State of the interactive path.
+#[derive(Debug)]
+pub(crate) struct Serving {
+    clock: Clock,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) journal: Journal,
+    pub(crate) keyed: Keyed,
+    pub(crate) keys: Arc<Keys>,
+    members: RwLock<Arc<Vec<HostName>>>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) quota: Quota,
+    refusals: Reasons,
+    pub(crate) retries: Reasons,
+    pub(crate) suspicion: Suspicion,
+}
+
+impl Serving {
+    pub(crate) fn new(settings: &EntrySettings) -> Self {
+        let metrics = Metrics::default();
+        let refusals = metrics.reasons("refusals", "Requests refused or cut, by reason");
+        let retries = metrics.reasons("retries", "Attempts after the first, by reason");
+        Self {
+            clock: Clock::start(),
+            dispatch: Dispatch::new(settings.dc.clone()),
+            journal: Journal::default(),
+            keyed: Keyed::default(),
+            keys: Arc::default(),
+            members: RwLock::new(Arc::new(vec![settings.host.clone()])),
+            metrics: Arc::new(metrics),
+            quota: Quota::default(),
+            refusals,
+            retries,
+            suspicion: Suspicion::default(),
+        }
+    }
+
+    /// Returns the time.
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Adds a step to the journal.
+    pub(crate) fn note(&self, id: RequestId, step: Step) {
+        self.journal.add(id, step, self.now());
+    }
+
+    /// Counts and journals a refusal.
+    pub(crate) fn refused(&self, id: RequestId, refusal: &Refusal) {
+        self.refusals.count(refusal.code());
+        let step = Step::Refused {
+            ran: refusal.ran().as_str(),
+            reason: refusal.code().to_owned(),
+        };
+        self.note(id, step);
+    }
+
+    // -----------------------------------------------------------------------
+    // Other hosts
+
+    /// Takes the members of a view and returns them as they were before.
+    pub(crate) fn learn_members(&self, view: &View, own: &HostName) -> Arc<Vec<HostName>> {
+        let staying = view.members.iter().filter(|member| !member.leaving);
+        let mut names: Vec<HostName> = staying.map(|member| member.host.clone()).collect();
+        if !names.contains(own) {
+            names.push(own.clone());
+        }
+        names.sort();
+        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *members, Arc::new(names))
+    }
+
+    /// Returns the hosts that serve, this one among them.
+    pub(crate) fn members(&self) -> Arc<Vec<HostName>> {
+        let members = self.members.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&members)
+    }
+
+    /// Returns the home host of a key.
+    pub(crate) fn home(&self, shared: &Shared, key: u64) -> HostName {
+        let members = self.members();
+        let home = homes(key, &members, HostName::as_str, 1).first().copied();
+        home.unwrap_or(&shared.settings.host).clone()
+    }
+}
+
+/// Asks a host, which may be this one; nothing when it can't be asked.
+pub(crate) fn call(
+    shared: &Arc<Shared>,
+    host: &HostName,
+    request: ServingRequest,
+) -> Option<ServingAnswer> {
+        if *host == shared.settings.host {
+            return Some(peers::answer(shared, request));
+        }
+        let view = shared.view();
+        let member = view.members.iter().find(|member| member.host == *host)?;
+        let link = shared.links.to(member.entry);
+        match link.call(&EntryRequest::Serving(request)) {
+            Ok(EntryAnswer::Serving(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(host:%; "entry is not reached: {error}");
+                None
+            }
+        }
+    }
--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -11,18 +11,21 @@
 
 use godwitspool_connection::{TargetClient, messages::View};
 use godwitspool_process::EntrySettings;
+use godwitspool_request::TargetId;
 use godwitspool_types::TargetName;
 
-use crate::connection::peers::Links;
+use crate::{connection::peers::Links, process::serving::Serving};
 
 /// State that the daemon's threads share.
 #[derive(Debug)]
 pub(crate) struct Shared {
     clients: Mutex<HashMap<SocketAddr, TargetClient>>,
     draining: AtomicBool,
+    leaving: AtomicBool,
     in_flight: Mutex<HashMap<TargetName, u32>>,
     in_progress: AtomicUsize,
     pub(crate) links: Links,
+    pub(crate) serving: Serving,
     pub(crate) settings: EntrySettings,
     stopped: AtomicBool,
     view: RwLock<Arc<View>>,
@@ -33,6 +36,8 @@
         Self {
             clients: Mutex::default(),
             draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            serving: Serving::new(&settings),
             in_flight: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             links: Links::default(),
@@ -78,12 +83,23 @@
 
     /// Counts a request on a target until the guard is dropped.
     pub(crate) fn enter_target(self: &Arc<Self>, target: &TargetName) -> OnTarget {
+        let id = self.serving.dispatch.begin(target);
+        self.enter_chosen(target, id)
+    }
+
+    /// Counts a request on a target whose load it counts already, until the guard is dropped.
+    pub(crate) fn enter_chosen(
+        self: &Arc<Self>,
+        target: &TargetName,
+        id: Option<TargetId>,
+    ) -> OnTarget {
         let mut counts = self
             .in_flight
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         *counts.entry(target.clone()).or_insert(0) += 1;
         OnTarget {
+            id,
             shared: Arc::clone(self),
             target: target.clone(),
         }
@@ -104,6 +120,16 @@
     // -----------------------------------------------------------------------
     // End of the process
 
+    /// Stops to tell the balancer that the entry is ready; new requests are still served.
+    pub(crate) fn begin_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Refuses new requests from now on.
     pub(crate) fn begin_drain(&self) {
         self.draining.store(true, Ordering::Release);
     }
@@ -124,6 +150,7 @@
 /// Counts a request on a target while it lives.
 #[derive(Debug)]
 pub(crate) struct OnTarget {
+    id: Option<TargetId>,
     shared: Arc<Shared>,
     target: TargetName,
 }
@@ -138,6 +165,10 @@
         if let Some(count) = counts.get_mut(&self.target) {
             *count = count.saturating_sub(1);
         }
+        drop(counts);
+        if let Some(id) = self.id {
+            self.shared.serving.dispatch.end(id);
+        }
     }
 }
 
--- a/crates/godwitspool-entry/src/request/authorize.rs
+++ b/crates/godwitspool-entry/src/request/authorize.rs
@@ -1,70 +1,143 @@
-//! Which workspace and service a request is for.
+//! Whose a request is, and which of the open requests are cut when a key is withdrawn.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use godwitspool_connection::messages::View;
-use godwitspool_types::{Key, ServiceName, Workspace};
+use godwitspool_request::{Caller, KeyTable, Reason};
+use godwitspool_types::{Key, KeyDigest, Millis, RequestId, ServiceName};
 use tiny_http::Request;
 
-use crate::request::refusal::Refusal;
-
 const BEARER: &str = "Bearer ";
 
-/// The workspace and service that a request is for.
-#[derive(Clone, Debug)]
-pub(crate) struct Authorized {
-    /// Qualified service.
-    pub(crate) service: ServiceName,
-    /// Workspace that pays; none on an open route.
-    pub(crate) workspace: Option<Workspace>,
+/// The keys in force and the requests that are open under them.
+#[derive(Debug, Default)]
+pub(crate) struct Keys {
+    known: RwLock<Known>,
+    open: Mutex<HashMap<RequestId, Open>>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    /// Time at which the configuration was last confirmed, on this host's clock.
+    confirmed: Millis,
+    ready: bool,
+    table: Arc<KeyTable>,
 }
 
-/// Finds the workspace of the request's key and the service that it means by `alias`.
-pub(crate) fn authorize(
-    request: &Request,
-    alias: &str,
-    view: &View,
-) -> Result<Authorized, Refusal> {
-    if view.revision == 0 {
-        return Err(Refusal::NotReady);
+#[derive(Debug)]
+struct Open {
+    cut: Arc<AtomicBool>,
+    digest: KeyDigest,
+}
+
+impl Keys {
+    /// Takes the keys of a view.
+    pub(crate) fn learn(&self, view: &View, now: Millis) {
+        let table = Arc::new(KeyTable::from(&*view.configuration));
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        *known = Known {
+            confirmed: now - Millis(view.age_ms),
+            ready: true,
+            table,
+        };
     }
-    let configuration = &view.configuration;
-    if configuration.open_routes.contains(alias) {
-        return Ok(Authorized {
-            service: ServiceName::from(alias),
-            workspace: None,
-        });
+
+    /// Takes the age of the configuration.
+    pub(crate) fn confirm(&self, age: Millis, now: Millis) {
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        known.confirmed = known.confirmed.max(now - age);
     }
-    let digest = key_of(request).ok_or(Refusal::KeyUnknown)?.digest();
-    let mut found = None;
-    for (name, rules) in &configuration.workspaces {
-        for key in &rules.keys {
-            // Every digest is compared, so the time tells nothing about which one matched.
-            let matches = key.digest.matches(&digest);
-            if matches && !key.withdrawn {
-                found = Some((name, rules));
+
+    /// Finds the caller of a request.
+    pub(crate) fn check(
+        &self,
+        digest: Option<&KeyDigest>,
+        service: &ServiceName,
+        now: Millis,
+    ) -> Result<Caller, Reason> {
+        let known = self.known();
+        if !known.ready {
+            return Err(Reason::NotReady);
+        }
+        known.table.check(digest, service, now - known.confirmed)
+    }
+
+    /// Watches an open request; the guard tells when it is cut.
+    pub(crate) fn open(self: &Arc<Self>, id: RequestId, digest: Option<KeyDigest>) -> OpenGuard {
+        let cut = Arc::new(AtomicBool::new(false));
+        if let Some(digest) = digest {
+            let open = Open {
+                cut: Arc::clone(&cut),
+                digest,
+            };
+            self.open_requests().insert(id, open);
+        }
+        OpenGuard {
+            cut,
+            id,
+            keys: Arc::clone(self),
+        }
+    }
+
+    /// Cuts the open requests whose key doesn't hold any more.
+    pub(crate) fn cut_withdrawn(&self, now: Millis) {
+        let known = self.known();
+        let open = self.open_requests();
+        let listed: Vec<_> = open.iter().map(|(&id, open)| (id, open.digest)).collect();
+        for id in known.table.cut(&listed, now - known.confirmed) {
+            if let Some(open) = open.get(&id) {
+                open.cut.store(true, Ordering::Release);
             }
         }
     }
-    let (workspace, rules) = found.ok_or(Refusal::KeyUnknown)?;
-    let reference = rules
-        .services
-        .get(alias)
-        .ok_or_else(|| Refusal::UnknownService {
-            service: alias.to_owned(),
-        })?;
-    Ok(Authorized {
-        service: reference.service.clone(),
-        workspace: Some(workspace.clone()),
-    })
+
+    fn known(&self) -> Known {
+        let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
+        known.clone()
+    }
+
+    fn open_requests(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Open>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Watches an open request while it lives.
+#[derive(Debug)]
+pub(crate) struct OpenGuard {
+    cut: Arc<AtomicBool>,
+    id: RequestId,
+    keys: Arc<Keys>,
+}
+
+impl OpenGuard {
+    /// Tells whether the request's key was withdrawn.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.keys.open_requests().remove(&self.id);
+    }
+}
+
+/// Returns the digest of the key that came with a request.
+pub(crate) fn digest_of(request: &Request) -> Option<KeyDigest> {
+    let text = header_of(request, "Authorization")?;
+    let key = Key::from(text.strip_prefix(BEARER)?.trim());
+    Some(key.digest())
 }
 
-fn key_of(request: &Request) -> Option<Key> {
-    let header = request
-        .headers()
-        .iter()
-        .find(|header| header.field.equiv("Authorization"))?;
-    header
-        .value
-        .as_str()
-        .strip_prefix(BEARER)
-        .map(|text| Key::from(text.trim()))
+/// Returns the value of a request's header.
+pub(crate) fn header_of(request: &Request, name: &'static str) -> Option<String> {
+    let headers = request.headers().iter();
+    let found = headers.into_iter().find(|header| header.field.equiv(name));
+    found.map(|header| header.value.to_string())
 }
--- a/crates/godwitspool-entry/src/request/generation.rs
+++ b/crates/godwitspool-entry/src/request/generation.rs
@@ -1,123 +1,278 @@
-//! Generation requests: streamed from an engine to the caller.
+//! Generation requests: streamed to the caller from one engine, or from several in turn.
 
 use std::{io::Read, sync::Arc};
 
 use godwitspool_connection::{
-    CallError, TokenStream, engine::Generate, messages::View, platform::TargetEntry,
+    CallError, TargetClient,
+    engine::{Chunk, Finish, Generate},
 };
-use godwitspool_types::{Millis, RequestId, ServiceName};
+use godwitspool_request::{Piece, Reason, Refusal as Decided, Stitch, Stitched};
+use godwitspool_types::{Millis, Ran, RequestId};
 use tiny_http::Request;
 
 use crate::{
-    connection::answer::{self, EventWriter},
-    process::shared::{OnTarget, Shared},
-    request::{authorize, refusal::Refusal, route},
+    connection::answer::Answering,
+    process::shared::Shared,
+    request::{
+        authorize::{self, OpenGuard},
+        dispatch::Paces,
+        journal::Step,
+        refusal::Refusal,
+        tries::{Failed, Tries},
+        work::{self, Work},
+    },
 };
 
-const FIRST_TOKEN_IDLE: Millis = Millis(2_000);
-const MAX_ATTEMPTS: usize = 3;
-const MAX_BODY_BYTES: u64 = 4 << 20;
+const PATH: &str = "/v1/chat/completions";
 
 /// Answers a generation request.
 pub(crate) fn handle(mut request: Request, shared: &Arc<Shared>) {
     let id = RequestId::random();
-    match start(&mut request, shared, id) {
-        Ok(started) => stream(request, started, id),
-        Err(refusal) => answer::refuse_as(request, &refusal, id),
+    let prepared = prepare(&mut request, shared, id);
+    let mut answering = Answering::new(request, id, Arc::clone(shared));
+    let outcome = prepared.and_then(|prepared| {
+        let tries = Tries::begin(shared, prepared.work.clone())?;
+        let mut generation = Generation {
+            answering: &mut answering,
+            generate: prepared.generate,
+            open: prepared.open,
+            shared: Arc::clone(shared),
+            span: prepared.span,
+            stitch: Stitch::default(),
+            tries,
+        };
+        generation.run()
+    });
+    match outcome {
+        Ok(()) => {}
+        Err(refusal) => answering.refuse(&refusal),
     }
 }
 
-/// A stream that an engine has accepted.
-struct Started {
-    guard: OnTarget,
-    stream: TokenStream,
+/// A request whose caller is known.
+struct Prepared {
+    generate: Generate,
+    open: OpenGuard,
+    span: Millis,
+    work: Work,
 }
 
-fn start(request: &mut Request, shared: &Arc<Shared>, id: RequestId) -> Result<Started, Refusal> {
+fn prepare(
+    request: &mut Request,
+    shared: &Arc<Shared>,
+    id: RequestId,
+) -> Result<Prepared, Refusal> {
     if shared.draining() {
-        return Err(Refusal::Draining);
+        return Err(Reason::Draining.into());
     }
-    let mut generate = read_body(request)?;
+    let body = read_body(request, shared)?;
+    let mut generate: Generate =
+        serde_json::from_slice(&body).map_err(|error| Refusal::BadBody {
+            message: error.to_string(),
+        })?;
+    let serving = &shared.serving;
+    let now = serving.now();
+    let digest = authorize::digest_of(request);
+    let alias = generate.model.as_str().into();
+    let caller = serving.keys.check(digest.as_ref(), &alias, now)?;
+    let open = serving.keys.open(id, digest);
+    serving.note(
+        id,
+        Step::Caller {
+            service: caller.service.to_string(),
+            workspace: caller.workspace.to_string(),
+        },
+    );
     let view = shared.view();
-    let authorized = authorize::authorize(request, generate.model.as_str(), &view)?;
-    if let Some(rules) = view.configuration.services.get(&authorized.service) {
+    if let Some(rules) = view.configuration.services.get(&caller.service) {
         generate.model = rules.model.clone();
     }
-    generate.request = id.to_string();
     generate.stream = true;
-    log::debug!(request:% = id, workspace:? = authorized.workspace; "generation starts");
-    attempt(shared, &view, &authorized.service, &generate)
-}
-
-fn attempt(
-    shared: &Arc<Shared>,
-    view: &View,
-    service: &ServiceName,
-    generate: &Generate,
-) -> Result<Started, Refusal> {
-    let mut tried: Vec<&TargetEntry> = Vec::new();
-    let mut last: Option<CallError> = None;
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(target) = route::pick(shared, view, service, &tried) else {
-            break;
-        };
-        let guard = shared.enter_target(&target.target);
-        match shared
-            .client(target.address)
-            .generate(generate, FIRST_TOKEN_IDLE)
-        {
-            Ok(stream) => return Ok(Started { guard, stream }),
-            Err(error) => last = Some(error),
-        }
-        tried.push(target);
-    }
-    Err(
-        last.map_or(Refusal::NoTarget, |error| Refusal::TargetFailed {
-            message: error.to_string(),
-            ran: error.ran(),
-        }),
-    )
+    let print = work::fingerprint(&caller.service, PATH, &body);
+    let work = Work::new(id, caller, print, &view.configuration, now);
+    Ok(Prepared {
+        generate,
+        open,
+        span: work.deadline - now,
+        work,
+    })
 }
 
-fn read_body(request: &mut Request) -> Result<Generate, Refusal> {
+/// Reads the body of a request.
+pub(crate) fn read_body(request: &mut Request, shared: &Shared) -> Result<Vec<u8>, Refusal> {
+    let most = u64::from(shared.settings.body_bytes);
     let mut body = Vec::new();
     request
         .as_reader()
-        .take(MAX_BODY_BYTES + 1)
+        .take(most + 1)
         .read_to_end(&mut body)
         .map_err(|error| Refusal::BadBody {
             message: error.to_string(),
         })?;
-    if body.len() as u64 > MAX_BODY_BYTES {
-        let message = format!("longer than {MAX_BODY_BYTES} bytes");
-        return Err(Refusal::BadBody { message });
+    if body.len() as u64 > most {
+        return Err(Reason::BodyTooLarge.into());
     }
-    serde_json::from_slice(&body).map_err(|error| Refusal::BadBody {
-        message: error.to_string(),
-    })
+    Ok(body)
 }
 
-fn stream(request: Request, started: Started, id: RequestId) {
-    let Started { guard, mut stream } = started;
-    let result = EventWriter::start(request, id).and_then(|mut writer| {
+/// How an attempt ended.
+enum Ended {
+    /// The key was withdrawn.
+    Cut,
+    Failed(Failed),
+    /// The caller went away.
+    Left,
+    /// The engine says that the request is wrong.
+    Wrong(String),
+    Whole,
+}
+
+/// A generation under way.
+struct Generation<'a> {
+    answering: &'a mut Answering,
+    generate: Generate,
+    open: OpenGuard,
+    shared: Arc<Shared>,
+    span: Millis,
+    stitch: Stitch,
+    tries: Tries,
+}
+
+impl Generation<'_> {
+    fn run(&mut self) -> Result<(), Refusal> {
+        let mut attempt = 0;
         loop {
-            match stream.next_chunk() {
-                Ok(Some(chunk)) => writer.send(&chunk)?,
-                Ok(None) => return writer.finish(),
-                Err(error) => {
-                    let event = serde_json::json!({ "error": {
-                        "message": error.to_string(),
-                        "ran": error.ran(),
-                        "reason": "target-failed",
-                        "request": id,
-                    }});
-                    return writer.send(&event);
+            match self.attempt(attempt) {
+                Ended::Whole => {
+                    self.tries.answered();
+                    let tokens = self.stitch.tokens().len() as u32;
+                    self.shared
+                        .serving
+                        .note(self.tries.work.id, Step::Whole { tokens });
+                    self.answering.finish();
+                    return Ok(());
+                }
+                Ended::Left => return Ok(()),
+                Ended::Cut => return Err(Reason::KeyWithdrawnMidway.into()),
+                Ended::Wrong(message) => {
+                    log::info!("engine refuses a request: {message}");
+                    let refusal = Decided {
+                        ran: Ran::Ran,
+                        ..Reason::RequestInvalid.into()
+                    };
+                    return Err(refusal.into());
+                }
+                Ended::Failed(failed) => {
+                    if !self.stitch.tokens().is_empty() {
+                        self.tries.extend(self.span);
+                    }
+                    self.tries.fail(failed)?;
+                    attempt = self.stitch.restart();
                 }
             }
         }
-    });
-    if let Err(error) = result {
-        log::debug!(request:% = id; "caller left: {error}");
     }
-    drop(guard);
+
+    fn attempt(&mut self, attempt: u32) -> Ended {
+        let target = self.tries.on.target.clone();
+        let mut paces = self.shared.serving.dispatch.paces(&target);
+        let ended = self.read(attempt, &mut paces);
+        self.shared.serving.dispatch.set_paces(&target, paces);
+        if let Err(CallError::Silent { .. }) = &ended {
+            // Its siblings in the pool may be as dead; the next request opens a new one.
+            self.shared.client(self.tries.on.address).condemn_pooled();
+        }
+        match ended {
+            Ok(ended) => ended,
+            // Every token has come; only the terminator is missing.
+            Err(_) if self.stitch.is_finished() => Ended::Whole,
+            Err(CallError::Status {
+                status: 400..=428 | 430..=499,
+                message,
+                ..
+            }) => Ended::Wrong(message),
+            Err(error) => {
+                let flowing = !self.stitch.tokens().is_empty();
+                let caller = self.tries.work.need.caller;
+                Ended::Failed(Failed::new(&error, flowing, caller))
+            }
+        }
+    }
+
+    /// Reads one engine's stream.
+    fn read(&mut self, attempt: u32, paces: &mut Paces) -> Result<Ended, CallError> {
+        self.generate.request = format!("{}-{attempt}", self.tries.work.id);
+        self.generate.resume = self.stitch.tokens().to_vec();
+        let serving = &self.shared.serving;
+        let mut heard = serving.now();
+        let left = (self.tries.work.attempts.deadline - heard).max(Millis(1));
+        let client = self.client();
+        let mut stream = client.generate(&self.generate, paces.first.bound().min(left))?;
+        let mut first = true;
+        loop {
+            let chunk = stream.next_chunk()?;
+            let now = self.shared.serving.now();
+            if std::mem::take(&mut first) {
+                paces.first.observe(now - heard);
+            } else {
+                paces.next.observe(now - heard);
+            }
+            heard = now;
+            stream.set_idle(paces.next.bound());
+            if self.open.is_cut() {
+                return Ok(Ended::Cut);
+            }
+            let Some(chunk) = chunk else {
+                self.stitch.terminate(attempt);
+                return if self.stitch.is_whole() {
+                    Ok(Ended::Whole)
+                } else {
+                    Err(CallError::Truncated)
+                };
+            };
+            if let Some(ended) = self.pass(attempt, chunk)? {
+                return Ok(ended);
+            }
+        }
+    }
+
+    /// Passes a chunk on to the caller.
+    fn pass(&mut self, attempt: u32, mut chunk: Chunk) -> Result<Option<Ended>, CallError> {
+        let Some(choice) = chunk.choices.first() else {
+            return Ok(None);
+        };
+        let last = matches!(choice.finish_reason, Some(Finish::Length | Finish::Stop));
+        let early = choice.finish_reason.is_some() && !last;
+        let piece = Piece {
+            attempt,
+            index: choice.index,
+            last,
+            text: choice.delta.content.clone(),
+        };
+        let stitched = self.stitch.push(&piece);
+        if stitched == Stitched::Gap {
+            let cause = format!("token {} is missing", self.stitch.tokens().len());
+            return Err(CallError::Protocol { cause });
+        }
+        if early {
+            return Err(CallError::Truncated);
+        }
+        if stitched == Stitched::Next || last {
+            chunk.id = self.tries.work.id.to_string();
+            if self.answering.send(&chunk).is_err() {
+                return Ok(Some(Ended::Left));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the client; a request that may not run twice gets a connection of its own.
+    fn client(&self) -> TargetClient {
+        let address = self.tries.on.address;
+        if self.tries.work.attempts.idempotent {
+            self.shared.client(address)
+        } else {
+            TargetClient::new(address)
+        }
+    }
 }
--- a/crates/godwitspool-entry/src/request/refusal.rs
+++ b/crates/godwitspool-entry/src/request/refusal.rs
@@ -1,5 +1,7 @@
 //! Why a request is refused.
 
+use godwitspool_request as decided;
+use godwitspool_request::Reason;
 use godwitspool_types::Ran;
 use snafu::Snafu;
 
@@ -8,61 +10,58 @@
 pub(crate) enum Refusal {
     #[snafu(display("request body: {message}"))]
     BadBody { message: String },
-    #[snafu(display("entry host leaves"))]
-    Draining,
+    #[snafu(display("{refusal}"))]
+    Decided { refusal: decided::Refusal },
     #[snafu(display("no key, or not one that is in force"))]
     KeyUnknown,
-    #[snafu(display("no target of the service takes work"))]
-    NoTarget,
     #[snafu(display("entry has not yet found the configuration"))]
     NotReady,
-    #[snafu(display("too many requests in progress"))]
-    Overloaded,
-    #[snafu(display("target failed: {message}"))]
-    TargetFailed { message: String, ran: Ran },
     #[snafu(display("path is not served"))]
     UnknownPath,
-    #[snafu(display("service \"{service}\" is not one of the workspace's"))]
-    UnknownService { service: String },
 }
 
 impl Refusal {
     pub(crate) fn code(&self) -> &'static str {
-        match self {
-            Self::BadBody { .. } => "bad-body",
-            Self::Draining => "draining",
-            Self::KeyUnknown => "key-unknown",
-            Self::NoTarget => "no-target",
-            Self::NotReady => "not-ready",
-            Self::Overloaded => "overloaded",
-            Self::TargetFailed { .. } => "target-failed",
-            Self::UnknownPath => "unknown-path",
-            Self::UnknownService { .. } => "unknown-service",
-        }
+        self.decided().reason.code()
     }
 
     pub(crate) fn ran(&self) -> Ran {
-        match self {
-            Self::TargetFailed { ran, .. } => *ran,
-            _ => Ran::NotRun,
-        }
+        self.decided().ran
     }
 
-    pub(crate) fn retry_after_s(&self) -> Option<u32> {
-        matches!(
-            self,
-            Self::Draining | Self::NoTarget | Self::NotReady | Self::Overloaded
-        )
-        .then_some(1)
+    pub(crate) fn retry_after_s(&self) -> Option<u64> {
+        self.decided().retry_seconds()
     }
 
     pub(crate) fn status(&self) -> u16 {
+        self.decided().reason.status()
+    }
+
+    /// Returns the refusal as decided, without its text.
+    pub(crate) fn decided(&self) -> decided::Refusal {
         match self {
-            Self::BadBody { .. } => 400,
-            Self::KeyUnknown => 401,
-            Self::UnknownPath | Self::UnknownService { .. } => 404,
-            Self::TargetFailed { .. } => 502,
-            Self::Draining | Self::NoTarget | Self::NotReady | Self::Overloaded => 503,
+            Self::Decided { refusal } => *refusal,
+            Self::BadBody { .. } => Reason::RequestInvalid.into(),
+            Self::KeyUnknown => Reason::KeyUnknown.into(),
+            Self::NotReady => Reason::NotReady.into(),
+            Self::UnknownPath => Reason::PathUnknown.into(),
         }
     }
+
+    /// Answers for every request with the same idempotency key.
+    pub(crate) fn for_keyed(&self) -> Self {
+        self.decided().for_keyed().into()
+    }
+}
+
+impl From<decided::Refusal> for Refusal {
+    fn from(refusal: decided::Refusal) -> Self {
+        Self::Decided { refusal }
+    }
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self::from(decided::Refusal::from(reason))
+    }
 }
