Operators' command line: check, publish, key, status, explain, usage, quarantine, drain

Measured: 24 tests against the stand-in platform pass, among them lost answers, an outage and five mistakes with their places; no figure of speed.

--- /dev/null
+++ b/crates/godwitspool-cli/src/difference.rs
@@ -0,0 +1,84 @@
+//! The difference between two configurations, field by field.
+
+use std::{collections::BTreeMap, fmt};
+
+use godwitspool_version::Configuration;
+use serde_json::Value;
+
+/// A field that differs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Difference {
+    path: String,
+    old: Option<String>,
+    new: Option<String>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { path, old, new } = self;
+        match (old, new) {
+            (Some(old), Some(new)) => write!(f, "~ {path}: {old} -> {new}"),
+            (Some(old), None) => write!(f, "- {path}: {old}"),
+            (None, Some(new)) => write!(f, "+ {path}: {new}"),
+            (None, None) => write!(f, "  {path}"),
+        }
+    }
+}
+
+/// Returns the fields that differ, by path.
+pub(crate) fn difference(old: &Configuration, new: &Configuration) -> Vec<Difference> {
+    let (old, new) = (fields(old), fields(new));
+    let paths = old
+        .keys()
+        .chain(new.keys().filter(|path| !old.contains_key(*path)));
+    let mut differences: Vec<_> = paths
+        .filter(|path| old.get(*path) != new.get(*path))
+        .map(|path| Difference {
+            path: path.clone(),
+            old: old.get(path).cloned(),
+            new: new.get(path).cloned(),
+        })
+        .collect();
+    differences.sort_by(|one, other| one.path.cmp(&other.path));
+    differences
+}
+
+fn fields(configuration: &Configuration) -> BTreeMap<String, String> {
+    let mut fields = BTreeMap::new();
+    let value = serde_json::to_value(configuration).unwrap_or_default();
+    flatten("", &value, &mut fields);
+    fields
+}
+
+fn flatten(path: &str, value: &Value, fields: &mut BTreeMap<String, String>) {
+    match value {
+        Value::Array(items) => {
+            for item in items {
+                let name = item.get("digest").unwrap_or(item);
+                flatten(&join(path, &text(name)), item, fields);
+            }
+        }
+        Value::Object(entries) => {
+            for (key, value) in entries {
+                flatten(&join(path, key), value, fields);
+            }
+        }
+        scalar => {
+            fields.insert(path.to_owned(), text(scalar));
+        }
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
+}
+
+fn text(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/crates/godwitspool-cli/src/error.rs
@@ -0,0 +1,52 @@
+//! Why a command was not carried out.
+
+use std::{io, net::SocketAddr};
+
+use godwitspool_connection::http::PlatformError;
+use godwitspool_process::{Findings, log_reader::CatchUpError};
+use snafu::Snafu;
+
+const FAILED: u8 = 1;
+const FINDINGS: u8 = 2;
+
+/// Why a command was not carried out.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum CliError {
+    #[snafu(display("{message}; see godwitspool --help"))]
+    Arguments { message: String },
+    #[snafu(display("{address}: {reason}"))]
+    Daemon { address: SocketAddr, reason: String },
+    #[snafu(display("{findings}"))]
+    Folder { findings: Findings },
+    #[snafu(display("{source}"), context(false))]
+    InForce { source: CatchUpError },
+    #[snafu(display("{what} lost: {why}"))]
+    Lost { what: &'static str, why: String },
+    #[snafu(display("{what} was appended and not seen in the log within {seconds} s"))]
+    NotSeen { what: &'static str, seconds: u64 },
+    #[snafu(display("output can't be written: {source}"), context(false))]
+    Output { source: io::Error },
+    #[snafu(display("{source}"), context(false))]
+    Platform { source: PlatformError },
+    #[snafu(display("{kind} {name:?} is not in force"))]
+    Unknown { kind: &'static str, name: String },
+}
+
+impl CliError {
+    /// Returns the exit status.
+    pub(crate) fn status(&self) -> u8 {
+        match self {
+            Self::Arguments { .. } | Self::Folder { .. } => FINDINGS,
+            _ => FAILED,
+        }
+    }
+}
+
+impl From<lexopt::Error> for CliError {
+    fn from(error: lexopt::Error) -> Self {
+        Self::Arguments {
+            message: error.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-cli/tests/cli.rs
@@ -0,0 +1,298 @@
+//! The command line against the stand-in platform and daemons' operators' pages.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::{fs, net::TcpListener, path::PathBuf, sync::Arc};
+
+use godwitspool_fakes::{Platform, PlatformOptions};
+use godwitspool_process::{Metrics, Operated, OperatorHttp, Readiness};
+use godwitspool_types::{Key, Offset};
+use godwitspool_version::{Record, RecordBody};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+
+/// What a command printed, and its exit status.
+struct Done {
+    errors: String,
+    out: String,
+    status: u8,
+}
+
+fn run(arguments: &[&str]) -> Done {
+    let (mut out, mut errors) = (Vec::new(), Vec::new());
+    let status = godwitspool_cli::run(arguments, &mut out, &mut errors);
+    Done {
+        errors: String::from_utf8(errors).unwrap(),
+        out: String::from_utf8(out).unwrap(),
+        status,
+    }
+}
+
+fn succeed(arguments: &[&str]) -> String {
+    let done = run(arguments);
+    assert_eq!(done.status, 0, "{}{}", done.out, done.errors);
+    done.out
+}
+
+fn platform() -> (Platform, String) {
+    let platform = Platform::start(PlatformOptions::default()).unwrap();
+    let url = format!("http://{}", platform.address());
+    (platform, url)
+}
+
+fn habimana() -> String {
+    format!("{EXAMPLES}/habimana")
+}
+
+/// Writes a folder of the test's own.
+fn folder(name: &str, files: &[(&str, &str)]) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    drop(fs::remove_dir_all(&path));
+    fs::create_dir_all(&path).unwrap();
+    for (file, text) in files {
+        fs::write(path.join(file), text).unwrap();
+    }
+    path
+}
+
+// --- Folders
+
+#[rstest]
+#[case(
+    "habimana",
+    "3 data centres, 4 services, 6 classes, 8 workspaces, 3 trainers"
+)]
+#[case(
+    "mtkvari",
+    "4 data centres, 4 services, 6 classes, 8 workspaces, 3 trainers"
+)]
+fn the_examples_pass(#[case] name: &str, #[case] expected: &str) {
+    let out = succeed(&["check", &format!("{EXAMPLES}/{name}")]);
+    assert!(out.contains(expected), "{out}");
+    assert!(out.contains(" wins over "), "{out}");
+}
+
+#[test]
+fn five_mistakes_are_five_findings_with_their_places() {
+    let path = folder(
+        "five-mistakes",
+        &[
+            (
+                "10.yaml",
+                "party: a\nservices: {desk: {kind: plain, slotz: 8}}\nworkspaces: {w: {rate: 40}}\n",
+            ),
+            (
+                "20.yaml",
+                "party: b\nworkspaces:\n  w: {services: {d: dsk}}\n  v: {share: many}\n",
+            ),
+            (
+                "30.yaml",
+                "party: b\ntrainers: {t: {service: nothing, workspace: w, step: 7min}}\n",
+            ),
+        ],
+    );
+    let done = run(&["check", path.to_str().unwrap()]);
+    assert_eq!(done.status, 2);
+    let places: Vec<_> = done
+        .errors
+        .lines()
+        .map(|line| line.split(": ").next().unwrap())
+        .collect();
+    let expected = [
+        "10.yaml:2:32",
+        "10.yaml:3:24",
+        "20.yaml:3:21",
+        "20.yaml:4:14",
+    ];
+    assert_eq!(places[..4], expected, "{}", done.errors);
+    assert_eq!(
+        places[4..],
+        ["30.yaml:2:25", "30.yaml:2:54"],
+        "{}",
+        done.errors
+    );
+}
+
+#[test]
+fn publish_puts_a_folder_in_force_once() {
+    let (platform, url) = platform();
+    let dry = succeed(&["publish", &habimana(), "--platform", &url, "--dry-run"]);
+    assert!(
+        dry.contains("+ workspaces.habimana/weddings.rate_per_s: 300"),
+        "{dry}"
+    );
+    assert!(platform.log(Offset(0)).is_empty());
+    let out = succeed(&["publish", &habimana(), "--platform", &url]);
+    assert!(out.contains("in force from offset 0"), "{out}");
+    let again = succeed(&["publish", &habimana(), "--platform", &url]);
+    assert!(again.contains("nothing differs"), "{again}");
+    assert_eq!(platform.log(Offset(0)).len(), 1);
+}
+
+#[test]
+fn publish_refuses_a_folder_with_findings() {
+    let (platform, url) = platform();
+    let path = folder("one-mistake", &[("10.yaml", "workspaces: {a: {rte: 1/s}}")]);
+    let done = run(&["publish", path.to_str().unwrap(), "--platform", &url]);
+    assert_eq!(done.status, 2);
+    assert!(platform.log(Offset(0)).is_empty());
+}
+
+#[test]
+fn a_lost_answer_publishes_once() {
+    let (platform, url) = platform();
+    platform.lose_answers(2);
+    let out = succeed(&["publish", &habimana(), "--platform", &url]);
+    assert!(out.contains("in force from offset 0"), "{out}");
+    assert!(
+        platform.log(Offset(0)).len() > 1,
+        "the record was appended again"
+    );
+}
+
+#[test]
+fn an_outage_is_an_error() {
+    let (platform, url) = platform();
+    platform.set_outage(true);
+    let done = run(&["publish", &habimana(), "--platform", &url]);
+    assert_eq!(done.status, 1);
+    assert!(done.errors.contains("platform is out"), "{}", done.errors);
+}
+
+// --- Keys and quarantine
+
+#[test]
+fn a_key_is_issued_shown_once_and_withdrawn() {
+    let (platform, url) = platform();
+    succeed(&["publish", &habimana(), "--platform", &url]);
+    let out = succeed(&["key", "issue", "habimana/weddings", "--platform", &url]);
+    let word = |line: &str| line.split_whitespace().nth(1).unwrap().to_owned();
+    let lines: Vec<_> = out.lines().collect();
+    let (key, digest) = (word(lines[0]), word(lines[1]));
+    assert_eq!(Key::from(key.as_str()).digest().to_string(), digest);
+    let kept = platform.log(Offset(0));
+    assert!(
+        kept.iter().all(|record| !record.body.contains(&key)),
+        "kept as a digest only"
+    );
+    let again = succeed(&["publish", &habimana(), "--platform", &url]);
+    assert!(
+        again.contains("nothing differs"),
+        "the folder doesn't take the key away: {again}"
+    );
+    let out = succeed(&["key", "withdraw", &digest, "--platform", &url]);
+    assert!(
+        out.contains("withdrawn for good from habimana/weddings"),
+        "{out}"
+    );
+}
+
+#[rstest]
+#[case(&["key", "issue", "habimana/nobody"], 1, "workspace \"habimana/nobody\" is not in force")]
+#[case(&["key", "withdraw", "abc"], 2, "key digest has 3 characters")]
+#[case(&["quarantine", "lift", "07"], 1, "is not in force")]
+#[case(&["quarantine", "lift", "x"], 2, "fingerprint \"x\"")]
+fn what_is_not_in_force_is_refused(
+    #[case] arguments: &[&str],
+    #[case] status: u8,
+    #[case] expected: &str,
+) {
+    let (_platform, url) = platform();
+    let done = run(&[arguments, &["--platform", &url]].concat());
+    assert_eq!(done.status, status, "{}", done.errors);
+    assert!(done.errors.contains(expected), "{}", done.errors);
+}
+
+#[test]
+fn quarantine_is_listed_and_lifted() {
+    let (platform, url) = platform();
+    let body = RecordBody::QuarantineAdd {
+        fingerprint: 0xabc,
+        targets: vec!["engine-1".into(), "engine-2".into()],
+    };
+    platform.append(Record::new(body).encode());
+    let out = succeed(&["quarantine", "list", "--platform", &url]);
+    assert!(
+        out.contains("0000000000000abc  crashed engine-1, engine-2"),
+        "{out}"
+    );
+    succeed(&["quarantine", "lift", "abc", "--platform", &url]);
+    let out = succeed(&["quarantine", "list", "--platform", &url]);
+    assert!(out.contains("0 fingerprints"), "{out}");
+}
+
+// --- Reports and daemons
+
+#[test]
+fn status_and_usage_show_what_is_in_force() {
+    let (_platform, url) = platform();
+    succeed(&["publish", &habimana(), "--platform", &url]);
+    let out = succeed(&["status", "--platform", &url]);
+    assert!(out.contains("published    at offset 0"), "{out}");
+    assert!(out.contains("lease        orders: nobody"), "{out}");
+    let out = succeed(&["usage", "--platform", &url]);
+    assert!(out.contains("window"), "{out}");
+}
+
+struct Daemon;
+
+impl Operated for Daemon {
+    fn readiness(&self) -> Readiness {
+        Readiness::Ready
+    }
+    fn status(&self) -> Value {
+        json!({ "host": "gasabo-1" })
+    }
+    fn page(&self, path: &str) -> Option<Value> {
+        (path == "/explain/habimana/desk%231").then(|| json!({ "why": "rate" }))
+    }
+    fn act(&self, path: &str) -> Option<Value> {
+        (path == "/drain").then(|| json!({ "draining": true }))
+    }
+}
+
+#[test]
+fn daemons_are_asked_over_their_operators_address() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let http =
+        OperatorHttp::start(listener, Arc::new(Metrics::default()), Arc::new(Daemon)).unwrap();
+    let address = http.address().to_string();
+    let out = succeed(&["status", "--daemon", &address]);
+    assert!(out.contains("gasabo-1"), "{out}");
+    let out = succeed(&["explain", "habimana/desk#1", "--daemon", &address]);
+    assert!(out.contains("\"why\": \"rate\""), "{out}");
+    let out = succeed(&["drain", "--daemon", &address]);
+    assert!(out.contains("\"draining\":true"), "{out}");
+    let done = run(&["explain", "nothing", "--daemon", &address]);
+    assert_eq!(done.status, 1);
+    assert!(
+        done.errors.contains("subject \"nothing\" is not in force"),
+        "{}",
+        done.errors
+    );
+}
+
+#[rstest]
+#[case(&["--help"], 0, "godwitspool COMMAND")]
+#[case(&[], 0, "godwitspool COMMAND")]
+#[case(&["--version"], 0, "godwitspool 0.")]
+fn help_and_version(#[case] arguments: &[&str], #[case] status: u8, #[case] expected: &str) {
+    let done = run(arguments);
+    assert_eq!(done.status, status);
+    assert!(done.out.contains(expected), "{}", done.out);
+}
+
+#[rstest]
+#[case(&["publsh", "x"], "no command \"publsh x\"")]
+#[case(&["publish", "x"], "--platform URL is missing")]
+#[case(&["drain"], "--daemon IP:PORT is missing")]
+#[case(&["status"], "--platform URL or --daemon IP:PORT is missing")]
+#[case(&["status", "--daemon", "localhost:1"], "localhost:1")]
+#[case(&["check", "x", "--frob"], "--frob")]
+fn a_wrong_command_line_is_status_2(#[case] arguments: &[&str], #[case] expected: &str) {
+    let done = run(arguments);
+    assert_eq!(done.status, 2);
+    assert!(done.errors.contains(expected), "{}", done.errors);
+}
--- a/crates/godwitspool-process/src/log_reader.rs
+++ b/crates/godwitspool-process/src/log_reader.rs
@@ -8,11 +8,13 @@
 //!
 //! [`ReadPlan::decide`] is pure; [`LogReader`] carries its asks out.
 
+mod catch_up;
 mod plan;
 mod replica;
 mod source;
 mod thread;
 
+pub use catch_up::{CatchUpError, catch_up};
 pub use plan::{Ask, ReadEvent, ReadPlan, ReadRules, ReadState, Source};
 pub use replica::{Applied, Replica, ReplicaCounts};
 pub use thread::{LogEvent, LogReader, LogReaderOptions};
--- /dev/null
+++ b/crates/godwitspool-process/src/log_reader/catch_up.rs
@@ -0,0 +1,56 @@
+//! Reads what is in force once, for programs that don't follow the log.
+
+use std::net::SocketAddr;
+
+use godwitspool_connection::http::PlatformApi;
+use snafu::Snafu;
+
+use super::{
+    Replica, Source,
+    source::{Answer, Sources},
+};
+
+/// Why what is in force can't be read.
+#[derive(Debug, Snafu)]
+#[snafu(display("what is in force can't be read: {reason}"))]
+pub struct CatchUpError {
+    reason: String,
+}
+
+/// Reads what is in force from a steward, or else from the platform's log.
+///
+/// # Errors
+///
+/// When the source fails, or the log has a gap and no snapshot.
+pub fn catch_up(
+    platform: impl PlatformApi,
+    steward: Option<SocketAddr>,
+) -> Result<Replica, CatchUpError> {
+    let source = steward.map_or(Source::Platform, Source::Peer);
+    let sources = Sources::new(platform);
+    let mut replica = Replica::default();
+    let mut answer = sources.snapshot(&source, replica.fold().next());
+    loop {
+        match answer {
+            Answer::Failed(reason) => return CatchUpSnafu { reason }.fail(),
+            Answer::Gap => return missing(),
+            Answer::Snapshot(fold) => {
+                replica.restore(*fold);
+            }
+            Answer::Records { records, end, .. } => {
+                if replica.apply(&records).is_err() {
+                    return missing();
+                }
+                if replica.fold().next() >= end {
+                    return Ok(replica);
+                }
+            }
+        }
+        answer = sources.records(&source, replica.fold().next());
+    }
+}
+
+fn missing<T>() -> Result<T, CatchUpError> {
+    let reason = "records are missing and no snapshot stands for them";
+    CatchUpSnafu { reason }.fail()
+}
