--- a/crates/godwitspool-entry/src/process/operators.rs
+++ b/crates/godwitspool-entry/src/process/operators.rs
@@ -36,9 +36,14 @@
 
     fn status(&self) -> Value {
         let view = self.0.view();
+        let in_flight = view.targets.iter().map(|entry| {
+            let count = self.0.in_flight(&entry.target);
+            (entry.target.to_string(), Value::from(count))
+        });
         json!({
             "age_ms": view.age_ms,
             "host": self.0.settings.host,
+            "in_flight": Value::Object(in_flight.collect()),
             "in_progress": self.0.in_progress(),
             "leaving": self.0.leaving(),
             "members": view.members.len(),
--- a/crates/godwitspool-entry/src/process/serving.rs
+++ b/crates/godwitspool-entry/src/process/serving.rs
@@ -114,18 +114,18 @@
     host: &HostName,
     request: ServingRequest,
 ) -> Option<ServingAnswer> {
-        if *host == shared.settings.host {
-            return Some(peers::answer(shared, request));
-        }
-        let view = shared.view();
-        let member = view.members.iter().find(|member| member.host == *host)?;
-        let link = shared.links.to(member.entry);
-        match link.call(&EntryRequest::Serving(request)) {
-            Ok(EntryAnswer::Serving(answer)) => Some(answer),
-            Ok(_) => None,
-            Err(error) => {
-                log::debug!(host:%; "entry is not reached: {error}");
-                None
-            }
+    if *host == shared.settings.host {
+        return Some(peers::answer(shared, request));
+    }
+    let view = shared.view();
+    let member = view.members.iter().find(|member| member.host == *host)?;
+    let link = shared.links.to(member.entry);
+    match link.call(&EntryRequest::Serving(request)) {
+        Ok(EntryAnswer::Serving(answer)) => Some(answer),
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!(host:%; "entry is not reached: {error}");
+            None
         }
     }
+}
--- a/crates/godwitspool-entry/src/request/keyed.rs
+++ b/crates/godwitspool-entry/src/request/keyed.rs
@@ -113,10 +113,7 @@
                 fate: fate.clone(),
                 key: name(&self.key),
             };
-            if self
-                .serving::call(&self.shared, home, request)
-                .is_none()
-            {
+            if serving::call(&self.shared, home, request).is_none() {
                 log::warn!(home:%; "fate of an idempotency key is not told");
             }
         }
