Measure: processor time and memory of streams through an entry

Cause: the entry's part of a stream has to be told from that of the callers and stand-ins in one process. Change: stand-ins' threads carry a name of their own, and what they and the callers used is taken off the process's time; memory is what open streams add once the stand-ins have held as many. A first try, streams through the entry less the same streams read directly, gave negative costs: reverted within this change. The capacity command reads the fits and fills the page's tables. Conclusion: slopes of streams can go into the page.

--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -7,13 +7,17 @@
 //! Every command fills a [`Table`], prints it and writes it as CSV. A policy and its simple baselines
 //! stand in the same table, from the same run and seed.
 
+mod capacity;
 mod command;
 mod fit;
 mod options;
 mod series;
 mod slopes;
+mod system;
 mod table;
+mod usage_of_process;
 
+pub use capacity::{CapacityError, page_agrees, write_page};
 pub use command::Command;
 pub use fit::{Fit, Point};
 pub use options::Options;
--- a/crates/godwitspool-measure/src/slopes/mod.rs
+++ b/crates/godwitspool-measure/src/slopes/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod serving;
+mod stream;
 mod usage;
 
 use crate::{Options, Series, Table};
@@ -38,5 +39,9 @@
     let mut all = configuration::measure();
     all.extend(usage::measure());
     all.extend(serving::measure(options.seed));
+    match stream::measure() {
+        Ok(series) => all.extend(series),
+        Err(error) => eprintln!("slopes of streams are missing: {error}"),
+    }
     all
 }
