Daemons use the C library's allocator

Cause: 100 more open streams took 578 MB more. Ruled out: unread output (resident memory stood still over 6 s), thread stacks (262 KB instead of 2 MB changed nothing). Found: with mimalloc's huge pages switched off by its environment variable the same step took 61 MB; so each thread's heap was backed by huge pages. Change: no process sets a global allocator.

--- a/crates/godwitspool-cli/src/main.rs
+++ b/crates/godwitspool-cli/src/main.rs
@@ -2,9 +2,6 @@
 
 use std::{io, process::ExitCode};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 fn main() -> ExitCode {
     let arguments = std::env::args_os().skip(1);
     let status = godwitspool_cli::run(arguments, &mut io::stdout(), &mut io::stderr());
--- a/crates/godwitspool-demo/src/main.rs
+++ b/crates/godwitspool-demo/src/main.rs
@@ -4,9 +4,6 @@
 
 use godwitspool_demo::{Command, DemoError, DemoOptions, Outcome, run};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 const USAGE: &str = "\
 godwitspool-demo [FOLDER] [--seconds N] [--seed N] [--faults LIST] [--json FILE] [--history FILE]
 
--- a/crates/godwitspool-entry/src/main.rs
+++ b/crates/godwitspool-entry/src/main.rs
@@ -5,9 +5,6 @@
 use godwitspool_entry::Entry;
 use godwitspool_process::{DaemonCommand, EntrySettings, FINDINGS_STATUS, Termination};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 const HELP: &str = "\
 godwitspool-entry SETTINGS.yaml [--check]
 
--- a/crates/godwitspool-measure/src/main.rs
+++ b/crates/godwitspool-measure/src/main.rs
@@ -5,9 +5,6 @@
 use godwitspool_measure::{Command, Options, page_agrees, write_page};
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
-//GA
-//static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Command that works the capacity page out of the measured slopes.
 const CAPACITY: &str = "capacity";
 const CAPACITY_PAGE: &str = "docs/CAPACITY.md";
--- a/crates/godwitspool-steward/src/main.rs
+++ b/crates/godwitspool-steward/src/main.rs
@@ -5,9 +5,6 @@
 use godwitspool_process::{DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination};
 use godwitspool_steward::Steward;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 const HELP: &str = "\
 godwitspool-steward SETTINGS.yaml [--check]
 
