Target connections: buffers of 16 KiB

Cause: the HTTP library's buffers are 128 KiB each way, and each open stream holds a pair. Change: 16 KiB each way, far above an event or an answer's head.

--- a/crates/godwitspool-connection/src/lane.rs
+++ b/crates/godwitspool-connection/src/lane.rs
@@ -18,6 +18,8 @@
     },
 };
 
+/// Largest head of an answer that fits, and what a read takes at most.
+const BUFFER_BYTES: usize = 16 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
 
@@ -44,10 +46,12 @@
         let state = Arc::new(LaneState::default());
         let config = Config::builder()
             .http_status_as_error(false)
+            .input_buffer_size(BUFFER_BYTES)
             .max_idle_age(MAX_IDLE_AGE)
             .max_idle_connections(1)
             .max_redirects(0)
             .no_delay(true)
+            .output_buffer_size(BUFFER_BYTES)
             .proxy(None)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .build();
