Entry: trainers' path over HTTP, samples on engines, replication between entries

TrainerRules gets dc and scorer (shared contract, additive). Rollout: a replica keeps its last whole state until the next one is whole; a replaced home says which tenure it lost. Found by the random histories: a late probe made a replica with half its state home (a step was given as two batches).

--- a/crates/godwitspool-entry/src/process/entry.rs
+++ b/crates/godwitspool-entry/src/process/entry.rs
@@ -20,6 +20,7 @@
         peers,
     },
     process::shared::Shared,
+    rollout::dispatch,
     version::feed,
 };
 
@@ -34,6 +35,7 @@
     feed: Option<JoinHandle<()>>,
     peer: SocketAddr,
     peers: Option<Server>,
+    rollouts: Option<JoinHandle<()>>,
     shared: Arc<Shared>,
 }
 
@@ -50,6 +52,10 @@
             let shared = Arc::clone(&shared);
             move || feed::follow(&shared)
         })?;
+        let rollouts = thread::Builder::new().name("rollouts".to_owned()).spawn({
+            let shared = Arc::clone(&shared);
+            move || dispatch::run(&shared)
+        })?;
         let callers = callers::listen(listener, Arc::clone(&shared))?;
         let peers = serve_peers(&shared)?;
         Ok(Self {
@@ -58,6 +64,7 @@
             feed: Some(feed),
             peer: peers.address(),
             peers: Some(peers),
+            rollouts: Some(rollouts),
             shared,
         })
     }
@@ -105,9 +112,12 @@
         if let Some(peers) = self.peers.take() {
             peers.stop();
         }
-        if let Some(feed) = self.feed.take() {
-            // A panicked feed has nothing left to stop.
-            drop(feed.join());
+        for thread in [self.feed.take(), self.rollouts.take()]
+            .into_iter()
+            .flatten()
+        {
+            // A panicked thread has nothing left to stop.
+            drop(thread.join());
         }
     }
 }
--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -13,7 +13,7 @@
 use godwitspool_process::EntrySettings;
 use godwitspool_types::TargetName;
 
-use crate::connection::peers::Links;
+use crate::{connection::peers::Links, rollout::rollouts::Rollouts};
 
 /// State that the daemon's threads share.
 #[derive(Debug)]
@@ -23,6 +23,7 @@
     in_flight: Mutex<HashMap<TargetName, u32>>,
     in_progress: AtomicUsize,
     pub(crate) links: Links,
+    pub(crate) rollouts: Rollouts,
     pub(crate) settings: EntrySettings,
     stopped: AtomicBool,
     view: RwLock<Arc<View>>,
@@ -36,6 +37,7 @@
             in_flight: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             links: Links::default(),
+            rollouts: Rollouts::new(),
             settings,
             stopped: AtomicBool::new(false),
             view: RwLock::default(),
--- /dev/null
+++ b/crates/godwitspool-entry/src/rollout/dispatch.rs
@@ -0,0 +1,352 @@
+//! Starts samples on targets, and moves those that are late or whose target is reclaimed.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, atomic::AtomicBool},
+    thread,
+    time::Duration,
+};
+
+use godwitspool_connection::{
+    messages::View,
+    platform::{TargetEntry, TargetState as Platform},
+};
+use godwitspool_request::{TrainingShare, stable_hash};
+use godwitspool_rollout::{
+    Attempt, ReclaimBudget, ReclaimMove, ReclaimedStream, Remedy, SampleId, ScoreEvent, ShareRules,
+    TargetPace, plan_reclaim,
+};
+use godwitspool_types::{Millis, TargetName, TrainerName};
+
+use super::{
+    journal::SampleEvent,
+    rollouts::{Job, Running, State, StreamProgress, TargetState},
+    scores,
+    stream::{self, Stream},
+};
+use crate::process::shared::Shared;
+
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
+const TICK_MS: Millis = Millis(100);
+const REMEDY_MS: Millis = Millis(250);
+const FIRST_PACE_MS: f64 = 20.0;
+
+/// Runs the rollouts of this host until the entry stops.
+pub(crate) fn run(shared: &Arc<Shared>) {
+    let (mut ticked, mut remedied) = (Millis::ZERO, Millis::ZERO);
+    while !shared.stopped() {
+        let now = shared.rollouts.clock.now();
+        if now - ticked >= TICK_MS {
+            ticked = now;
+            shared.rollouts.tick(shared);
+            scores::tell(shared, ScoreEvent::Tick);
+        }
+        let view = shared.view();
+        let streams = {
+            let mut state = shared.rollouts.lock();
+            state.observe(shared, &view, now);
+            state.reclaim(&view);
+            if now - remedied >= REMEDY_MS {
+                remedied = now;
+                state.remedy(now);
+            }
+            state.dispatch(shared, &view, now)
+        };
+        for stream in streams {
+            start(shared, stream);
+        }
+        shared.rollouts.wait(ROUND_PAUSE);
+    }
+}
+
+fn start(shared: &Arc<Shared>, stream: Stream) {
+    let shared = Arc::clone(shared);
+    let spawned = thread::Builder::new()
+        .name("sample".to_owned())
+        .spawn(move || stream.run(&shared));
+    if let Err(error) = spawned {
+        log::error!("no thread for a sample: {error}");
+    }
+}
+
+impl State {
+    /// Tells whether a sample is still being made under a generation.
+    pub(super) fn is_wanted(&self, id: &SampleId, generation: u64) -> bool {
+        let trainer = self.trainers.get(&id.trainer);
+        trainer.is_some_and(|trainer| trainer.steps.generation(id) == Some(generation))
+    }
+
+    fn observe(&mut self, shared: &Arc<Shared>, view: &View, now: Millis) {
+        for target in &view.targets {
+            let slots = view.configuration.services.get(&target.service);
+            let Some(slots) = slots.map(|service| service.slots) else {
+                continue;
+            };
+            let known = self
+                .targets
+                .entry(target.target.clone())
+                .or_insert_with(|| TargetState {
+                    pace_ms: FIRST_PACE_MS,
+                    share: TrainingShare::new(slots),
+                    training: 0,
+                });
+            let in_flight = shared.in_flight(&target.target);
+            known
+                .share
+                .observe(in_flight.saturating_sub(known.training), now);
+        }
+    }
+
+    fn room(&self, target: &TargetName) -> u32 {
+        let known = self.targets.get(target);
+        known.map_or(0, |known| known.share.room(known.training))
+    }
+
+    // -----------------------------------------------------------------------------------------------
+    // Starts
+
+    fn dispatch(&mut self, shared: &Arc<Shared>, view: &View, now: Millis) -> Vec<Stream> {
+        let mut streams = Vec::new();
+        if shared.draining() {
+            return streams;
+        }
+        self.set_shares(view, now);
+        let mut blocked: Vec<TrainerName> = Vec::new();
+        while let Some(name) = self.shares.next(now, 1.0, |name| !blocked.contains(name)) {
+            if let Some(stream) = self.begin(shared, view, &name, now) {
+                streams.push(stream);
+            } else {
+                self.shares.refund(&name, 1.0);
+                blocked.push(name);
+            }
+        }
+        streams
+    }
+
+    fn set_shares(&mut self, view: &View, now: Millis) {
+        for (name, trainer) in &mut self.trainers {
+            if trainer.queue.is_empty() {
+                trainer.since = now;
+            }
+            let rules = ShareRules {
+                share: trainer.rules.share,
+                deadline: Some(trainer.since + Millis(trainer.rules.step_ms)),
+                rest: Millis::ZERO,
+                waiting: trainer.queue.len() as u32,
+            };
+            self.shares.set(name.clone(), rules);
+        }
+        for name in self.trainers.keys() {
+            if !view.configuration.trainers.contains_key(name) {
+                self.shares.remove(name);
+            }
+        }
+    }
+
+    /// Begins a trainer's next job on the best target with room.
+    fn begin(
+        &mut self,
+        shared: &Arc<Shared>,
+        view: &View,
+        name: &TrainerName,
+        now: Millis,
+    ) -> Option<Stream> {
+        let trainer = self.trainers.get(name)?;
+        let service = view.configuration.services.get(&trainer.rules.service)?;
+        let job = trainer.queue.front()?;
+        let target = self
+            .choose(shared, view, job, &trainer.rules.service)?
+            .clone();
+        let model = service.model.clone();
+        let job = self.trainers.get_mut(name)?.queue.pop_front()?;
+        self.attempt += 1;
+        let attempt = self.attempt;
+        let resumed = job.partial.tokens.len() as u32;
+        let event = if job.hedge {
+            SampleEvent::Hedged(target.target.clone())
+        } else {
+            SampleEvent::Started(target.target.clone(), resumed)
+        };
+        self.journal.note(now, &job.partial.id, event);
+        if let Some(known) = self.targets.get_mut(&target.target) {
+            known.training += 1;
+        }
+        let host = shared.settings.host.as_str();
+        let running = Arc::new(Running {
+            cancelled: AtomicBool::new(false),
+            generation: job.generation,
+            id: job.partial.id.clone(),
+            is_hedge: job.hedge,
+            request: stream::request_name(&job.partial.id, attempt, host),
+            spec: job.spec,
+            started: now,
+            target: target.target.clone(),
+            progress: Mutex::new(StreamProgress {
+                hedge: None,
+                heard: now,
+                move_to: None,
+                partial: job.partial,
+                resumed,
+            }),
+        });
+        self.running.insert(attempt, Arc::clone(&running));
+        Some(Stream {
+            attempt,
+            client: shared.client(target.address),
+            guard: shared.enter_target(&target.target),
+            kv: job.kv,
+            model,
+            running,
+        })
+    }
+
+    /// Chooses the target that the job is meant for, else the one that its group prefers.
+    fn choose<'a>(
+        &self,
+        shared: &Arc<Shared>,
+        view: &'a View,
+        job: &Job,
+        service: &godwitspool_types::ServiceName,
+    ) -> Option<&'a TargetEntry> {
+        let targets = view.targets.iter();
+        let fitting = targets.filter(|target| {
+            target.service == *service
+                && target.state == Platform::Live
+                && self.room(&target.target) > 0
+        });
+        let id = &job.partial.id;
+        let group = format!("{}/{}/{}", id.trainer, id.step, id.group);
+        fitting.max_by_key(|target| {
+            let is_meant = job.to.as_ref() == Some(&target.target);
+            let is_near = target.dc == shared.settings.dc;
+            let affinity = stable_hash(format!("{group}\0{}", target.target).as_bytes());
+            let is_avoided = stream::is_avoided(job, &target.target);
+            (is_meant, !is_avoided, is_near, affinity)
+        })
+    }
+
+    // -----------------------------------------------------------------------------------------------
+    // Moves
+
+    /// Moves or hedges the samples that hold up their step.
+    fn remedy(&mut self, now: Millis) {
+        let mut paces: Vec<_> = self
+            .targets
+            .iter()
+            .map(|(target, known)| TargetPace {
+                target: target.clone(),
+                tokens_per_s: 1_000.0 / known.pace_ms.max(0.1),
+                room: known.share.room(known.training),
+            })
+            .collect();
+        let running: Vec<_> = self.running.values().cloned().collect();
+        let (mut hedges, mut moves) = (Vec::new(), HashMap::new());
+        for (name, trainer) in &mut self.trainers {
+            if !trainer.queue.is_empty() {
+                continue;
+            }
+            let own = running.iter().filter(|running| running.id.trainer == *name);
+            let attempts: Vec<_> = own.filter_map(|running| attempt_of(running)).collect();
+            let remedies = trainer
+                .stragglers
+                .decide(&attempts, &mut paces, Millis::ZERO, now);
+            for remedy in remedies {
+                match remedy {
+                    Remedy::Hedge { id, to } => hedges.push((id, to)),
+                    Remedy::Migrate { id, to } | Remedy::Resume { id, to } => {
+                        moves.insert(id, to);
+                    }
+                }
+            }
+        }
+        for running in running.iter().filter(|running| !running.is_hedge) {
+            if let Some(to) = moves.get(&running.id) {
+                running.progress().move_to = Some(to.clone());
+            }
+            if let Some((_, to)) = hedges.iter().find(|(id, _)| *id == running.id) {
+                let mut progress = running.progress();
+                progress.hedge = Some(to.clone());
+                let partial = stream::part_of(&progress.partial);
+                drop(progress);
+                self.enqueue(Job {
+                    generation: running.generation,
+                    hedge: true,
+                    kv: None,
+                    partial,
+                    spec: running.spec.clone(),
+                    to: Some(to.clone()),
+                    avoid: Some(running.target.clone()),
+                });
+            }
+        }
+    }
+
+    /// Moves the samples off targets that are reclaimed within seconds.
+    fn reclaim(&mut self, view: &View) {
+        let going = |target: &TargetName| {
+            let known = view.targets.iter().find(|entry| entry.target == *target);
+            known.is_some_and(|entry| entry.state == Platform::Reclaimed)
+        };
+        let streams: Vec<_> = self
+            .running
+            .values()
+            .filter(|running| going(&running.target) && running.progress().move_to.is_none())
+            .cloned()
+            .collect();
+        if streams.is_empty() {
+            return;
+        }
+        let live = view
+            .targets
+            .iter()
+            .filter(|entry| entry.state == Platform::Live);
+        let budget = ReclaimBudget {
+            room: live.map(|entry| self.room(&entry.target)).sum(),
+            ..ReclaimBudget::default()
+        };
+        let reclaimed = streams.iter().map(|running| self.reclaimed(running));
+        for (id, chosen) in plan_reclaim(reclaimed.collect(), &budget) {
+            let own = streams.iter().find(|running| running.id == id);
+            // Each move keeps the tokens; only what ends in time stays.
+            if let Some(running) = own.filter(|_| chosen != ReclaimMove::Finish) {
+                running.progress().move_to = Some(TargetName::default());
+            }
+        }
+    }
+
+    fn reclaimed(&self, running: &Running) -> ReclaimedStream {
+        let tokens = running.progress().partial.tokens.len() as u32;
+        let trainer = self.trainers.get(&running.id.trainer);
+        let rest = trainer.map_or(0.0, |trainer| {
+            let most = running.spec.max_tokens;
+            trainer
+                .stragglers
+                .expected_rest(running.id.group, tokens, most)
+        });
+        let pace = self.targets.get(&running.target);
+        let pace_ms = pace.map_or(FIRST_PACE_MS, |known| known.pace_ms);
+        ReclaimedStream {
+            id: running.id.clone(),
+            rest_ms: Millis((rest * pace_ms) as u64),
+            tokens,
+        }
+    }
+}
+
+fn attempt_of(running: &Running) -> Option<Attempt> {
+    let progress = running.progress();
+    if progress.move_to.is_some() || running.is_hedge {
+        return None;
+    }
+    Some(Attempt {
+        id: running.id.clone(),
+        heard: progress.heard,
+        max_tokens: running.spec.max_tokens,
+        prompt: (running.spec.bytes() / 4) as u32,
+        started: running.started,
+        target: running.target.clone(),
+        tokens: progress.partial.tokens.len() as u32,
+        resumed: progress.resumed,
+        hedge: progress.hedge.clone(),
+    })
+}
--- a/crates/godwitspool-entry/src/rollout/peers.rs
+++ b/crates/godwitspool-entry/src/rollout/peers.rs
@@ -3,12 +3,25 @@
 use std::sync::Arc;
 
 use godwitspool_connection::messages::{RolloutAnswer, RolloutRequest};
+use godwitspool_rollout::StepEvent;
 
 use crate::process::shared::Shared;
 
 /// Answers another entry.
-pub(crate) fn answer(_shared: &Arc<Shared>, message: RolloutRequest) -> RolloutAnswer {
+pub(crate) fn answer(shared: &Arc<Shared>, message: RolloutRequest) -> RolloutAnswer {
     match message {
-        RolloutRequest::Probe => RolloutAnswer::Here,
+        RolloutRequest::Ask { trainer, request } => {
+            let answer = shared.rollouts.ask_here(shared, &trainer, request);
+            RolloutAnswer::Answer(Box::new(answer))
+        }
+        RolloutRequest::Tell {
+            from,
+            trainer,
+            message,
+        } => {
+            let event = StepEvent::Peer { from, message };
+            shared.rollouts.tell(shared, &trainer, event);
+            RolloutAnswer::Taken
+        }
     }
 }
--- /dev/null
+++ b/crates/godwitspool-entry/src/rollout/scores.rs
@@ -0,0 +1,128 @@
+//! Scores of whole samples.
+
+use std::{sync::Arc, thread};
+
+use godwitspool_connection::{messages::View, platform::TargetState};
+use godwitspool_rollout::{Sample, Score, ScoreAction, ScoreEvent, StepEvent};
+use godwitspool_types::ServiceName;
+use serde::{Deserialize, Serialize};
+
+use super::journal::SampleEvent;
+use crate::process::shared::Shared;
+
+const PATH: &str = "/score";
+
+/// Asks for a score; the same sample may be asked for again.
+#[derive(Debug, Serialize)]
+struct Question {
+    sample: String,
+    tokens: Vec<String>,
+}
+
+/// The score of a sample.
+#[derive(Debug, Deserialize)]
+struct Scored {
+    score: f64,
+}
+
+/// Has a whole sample scored, if its trainer wants that, and hands it to its step.
+pub(super) fn finish(shared: &Arc<Shared>, generation: u64, sample: Sample) {
+    let now = shared.rollouts.clock.now();
+    let trainer = sample.id.trainer.clone();
+    let mut state = shared.rollouts.lock();
+    let Some(held) = state.trainers.get_mut(&trainer) else {
+        return;
+    };
+    held.stragglers
+        .learn(sample.id.group, sample.tokens.len() as u32);
+    if held.rules.scorer.as_str().is_empty() {
+        drop(state);
+        let event = StepEvent::Finished { generation, sample };
+        return shared.rollouts.tell(shared, &trainer, event);
+    }
+    let key = format!("{}.{generation}", sample.id);
+    state.unscored.insert(key.clone(), (generation, sample));
+    let actions = state.scoring.decide(ScoreEvent::Ask(key), now);
+    drop(state);
+    carry_out(shared, actions);
+}
+
+/// Lets scoring decide on an event.
+pub(super) fn tell(shared: &Arc<Shared>, event: ScoreEvent) {
+    let now = shared.rollouts.clock.now();
+    let actions = shared.rollouts.lock().scoring.decide(event, now);
+    carry_out(shared, actions);
+}
+
+fn carry_out(shared: &Arc<Shared>, actions: Vec<ScoreAction>) {
+    for action in actions {
+        match action {
+            ScoreAction::Call(key) => call(shared, key),
+            ScoreAction::Settle(key, score) => settle(shared, &key, score),
+        }
+    }
+}
+
+fn settle(shared: &Arc<Shared>, key: &str, score: Score) {
+    let now = shared.rollouts.clock.now();
+    let mut state = shared.rollouts.lock();
+    let Some((generation, mut sample)) = state.unscored.remove(key) else {
+        return;
+    };
+    if let Score::Failed(cause) = &score {
+        let event = SampleEvent::Unscored(cause.clone());
+        state.journal.note(now, &sample.id, event);
+    }
+    drop(state);
+    sample.score = score;
+    let trainer = sample.id.trainer.clone();
+    let event = StepEvent::Finished { generation, sample };
+    shared.rollouts.tell(shared, &trainer, event);
+}
+
+fn call(shared: &Arc<Shared>, key: String) {
+    let shared = Arc::clone(shared);
+    let spawned = thread::Builder::new()
+        .name("score".to_owned())
+        .spawn(move || {
+            let event = match ask(&shared, &key) {
+                Ok(score) => ScoreEvent::Answered(key, score),
+                Err(cause) => ScoreEvent::Failed(key, cause),
+            };
+            tell(&shared, event);
+        });
+    if let Err(error) = spawned {
+        // Scoring calls again once the call has timed out.
+        log::error!("no thread for a score: {error}");
+    }
+}
+
+fn ask(shared: &Arc<Shared>, key: &str) -> Result<f64, String> {
+    let view = shared.view();
+    let (question, scorer) = {
+        let state = shared.rollouts.lock();
+        let (_, sample) = state.unscored.get(key).ok_or("no longer wanted")?;
+        let trainer = state.trainers.get(&sample.id.trainer);
+        let scorer = trainer.map(|trainer| trainer.rules.scorer.clone());
+        let question = Question {
+            sample: sample.id.to_string(),
+            tokens: sample.tokens.iter().map(str::to_owned).collect(),
+        };
+        (question, scorer.unwrap_or_default())
+    };
+    let address = scorer_address(&view, &scorer, key).ok_or("no target of the scorer is live")?;
+    let answer = shared.client(address).post::<_, Scored>(PATH, &question);
+    answer
+        .map(|scored| scored.score)
+        .map_err(|error| error.to_string())
+}
+
+fn scorer_address(view: &View, scorer: &ServiceName, key: &str) -> Option<std::net::SocketAddr> {
+    let targets = view.targets.iter();
+    let live =
+        targets.filter(|target| target.service == *scorer && target.state == TargetState::Live);
+    let live: Vec<_> = live.collect();
+    let at = godwitspool_request::stable_hash(key.as_bytes()) as usize;
+    live.get(at.checked_rem(live.len())?)
+        .map(|target| target.address)
+}
--- a/crates/godwitspool-process/src/folder/read.rs
+++ b/crates/godwitspool-process/src/folder/read.rs
@@ -179,7 +179,10 @@
         let default = TrainerRules::default();
         let mut fields = Fields::open(&entry.node);
         let workspace = self.reference(&mut fields, "workspace", Section::Workspaces);
+        let dc = self.reference(&mut fields, "dc", Section::Dcs);
         let rules = TrainerRules {
+            dc: dc.map_or(default.dc, Dc::from),
+            scorer: self.service_ref(&mut fields, "scorer").unwrap_or_default(),
             service: self.service_ref(&mut fields, "service").unwrap_or_default(),
             share: fields
                 .count("share", 1, MOST_SHARE)
--- a/crates/godwitspool-rollout/src/batch.rs
+++ b/crates/godwitspool-rollout/src/batch.rs
@@ -30,7 +30,7 @@
 }
 
 /// One page of a batch.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Page {
     /// Digest of the whole batch.
     pub digest: Digest,
--- a/crates/godwitspool-rollout/src/share.rs
+++ b/crates/godwitspool-rollout/src/share.rs
@@ -31,7 +31,7 @@
 /// let rules = ShareRules { share: 1, waiting: 2, ..ShareRules::default() };
 /// shares.set("a".into(), rules.clone());
 /// shares.set("b".into(), ShareRules { share: 2, ..rules });
-/// let first = shares.next(Millis(0), 1.0);
+/// let first = shares.next(Millis(0), 1.0, |_| true);
 /// assert!(first.is_some());
 /// ```
 #[derive(Debug, Default)]
@@ -72,10 +72,16 @@
             .map_or(0.0, |account| account.spent)
     }
 
-    /// Chooses whose sample of the given cost starts next, and charges it.
-    pub fn next(&mut self, now: Millis, cost: f64) -> Option<TrainerName> {
+    /// Chooses whose sample of the given cost starts next, and charges it. Trainers whose targets
+    /// have no room aren't ready; they keep what they have saved up.
+    pub fn next(
+        &mut self,
+        now: Millis,
+        cost: f64,
+        is_ready: impl Fn(&TrainerName) -> bool,
+    ) -> Option<TrainerName> {
         let wanting = self.trainers.iter_mut();
-        let wanting = wanting.filter(|(_, account)| account.rules.waiting > 0);
+        let wanting = wanting.filter(|(name, account)| account.rules.waiting > 0 && is_ready(name));
         let (name, account) =
             wanting.min_by(|a, b| a.1.rank(now, cost).total_cmp(&b.1.rank(now, cost)))?;
         self.virtual_time = self.virtual_time.max(account.time);
--- a/crates/godwitspool-rollout/src/step/event.rs
+++ b/crates/godwitspool-rollout/src/step/event.rs
@@ -115,7 +115,11 @@
         image: Box<Image>,
         /// Last record that the state contains.
         sequence: u64,
+        /// Last record of its samples.
+        whole: u64,
     },
+    /// A home to its replica: it has lost the steps of its tenure.
+    Lost(Epoch),
     /// From a home whose tenure has ended: what it accepted while it was cut off.
     Merge(Box<Image>),
     /// Replica to home: records are missing, the whole state is wanted.
@@ -124,8 +128,8 @@
     Probe,
     /// Answers a probe.
     Probed {
-        /// Whether the sender holds the steps.
-        holds: bool,
+        /// Tenure whose steps the sender holds.
+        holds: Option<Epoch>,
     },
     /// Home to replica: records in their order.
     Records {
--- a/crates/godwitspool-rollout/src/step/image.rs
+++ b/crates/godwitspool-rollout/src/step/image.rs
@@ -235,14 +235,7 @@
     }
 
     fn set(&mut self, id: &SampleId, sample: Option<Arc<Sample>>) {
-        let Some(step) = self.steps.get_mut(&id.step) else {
-            return;
-        };
-        let Stage::Open(groups) = &mut step.stage else {
-            return;
-        };
-        let group = groups.get_mut(&id.group);
-        if let Some(slot) = group.and_then(|group| group.samples.get_mut(id.index as usize)) {
+        if let Some(slot) = self.steps.get_mut(&id.step).and_then(|step| step.slot(id)) {
             *slot = sample;
         }
     }
@@ -293,6 +286,16 @@
         }
     }
 
+    fn slot(&mut self, id: &SampleId) -> Option<&mut Option<Arc<Sample>>> {
+        match &mut self.stage {
+            Stage::Frozen { .. } => None,
+            Stage::Open(groups) => groups
+                .get_mut(&id.group)?
+                .samples
+                .get_mut(id.index as usize),
+        }
+    }
+
     fn samples(&self) -> Vec<Arc<Sample>> {
         match &self.stage {
             Stage::Frozen { batch, .. } => batch.samples.clone(),
--- a/crates/godwitspool-rollout/src/step/mod.rs
+++ b/crates/godwitspool-rollout/src/step/mod.rs
@@ -38,7 +38,7 @@
     fn default() -> Self {
         Self {
             bound_samples: 65_536,
-            page_samples: 1_024,
+            page_samples: 256,
             staleness_versions: 1,
             unknown_ms: Millis(10_000),
         }
@@ -82,8 +82,17 @@
 #[derive(Debug)]
 enum Role {
     Home(Home),
-    Idle { silent: Option<Vec<HostName>> },
-    Replica { sequence: u64 },
+    Idle {
+        silent: Option<Vec<HostName>>,
+    },
+    Replica {
+        sequence: u64,
+        /// The last whole state, to go back to when the home dies before the next one is whole. The
+        /// home answers nothing in between.
+        shadow: Option<Box<Image>>,
+        /// Sequence number from which on the state is whole.
+        whole: u64,
+    },
 }
 
 #[derive(Debug, Default)]
--- a/crates/godwitspool-rollout/src/step/replication.rs
+++ b/crates/godwitspool-rollout/src/step/replication.rs
@@ -108,16 +108,20 @@
         let Some(replica) = &mut home.replica else {
             return;
         };
+        // A number of its own: no earlier confirmation or offer may be taken for one of this state.
+        home.sequence += 1;
+        let sequence = home.sequence;
+        home.unheld = self.image.sample_records().collect();
+        home.sequence += home.unheld.len() as u64;
         let message = PeerMessage::Image {
             epoch: self.epoch.clone(),
             image: Box::new(self.image.without_samples()),
-            sequence: home.sequence,
+            sequence,
+            whole: home.sequence,
         };
         replica.held = None;
-        replica.sent = home.sequence;
+        replica.sent = sequence;
         replica.sent_at = now;
-        home.unheld = self.image.sample_records().collect();
-        home.sequence += home.unheld.len() as u64;
         for pending in &mut home.pending {
             pending.sequence = home.sequence;
         }
@@ -202,7 +206,8 @@
                 epoch,
                 image,
                 sequence,
-            } => self.take_image(epoch, *image, sequence, actions),
+                whole,
+            } => self.take_image(epoch, *image, sequence, whole, actions),
             PeerMessage::Merge(image) => {
                 self.merge(image, now, actions);
                 None
@@ -213,19 +218,16 @@
                 }
                 None
             }
-            PeerMessage::Probe => {
-                // A home that asks has been replaced under its name and holds nothing.
-                if self.is_replica() && self.epoch.host == from {
+            PeerMessage::Lost(epoch) => {
+                if self.is_replica() && epoch == self.epoch {
                     self.become_home(now, actions);
                 }
-                Some(PeerMessage::Probed {
-                    holds: !matches!(self.role, Role::Idle { .. }),
-                })
-            }
-            PeerMessage::Probed { holds } => {
-                self.probed(&from, holds, now, actions);
                 None
             }
+            PeerMessage::Probe => Some(PeerMessage::Probed {
+                holds: (!matches!(self.role, Role::Idle { .. })).then(|| self.epoch.clone()),
+            }),
+            PeerMessage::Probed { holds } => self.probed(&from, holds, now, actions),
             PeerMessage::Records {
                 epoch,
                 first,
@@ -270,7 +272,10 @@
             return PeerMessage::Superseded(self.epoch.clone());
         }
         match self.role {
-            Role::Replica { sequence } if epoch == self.epoch && sequence >= offered => {
+            Role::Replica { sequence, .. } if epoch == self.epoch => {
+                if sequence != offered {
+                    return PeerMessage::Held { epoch, sequence };
+                }
                 self.become_home(now, actions);
                 PeerMessage::Superseded(self.epoch.clone())
             }
@@ -283,6 +288,7 @@
         epoch: Epoch,
         image: Image,
         sequence: u64,
+        whole: u64,
         actions: &mut Vec<StepAction>,
     ) -> Option<PeerMessage> {
         if epoch < self.epoch {
@@ -291,22 +297,35 @@
         if epoch.host == self.host {
             return None;
         }
-        let held = match self.role {
-            Role::Replica { sequence } if epoch == self.epoch => sequence,
-            _ => 0,
-        };
         if self.is_home() {
             self.step_down(epoch.clone(), actions);
         }
-        if sequence >= held {
-            self.image = image;
-            self.role = Role::Replica { sequence };
+        let mut kept = None;
+        if let Role::Replica {
+            sequence: held,
+            shadow,
+            whole,
+        } = &mut self.role
+            && epoch == self.epoch
+        {
+            if sequence < *held {
+                let sequence = *held;
+                return Some(PeerMessage::Held { epoch, sequence });
+            }
+            kept = if *held >= *whole {
+                Some(Box::new(std::mem::take(&mut self.image)))
+            } else {
+                shadow.take()
+            };
         }
+        self.image = image;
+        self.role = Role::Replica {
+            sequence,
+            shadow: kept.filter(|_| sequence < whole),
+            whole,
+        };
         self.epoch = epoch.clone();
-        Some(PeerMessage::Held {
-            epoch,
-            sequence: sequence.max(held),
-        })
+        Some(PeerMessage::Held { epoch, sequence })
     }
 
     fn take_records(
@@ -322,17 +341,29 @@
         if epoch > self.epoch && self.is_home() {
             self.step_down(epoch.clone(), actions);
         }
-        let Role::Replica { sequence: held } = &mut self.role else {
+        let Role::Replica {
+            sequence: held,
+            shadow,
+            whole,
+        } = &mut self.role
+        else {
             return PeerMessage::Missing(epoch);
         };
-        if epoch != self.epoch || first > *held + 1 {
+        if epoch != self.epoch {
             return PeerMessage::Missing(epoch);
         }
+        if first > *held + 1 {
+            let sequence = *held;
+            return PeerMessage::Held { epoch, sequence };
+        }
         let known = (*held + 1 - first) as usize;
         for record in records.iter().skip(known) {
             self.image.apply(record);
             *held += 1;
         }
+        if *held >= *whole {
+            *shadow = None;
+        }
         let sequence = *held;
         PeerMessage::Held { epoch, sequence }
     }
--- a/crates/godwitspool-rollout/src/step/request.rs
+++ b/crates/godwitspool-rollout/src/step/request.rs
@@ -6,7 +6,7 @@
 use crate::{Digest, GroupSpec, Page, StepNumber};
 
 /// What a trainer asks. Each may be sent again after a lost answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Request {
     /// Confirms that the trainer holds a whole batch.
     Acknowledge {
@@ -43,7 +43,7 @@
 }
 
 /// The answer to a trainer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Answer {
     /// The batch is handed over.
     Acknowledged(Digest),
--- a/crates/godwitspool-rollout/src/step/role.rs
+++ b/crates/godwitspool-rollout/src/step/role.rs
@@ -15,7 +15,10 @@
         self.ranked = ranked;
         match &self.role {
             Role::Home(_) => self.choose_replica(now, actions),
-            Role::Idle { .. } => self.probe(now, actions),
+            Role::Idle { .. } => {
+                self.role = Role::Idle { silent: None };
+                self.probe(now, actions);
+            }
             Role::Replica { .. } => {
                 if !self.ranked.contains(&self.epoch.host) {
                     self.become_home(now, actions);
@@ -42,6 +45,9 @@
             *silent = None;
             return;
         }
+        if silent.is_some() {
+            return;
+        }
         let others = self.ranked.iter().filter(|host| **host != self.host);
         *silent = Some(others.cloned().collect());
         for to in silent.iter().flatten() {
@@ -54,19 +60,26 @@
     pub(super) fn probed(
         &mut self,
         from: &HostName,
-        holds: bool,
+        holds: Option<Epoch>,
         now: Millis,
         actions: &mut Vec<StepAction>,
-    ) {
-        if let Role::Idle { silent } = &mut self.role {
-            if holds {
-                // The holder hands over once it sees this host rank first.
-                *silent = None;
-            } else if let Some(silent) = silent {
-                silent.retain(|host| host != from);
+    ) -> Option<PeerMessage> {
+        let Role::Idle { silent } = &mut self.role else {
+            return None;
+        };
+        match holds {
+            // This host was home under the same name and has been replaced.
+            Some(epoch) if epoch.host == self.host => return Some(PeerMessage::Lost(epoch)),
+            // The holder hands over once it sees this host rank first.
+            Some(_) => *silent = None,
+            None => {
+                if let Some(silent) = silent {
+                    silent.retain(|host| host != from);
+                }
+                self.become_home_if_unheld(now, actions);
             }
         }
-        self.become_home_if_unheld(now, actions);
+        None
     }
 
     fn become_home_if_unheld(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
@@ -81,6 +94,16 @@
             host: self.host.clone(),
         };
         self.counts.takeovers += 1;
+        if let Role::Replica {
+            sequence,
+            shadow,
+            whole,
+        } = &mut self.role
+            && *sequence < *whole
+            && let Some(shadow) = shadow.take()
+        {
+            self.image = *shadow;
+        }
         self.image.catch_up(&self.known);
         self.role = Role::Home(Home::default());
         let replica = self.ranked.iter().find(|host| **host != self.host).cloned();
@@ -150,7 +173,14 @@
         let image = std::mem::take(&mut self.image);
         if let Role::Home(home) = role {
             let successor = home.replica.as_ref().map(|replica| &replica.host);
-            if successor != Some(&epoch.host) {
+            if successor == Some(&epoch.host) {
+                // The successor answers nothing before this host holds its state.
+                self.role = Role::Replica {
+                    sequence: 0,
+                    shadow: Some(Box::new(image)),
+                    whole: u64::MAX,
+                };
+            } else {
                 let message = PeerMessage::Merge(Box::new(image.without_samples()));
                 let to = epoch.host.clone();
                 actions.push(StepAction::Send { to, message });
--- a/crates/godwitspool-rollout/src/version_order.rs
+++ b/crates/godwitspool-rollout/src/version_order.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    /// Judges a sample by the worst of its spans: the oldest version counts.
+    /// Judges a sample by the worst of its spans: the oldest version counts. While no version is
+    /// published there is nothing to lag behind.
     ///
     /// ```
     /// use godwitspool_rollout::{Freshness, Sample, SampleId, VersionOrder};
@@ -98,6 +99,9 @@
     /// assert_eq!(order.judge(&sample, 1), Freshness::TooOld { age: 2 });
     /// ```
     pub fn judge(&self, sample: &Sample, bound: u32) -> Freshness {
+        if self.versions.is_empty() {
+            return Freshness::Fresh { age: 0 };
+        }
         let spans = sample.spans.iter();
         let judged = spans.map(|span| self.freshness(&span.version, bound));
         judged.max().unwrap_or(Freshness::Fresh { age: 0 })
--- a/crates/godwitspool-rollout/tests/histories.rs
+++ b/crates/godwitspool-rollout/tests/histories.rs
@@ -43,6 +43,7 @@
     fn a_host_that_dies_changes_and_loses_nothing(
         before in prop::collection::vec(calm(), 0..120),
         victim in 0..3_usize,
+        second in 0..3_usize,
         is_noticed in any::<bool>(),
         after in prop::collection::vec(calm(), 0..120),
     ) {
@@ -55,6 +56,11 @@
         for op in after {
             world.run(op);
         }
+        // The second one dies once the first one's place is filled.
+        world.heal();
+        world.finish_all(2);
+        settle(&mut world);
+        world.run(Op::Kill(second, is_noticed));
         world.finish_all(4);
         world.trainer.check();
         prop_assert_eq!(world.trainer.lost_steps, 0);
--- a/crates/godwitspool-rollout/tests/policies.rs
+++ b/crates/godwitspool-rollout/tests/policies.rs
@@ -23,7 +23,7 @@
 fn starts(shares: &mut Shares, count: u32) -> BTreeMap<TrainerName, u32> {
     let mut starts = BTreeMap::new();
     for _ in 0..count {
-        if let Some(trainer) = shares.next(Millis(0), 1.0) {
+        if let Some(trainer) = shares.next(Millis(0), 1.0, |_| true) {
             *starts.entry(trainer).or_default() += 1;
         }
     }
@@ -97,6 +97,23 @@
     assert!(got["calm"] > 480, "{got:?}");
 }
 
+#[test]
+fn a_trainer_without_room_keeps_its_turn() {
+    let mut shares = Shares::default();
+    let rules = ShareRules {
+        share: 1,
+        waiting: 1_000,
+        ..ShareRules::default()
+    };
+    shares.set("a".into(), rules.clone());
+    shares.set("b".into(), rules);
+    for _ in 0..10 {
+        let next = shares.next(Millis(0), 1.0, |name| name.as_str() == "b");
+        assert_eq!(next, Some("b".into()));
+    }
+    assert_eq!(starts(&mut shares, 10)["a"], 10);
+}
+
 #[test]
 fn refunded_work_is_not_charged() {
     let mut shares = Shares::default();
@@ -106,10 +123,10 @@
         ..ShareRules::default()
     };
     shares.set("t".into(), rules);
-    shares.next(Millis(0), 5.0);
+    shares.next(Millis(0), 5.0, |_| true);
     shares.refund(&"t".into(), 5.0);
     assert!(shares.spent(&"t".into()).abs() < 1e-9);
-    assert!(shares.next(Millis(0), 5.0).is_some());
+    assert!(shares.next(Millis(0), 5.0, |_| true).is_some());
 }
 
 // ---------------------------------------------------------------------------------------------------
--- a/crates/godwitspool-version/src/configuration.rs
+++ b/crates/godwitspool-version/src/configuration.rs
@@ -160,6 +160,10 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
 pub struct TrainerRules {
+    /// Data centre in which the trainer runs; empty for any.
+    pub dc: Dc,
+    /// Service that scores samples; empty for none.
+    pub scorer: ServiceName,
     /// Service whose engines make the samples.
     pub service: ServiceName,
     /// Weight in the share of training capacity.
@@ -175,6 +179,8 @@
 impl Default for TrainerRules {
     fn default() -> Self {
         Self {
+            dc: Dc::default(),
+            scorer: ServiceName::default(),
             service: ServiceName::default(),
             share: 1,
             staleness_versions: 1,
