--- a/crates/godwitspool-rollout/src/step/event.rs
+++ b/crates/godwitspool-rollout/src/step/event.rs
@@ -122,6 +122,8 @@
     Lost(Epoch),
     /// From a home whose tenure has ended: what it accepted while it was cut off.
     Merge(Box<Image>),
+    /// The home has taken that over.
+    Merged,
     /// Replica to home: records are missing, the whole state is wanted.
     Missing(Epoch),
     /// Asks whether the receiver holds the steps.
--- a/crates/godwitspool-rollout/src/step/mod.rs
+++ b/crates/godwitspool-rollout/src/step/mod.rs
@@ -77,6 +77,8 @@
     running: BTreeMap<SampleId, u64>,
     trainer: TrainerName,
     unknown_since: BTreeMap<StepNumber, Millis>,
+    /// What this host accepted as home and the present home may not know.
+    unmerged: Option<Box<Image>>,
 }
 
 #[derive(Debug)]
@@ -144,6 +146,7 @@
             running: BTreeMap::new(),
             trainer,
             unknown_since: BTreeMap::new(),
+            unmerged: None,
         }
     }
 
--- a/crates/godwitspool-rollout/src/step/replication.rs
+++ b/crates/godwitspool-rollout/src/step/replication.rs
@@ -81,6 +81,10 @@
                 actions.push(StepAction::Send { to, message });
             }
         }
+        if let (Some(image), Some(to)) = (&self.unmerged, self.believed_home()) {
+            let message = PeerMessage::Merge(image.clone());
+            actions.push(StepAction::Send { to, message });
+        }
         let Role::Home(home) = &mut self.role else {
             return;
         };
@@ -208,8 +212,9 @@
                 sequence,
                 whole,
             } => self.take_image(epoch, *image, sequence, whole, actions),
-            PeerMessage::Merge(image) => {
-                self.merge(image, now, actions);
+            PeerMessage::Merge(image) => self.merge(image, now, actions),
+            PeerMessage::Merged => {
+                self.unmerged = None;
                 None
             }
             PeerMessage::Missing(epoch) => {
@@ -245,9 +250,14 @@
         }
     }
 
-    fn merge(&mut self, image: Box<Image>, now: Millis, actions: &mut Vec<StepAction>) {
+    fn merge(
+        &mut self,
+        image: Box<Image>,
+        now: Millis,
+        actions: &mut Vec<StepAction>,
+    ) -> Option<PeerMessage> {
         if !self.is_home() {
-            return;
+            return None;
         }
         self.record(Record::Merged(image), now, actions);
         let image = &self.image;
@@ -259,6 +269,7 @@
             is_open
         });
         self.start_missing(actions);
+        Some(PeerMessage::Merged)
     }
 
     fn accept_home(
--- a/crates/godwitspool-rollout/src/step/role.rs
+++ b/crates/godwitspool-rollout/src/step/role.rs
@@ -2,7 +2,9 @@
 
 use godwitspool_types::{HostName, Millis};
 
-use super::{Answer, Epoch, Home, PeerMessage, Refusal, Replica, Role, StepAction, TrainerSteps};
+use super::{
+    Answer, Epoch, Home, PeerMessage, Record, Refusal, Replica, Role, StepAction, TrainerSteps,
+};
 use crate::SampleId;
 
 impl TrainerSteps {
@@ -104,6 +106,9 @@
         {
             self.image = *shadow;
         }
+        if let Some(image) = self.unmerged.take() {
+            self.image.apply(&Record::Merged(image));
+        }
         self.image.catch_up(&self.known);
         self.role = Role::Home(Home::default());
         let replica = self.ranked.iter().find(|host| **host != self.host).cloned();
@@ -172,8 +177,11 @@
         let role = std::mem::replace(&mut self.role, Role::Idle { silent: None });
         let image = std::mem::take(&mut self.image);
         if let Role::Home(home) = role {
-            let successor = home.replica.as_ref().map(|replica| &replica.host);
-            if successor == Some(&epoch.host) {
+            let successor = home
+                .replica
+                .as_ref()
+                .filter(|replica| replica.held.is_some());
+            if successor.is_some_and(|replica| replica.host == epoch.host) {
                 // The successor answers nothing before this host holds its state.
                 self.role = Role::Replica {
                     sequence: 0,
@@ -181,9 +189,7 @@
                     whole: u64::MAX,
                 };
             } else {
-                let message = PeerMessage::Merge(Box::new(image.without_samples()));
-                let to = epoch.host.clone();
-                actions.push(StepAction::Send { to, message });
+                self.unmerged = Some(Box::new(image.without_samples()));
             }
             for pending in home.pending {
                 let answer = Answer::Refused(Refusal::Moving(Some(epoch.host.clone())));
--- a/crates/godwitspool-rollout/tests/histories.rs
+++ b/crates/godwitspool-rollout/tests/histories.rs
@@ -108,7 +108,9 @@
     world.deliver_all();
     assert!(world.hosts[1].is_home());
     world.run(Op::Rank(0, 1));
-    world.deliver_all();
+    settle(&mut world);
+    world.heal();
+    settle(&mut world);
     world.finish_all(1);
     assert!(world.hosts[0].is_home());
     assert_eq!(world.trainer.lost_steps, 0);
@@ -138,3 +140,19 @@
     world.finish_all(1);
     assert_eq!(world.trainer.lost_steps, 0);
 }
+
+#[test]
+fn homes_that_began_alone_become_one_and_lose_nothing() {
+    let mut world = World::new();
+    // Before any message: each host holds the others for dead.
+    for host in 0..3 {
+        world.alone(host);
+    }
+    world.run(Op::Trainer(0, false));
+    world.heal();
+    settle(&mut world);
+    world.finish_all(1);
+    assert_eq!(world.trainer.lost_steps, 0);
+    let homes = world.hosts.iter().filter(|host| host.is_home());
+    assert_eq!(homes.count(), 1);
+}
--- a/crates/godwitspool-rollout/tests/world/mod.rs
+++ b/crates/godwitspool-rollout/tests/world/mod.rs
@@ -141,6 +141,11 @@
         );
     }
 
+    /// Gives a host the view that it is the only one.
+    pub fn alone(&mut self, host: usize) {
+        self.tell(host, StepEvent::Ranked(vec![name(host)]));
+    }
+
     /// Delivers all messages in their order, and those that follow from them.
     pub fn deliver_all(&mut self) {
         while !self.network.is_empty() {
