Demo: trainers submit, fetch and acknowledge steps

Change: a trainer for each of the configuration's, by the calls that the entry documents; samples are matched with the generations that engines recorded.

--- a/crates/godwitspool-demo/src/collect.rs
+++ b/crates/godwitspool-demo/src/collect.rs
@@ -1,16 +1,26 @@
 //! Brings what the stand-ins recorded into the history.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
 use godwitspool_connection::platform::TargetState;
 use godwitspool_fakes::{
-    EngineEvent, EngineRecord, PlainCall, Platform, PlatformEvent, PlatformRecord,
+    EngineEvent, EngineRecord, PlainCall, Platform, PlatformEvent, PlatformRecord, prompt_hash,
+    token,
 };
-use godwitspool_history::{Event, Recorder, Span, Work};
+use godwitspool_history::{Answer, Event, Recorder, Span, Work};
 use godwitspool_types::RequestId;
 
-/// Brings what the stand-ins recorded into the history.
-pub(crate) fn collect(platform: &Platform, recorder: &Recorder) {
+use crate::{caller::judge_answer, trainer::Delivery};
+
+/// Brings what the stand-ins recorded and the samples that trainers got into the history.
+pub(crate) fn collect(platform: &Platform, deliveries: &[Delivery], recorder: &Recorder) {
+    let prompts = prompts(platform);
+    for delivery in deliveries {
+        add_delivery(delivery, &prompts, recorder);
+    }
     for engine in platform.engines() {
         engine
             .history()
@@ -29,6 +39,56 @@
         .for_each(|record| add_platform(record, recorder));
 }
 
+/// Prompts with their seeds that engines got, by the hash of the prompt alone.
+type Prompts = HashMap<u64, Vec<u64>>;
+
+fn prompts(platform: &Platform) -> Prompts {
+    let mut prompts = Prompts::new();
+    for record in platform
+        .engines()
+        .iter()
+        .flat_map(|engine| engine.history())
+    {
+        if let EngineEvent::Received {
+            messages, prompt, ..
+        } = record.event
+        {
+            let seeds = prompts.entry(messages).or_default();
+            if !seeds.contains(&prompt) {
+                seeds.push(prompt);
+            }
+        }
+    }
+    prompts
+}
+
+/// Finds which generation a sample holds by its first token.
+fn add_delivery(delivery: &Delivery, prompts: &Prompts, recorder: &Recorder) {
+    let seeds = prompts
+        .get(&prompt_hash(&delivery.messages, 0))
+        .map_or(&[][..], Vec::as_slice);
+    let first = delivery.tokens.first();
+    let prompt = seeds
+        .iter()
+        .find(|prompt| first == Some(&token(**prompt, 0)));
+    let answer = match (prompt, first) {
+        (Some(prompt), _) => {
+            let tokens = delivery.tokens.iter().map(String::as_str);
+            judge_answer(*prompt, delivery.max_tokens, tokens)
+        }
+        (None, Some(_)) => Answer::Foreign,
+        (None, None) => Answer::Cut,
+    };
+    let event = Event::Delivered {
+        answer,
+        fetch: delivery.fetch,
+        sample: delivery.sample.clone(),
+        spans: delivery.spans.clone(),
+        work: Work::Prompt(prompt.copied().unwrap_or_default()),
+    };
+    recorder.record_at(delivery.at, event);
+}
+
 fn add_engine(record: EngineRecord, recorder: &Recorder) {
     let EngineRecord {
         at_ms,
--- a/crates/godwitspool-demo/src/figures.rs
+++ b/crates/godwitspool-demo/src/figures.rs
@@ -1,6 +1,9 @@
 //! The figures of a run.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use godwitspool_fakes::{Platform, PlatformEvent};
 use godwitspool_history::{Event, History, Promise, Violation};
@@ -12,6 +15,7 @@
     DemoOptions,
     caller::{Session, Tally, lock},
     deployment::Deployment,
+    trainer::Trained,
 };
 
 const MOST_MS: u64 = 600_000;
@@ -140,7 +144,7 @@
     }
 
     fn count_history(&mut self, history: &History) {
-        let mut windows = std::collections::BTreeSet::new();
+        let mut windows = BTreeSet::new();
         for line in history.lines() {
             match &line.event {
                 Event::Ordered { .. } => self.orders_sent += 1,
@@ -179,6 +183,16 @@
         }
     }
 
+    /// Adds how long trainers waited.
+    pub(crate) fn count_trainers(&mut self, trained: &[Trained]) {
+        let idle = trained.iter().map(|trained| trained.idle).sum::<Duration>();
+        let total = trained
+            .iter()
+            .map(|trained| trained.total)
+            .sum::<Duration>();
+        self.trainer_idle_ratio = idle.as_secs_f64() / total.as_secs_f64().max(f64::MIN_POSITIVE);
+    }
+
     /// Adds what the platform was paid for.
     pub(crate) fn count_targets(&mut self, platform: &Platform, deployment: &Deployment) {
         let (mut all_ms, mut cheap_ms) = (0, 0);
--- a/crates/godwitspool-demo/src/lib.rs
+++ b/crates/godwitspool-demo/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod system;
 mod table;
+mod trainer;
 
 pub use error::DemoError;
 pub use fault::{Fault, FaultKind, plan};
--- a/crates/godwitspool-demo/src/run.rs
+++ b/crates/godwitspool-demo/src/run.rs
@@ -26,6 +26,7 @@
     plan,
     system::System,
     table::Table,
+    trainer::{Trained, Trainer},
 };
 
 const PROGRESS_EVERY: Duration = Duration::from_secs(1);
@@ -81,7 +82,7 @@
     }
     system.wait_ready()?;
     let sessions = sessions(&deployment, &system);
-    work(
+    let trained = work(
         options,
         &deployment,
         &system,
@@ -92,11 +93,15 @@
     );
     let answered = answered(&recorder.history());
     let lost = wait_billed(&system, &answered);
-    collect(&system.platform, &recorder);
+    let deliveries = trained
+        .iter()
+        .flat_map(|trained| trained.deliveries.iter().cloned());
+    collect(&system.platform, &deliveries.collect::<Vec<_>>(), &recorder);
     let history = recorder.history();
     let violations = check(&history, &Bounds::default());
     let mut figures = Figures::new(options, &sessions, &history, &violations);
     figures.count_targets(&system.platform, &deployment);
+    figures.count_trainers(&trained);
     figures.usage_lost_requests = lost;
     system.stop();
     Ok(Outcome {
@@ -115,7 +120,7 @@
     operator: &Operator,
     sessions: &[Arc<Session>],
     progress: &(impl Fn(String) + Sync),
-) {
+) -> Vec<Trained> {
     let stop = AtomicBool::new(false);
     let start = Instant::now();
     let run_ms = options.seconds * 1_000;
@@ -137,12 +142,21 @@
         scope.spawn(move || intruder.intrude(stop, INTRUDE_EVERY));
         scope.spawn(|| name_weights(deployment, operator, stop));
         scope.spawn(|| injector.run(&faults, start));
+        let trainers = trainers(deployment, recorder, sessions);
+        let trainers = trainers
+            .into_iter()
+            .map(|trainer| scope.spawn(move || trainer.run(stop)));
+        let trainers = trainers.collect::<Vec<_>>();
         while start.elapsed() < Duration::from_secs(options.seconds) {
             thread::sleep(PROGRESS_EVERY);
             progress(progress_line(start, sessions, recorder));
         }
         stop.store(true, Ordering::Relaxed);
-    });
+        trainers
+            .into_iter()
+            .filter_map(|trainer| trainer.join().ok())
+            .collect()
+    })
 }
 
 fn sessions(deployment: &Deployment, system: &System) -> Vec<Arc<Session>> {
@@ -198,6 +212,28 @@
     }
 }
 
+fn trainers(
+    deployment: &Deployment,
+    recorder: &Recorder,
+    sessions: &[Arc<Session>],
+) -> Vec<Trainer> {
+    let trainers = deployment
+        .configuration
+        .trainers
+        .iter()
+        .filter_map(|(name, rules)| {
+            let mut sessions = sessions.iter();
+            let session = sessions.find(|session| session.workspace == rules.workspace)?;
+            Some(Trainer {
+                client: Client::new(),
+                name: name.clone(),
+                recorder: recorder.clone(),
+                session: Arc::clone(session),
+            })
+        });
+    trainers.collect()
+}
+
 fn name_weights(deployment: &Deployment, operator: &Operator, stop: &AtomicBool) {
     let mut last = Instant::now();
     while !stop.load(Ordering::Relaxed) {
@@ -221,7 +257,10 @@
     }
     let fault = recorder.last_fault().unwrap_or_default();
     let seconds = start.elapsed().as_secs();
-    format!("{seconds:>4} s  answers {ok:>6}  refused {refused:>4}  broken {failed:>4}  {fault}")
+    let steps = recorder.count(|event| matches!(event, Event::Fetched { .. }));
+    format!(
+        "{seconds:>4} s  answers {ok:>6}  refused {refused:>4}  broken {failed:>4}  steps {steps:>3}  {fault}"
+    )
 }
 
 /// Counts whole answers by workspace, but for open routes, which nobody pays for.
--- a/crates/godwitspool-history/src/recorder.rs
+++ b/crates/godwitspool-history/src/recorder.rs
@@ -54,6 +54,12 @@
         lines.iter().cloned().collect()
     }
 
+    /// Counts the events of a kind.
+    pub fn count(&self, kind: impl Fn(&Event) -> bool) -> usize {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.iter().filter(|line| kind(&line.event)).count()
+    }
+
     /// Returns the name of the fault that was recorded last.
     pub fn last_fault(&self) -> Option<String> {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
@@ -63,7 +69,8 @@
         })
     }
 
-    fn record_at(&self, at: Millis, event: Event) {
+    /// Records what was observed at a time since the start.
+    pub fn record_at(&self, at: Millis, event: Event) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         lines.push(Line { at, event });
     }
