--- a/crates/godwitspool-demo/tests/demo.rs
+++ b/crates/godwitspool-demo/tests/demo.rs
@@ -12,7 +12,7 @@
 }
 
 fn options(arguments: &[&str]) -> DemoOptions {
-    match Command::parse(arguments).unwrap() {
+    match Command::parse(arguments).expect("a right command line") {
         Command::Run(options) => options,
         other => panic!("{other:?}"),
     }
--- a/crates/godwitspool-fakes/tests/engine.rs
+++ b/crates/godwitspool-fakes/tests/engine.rs
@@ -265,7 +265,7 @@
 #[test]
 fn kv_memory_bounds_what_runs_and_load_lags() {
     let options = EngineOptions {
-        kv_blocks: 40,
+        kv_blocks: 400,
         load_lag_ms: 0,
         step_ms: 5,
         ..quick()
@@ -273,7 +273,7 @@
     let engine = Engine::start(options).unwrap();
     thread::scope(|scope| {
         for index in 0..4 {
-            let asked = ask(&format!("load {index}"), 300);
+            let asked = ask(&format!("load {index}"), 3_000);
             let engine = &engine;
             scope.spawn(move || generate(engine, &asked));
         }
--- a/crates/godwitspool-fakes/tests/platform.rs
+++ b/crates/godwitspool-fakes/tests/platform.rs
@@ -16,6 +16,7 @@
 use godwitspool_types::{Dc, Offset, Term};
 use serde::{Serialize, de::DeserializeOwned};
 
+const LAG: Duration = Duration::from_millis(100);
 const BOUND: Duration = Duration::from_secs(20);
 
 fn post<T: DeserializeOwned>(
@@ -66,7 +67,7 @@
     };
     PlatformOptions {
         classes: vec![class],
-        lag_ms: 100,
+        lag_ms: LAG.as_millis() as u64,
         ..PlatformOptions::default()
     }
 }
@@ -180,8 +181,12 @@
 fn targets_start_late_are_listed_later_and_end_after_notice() {
     let platform = Platform::start(engines(true)).unwrap();
     let _: OrderAnswer = post(&platform, "/orders", &order("1", 1, OrderAction::Start(1))).unwrap();
-    let listed: TargetList = get(&platform, "/targets");
-    assert_eq!(listed.targets.len(), 1);
+    let ordered = Instant::now();
+    wait_for(|| get::<TargetList>(&platform, "/targets").targets.len() == 2);
+    assert!(
+        ordered.elapsed() >= LAG - Duration::from_millis(20),
+        "the list does not lag"
+    );
     wait_for(|| {
         let listed: TargetList = get(&platform, "/targets");
         listed
