--- /dev/null
+++ b/crates/godwitspool-version/tests/lease_search.rs
@@ -0,0 +1,220 @@
+//! Searches the lease exhaustively for three processes.
+//!
+//! Every order of reads, appends (lost, late and doubled), pauses and ticks of clocks that run at
+//! different rates is tried up to a bound. An outage is a schedule in which no append arrives, a pause
+//! one in which a process takes no step.
+
+use std::{
+    collections::HashSet,
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+use godwitspool_types::{Incarnation, Millis, Offset};
+use godwitspool_version::{
+    HostLife, Lease, LeaseAction, LeaseCandidate, LeaseEvent, LeaseKind, LeaseRecord, LeaseRules,
+    RecordId,
+};
+use rstest::rstest;
+
+const MAX_IN_FLIGHT: usize = 2;
+const MAX_STATES: usize = 3_000_000;
+const PROCESSES: usize = 3;
+/// Clock units that pass on each process in one tick: 10% slow, right, 10% fast.
+const RATES: [u64; PROCESSES] = [9, 10, 11];
+const SAFE: LeaseRules = LeaseRules {
+    margin: Millis(5),
+    order_life: Millis(10),
+    renewal: Millis(12),
+    term: Millis(20),
+};
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct World {
+    /// Real time, in ticks, until which an order that each process may have sent can take effect.
+    busy_until: [u64; PROCESSES],
+    candidates: [LeaseCandidate; PROCESSES],
+    in_flight: Vec<(RecordId, LeaseRecord)>,
+    lease: Lease,
+    /// Records that count. One that doesn't changes no reader, so it is left out.
+    log: Vec<(RecordId, LeaseRecord)>,
+    read: [usize; PROCESSES],
+    ticks: u64,
+}
+
+impl World {
+    fn new(rules: LeaseRules) -> Self {
+        let candidate = |index: usize| {
+            let life = HostLife {
+                host: format!("h{index}").into(),
+                incarnation: Incarnation(1),
+            };
+            LeaseCandidate::new(LeaseKind::Orders, life, rules)
+        };
+        Self {
+            busy_until: [0; PROCESSES],
+            candidates: std::array::from_fn(candidate),
+            in_flight: Vec::new(),
+            lease: Lease::default(),
+            log: Vec::new(),
+            read: [0; PROCESSES],
+            ticks: 0,
+        }
+    }
+
+    fn clock(&self, process: usize) -> Millis {
+        Millis(self.ticks * RATES[process])
+    }
+
+    /// Lets a process act if it may, and tells whether another's order can still take effect.
+    fn act(&mut self, process: usize, order_ticks: u64) -> bool {
+        if self.candidates[process]
+            .may_act(self.clock(process))
+            .is_none()
+        {
+            return false;
+        }
+        let others = (0..PROCESSES).filter(|other| *other != process);
+        let clash = others
+            .into_iter()
+            .any(|other| self.busy_until[other] >= self.ticks);
+        self.busy_until[process] = self.ticks + order_ticks;
+        clash
+    }
+
+    fn successors(&self, log: usize, ticks: u64) -> Vec<Self> {
+        let mut next = Vec::new();
+        if self.ticks < ticks {
+            let mut world = self.clone();
+            world.ticks += 1;
+            for busy in &mut world.busy_until {
+                if *busy < world.ticks {
+                    *busy = 0;
+                }
+            }
+            next.push(world);
+        }
+        for process in 0..PROCESSES {
+            next.extend(self.step(process));
+            next.extend(self.read(process));
+        }
+        for index in 0..self.in_flight.len() {
+            next.extend(self.deliver(index, log));
+        }
+        next
+    }
+
+    fn step(&self, process: usize) -> Option<Self> {
+        let mut world = self.clone();
+        let now = world.clock(process);
+        let actions = world.candidates[process].decide(LeaseEvent::Tick { ready: true }, now);
+        for action in actions {
+            if let LeaseAction::Append { id, record } = action {
+                world.in_flight.push((id, record));
+            }
+        }
+        let sent = world.in_flight.len() > self.in_flight.len();
+        (sent && world.in_flight.len() <= MAX_IN_FLIGHT && world.all_may_count()).then_some(world)
+    }
+
+    /// Tells whether each append in flight could still count. A world in which one can't is like the
+    /// one in which it was never sent, and that one is searched as well.
+    fn all_may_count(&self) -> bool {
+        let end = Offset(self.log.len() as u64);
+        self.in_flight
+            .iter()
+            .all(|(_, record)| self.lease.clone().apply(end, record))
+    }
+
+    fn read(&self, process: usize) -> Option<Self> {
+        let at = self.read[process];
+        let (id, record) = self.log.get(at)?;
+        let mut world = self.clone();
+        let now = world.clock(process);
+        let offset = Offset(at as u64);
+        let event = LeaseEvent::Read {
+            id: *id,
+            offset,
+            record,
+        };
+        world.candidates[process].decide(event, now);
+        world.read[process] += 1;
+        Some(world)
+    }
+
+    /// Delivers an append, or delivers it and keeps a copy that comes again. A lost append needs no
+    /// step of its own: to the others it is one that was never sent.
+    fn deliver(&self, index: usize, log: usize) -> impl Iterator<Item = Self> {
+        let mut again = self.clone();
+        let (id, record) = again.in_flight[index].clone();
+        if again.log.len() < log {
+            again.lease.apply(Offset(again.log.len() as u64), &record);
+            again.log.push((id, record));
+        }
+        let mut once = again.clone();
+        once.in_flight.remove(index);
+        let delivered = again.log.len() > self.log.len();
+        [once, again]
+            .into_iter()
+            .filter(move |world| delivered && world.all_may_count())
+    }
+}
+
+#[derive(Debug)]
+struct Found {
+    clash: bool,
+    acted: HashSet<usize>,
+    states: usize,
+}
+
+/// Walks every reachable state up to the bounds. An order can take effect for `order_ticks` after the
+/// last check.
+fn search(rules: LeaseRules, log: usize, ticks: u64, order_ticks: u64) -> Found {
+    let mut found = Found {
+        clash: false,
+        acted: HashSet::new(),
+        states: 0,
+    };
+    let mut seen = HashSet::new();
+    let mut open = vec![World::new(rules)];
+    while let Some(mut world) = open.pop() {
+        for process in 0..PROCESSES {
+            if world.candidates[process]
+                .may_act(world.clock(process))
+                .is_some()
+            {
+                found.acted.insert(process);
+            }
+            found.clash |= world.act(process, order_ticks);
+        }
+        if found.clash || seen.len() >= MAX_STATES {
+            break;
+        }
+        for next in world.successors(log, ticks) {
+            let mut hasher = DefaultHasher::new();
+            next.hash(&mut hasher);
+            if seen.insert(hasher.finish()) {
+                open.push(next);
+            }
+        }
+    }
+    found.states = seen.len();
+    found
+}
+
+#[rstest]
+#[case::handover(2, 5)]
+#[case::renewal_then_handover(3, 5)]
+fn no_two_processes_act_at_once(#[case] log: usize, #[case] ticks: u64) {
+    let found = search(SAFE, log, ticks, 1);
+    assert!(!found.clash, "two processes acted at once");
+    assert!(found.states < MAX_STATES, "the search was cut off");
+    assert_eq!(found.acted.len(), PROCESSES, "a process never acted");
+}
+
+#[rstest]
+#[case::no_margin_for_clock_rates(LeaseRules { margin: Millis(0), ..SAFE }, 1)]
+#[case::orders_not_waited_out(LeaseRules { order_life: Millis(0), ..SAFE }, 2)]
+#[case::neither(LeaseRules { margin: Millis(0), order_life: Millis(0), ..SAFE }, 1)]
+fn search_finds_unsafe_rules(#[case] rules: LeaseRules, #[case] order_ticks: u64) {
+    assert!(search(rules, 3, 6, order_ticks).clash);
+}
