--- a/crates/godwitspool-entry/tests/rollouts.rs
+++ b/crates/godwitspool-entry/tests/rollouts.rs
@@ -381,7 +381,7 @@
         .map(|entry| entry.target.clone())
         .collect();
     system.platform.set_targets(targets);
-    thread::sleep(Duration::from_millis(1_000));
+    thread::sleep(Duration::from_secs(1));
     for engine in engines
         .iter()
         .filter(|engine| going.contains(engine.target()))
