Entry: training is divided among hosts, cut for the interactive, shown to operators

Cause: each home placed training without knowing of the others' or of the interactive requests. Change: hosts tell each other their streams and shares; a target's training is its TrainingShare, fed by the load reports, split by shares; cut streams resume later. /status and /explain/SAMPLE.

--- a/crates/godwitspool-connection/src/messages.rs
+++ b/crates/godwitspool-connection/src/messages.rs
@@ -11,7 +11,7 @@
 
 use crate::platform::{LogRecord, TargetEntry};
 
-pub use rollout::{RolloutAnswer, RolloutRequest};
+pub use rollout::{Portion, RolloutAnswer, RolloutRequest};
 pub use serving::{
     ClaimReply, KeyFate, KeyItem, KeyName, LimitPart, ServingAnswer, ServingRequest, SuspectRecord,
     TargetLoad, TrialReply,
--- a/crates/godwitspool-entry/src/process/operators.rs
+++ b/crates/godwitspool-entry/src/process/operators.rs
@@ -48,6 +48,7 @@
             "leaving": self.0.leaving(),
             "members": view.members.len(),
             "offset": view.offset,
+            "rollouts": self.0.rollouts.status(),
             "services": self.0.serving.dispatch.status(),
             "targets": view.targets.len(),
         })
@@ -55,8 +56,10 @@
 
     fn page(&self, path: &str) -> Option<Value> {
         if let Some(id) = path.strip_prefix(EXPLAIN) {
-            let id: RequestId = id.parse().ok()?;
-            return self.0.serving.journal.explain(id);
+            return match id.parse::<RequestId>() {
+                Ok(id) => self.0.serving.journal.explain(id),
+                Err(_) => self.0.rollouts.explained(&id.parse().ok()?),
+            };
         }
         if path == QUARANTINE {
             let now = self.0.serving.now();
--- a/crates/godwitspool-entry/src/process/upkeep.rs
+++ b/crates/godwitspool-entry/src/process/upkeep.rs
@@ -42,7 +42,8 @@
 
 /// Follows the view and looks at the queues.
 fn watch(shared: &Arc<Shared>) {
-    let mut seen = shared.view();
+    // Not the present view: that may have come in before this thread began.
+    let mut seen = Arc::new(View::default());
     while !shared.stopped() {
         let view = shared.view();
         let now = shared.serving.now();
@@ -101,6 +102,7 @@
             .collect();
         let loads = read_own(shared, &view, &readers);
         shared.serving.dispatch.report(&loads);
+        shared.rollouts.report(&loads);
         if !loads.is_empty() {
             for host in readers.iter().filter(|host| **host != shared.settings.host) {
                 let news = ServingRequest::Loads(loads.clone());
--- a/crates/godwitspool-entry/src/request/peers.rs
+++ b/crates/godwitspool-entry/src/request/peers.rs
@@ -50,7 +50,10 @@
         }
         ServingRequest::HandOver(items) => keyed::take_items(shared, items),
         ServingRequest::Lift(print) => suspicion::settle(shared, SuspectEvent::Lift(print)),
-        ServingRequest::Loads(loads) => shared.serving.dispatch.report(&loads),
+        ServingRequest::Loads(loads) => {
+            shared.serving.dispatch.report(&loads);
+            shared.rollouts.report(&loads);
+        }
         ServingRequest::Release { host, key } => keyed::take_release(shared, key, &host),
         ServingRequest::Settle { fate, key } => keyed::take_fate(shared, key, fate),
         ServingRequest::AskTrial { .. }
--- a/crates/godwitspool-entry/src/rollout/dispatch.rs
+++ b/crates/godwitspool-entry/src/rollout/dispatch.rs
@@ -1,14 +1,14 @@
 //! Starts samples on targets, and moves those that are late or whose target is reclaimed.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, atomic::AtomicBool},
     thread,
     time::Duration,
 };
 
 use godwitspool_connection::{
-    messages::View,
+    messages::{Portion, View},
     platform::{TargetEntry, TargetState as Platform},
 };
 use godwitspool_request::{TrainingShare, stable_hash};
@@ -16,7 +16,7 @@
     Attempt, ReclaimBudget, ReclaimMove, ReclaimedStream, Remedy, SampleId, ScoreEvent, ShareRules,
     TargetPace, plan_reclaim,
 };
-use godwitspool_types::{Millis, TargetName, TrainerName};
+use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName};
 
 use super::{
     journal::SampleEvent,
@@ -40,15 +40,17 @@
             ticked = now;
             shared.rollouts.tick(shared);
             scores::tell(shared, ScoreEvent::Tick);
+            shared.rollouts.tell_portion(shared);
         }
         let view = shared.view();
         let streams = {
             let mut state = shared.rollouts.lock();
-            state.observe(shared, &view, now);
-            state.reclaim(&view);
+            state.observe(&view, now);
+            state.cut(&shared.settings.host, now);
+            state.reclaim(&shared.settings.host, &view, now);
             if now - remedied >= REMEDY_MS {
                 remedied = now;
-                state.remedy(now);
+                state.remedy(&shared.settings.host, now);
             }
             state.dispatch(shared, &view, now)
         };
@@ -76,7 +78,7 @@
         trainer.is_some_and(|trainer| trainer.steps.generation(id) == Some(generation))
     }
 
-    fn observe(&mut self, shared: &Arc<Shared>, view: &View, now: Millis) {
+    fn observe(&mut self, view: &View, now: Millis) {
         for target in &view.targets {
             let slots = view.configuration.services.get(&target.service);
             let Some(slots) = slots.map(|service| service.slots) else {
@@ -87,19 +89,80 @@
                 .entry(target.target.clone())
                 .or_insert_with(|| TargetState {
                     pace_ms: FIRST_PACE_MS,
+                    service: target.service.clone(),
                     share: TrainingShare::new(slots),
                     training: 0,
                 });
-            let in_flight = shared.in_flight(&target.target);
-            known
-                .share
-                .observe(in_flight.saturating_sub(known.training), now);
+            known.service = target.service.clone();
+            let training = known.training + self.portions.elsewhere(&target.target, now);
+            let busy = self.portions.busy(&target.target, now);
+            known.share.observe(busy.saturating_sub(training), now);
         }
     }
 
-    fn room(&self, target: &TargetName) -> u32 {
-        let known = self.targets.get(target);
-        known.map_or(0, |known| known.share.room(known.training))
+    /// Returns how many more training streams this host may start on a target.
+    fn room(&self, own: &HostName, target: &TargetName, now: Millis) -> u32 {
+        let Some(known) = self.targets.get(target) else {
+            return 0;
+        };
+        let allowed = known.share.room(0);
+        let shares = self.shares_of(&known.service);
+        let part = self
+            .portions
+            .part(own, &known.service, shares, allowed, now);
+        let elsewhere = self.portions.elsewhere(target, now);
+        part.saturating_sub(known.training)
+            .min(known.share.room(known.training + elsewhere))
+    }
+
+    /// Adds up the shares of the trainers that want work of a service.
+    fn shares_of(&self, service: &ServiceName) -> u32 {
+        let wanting = self.trainers.values().filter(|trainer| {
+            trainer.rules.service == *service && (!trainer.queue.is_empty() || trainer.runs > 0)
+        });
+        wanting.map(|trainer| trainer.rules.share).sum()
+    }
+
+    /// Returns this host's part of the training, for the other hosts.
+    pub(super) fn portion(&self, own: &HostName) -> Portion {
+        let streams = self.targets.iter().filter(|(_, known)| known.training > 0);
+        let services: BTreeSet<_> = self.targets.values().map(|known| &known.service).collect();
+        let shares = services
+            .into_iter()
+            .map(|service| (service.clone(), self.shares_of(service)))
+            .filter(|(_, shares)| *shares > 0);
+        Portion {
+            host: own.clone(),
+            streams: streams
+                .map(|(target, known)| (target.clone(), known.training))
+                .collect(),
+            shares: shares.collect(),
+        }
+    }
+
+    /// Cuts streams off targets whose headroom for the interactive is eaten; they resume later.
+    fn cut(&mut self, own: &HostName, now: Millis) {
+        let mut cuts = Vec::new();
+        for (target, known) in &self.targets {
+            let all = known.training + self.portions.elsewhere(target, now);
+            let wanted = known.share.cuts(all);
+            if wanted > 0 && known.training > 0 {
+                log::info!(target_name:% = target, host:% = own, wanted; "training is cut");
+                cuts.push((target.clone(), (wanted * known.training).div_ceil(all)));
+            }
+        }
+        for (target, count) in cuts {
+            let mut streams: Vec<_> = self
+                .running
+                .values()
+                .filter(|running| running.target == target)
+                .map(|running| (running.progress().partial.tokens.len(), running))
+                .collect();
+            streams.sort_by_key(|(tokens, _)| *tokens);
+            for (_, running) in streams.into_iter().take(count as usize) {
+                running.progress().move_to = Some(TargetName::default());
+            }
+        }
     }
 
     // -----------------------------------------------------------------------------------------------
@@ -155,7 +218,7 @@
         let service = view.configuration.services.get(&trainer.rules.service)?;
         let job = trainer.queue.front()?;
         let target = self
-            .choose(shared, view, job, &trainer.rules.service)?
+            .choose(shared, view, job, &trainer.rules.service, now)?
             .clone();
         let model = service.model.clone();
         let job = self.trainers.get_mut(name)?.queue.pop_front()?;
@@ -171,6 +234,9 @@
         if let Some(known) = self.targets.get_mut(&target.target) {
             known.training += 1;
         }
+        if let Some(trainer) = self.trainers.get_mut(name) {
+            trainer.runs += 1;
+        }
         let host = shared.settings.host.as_str();
         let running = Arc::new(Running {
             cancelled: AtomicBool::new(false),
@@ -206,13 +272,14 @@
         shared: &Arc<Shared>,
         view: &'a View,
         job: &Job,
-        service: &godwitspool_types::ServiceName,
+        service: &ServiceName,
+        now: Millis,
     ) -> Option<&'a TargetEntry> {
         let targets = view.targets.iter();
         let fitting = targets.filter(|target| {
             target.service == *service
                 && target.state == Platform::Live
-                && self.room(&target.target) > 0
+                && self.room(&shared.settings.host, &target.target, now) > 0
         });
         let id = &job.partial.id;
         let group = format!("{}/{}/{}", id.trainer, id.step, id.group);
@@ -229,14 +296,14 @@
     // Moves
 
     /// Moves or hedges the samples that hold up their step.
-    fn remedy(&mut self, now: Millis) {
+    fn remedy(&mut self, own: &HostName, now: Millis) {
         let mut paces: Vec<_> = self
             .targets
             .iter()
             .map(|(target, known)| TargetPace {
                 target: target.clone(),
                 tokens_per_s: 1_000.0 / known.pace_ms.max(0.1),
-                room: known.share.room(known.training),
+                room: self.room(own, target, now),
             })
             .collect();
         let running: Vec<_> = self.running.values().cloned().collect();
@@ -245,8 +312,8 @@
             if !trainer.queue.is_empty() {
                 continue;
             }
-            let own = running.iter().filter(|running| running.id.trainer == *name);
-            let attempts: Vec<_> = own.filter_map(|running| attempt_of(running)).collect();
+            let streams = running.iter().filter(|running| running.id.trainer == *name);
+            let attempts: Vec<_> = streams.filter_map(|running| attempt_of(running)).collect();
             let remedies = trainer
                 .stragglers
                 .decide(&attempts, &mut paces, Millis::ZERO, now);
@@ -282,7 +349,7 @@
     }
 
     /// Moves the samples off targets that are reclaimed within seconds.
-    fn reclaim(&mut self, view: &View) {
+    fn reclaim(&mut self, own: &HostName, view: &View, now: Millis) {
         let going = |target: &TargetName| {
             let known = view.targets.iter().find(|entry| entry.target == *target);
             known.is_some_and(|entry| entry.state == Platform::Reclaimed)
@@ -301,14 +368,14 @@
             .iter()
             .filter(|entry| entry.state == Platform::Live);
         let budget = ReclaimBudget {
-            room: live.map(|entry| self.room(&entry.target)).sum(),
+            room: live.map(|entry| self.room(own, &entry.target, now)).sum(),
             ..ReclaimBudget::default()
         };
         let reclaimed = streams.iter().map(|running| self.reclaimed(running));
         for (id, chosen) in plan_reclaim(reclaimed.collect(), &budget) {
-            let own = streams.iter().find(|running| running.id == id);
+            let stream = streams.iter().find(|running| running.id == id);
             // Each move keeps the tokens; only what ends in time stays.
-            if let Some(running) = own.filter(|_| chosen != ReclaimMove::Finish) {
+            if let Some(running) = stream.filter(|_| chosen != ReclaimMove::Finish) {
                 running.progress().move_to = Some(TargetName::default());
             }
         }
--- a/crates/godwitspool-entry/src/rollout/mod.rs
+++ b/crates/godwitspool-entry/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod journal;
 mod outbox;
 pub(crate) mod peers;
+mod portions;
 pub(crate) mod ranking;
 pub(crate) mod rollouts;
 mod scores;
--- a/crates/godwitspool-entry/src/rollout/peers.rs
+++ b/crates/godwitspool-entry/src/rollout/peers.rs
@@ -14,6 +14,10 @@
             let answer = shared.rollouts.ask_here(shared, &trainer, request);
             RolloutAnswer::Answer(Box::new(answer))
         }
+        RolloutRequest::Portion(portion) => {
+            shared.rollouts.learn_portion(portion);
+            RolloutAnswer::Taken
+        }
         RolloutRequest::Tell {
             from,
             trainer,
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -12,7 +12,9 @@
 
 use godwitspool_connection::{
     engine::KvHandle,
-    messages::{EntryAnswer, EntryRequest, RolloutAnswer, RolloutRequest, View},
+    messages::{
+        EntryAnswer, EntryRequest, Portion, RolloutAnswer, RolloutRequest, TargetLoad, View,
+    },
 };
 use godwitspool_process::Clock;
 use godwitspool_request::TrainingShare;
@@ -20,10 +22,10 @@
     Answer, GroupSpec, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction, StepEvent,
     StepRules, StragglerRules, Stragglers, TrainerSteps,
 };
-use godwitspool_types::{HostName, Millis, TargetName, TrainerName, WeightVersion};
+use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName, WeightVersion};
 use godwitspool_version::TrainerRules;
 
-use super::{journal::Journal, outbox::Outbox, ranking};
+use super::{journal::Journal, outbox::Outbox, portions::Portions, ranking};
 use crate::process::shared::Shared;
 
 /// Time without a token after which a sample is hedged.
@@ -44,6 +46,7 @@
 #[derive(Debug, Default)]
 pub(super) struct State {
     pub(super) journal: Journal,
+    pub(super) portions: Portions,
     replies: HashMap<u64, Sender<Answer>>,
     reply: u64,
     pub(super) attempt: u64,
@@ -62,6 +65,8 @@
     ranked: Vec<HostName>,
     version: Option<WeightVersion>,
     pub(super) rules: TrainerRules,
+    /// Streams that run.
+    pub(super) runs: u32,
     pub(super) since: Millis,
     pub(super) steps: TrainerSteps,
     pub(super) stragglers: Stragglers,
@@ -72,6 +77,7 @@
 pub(super) struct TargetState {
     /// Milliseconds that a token takes on it, smoothed.
     pub(super) pace_ms: f64,
+    pub(super) service: ServiceName,
     pub(super) share: TrainingShare,
     pub(super) training: u32,
 }
@@ -213,6 +219,66 @@
         state.trainers.retain(|name, _| known.contains_key(name));
     }
 
+    /// Takes in how busy engines are.
+    pub(crate) fn report(&self, loads: &[TargetLoad]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for load in loads {
+            state.portions.report(&load.target, load.busy, now);
+        }
+    }
+
+    /// Takes in another host's part of the training.
+    pub(crate) fn learn_portion(&self, portion: Portion) {
+        let now = self.clock.now();
+        self.lock().portions.learn(portion, now);
+    }
+
+    /// Tells the other hosts of this one's part of the training.
+    pub(super) fn tell_portion(&self, shared: &Arc<Shared>) {
+        let own = &shared.settings.host;
+        let portion = self.lock().portion(own);
+        let view = shared.view();
+        let others = view.members.iter().filter(|member| member.host != *own);
+        for member in others {
+            let message = RolloutRequest::Portion(portion.clone());
+            self.outbox.send(shared, &member.host, message);
+        }
+    }
+
+    /// Returns what happened to a sample on this host, for operators.
+    pub(crate) fn explained(&self, id: &SampleId) -> Option<serde_json::Value> {
+        let state = self.lock();
+        let events = state.journal.explain(id);
+        let trainer = state.trainers.get(&id.trainer)?;
+        let sample = trainer.steps.image().sample(id);
+        let waits = trainer.queue.iter().any(|job| job.partial.id == *id);
+        let is_known = sample.is_some() || waits || !events.is_empty();
+        is_known.then(|| {
+            serde_json::json!({
+                "events": events,
+                "sample": id.to_string(),
+                "spans": sample.map(|sample| &sample.spans),
+                "waits": waits,
+                "whole": sample.is_some(),
+            })
+        })
+    }
+
+    /// Returns the steps and streams on this host, for operators.
+    pub(crate) fn status(&self) -> serde_json::Value {
+        let state = self.lock();
+        let trainers = state.trainers.iter().map(|(name, trainer)| {
+            let running = state.running.values();
+            let running = running
+                .filter(|running| running.id.trainer == *name)
+                .count();
+            let status = trainer.status(running);
+            (name.to_string(), status)
+        });
+        serde_json::Value::Object(trainers.collect())
+    }
+
     /// Lists what happened to a sample on this host.
     pub(crate) fn explain(&self, id: &SampleId) -> Vec<String> {
         self.lock().journal.explain(id)
@@ -235,6 +301,7 @@
                 ranked: Vec::new(),
                 version: None,
                 rules: rules.clone(),
+                runs: 0,
                 since: now,
                 steps: TrainerSteps::new(name.clone(), host, StepRules::default()),
                 stragglers: Stragglers::new(StragglerRules {
@@ -318,6 +385,31 @@
 }
 
 impl Trainer {
+    fn status(&self, running: usize) -> serde_json::Value {
+        let image = self.steps.image();
+        let steps: Vec<_> = image
+            .progress()
+            .map(|(step, progress)| serde_json::json!({ "step": step, "progress": progress }))
+            .collect();
+        let counts = self.steps.counts();
+        serde_json::json!({
+            "acknowledged": counts.acknowledged,
+            "bytes": image.bytes(),
+            "dropped": counts.dropped,
+            "extra_work": self.stragglers.extra_work(),
+            "frozen": counts.frozen,
+            "home": self.steps.is_home(),
+            "queued": self.queue.len(),
+            "refused": counts.refused,
+            "remade": counts.remade,
+            "replica": self.steps.is_replica(),
+            "running": running,
+            "steps": steps,
+            "takeovers": counts.takeovers,
+            "tenure": self.steps.epoch().to_string(),
+        })
+    }
+
     /// Tells the steps of the hosts and of the version in the view.
     fn introduce(
         &mut self,
--- a/crates/godwitspool-entry/src/rollout/stream.rs
+++ b/crates/godwitspool-entry/src/rollout/stream.rs
@@ -152,6 +152,9 @@
                 known.pace_ms += PACE_SMOOTHING * (pace - known.pace_ms);
             }
         }
+        if let Some(trainer) = state.trainers.get_mut(&self.running.id.trainer) {
+            trainer.runs = trainer.runs.saturating_sub(1);
+        }
         drop(self.guard);
         let event = match &end {
             End::Broken(cause) => SampleEvent::Broken(target.clone(), cause.clone(), made),
--- a/crates/godwitspool-rollout/src/lib.rs
+++ b/crates/godwitspool-rollout/src/lib.rs
@@ -38,7 +38,9 @@
 pub use lengths::Lengths;
 pub use placement::rank_hosts;
 pub use reclaim::{ReclaimBudget, ReclaimMove, ReclaimPlan, ReclaimedStream, plan_reclaim};
-pub use sample::{GroupSpec, Message, Sample, SampleFinish, SampleId, Score, Span, StepNumber};
+pub use sample::{
+    GroupSpec, Message, Sample, SampleFinish, SampleId, SampleIdError, Score, Span, StepNumber,
+};
 pub use scoring::{ScoreAction, ScoreEvent, Scoring, ScoringRules};
 pub use share::{ShareRules, Shares};
 pub use step::{
--- a/crates/godwitspool-rollout/src/sample.rs
+++ b/crates/godwitspool-rollout/src/sample.rs
@@ -1,9 +1,10 @@
 //! Samples: what a trainer gets for one prompt.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, str::FromStr, sync::Arc};
 
 use godwitspool_types::{TrainerName, WeightVersion};
 use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, Snafu};
 
 use crate::Tokens;
 
@@ -27,6 +28,7 @@
 ///
 /// let id = SampleId { trainer: "t".into(), step: StepNumber(3), group: 1, index: 2 };
 /// assert_eq!(id.to_string(), "t/3/1/2");
+/// assert_eq!("t/3/1/2".parse(), Ok(id));
 /// ```
 #[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SampleId {
@@ -50,6 +52,33 @@
     }
 }
 
+/// A text that names no sample.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("\"{text}\" is no TRAINER/STEP/GROUP/INDEX"))]
+pub struct SampleIdError {
+    text: String,
+}
+
+impl FromStr for SampleId {
+    type Err = SampleIdError;
+
+    /// Reads `TRAINER/STEP/GROUP/INDEX`; a trainer's name may contain slashes.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let read = || {
+            let mut parts = text.rsplitn(4, '/');
+            let (index, group) = (parts.next()?, parts.next()?);
+            let (step, trainer) = (parts.next()?, parts.next()?);
+            Some(Self {
+                trainer: trainer.into(),
+                step: StepNumber(step.parse().ok()?),
+                group: group.parse().ok()?,
+                index: index.parse().ok()?,
+            })
+        };
+        read().context(SampleIdSnafu { text })
+    }
+}
+
 /// A message of a prompt.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Message {
