--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -14,7 +14,7 @@
 use godwitspool_request::TargetId;
 use godwitspool_types::TargetName;
 
-use crate::{connection::peers::Links, process::serving::Serving};
+use crate::{connection::peers::Links, process::serving::Serving, rollout::rollouts::Rollouts};
 
 /// State that the daemon's threads share.
 #[derive(Debug)]
@@ -25,6 +25,7 @@
     in_flight: Mutex<HashMap<TargetName, u32>>,
     in_progress: AtomicUsize,
     pub(crate) links: Links,
+    pub(crate) rollouts: Rollouts,
     pub(crate) serving: Serving,
     pub(crate) settings: EntrySettings,
     stopped: AtomicBool,
@@ -41,6 +42,7 @@
             in_flight: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             links: Links::default(),
+            rollouts: Rollouts::new(),
             settings,
             stopped: AtomicBool::new(false),
             view: RwLock::default(),
