--- a/crates/godwitspool-connection/src/http.rs
+++ b/crates/godwitspool-connection/src/http.rs
@@ -5,10 +5,14 @@
 use godwitspool_types::{Millis, Offset, Ran};
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
-use ureq::{Agent, Body, http::Response};
+use ureq::{Agent, Body, SendBody, http::Response};
 
-use crate::platform::{
-    AppendRequest, Appended, HostList, LogPage, OrderAnswer, TargetList, TargetOrder, UsageReport,
+use crate::{
+    checked_body::CheckedBody,
+    platform::{
+        AppendRequest, Appended, HostList, LogPage, OrderAnswer, TargetList, TargetOrder,
+        UsageReport,
+    },
 };
 
 const ANSWER_BYTES: u64 = 64 << 20;
@@ -35,6 +39,12 @@
         /// Body of the answer, cut.
         reason: String,
     },
+    /// The check before the last byte failed, so the call was never sent whole; nothing was done.
+    #[snafu(display("{call}: withheld, the right to send it ended"))]
+    Withheld {
+        /// The call.
+        call: &'static str,
+    },
     /// The call was sent and its answer lost; it may have taken effect.
     #[snafu(display("{call}: fate unknown: {reason}"))]
     Unknown {
@@ -57,7 +67,7 @@
     /// ```
     pub fn ran(&self) -> Ran {
         match self {
-            Self::Outage { .. } | Self::Refused { .. } => Ran::NotRun,
+            Self::Outage { .. } | Self::Refused { .. } | Self::Withheld { .. } => Ran::NotRun,
             Self::Unknown { .. } => Ran::Unknown,
         }
     }
@@ -83,10 +93,19 @@
     fn hosts(&self) -> Result<HostList, PlatformError>;
     /// Returns the lagging list of targets.
     fn targets(&self) -> Result<TargetList, PlatformError>;
-    /// Orders targets of a data centre.
-    fn order(&self, order: &TargetOrder) -> Result<OrderAnswer, PlatformError>;
-    /// Reports usage; returns once it is stored.
-    fn report(&self, report: &UsageReport) -> Result<(), PlatformError>;
+    /// Orders targets of a data centre, if the check passes before the order's last byte is sent.
+    fn order(
+        &self,
+        order: &TargetOrder,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<OrderAnswer, PlatformError>;
+    /// Reports usage, if the check passes before the report's last byte is sent; returns once it is
+    /// stored.
+    fn report(
+        &self,
+        report: &UsageReport,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<(), PlatformError>;
 }
 
 /// Bounds of a [`Platform`].
@@ -164,6 +183,29 @@
     }
 }
 
+impl Platform {
+    fn post_checked(
+        &self,
+        call: &'static str,
+        path: &str,
+        body: &impl Serialize,
+        accepted: &[u16],
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<Response<Body>, PlatformError> {
+        let mut body = CheckedBody::new(body, may_send);
+        let sent = self
+            .agent
+            .post(format!("{}{path}", self.base))
+            .content_type("application/json")
+            .header("content-length", body.len())
+            .send(SendBody::from_reader(&mut body));
+        if body.is_refused() {
+            return Err(PlatformError::Withheld { call });
+        }
+        accept(call, sent, accepted)
+    }
+}
+
 impl PlatformApi for Platform {
     fn append(&self, records: &[String]) -> Result<Appended, PlatformError> {
         let body = AppendRequest {
@@ -185,14 +227,23 @@
         self.get("targets", "/targets")
     }
 
-    fn order(&self, order: &TargetOrder) -> Result<OrderAnswer, PlatformError> {
+    fn order(
+        &self,
+        order: &TargetOrder,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<OrderAnswer, PlatformError> {
         // The refusals of the protocol are answers: fenced and none available.
-        let mut answer = self.post("order", "/orders", order, &[409])?;
+        let mut answer = self.post_checked("order", "/orders", order, &[409], may_send)?;
         parse("order", &mut answer)
     }
 
-    fn report(&self, report: &UsageReport) -> Result<(), PlatformError> {
-        self.post("report", "/usage", report, &[]).map(drop)
+    fn report(
+        &self,
+        report: &UsageReport,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<(), PlatformError> {
+        self.post_checked("report", "/usage", report, &[], may_send)
+            .map(drop)
     }
 }
 
--- a/crates/godwitspool-connection/src/lib.rs
+++ b/crates/godwitspool-connection/src/lib.rs
@@ -5,6 +5,7 @@
 //! own processes speak postcard over TCP and UDP.
 
 mod call_error;
+mod checked_body;
 pub mod engine;
 pub mod http;
 mod lane;
--- a/crates/godwitspool-connection/src/messages.rs
+++ b/crates/godwitspool-connection/src/messages.rs
@@ -20,6 +20,8 @@
 /// Asks a steward.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum StewardRequest {
+    /// Asks for the usage records that the steward holds.
+    HeldUsage,
     /// Takes usage records of an entry; answered once they are held.
     HoldUsage(Vec<UsageRecord>),
     /// Asks for the fold's snapshot.
@@ -57,6 +59,8 @@
         /// Oldest offset that the steward still has.
         retained: Offset,
     },
+    /// The usage records that are held.
+    Usage(Vec<UsageRecord>),
     /// The view.
     View(Box<View>),
 }
--- a/crates/godwitspool-process/src/log_reader/source.rs
+++ b/crates/godwitspool-process/src/log_reader/source.rs
@@ -94,7 +94,7 @@
                 age: Millis(age_ms),
             },
             StewardAnswer::NotReady => Answer::Failed(format!("{address} is not ready")),
-            StewardAnswer::Done | StewardAnswer::View(_) => {
+            StewardAnswer::Done | StewardAnswer::Usage(_) | StewardAnswer::View(_) => {
                 Answer::Failed(format!("{address} gave an answer to another question"))
             }
         }
--- a/crates/godwitspool-process/tests/log_reader.rs
+++ b/crates/godwitspool-process/tests/log_reader.rs
@@ -60,11 +60,19 @@
     fn targets(&self) -> Result<TargetList, PlatformError> {
         self.inner.targets()
     }
-    fn order(&self, order: &TargetOrder) -> Result<OrderAnswer, PlatformError> {
-        self.inner.order(order)
+    fn order(
+        &self,
+        order: &TargetOrder,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<OrderAnswer, PlatformError> {
+        self.inner.order(order, may_send)
     }
-    fn report(&self, report: &UsageReport) -> Result<(), PlatformError> {
-        self.inner.report(report)
+    fn report(
+        &self,
+        report: &UsageReport,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<(), PlatformError> {
+        self.inner.report(report, may_send)
     }
 }
 
--- a/crates/godwitspool-steward/src/connection/answers.rs
+++ b/crates/godwitspool-steward/src/connection/answers.rs
@@ -3,20 +3,35 @@
 use std::{sync::Arc, time::Duration};
 
 use godwitspool_connection::messages::{StewardAnswer, StewardRequest};
+use godwitspool_types::Millis;
 
-use crate::version::board::Board;
+use crate::{
+    process::shared::Shared,
+    version::{orders, usage},
+};
 
 /// Longest time that a view request waits for a change.
 const VIEW_WAIT: Duration = Duration::from_secs(1);
+/// Longest time that a request for the log's records waits for one.
+const TAIL_WAIT: Millis = Millis(1_000);
 
 /// Answers one request.
-pub(crate) fn answer(board: &Arc<Board>, request: &StewardRequest) -> StewardAnswer {
+pub(crate) fn answer(shared: &Arc<Shared>, request: StewardRequest) -> StewardAnswer {
     match request {
-        StewardRequest::View(known) => match board.wait(*known, VIEW_WAIT) {
+        StewardRequest::View(known) => match shared.board.wait(known, VIEW_WAIT) {
             Some(view) => StewardAnswer::View(Box::new(view)),
             None => StewardAnswer::NotReady,
         },
-        StewardRequest::Demand(_) | StewardRequest::HoldUsage(_) => StewardAnswer::Done,
-        StewardRequest::Snapshot | StewardRequest::Tail(_) => StewardAnswer::NotReady,
+        StewardRequest::Demand(demand) => {
+            orders::hear(shared, demand);
+            StewardAnswer::Done
+        }
+        StewardRequest::HeldUsage => StewardAnswer::Usage(usage::held(shared)),
+        StewardRequest::HoldUsage(records) => {
+            usage::hold(shared, records);
+            StewardAnswer::Done
+        }
+        StewardRequest::Snapshot => shared.reader.snapshot(),
+        StewardRequest::Tail(from) => shared.reader.tail(from, TAIL_WAIT),
     }
 }
--- a/crates/godwitspool-steward/src/main.rs
+++ b/crates/godwitspool-steward/src/main.rs
@@ -58,5 +58,6 @@
     log::info!(address:% = steward.address(); "steward serves");
     termination.wait();
     log::info!("steward ends");
+    steward.stop();
     Ok(())
 }
--- a/crates/godwitspool-steward/src/process/mod.rs
+++ b/crates/godwitspool-steward/src/process/mod.rs
@@ -1,3 +1,6 @@
 //! What lives for the process.
 
+mod operators;
+mod outbox;
+pub(crate) mod shared;
 pub(crate) mod steward;
--- /dev/null
+++ b/crates/godwitspool-steward/src/process/shared.rs
@@ -0,0 +1,151 @@
+//! What the steward's threads share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use godwitspool_connection::{
+    http::Platform,
+    messages::{Demand, StewardAnswer, StewardRequest},
+    peer::{Link, LinkBounds, LinkError},
+};
+use godwitspool_process::{
+    Clock, Metrics, Reasons, StewardSettings, log_reader::LogReader, membership::Gossip,
+};
+use godwitspool_types::{HostName, Millis, Offset};
+use godwitspool_version::{HeldUsage, Record, RecordBody};
+
+use crate::{
+    process::outbox::Outbox,
+    version::{board::Board, leases::Leases},
+};
+
+const PEER_ANSWER: Millis = Millis(500);
+const MAX_LINKS: usize = 64;
+
+/// What the steward's threads share.
+pub(crate) struct Shared {
+    pub(crate) board: Board,
+    pub(crate) clock: Clock,
+    pub(crate) counts: Counts,
+    pub(crate) demands: Mutex<HashMap<HostName, Heard>>,
+    pub(crate) gossip: Arc<Gossip>,
+    pub(crate) leases: Leases,
+    links: Mutex<HashMap<SocketAddr, Arc<PeerLink>>>,
+    pub(crate) outbox: Outbox,
+    pub(crate) platform: Platform,
+    pub(crate) reader: LogReader,
+    pub(crate) retained: Mutex<Offset>,
+    pub(crate) settings: StewardSettings,
+    pub(crate) usage: Mutex<HeldUsage>,
+}
+
+type PeerLink = Link<StewardRequest, StewardAnswer>;
+
+/// An entry's demand and when it came.
+#[derive(Clone, Debug)]
+pub(crate) struct Heard {
+    pub(crate) at: Millis,
+    pub(crate) demand: Demand,
+}
+
+/// Counters by reason.
+#[derive(Debug)]
+pub(crate) struct Counts {
+    /// Appends that failed.
+    pub(crate) append_errors: Reasons,
+    /// Records appended, by stream.
+    pub(crate) appends: Reasons,
+    /// Terms begun and ended on this host.
+    pub(crate) lease_steps: Reasons,
+    /// Target orders, by how they ended.
+    pub(crate) orders: Reasons,
+    /// Usage reports, by how they ended.
+    pub(crate) reports: Reasons,
+    /// Usage records, by what became of them.
+    pub(crate) usage: Reasons,
+}
+
+impl Counts {
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            append_errors: metrics.reasons("append_errors", "Appends that failed, by reason"),
+            appends: metrics.reasons("appends", "Records appended to the log, by stream"),
+            lease_steps: metrics.reasons("lease_steps", "Terms begun and ended on this host"),
+            orders: metrics.reasons("orders", "Target orders, by how they ended"),
+            reports: metrics.reasons("usage_reports", "Usage reports, by how they ended"),
+            usage: metrics.reasons("usage_records", "Usage records, by what became of them"),
+        }
+    }
+}
+
+/// What `Shared` is made of, beside what starts empty.
+pub(crate) struct Parts<'a> {
+    pub(crate) clock: Clock,
+    pub(crate) gossip: Arc<Gossip>,
+    pub(crate) leases: Leases,
+    pub(crate) metrics: &'a Metrics,
+    pub(crate) platform: Platform,
+    pub(crate) reader: LogReader,
+    pub(crate) settings: StewardSettings,
+}
+
+impl Shared {
+    pub(crate) fn new(parts: Parts<'_>) -> Self {
+        Self {
+            board: Board::default(),
+            clock: parts.clock,
+            counts: Counts::new(parts.metrics),
+            demands: Mutex::default(),
+            gossip: parts.gossip,
+            leases: parts.leases,
+            links: Mutex::default(),
+            outbox: Outbox::default(),
+            platform: parts.platform,
+            reader: parts.reader,
+            retained: Mutex::default(),
+            settings: parts.settings,
+            usage: Mutex::default(),
+        }
+    }
+
+    /// Queues a record for the log.
+    pub(crate) fn append(&self, body: RecordBody) {
+        self.append_record(Record::new(body));
+    }
+
+    /// Queues a record for the log under the identity that it has.
+    pub(crate) fn append_record(&self, record: Record) {
+        if !self.outbox.offer(record) {
+            self.counts.append_errors.count("queue-full");
+        }
+    }
+
+    /// Asks another steward.
+    pub(crate) fn ask(
+        &self,
+        address: SocketAddr,
+        request: &StewardRequest,
+    ) -> Result<StewardAnswer, LinkError> {
+        self.link(address).call(request)
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<PeerLink> {
+        let mut links = lock(&self.links);
+        if links.len() >= MAX_LINKS && !links.contains_key(&address) {
+            links.clear();
+        }
+        let bounds = LinkBounds::default().with_answer(PEER_ANSWER);
+        let link = links
+            .entry(address)
+            .or_insert_with(|| Arc::new(Link::new(address, bounds)));
+        Arc::clone(link)
+    }
+}
+
+/// Locks; what a panicked thread left is used as it is.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/godwitspool-version/src/fold.rs
+++ b/crates/godwitspool-version/src/fold.rs
@@ -10,8 +10,8 @@
 use snafu::Snafu;
 
 use crate::{
-    Configuration, KeyRule, Lease, LeaseKind, OrderBook, Publish, Record, RecordBody, RecordId,
-    WeightsTarget, WindowBook,
+    Configuration, KeyRule, Lease, LeaseKind, LeaseRecord, OrderBook, Publish, Record, RecordBody,
+    RecordId, WeightsTarget, WindowBook,
 };
 
 const MAX_OUTCOMES: usize = 1_024;
@@ -94,7 +94,12 @@
     /// A key is withdrawn.
     KeyWithdrawn(KeyDigest),
     /// A lease was claimed, renewed or released.
-    Lease(LeaseKind),
+    Lease {
+        /// The lease record's identity.
+        id: RecordId,
+        /// What it says.
+        record: LeaseRecord,
+    },
     /// An order was begun or ended.
     Order,
     /// A window was sealed by a data centre, frozen or reported.
@@ -187,7 +192,11 @@
                     .entry(step.lease)
                     .or_default()
                     .apply(offset, step);
-                counted_as(counted, Change::Lease(step.lease))
+                let change = Change::Lease {
+                    id: record.id,
+                    record: step.clone(),
+                };
+                counted_as(counted, change)
             }
             RecordBody::OrderIntent(intent) => {
                 let holder = self.lease(LeaseKind::Orders).term();
--- a/crates/godwitspool-version/tests/usage.rs
+++ b/crates/godwitspool-version/tests/usage.rs
@@ -325,3 +325,20 @@
     ]);
     assert_eq!(fold.windows().last_frozen, Some(4));
 }
+
+#[test]
+fn a_frozen_window_takes_no_further_seal() {
+    let frozen = RecordBody::WindowFrozen(WindowFrozen {
+        figures: vec![UsageFigures {
+            workspace: "w".into(),
+            requests: 4,
+            ..UsageFigures::default()
+        }],
+        missing: vec!["d1".into()],
+        term: Term(0),
+        window: 5,
+    });
+    let fold = fold([seal(5, "d0", 1, 4), frozen, seal(5, "d1", 5, 8)]);
+    assert!(!fold.windows().is_sealed(5, &"d1".into()));
+    assert!(!fold.windows().coverage.contains(&life(0), 5));
+}
