--- a/crates/godwitspool-entry/src/process/entry.rs
+++ b/crates/godwitspool-entry/src/process/entry.rs
@@ -21,6 +21,7 @@
     },
     process::{operators, shared::Shared, upkeep},
     request::keyed,
+    rollout::dispatch,
     version::feed,
 };
 
@@ -40,6 +41,7 @@
     operators: OperatorHttp,
     peer: SocketAddr,
     peers: Option<Server>,
+    rollouts: Option<JoinHandle<()>>,
     shared: Arc<Shared>,
     upkeep: Vec<JoinHandle<()>>,
 }
@@ -57,6 +59,10 @@
             let shared = Arc::clone(&shared);
             move || feed::follow(&shared)
         })?;
+        let rollouts = thread::Builder::new().name("rollouts".to_owned()).spawn({
+            let shared = Arc::clone(&shared);
+            move || dispatch::run(&shared)
+        })?;
         let operators = operators::serve(&shared)?;
         let upkeep = upkeep::start(&shared)?;
         let callers = callers::listen(listener, Arc::clone(&shared))?;
@@ -68,6 +74,7 @@
             operators,
             peer: peers.address(),
             peers: Some(peers),
+            rollouts: Some(rollouts),
             shared,
             upkeep,
         })
@@ -128,12 +135,10 @@
         if let Some(peers) = self.peers.take() {
             peers.stop();
         }
-        for thread in self.upkeep.drain(..) {
+        let own = [self.feed.take(), self.rollouts.take()];
+        for thread in self.upkeep.drain(..).chain(own.into_iter().flatten()) {
+            // A panicked thread has nothing left to stop.
             drop(thread.join());
         }
-        if let Some(feed) = self.feed.take() {
-            // A panicked feed has nothing left to stop.
-            drop(feed.join());
-        }
     }
 }
--- a/crates/godwitspool-rollout/src/step/role.rs
+++ b/crates/godwitspool-rollout/src/step/role.rs
@@ -2,7 +2,9 @@
 
 use godwitspool_types::{HostName, Millis};
 
-use super::{Answer, Epoch, Home, PeerMessage, Refusal, Replica, Role, StepAction, TrainerSteps};
+use super::{
+    Answer, Epoch, Home, PeerMessage, Record, Refusal, Replica, Role, StepAction, TrainerSteps,
+};
 use crate::SampleId;
 
 impl TrainerSteps {
@@ -15,7 +17,10 @@
         self.ranked = ranked;
         match &self.role {
             Role::Home(_) => self.choose_replica(now, actions),
-            Role::Idle { .. } => self.probe(now, actions),
+            Role::Idle { .. } => {
+                self.role = Role::Idle { silent: None };
+                self.probe(now, actions);
+            }
             Role::Replica { .. } => {
                 if !self.ranked.contains(&self.epoch.host) {
                     self.become_home(now, actions);
@@ -42,6 +47,9 @@
             *silent = None;
             return;
         }
+        if silent.is_some() {
+            return;
+        }
         let others = self.ranked.iter().filter(|host| **host != self.host);
         *silent = Some(others.cloned().collect());
         for to in silent.iter().flatten() {
@@ -54,19 +62,26 @@
     pub(super) fn probed(
         &mut self,
         from: &HostName,
-        holds: bool,
+        holds: Option<Epoch>,
         now: Millis,
         actions: &mut Vec<StepAction>,
-    ) {
-        if let Role::Idle { silent } = &mut self.role {
-            if holds {
-                // The holder hands over once it sees this host rank first.
-                *silent = None;
-            } else if let Some(silent) = silent {
-                silent.retain(|host| host != from);
+    ) -> Option<PeerMessage> {
+        let Role::Idle { silent } = &mut self.role else {
+            return None;
+        };
+        match holds {
+            // This host was home under the same name and has been replaced.
+            Some(epoch) if epoch.host == self.host => return Some(PeerMessage::Lost(epoch)),
+            // The holder hands over once it sees this host rank first.
+            Some(_) => *silent = None,
+            None => {
+                if let Some(silent) = silent {
+                    silent.retain(|host| host != from);
+                }
+                self.become_home_if_unheld(now, actions);
             }
         }
-        self.become_home_if_unheld(now, actions);
+        None
     }
 
     fn become_home_if_unheld(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
@@ -81,6 +96,19 @@
             host: self.host.clone(),
         };
         self.counts.takeovers += 1;
+        if let Role::Replica {
+            sequence,
+            shadow,
+            whole,
+        } = &mut self.role
+            && *sequence < *whole
+            && let Some(shadow) = shadow.take()
+        {
+            self.image = *shadow;
+        }
+        if let Some(image) = self.unmerged.take() {
+            self.image.apply(&Record::Merged(image));
+        }
         self.image.catch_up(&self.known);
         self.role = Role::Home(Home::default());
         let replica = self.ranked.iter().find(|host| **host != self.host).cloned();
@@ -149,11 +177,19 @@
         let role = std::mem::replace(&mut self.role, Role::Idle { silent: None });
         let image = std::mem::take(&mut self.image);
         if let Role::Home(home) = role {
-            let successor = home.replica.as_ref().map(|replica| &replica.host);
-            if successor != Some(&epoch.host) {
-                let message = PeerMessage::Merge(Box::new(image.without_samples()));
-                let to = epoch.host.clone();
-                actions.push(StepAction::Send { to, message });
+            let successor = home
+                .replica
+                .as_ref()
+                .filter(|replica| replica.held.is_some());
+            if successor.is_some_and(|replica| replica.host == epoch.host) {
+                // The successor answers nothing before this host holds its state.
+                self.role = Role::Replica {
+                    sequence: 0,
+                    shadow: Some(Box::new(image)),
+                    whole: u64::MAX,
+                };
+            } else {
+                self.unmerged = Some(Box::new(image.without_samples()));
             }
             for pending in home.pending {
                 let answer = Answer::Refused(Refusal::Moving(Some(epoch.host.clone())));
