--- a/crates/godwitspool-connection/src/messages.rs
+++ b/crates/godwitspool-connection/src/messages.rs
@@ -11,7 +11,7 @@
 
 use crate::platform::{LogRecord, TargetEntry};
 
-pub use rollout::{RolloutAnswer, RolloutRequest};
+pub use rollout::{Portion, RolloutAnswer, RolloutRequest};
 pub use serving::{
     ClaimReply, KeyFate, KeyItem, KeyName, LimitPart, ServingAnswer, ServingRequest, SuspectRecord,
     TargetLoad, TrialReply,
@@ -20,6 +20,8 @@
 /// Asks a steward.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum StewardRequest {
+    /// Asks for the usage records that the steward holds.
+    HeldUsage,
     /// Takes usage records of an entry; answered once they are held.
     HoldUsage(Vec<UsageRecord>),
     /// Asks for the fold's snapshot.
@@ -57,6 +59,8 @@
         /// Oldest offset that the steward still has.
         retained: Offset,
     },
+    /// The usage records that are held.
+    Usage(Vec<UsageRecord>),
     /// The view.
     View(Box<View>),
 }
