--- a/crates/godwitspool-demo/src/caller.rs
+++ b/crates/godwitspool-demo/src/caller.rs
@@ -125,8 +125,10 @@
         let start = Instant::now();
         let mut last = None;
         for _ in 0..TRIES {
-            let (key, valid) = self.key();
-            match self.attempt(service, Some(&key), ask_text(&mut rand::rng())) {
+            let (key, _) = self.key();
+            let ended = self.attempt(service, Some(&key), ask_text(&mut rand::rng()));
+            let valid = self.is_current(&key);
+            match ended {
                 Ended::Whole => {
                     let mut tally = lock(&self.session.tally);
                     tally.ok_ms.push(start.elapsed().as_millis() as u64);
@@ -167,6 +169,11 @@
         }
     }
 
+    /// Returns whether a key is not about to be withdrawn or withdrawn.
+    fn is_current(&self, key: &Key) -> bool {
+        lock(&self.session.keys).current.digest() == key.digest()
+    }
+
     /// Sends one request, checks the answer and records both.
     fn attempt(&self, service: &Named, key: Option<&Key>, text: String) -> Ended {
         let asked = asked(service, text);
