--- a/crates/godwitspool-demo/src/run.rs
+++ b/crates/godwitspool-demo/src/run.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_history::{Bounds, Event, History, Recorder, Violation, check};
+use godwitspool_history::{Bounds, Event, History, Promise, Recorder, Violation, check};
 use godwitspool_types::Workspace;
 
 use crate::{
@@ -34,6 +34,8 @@
 const INTRUDE_EVERY: Duration = Duration::from_millis(250);
 const USAGE_BOUND: Duration = Duration::from_secs(10);
 const POLL: Duration = Duration::from_millis(50);
+/// Broken promises of one kind that are shown with their lines.
+const SHOWN_VIOLATIONS: usize = 3;
 /// Most callers of one workspace.
 const MOST_CALLERS: u32 = 6;
 
@@ -51,8 +53,13 @@
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         Table(&self.figures).fmt(f)?;
+        let mut shown = BTreeMap::<Promise, usize>::new();
         for violation in &self.violations {
-            write!(f, "\n{violation}\n")?;
+            let shown = shown.entry(violation.promise).or_default();
+            *shown += 1;
+            if *shown <= SHOWN_VIOLATIONS {
+                write!(f, "\n{violation}\n")?;
+            }
         }
         Ok(())
     }
--- a/crates/godwitspool-history/src/check/samples.rs
+++ b/crates/godwitspool-history/src/check/samples.rs
@@ -142,7 +142,6 @@
 pub(crate) fn once(history: &History) -> Vec<Violation> {
     let mut submitted = BTreeMap::new();
     let mut got = BTreeMap::<&SampleName, Vec<Got<'_>>>::new();
-    let mut violations = Vec::new();
     for line in history.lines() {
         match &line.event {
             Event::Submitted {
@@ -164,18 +163,21 @@
                     work: *work,
                 });
             }
-            Event::Fetched {
-                fetch,
-                step,
-                trainer,
-            } => {
-                let step = (trainer, *step);
-                violations.extend(missing(line, submitted.get(&step), step, *fetch, &got));
-            }
             _ => {}
         }
     }
-    violations.extend(repeated(&got));
+    let mut violations = repeated(&got);
+    for line in history.lines() {
+        if let Event::Fetched {
+            fetch,
+            step,
+            trainer,
+        } = &line.event
+        {
+            let step = (trainer, *step);
+            violations.extend(missing(line, submitted.get(&step), step, *fetch, &got));
+        }
+    }
     violations
 }
 
--- a/crates/godwitspool-history/tests/samples.rs
+++ b/crates/godwitspool-history/tests/samples.rs
@@ -103,6 +103,17 @@
     assert_eq!(broken(events), expected);
 }
 
+#[test]
+fn samples_count_that_are_recorded_after_the_batch() {
+    let events = [
+        (1, submitted(1)),
+        (1, produced(7, span(0, 9, "v1"))),
+        (3, fetched(1)),
+        (3, sample(1, 0, 7)),
+    ];
+    assert_eq!(broken(events), []);
+}
+
 #[test]
 fn a_sample_of_another_prompt_is_not_whole() {
     let mut foreign = sample(1, 0, 7);
