Demo: targets listen on the demo's own network

Change: the demo's targets listen on an address of its own random network. Conclusion: demos don't share addresses any more.

--- a/crates/godwitspool-demo/src/deployment.rs
+++ b/crates/godwitspool-demo/src/deployment.rs
@@ -1,6 +1,9 @@
 //! What the operators' folder says about the deployment to show.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
 
 use godwitspool_fakes::{ClassOptions, EngineOptions, PlainOptions, TargetKind};
 use godwitspool_process::folder;
@@ -75,8 +78,10 @@
         version.unwrap_or_else(|| WeightVersion::from("v1"))
     }
 
-    /// Returns the classes as the platform offers them, each data centre at its floor.
-    pub(crate) fn classes(&self) -> Vec<ClassOptions> {
+    /// Returns the classes as the platform offers them, each data centre at its floor. The address is
+    /// the demo's own, since a target that is down gives its port up.
+    pub(crate) fn classes(&self, address: IpAddr) -> Vec<ClassOptions> {
+        let listen = SocketAddr::new(address, 0);
         let classes = self
             .configuration
             .classes
@@ -85,11 +90,15 @@
                 let service = self.service(&rules.service)?;
                 let kind = match service.kind {
                     ServiceKind::Engine => TargetKind::Engine(EngineOptions {
+                        listen,
                         model: service.model.clone(),
                         weights: self.weights(&service.model),
                         ..EngineOptions::default()
                     }),
-                    ServiceKind::Plain => TargetKind::Plain(PlainOptions::default()),
+                    ServiceKind::Plain => TargetKind::Plain(PlainOptions {
+                        listen,
+                        ..PlainOptions::default()
+                    }),
                 };
                 let bounds =
                     |of: fn(&godwitspool_version::DcRules) -> &BTreeMap<ClassName, u32>| {
--- a/crates/godwitspool-demo/src/system.rs
+++ b/crates/godwitspool-demo/src/system.rs
@@ -21,6 +21,8 @@
 const READY_POLL: Duration = Duration::from_millis(20);
 /// Addresses of one host and of its links on the demo's own network.
 const LINK_STRIDE: usize = 16;
+/// Address of all targets on the demo's own network.
+const TARGETS: usize = 250;
 const LIST_LAG_MS: u64 = 400;
 
 /// The hosts of the system, the platform and the network between them.
@@ -45,13 +47,13 @@
 impl System {
     /// Starts everything and waits for nothing.
     pub(crate) fn start(deployment: &Deployment) -> Result<Self, DemoError> {
+        let network = Network::random();
         let options = PlatformOptions {
-            classes: deployment.classes(),
+            classes: deployment.classes(network.address(TARGETS)),
             lag_ms: LIST_LAG_MS,
             ..PlatformOptions::default()
         };
         let platform = Platform::start(options).context(StartSnafu { part: "platform" })?;
-        let network = Network::random();
         let dcs = deployment.dcs();
         let mut places = Vec::new();
         for (index, dc) in dcs.iter().enumerate() {
