Demo: the paused holder is kept from answers, not its requests from the platform

The relay had kept back a request that was already sent and delivered it after the lease had passed on. Change: Relay::set_held holds answers only. The check itself is unchanged.

--- a/crates/godwitspool-demo/src/fault.rs
+++ b/crates/godwitspool-demo/src/fault.rs
@@ -28,7 +28,7 @@
     LostAnswer,
     /// A data centre is cut off from the platform and from the others for a while.
     Partition,
-    /// What the holder of the orders lease sends is held up beyond its term and then delivered.
+    /// Answers to the holder of the orders lease are held up beyond its term and then delivered.
     PausedHolder,
     /// A caller sends a request that crashes each target that runs it, and sends it again.
     Poison,
--- a/crates/godwitspool-fakes/src/platform.rs
+++ b/crates/godwitspool-fakes/src/platform.rs
@@ -197,7 +197,7 @@
         }
     }
 
-    /// Keeps back what a data centre and the platform send each other until unset.
+    /// Keeps the platform's answers to a data centre back until unset.
     pub fn set_view_held(&self, dc: &Dc, on: bool) {
         if let Some(view) = lock(&self.views).get(dc) {
             view.relay.set_held(on);
--- a/crates/godwitspool-fakes/src/relay.rs
+++ b/crates/godwitspool-fakes/src/relay.rs
@@ -41,7 +41,7 @@
 #[derive(Default)]
 struct Shared {
     links: Mutex<Vec<Arc<Link>>>,
-    /// What connections carry is kept back.
+    /// Answers are kept back.
     held: Mutex<bool>,
     /// New connections are accepted and stay silent.
     mute: AtomicBool,
@@ -123,7 +123,8 @@
         }
     }
 
-    /// Keeps back what connections carry until unset, and then delivers it.
+    /// Keeps answers back until unset, and then delivers them. Requests pass at once, so that what the
+    /// upstream gets was sent when it gets it.
     pub fn set_held(&self, on: bool) {
         *lock(&self.shared.held) = on;
         self.shared.release.notify_all();
@@ -254,7 +255,8 @@
         } else {
             (&link.server, &link.client)
         };
-        copy(from, to, &link.silent, &shared);
+        let held = (!inward).then_some(&*shared);
+        copy(from, to, &link.silent, held);
         // A silent connection tells neither end that the other has gone.
         if !link.silent.load(Ordering::Relaxed) {
             drop(to.shutdown(Shutdown::Write));
@@ -276,14 +278,16 @@
     lock(&shared.links).retain(|other| !Arc::ptr_eq(other, link));
 }
 
-fn copy(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool, shared: &Shared) {
+fn copy(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool, held: Option<&Shared>) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         match from.read(&mut buffer) {
             Ok(0) | Err(_) => return,
             Ok(_) if silent.load(Ordering::Relaxed) => {}
             Ok(count) => {
-                drop(shared.release.wait_while(lock(&shared.held), |held| *held));
+                if let Some(shared) = held {
+                    drop(shared.release.wait_while(lock(&shared.held), |held| *held));
+                }
                 if to.write_all(&buffer[..count]).is_err() {
                     return;
                 }
