Request: three crashes quarantine, two of them in trials

Change: a request is quarantined at its third crash, when it bears the blame of two trials. Conclusion: one coincidence doesn't quarantine an innocent any more.

--- a/crates/godwitspool-request/src/quarantine.rs
+++ b/crates/godwitspool-request/src/quarantine.rs
@@ -2,8 +2,9 @@
 //!
 //! When a target crashes, every request in flight on it is a suspect and bears a part of the blame.
 //! A suspect's fingerprint has one home host by rendezvous, which lets one copy run at a time in the
-//! whole fleet, on a target with no other suspect. A suspect that crashes a target so is
-//! quarantined; one that is answered is cleared.
+//! whole fleet, on a target with no other suspect. A suspect that crashes two targets so, and with
+//! them three in all, is quarantined; one that is answered is cleared. One crash in a trial isn't
+//! enough: targets crash by themselves too, and innocents are on trial then.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -130,7 +131,7 @@
 /// use godwitspool_types::{Millis, TargetName};
 ///
 /// let mut suspects = Suspects::default();
-/// for target in ["t1", "t2"] {
+/// for target in ["t1", "t2", "t3"] {
 ///     let blame = Blame { part: 1_000, print: 7, target: TargetName::from(target) };
 ///     suspects.decide(SuspectEvent::Blamed(blame), Millis(0));
 /// }
@@ -149,10 +150,10 @@
     const MEMORY: Millis = Millis(600_000);
     /// How long a trial holds when its host says nothing more.
     const TRIAL: Millis = Millis(60_000);
-    /// Crashes before a request is quarantined.
-    const CRASHES: u32 = 2;
-    /// Crashes at which it is quarantined whatever its part in the blame.
-    const MOST_CRASHES: u32 = 3;
+    /// Crashes at which a request is quarantined, when it bears enough of the blame.
+    const CRASHES: u32 = 3;
+    /// Blame at which a request is quarantined: that of two trials.
+    const GUILT: u32 = 2 * WHOLE_BLAME;
     /// Most suspects that are remembered.
     const MOST: usize = 65_536;
 
@@ -207,8 +208,7 @@
             record.blame += blame.part;
             record.crashes += 1;
         }
-        let guilty = record.crashes >= Self::CRASHES && record.blame >= WHOLE_BLAME;
-        if guilty || record.crashes >= Self::MOST_CRASHES {
+        if record.crashes >= Self::CRASHES && record.blame >= Self::GUILT {
             record.until = Some(now + Self::QUARANTINE);
         }
         vec![SuspectAction::Announce(blame.print, record.clone())]
