Entry: failures over sockets; a stream that fails ends its body

Cause: no test brought the failures about. The withdrawal test found that a caller whose stream ended with an error event waited for ever: the library keeps the connection open behind a body that has no last chunk. A first byte of an idempotent request gets a third of the time left, so that another target can still answer.

--- a/crates/godwitspool-entry/src/connection/answer.rs
+++ b/crates/godwitspool-entry/src/connection/answer.rs
@@ -73,6 +73,18 @@
     /// Sends the terminator and ends the answer.
     pub(crate) fn finish(mut self) -> io::Result<()> {
         self.send_text("[DONE]")?;
+        self.end()
+    }
+
+    /// Sends an error event and ends the answer without the terminator.
+    ///
+    /// The library keeps the connection open, so the body has to end for the caller to notice.
+    pub(crate) fn fail(mut self, event: &impl Serialize) -> io::Result<()> {
+        self.send(event)?;
+        self.end()
+    }
+
+    fn end(mut self) -> io::Result<()> {
         self.writer.write_all(b"0\r\n\r\n")?;
         self.writer.flush()
     }
@@ -129,8 +141,8 @@
         self.shared.serving.refused(self.id, refusal);
         if let Some(request) = self.request.take() {
             refuse_as(request, refusal, self.id);
-        } else if let Some(mut writer) = self.writer.take()
-            && let Err(error) = writer.send(&error_body(refusal, self.id))
+        } else if let Some(writer) = self.writer.take()
+            && let Err(error) = writer.fail(&error_body(refusal, self.id))
         {
             log::debug!(request:% = self.id; "caller left: {error}");
         }
--- a/crates/godwitspool-entry/src/request/generation.rs
+++ b/crates/godwitspool-entry/src/request/generation.rs
@@ -205,9 +205,9 @@
         self.generate.resume = self.stitch.tokens().to_vec();
         let serving = &self.shared.serving;
         let mut heard = serving.now();
-        let left = (self.tries.work.attempts.deadline - heard).max(Millis(1));
+        let patience = self.tries.work.patience(heard);
         let client = self.client();
-        let mut stream = client.generate(&self.generate, paces.first.bound().min(left))?;
+        let mut stream = client.generate(&self.generate, paces.first.bound().min(patience))?;
         let mut first = true;
         loop {
             let chunk = stream.next_chunk()?;
--- a/crates/godwitspool-entry/src/request/plain.rs
+++ b/crates/godwitspool-entry/src/request/plain.rs
@@ -4,7 +4,7 @@
 
 use godwitspool_connection::{CallError, Header, PlainAnswer, PlainCall};
 use godwitspool_request::Reason;
-use godwitspool_types::{Millis, Ran, RequestId};
+use godwitspool_types::{Ran, RequestId};
 use serde::{Deserialize, Serialize};
 use tiny_http::{Request, Response};
 
@@ -158,9 +158,9 @@
     let serving = &shared.serving;
     let sent = serving.now();
     let mut paces = serving.dispatch.paces(&tries.on.target);
-    let left = (tries.work.attempts.deadline - sent).max(Millis(1));
+    let patience = tries.work.patience(sent);
     let client = shared.client(tries.on.address);
-    let outcome = client.call(&prepared.call, paces.first.bound().min(left));
+    let outcome = client.call(&prepared.call, paces.first.bound().min(patience));
     match &outcome {
         Ok(_) => {
             paces.first.observe(serving.now() - sent);
--- a/crates/godwitspool-entry/src/request/work.rs
+++ b/crates/godwitspool-entry/src/request/work.rs
@@ -4,6 +4,9 @@
 use godwitspool_types::{Millis, RequestId, ServiceName};
 use godwitspool_version::{Configuration, ServiceRules};
 
+/// Attempts that the time left is parted among.
+const PATIENCE_PART: u64 = 3;
+
 /// One request on its way.
 #[derive(Clone, Debug)]
 pub(crate) struct Work {
@@ -16,6 +19,18 @@
 }
 
 impl Work {
+    /// Returns how long a first byte may take: where another attempt may follow, the time left
+    /// isn't all given to one target.
+    pub(crate) fn patience(&self, now: Millis) -> Millis {
+        let left = self.attempts.deadline - now;
+        let part = if self.attempts.idempotent {
+            left.0 / PATIENCE_PART
+        } else {
+            left.0
+        };
+        Millis(part.max(1))
+    }
+
     /// Prepares a request of a caller. `print` is its fingerprint.
     pub(crate) fn new(
         id: RequestId,
--- /dev/null
+++ b/crates/godwitspool-entry/tests/bench/mod.rs
@@ -0,0 +1,324 @@
+//! Entries in front of stand-in targets, with a view that the test decides.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a failed setup fails the test")]
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use godwitspool_connection::{
+    engine::{Chunk, Message},
+    messages::{Member, StewardAnswer, StewardRequest, View},
+    peer::{ServeBounds, Server},
+    platform::{TargetEntry, TargetState},
+};
+use godwitspool_entry::Entry;
+use godwitspool_fakes::{
+    Engine, EngineOptions, PlainOptions, PlainService, answer_tokens, prompt_hash, token,
+};
+use godwitspool_process::EntrySettings;
+use godwitspool_types::{Key, Offset};
+use godwitspool_version::{
+    Configuration, KeyRule, ServiceKind, ServiceRef, ServiceRules, WorkspaceRules,
+};
+use serde_json::Value;
+
+pub const BOUND: Duration = Duration::from_secs(30);
+pub const KEY: &str = "gsk-caller-key";
+const SEED: u64 = 3;
+
+pub struct Bench {
+    pub engines: Vec<Engine>,
+    pub entries: Vec<Entry>,
+    pub plains: Vec<PlainService>,
+    _steward: Server,
+    view: Arc<Mutex<View>>,
+}
+
+pub fn configuration() -> Configuration {
+    let chat = ServiceRules {
+        idempotent: true,
+        kind: ServiceKind::Engine,
+        model: "model".into(),
+        ..ServiceRules::default()
+    };
+    let reference = |service: &str| ServiceRef {
+        service: service.into(),
+    };
+    let services = [
+        ("chat".into(), reference("party/chat")),
+        ("orders".into(), reference("party/orders")),
+    ];
+    let workspace = WorkspaceRules {
+        keys: vec![KeyRule {
+            digest: Key::from(KEY).digest(),
+            withdrawn: false,
+        }],
+        rate_per_s: 10_000,
+        concurrency: 1_000,
+        services: services.into(),
+        ..WorkspaceRules::default()
+    };
+    let orders = ServiceRules::default();
+    Configuration {
+        services: [("party/chat".into(), chat), ("party/orders".into(), orders)].into(),
+        workspaces: [("acme".into(), workspace)].into(),
+        ..Configuration::default()
+    }
+}
+
+impl Bench {
+    /// Starts entries, engines and plain services, and waits until every entry serves.
+    pub fn start(entries: usize, engines: usize, plains: usize, step_ms: u64) -> Self {
+        let engines = (0..engines).map(|index| {
+            let options = EngineOptions {
+                step_ms,
+                target: format!("engine-{index}").into(),
+                ..EngineOptions::default()
+            };
+            Engine::start(options).unwrap()
+        });
+        let plains = (0..plains).map(|index| {
+            let options = PlainOptions {
+                target: format!("plain-{index}").into(),
+                ..PlainOptions::default()
+            };
+            PlainService::start(options).unwrap()
+        });
+        let view = Arc::new(Mutex::new(View::default()));
+        let steward = serve_view(&view);
+        let settings = |index: usize| {
+            EntrySettings::default()
+                .with_host(format!("n{index}"), "north")
+                .with_steward(steward.address())
+        };
+        let entries: Vec<Entry> = (0..entries)
+            .map(|index| Entry::start(settings(index)).unwrap())
+            .collect();
+        let bench = Self {
+            engines: engines.collect(),
+            entries,
+            plains: plains.collect(),
+            _steward: steward,
+            view,
+        };
+        bench.publish(|view| {
+            view.configuration = Arc::new(configuration());
+            view.targets = bench.targets();
+            view.members = bench.members();
+        });
+        bench
+    }
+
+    /// Changes the view and waits until every entry follows it.
+    pub fn publish(&self, change: impl FnOnce(&mut View)) {
+        let offset = {
+            let mut view = self.view.lock().unwrap();
+            change(&mut view);
+            view.revision += 1;
+            view.offset = Offset(view.revision);
+            view.offset
+        };
+        for entry in &self.entries {
+            let path = format!("http://{}/status", entry.operator_address());
+            wait_until(|| json(&path)["offset"] == offset.0);
+        }
+        // The entry looks at a new view in steps of 20 ms.
+        thread::sleep(Duration::from_millis(200));
+    }
+
+    pub fn configure(&self, change: impl FnOnce(&mut Configuration)) {
+        self.publish(|view| change(Arc::make_mut(&mut view.configuration)));
+    }
+
+    fn targets(&self) -> Vec<TargetEntry> {
+        let engines = self.engines.iter();
+        let engines = engines.map(|engine| (engine.target(), engine.address(), "party/chat"));
+        let plains = self.plains.iter();
+        let plains = plains.map(|plain| (plain.target(), plain.address(), "party/orders"));
+        engines
+            .chain(plains)
+            .map(|(target, address, service)| TargetEntry {
+                address,
+                class: "reserved".into(),
+                dc: "north".into(),
+                model: "model".into(),
+                service: service.into(),
+                state: TargetState::Live,
+                target: target.clone(),
+            })
+            .collect()
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let member = |(index, entry): (usize, &Entry)| Member {
+            host: format!("n{index}").into(),
+            dc: "north".into(),
+            entry: entry.peer_address(),
+            leaving: false,
+            steward: SocketAddr::from(([127, 0, 0, 1], 9)),
+        };
+        self.entries.iter().enumerate().map(member).collect()
+    }
+
+    pub fn metrics(&self, entry: usize) -> String {
+        let address = self.entries[entry].operator_address();
+        text(&format!("http://{address}/metrics"))
+    }
+
+    /// Asks for a generation through an entry.
+    pub fn generate(&self, entry: usize, prompt: &str, tokens: u32) -> Answer {
+        generate(self.entries[entry].address(), KEY, prompt, tokens)
+    }
+
+    /// Calls the plain service through an entry.
+    pub fn order(&self, entry: usize, call: &str, key: Option<&str>) -> Answer {
+        let address = self.entries[entry].address();
+        let url = format!("http://{address}/services/orders/book?call={call}");
+        let mut request = agent()
+            .post(url)
+            .header("Authorization", format!("Bearer {KEY}"));
+        if let Some(key) = key {
+            request = request.header("Idempotency-Key", key);
+        }
+        Answer::read(request.send(call).unwrap())
+    }
+}
+
+fn serve_view(view: &Arc<Mutex<View>>) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let view = Arc::clone(view);
+    Server::start(listener, ServeBounds::default(), move |request| {
+        let StewardRequest::View(known) = request else {
+            return StewardAnswer::Done;
+        };
+        let end = Instant::now() + Duration::from_millis(500);
+        while view.lock().unwrap().revision == known && Instant::now() < end {
+            thread::sleep(Duration::from_millis(5));
+        }
+        StewardAnswer::View(Box::new(view.lock().unwrap().clone()))
+    })
+    .unwrap()
+}
+
+// ---------------------------------------------------------------------------
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub body: String,
+    pub id: String,
+    pub status: u16,
+}
+
+impl Answer {
+    fn read(mut response: ureq::http::Response<ureq::Body>) -> Self {
+        let id = response.headers().get("x-request-id");
+        let id = id.map(|id| id.to_str().unwrap().to_owned());
+        Self {
+            id: id.unwrap_or_default(),
+            status: response.status().as_u16(),
+            body: response.body_mut().read_to_string().unwrap_or_default(),
+        }
+    }
+
+    /// Returns the reason of a refusal, or of the error event that ended the stream.
+    pub fn reason(&self) -> String {
+        let line = self.body.trim().lines().last().unwrap_or_default();
+        let line = line.strip_prefix("data: ").unwrap_or(line);
+        let value: Value = serde_json::from_str(line).unwrap_or_default();
+        value["error"]["reason"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    /// Returns what the answer says of whether the request ran.
+    pub fn ran(&self) -> String {
+        let line = self.body.trim().lines().last().unwrap_or_default();
+        let line = line.strip_prefix("data: ").unwrap_or(line);
+        let value: Value = serde_json::from_str(line).unwrap_or_default();
+        value["error"]["ran"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    pub fn assert_whole(&self, prompt: &str, most: u32) {
+        assert_eq!(self.status, 200, "{}", self.body);
+        let events: Vec<_> = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .collect();
+        assert_eq!(events.last(), Some(&"[DONE]"), "{}", self.body);
+        let tokens: Vec<_> = events[..events.len() - 1]
+            .iter()
+            .flat_map(|event| serde_json::from_str::<Chunk>(event).unwrap().choices)
+            .map(|choice| choice.delta.content)
+            .filter(|token| !token.is_empty())
+            .collect();
+        let message = Message {
+            content: prompt.to_owned(),
+            role: "user".to_owned(),
+        };
+        let hash = prompt_hash(&[message], SEED);
+        let (count, _) = answer_tokens(hash, most);
+        let expected: Vec<_> = (0..count).map(|index| token(hash, index)).collect();
+        assert_eq!(tokens, expected);
+    }
+}
+
+pub fn generate(address: SocketAddr, key: &str, prompt: &str, tokens: u32) -> Answer {
+    let body = serde_json::json!({
+        "model": "chat", "max_tokens": tokens, "stream": true, "seed": SEED,
+        "messages": [{ "role": "user", "content": prompt }],
+    });
+    let response = agent()
+        .post(format!("http://{address}/v1/chat/completions"))
+        .header("Authorization", format!("Bearer {key}"))
+        .send_json(&body);
+    Answer::read(response.unwrap())
+}
+
+/// Returns a prompt whose answer has at least this many tokens.
+pub fn long_prompt(least: u32, most: u32) -> String {
+    let long = |index: &u32| {
+        let message = Message {
+            content: format!("prompt {index}"),
+            role: "user".to_owned(),
+        };
+        answer_tokens(prompt_hash(&[message], SEED), most).0 >= least
+    };
+    format!("prompt {}", (0..10_000).find(long).unwrap())
+}
+
+pub fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .timeout_global(Some(2 * BOUND))
+        .build();
+    ureq::Agent::new_with_config(config)
+}
+
+pub fn text(url: &str) -> String {
+    let mut response = agent().get(url).call().unwrap();
+    response.body_mut().read_to_string().unwrap()
+}
+
+pub fn json(url: &str) -> Value {
+    serde_json::from_str(&text(url)).unwrap()
+}
+
+pub fn wait_until(condition: impl Fn() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !condition() {
+        assert!(Instant::now() < end, "condition not met within {BOUND:?}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
