--- a/crates/godwitspool-steward/src/main.rs
+++ b/crates/godwitspool-steward/src/main.rs
@@ -5,9 +5,6 @@
 use godwitspool_process::{DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination};
 use godwitspool_steward::Steward;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 const HELP: &str = "\
 godwitspool-steward SETTINGS.yaml [--check]
 
@@ -61,5 +58,6 @@
     log::info!(address:% = steward.address(); "steward serves");
     termination.wait();
     log::info!("steward ends");
+    steward.stop();
     Ok(())
 }
