Paused stewards tested as processes; the platform's lagging list doubles no order

Cause: the cooling time alone kept a lagging list from doubling an order, so each rise of the floor took ten seconds; a start of several reclaimable targets at once passed their share. Change: started and stopped targets count as such until the list shows them; bounds and reclaims wait two seconds between orders, the rest keep the cooling; the reclaimable share bounds each order's size. Three processes with SIGSTOP, SIGCONT and SIGKILL before targets that ignore fencing tokens. Conclusion: no order of an old term arrives behind one of a later term in these runs.

--- /dev/null
+++ b/crates/godwitspool-steward/tests/paused.rs
@@ -0,0 +1,120 @@
+//! Steward processes that are really paused and killed, before targets that ignore fencing tokens.
+
+#![expect(clippy::unwrap_used, reason = "a failed setup fails the test")]
+#![cfg(unix)]
+
+mod support;
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    thread,
+    time::Duration,
+};
+
+use godwitspool_fakes::Platform;
+use godwitspool_types::{HostName, Offset};
+use support::{check_orders, configuration, host_entry, orders, publish, start_platform, wait_for};
+
+const TERM_MS: u64 = 1_000;
+
+struct Process {
+    child: Child,
+    host: String,
+    settings: PathBuf,
+    steward: SocketAddr,
+}
+
+impl Process {
+    fn start(platform: &Platform, host: &str) -> Self {
+        let (steward, operators) = (free_address(), free_address());
+        let name = format!("godwitspool-steward-{}-{host}.yaml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        let text = format!(
+            "host: {host}\ndc: north\nsteward: {steward}\noperators: {operators}\n\
+             entry: 127.0.0.1:1\nplatform: http://{}\nterm: {TERM_MS}ms\n",
+            platform.address()
+        );
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_godwitspool-steward"))
+            .arg(&settings)
+            .stderr(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self {
+            child,
+            host: host.to_owned(),
+            settings,
+            steward,
+        }
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(status.success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_file(&self.settings));
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Returns who gave the last order.
+fn last_host(platform: &Platform) -> HostName {
+    orders(platform).last().unwrap().host.clone()
+}
+
+/// Raises the floor and waits until the targets are there.
+fn raise(platform: &Platform, base: Option<Offset>, floor: u32) -> Offset {
+    let published = publish(platform, base, &configuration(floor));
+    wait_for("the targets", || platform.targets().len() == floor as usize);
+    published
+}
+
+#[test]
+fn a_paused_holder_gives_no_order_after_its_successor() {
+    let platform = start_platform();
+    let start = |host| Process::start(&platform, host);
+    let mut processes = ["a", "b", "c"].map(start).into_iter().collect::<Vec<_>>();
+    let hosts = processes.iter();
+    let hosts = hosts.map(|process| host_entry(&process.host, process.steward));
+    platform.set_hosts(hosts.collect());
+    let mut floor = 1;
+    let mut base = Some(raise(&platform, None, floor));
+    for _ in 0..3 {
+        let holder = last_host(&platform);
+        let paused = processes
+            .iter()
+            .find(|process| *process.host == *holder.as_str())
+            .unwrap();
+        paused.signal("-STOP");
+        floor += 2;
+        base = Some(raise(&platform, base, floor));
+        assert_ne!(last_host(&platform), holder);
+        // The paused one wakes with what it had decided, and both see a new wish at once.
+        floor += 2;
+        let published = publish(&platform, base, &configuration(floor));
+        paused.signal("-CONT");
+        wait_for("the targets", || platform.targets().len() == floor as usize);
+        base = Some(published);
+        thread::sleep(Duration::from_millis(TERM_MS));
+        check_orders(&platform);
+    }
+    let holder = last_host(&platform);
+    processes.retain(|process| *process.host != *holder.as_str());
+    raise(&platform, base, floor + 1);
+    check_orders(&platform);
+}
--- /dev/null
+++ b/crates/godwitspool-version/src/awaited_targets.rs
@@ -0,0 +1,66 @@
+//! Targets whose new phase the platform's lagging list may not show yet.
+
+use std::collections::BTreeMap;
+
+use godwitspool_types::{ClassName, Dc, Millis, TargetName};
+
+use crate::{OrderIntent, TargetAction, TargetPhase, TargetSeen};
+
+/// Targets that were started or stopped a short while ago.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AwaitedTargets(BTreeMap<TargetName, Awaited>);
+
+#[derive(Clone, Debug)]
+struct Awaited {
+    class: ClassName,
+    dc: Dc,
+    phase: TargetPhase,
+    until: Millis,
+}
+
+impl AwaitedTargets {
+    /// Notes targets that an order has started or stopped.
+    pub(crate) fn note(&mut self, intent: &OrderIntent, names: &[TargetName], until: Millis) {
+        let awaited = Awaited {
+            class: intent.class.clone(),
+            dc: intent.dc.clone(),
+            phase: match intent.action {
+                TargetAction::Start(_) => TargetPhase::Counted,
+                TargetAction::Stop(_) => TargetPhase::Leaving,
+            },
+            until,
+        };
+        let names = names.iter();
+        self.0
+            .extend(names.map(|name| (name.clone(), awaited.clone())));
+    }
+
+    /// Returns the targets as the platform's list will show them once it has caught up.
+    pub(crate) fn expected(&mut self, listed: &[TargetSeen], now: Millis) -> Vec<TargetSeen> {
+        self.0.retain(|name, awaited| {
+            let shown = listed.iter().find(|seen| seen.target == *name);
+            now < awaited.until && !awaited.is_shown(shown)
+        });
+        let unchanged = listed
+            .iter()
+            .filter(|seen| !self.0.contains_key(&seen.target));
+        let awaited = self.0.iter().map(|(name, awaited)| TargetSeen {
+            class: awaited.class.clone(),
+            dc: awaited.dc.clone(),
+            phase: awaited.phase,
+            target: name.clone(),
+        });
+        unchanged.cloned().chain(awaited).collect()
+    }
+}
+
+impl Awaited {
+    fn is_shown(&self, shown: Option<&TargetSeen>) -> bool {
+        match self.phase {
+            TargetPhase::Counted => shown.is_some(),
+            TargetPhase::Leaving | TargetPhase::Reclaimed => {
+                shown.is_none_or(|seen| seen.phase != TargetPhase::Counted)
+            }
+        }
+    }
+}
--- a/crates/godwitspool-version/src/lib.rs
+++ b/crates/godwitspool-version/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`AppendBudget`] | what each stream of records may append |
 
 mod append_budget;
+mod awaited_targets;
 mod candidate;
 mod change;
 mod configuration;
--- a/crates/godwitspool-version/src/scaling.rs
+++ b/crates/godwitspool-version/src/scaling.rs
@@ -4,13 +4,15 @@
 //! as much worth as a start costs, and stopped once their idle time has cost as much as the next
 //! start would. So neither a short burst nor a short pause moves anything.
 
+mod shares;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use godwitspool_types::{ClassName, Dc, Millis, Offset, ServiceName};
 
 use crate::{
-    ClassRules, OrderBook, OrderOutcome, OrderReason, ScalingRules, ScalingView, TargetAction,
-    TargetPhase,
+    OrderBook, OrderOutcome, OrderReason, ScalingRules, ScalingView, TargetAction, TargetPhase,
+    awaited_targets::AwaitedTargets,
     scaling_view::{
         bounds, capacity, classes_of, count, has_reclaimed, idle_names, room, starting,
     },
@@ -59,6 +61,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Scaling {
+    awaited: AwaitedTargets,
     last: Option<Millis>,
     noted: Offset,
     ordered: BTreeMap<Dc, VecDeque<Millis>>,
@@ -92,6 +95,7 @@
     /// Makes a policy that remembers nothing.
     pub fn new(rules: ScalingRules) -> Self {
         Self {
+            awaited: AwaitedTargets::default(),
             last: None,
             noted: Offset::default(),
             ordered: BTreeMap::new(),
@@ -107,6 +111,11 @@
         let span = self.last.map_or(Millis::ZERO, |last| now - last);
         self.last = Some(now);
         self.note_outcomes(view.orders, now);
+        let targets = self.awaited.expected(view.targets, now);
+        let view = ScalingView {
+            targets: &targets,
+            ..view
+        };
         self.note_reclaims(view);
         let mut orders = Vec::new();
         for dc in view.configuration.dcs.keys() {
@@ -129,13 +138,17 @@
         {
             let place = (closed.intent.dc.clone(), closed.intent.class.clone());
             let memory = self.places.entry(place).or_default();
-            match closed.outcome {
+            match &closed.outcome {
                 OrderOutcome::NoneAvailable => {
                     let doubled = rules.backoff.0 << memory.none.min(16);
                     memory.none += 1;
                     memory.shut_until = now + Millis(doubled).min(rules.backoff_most);
                 }
-                OrderOutcome::Done(_) => memory.none = 0,
+                OrderOutcome::Done(names) => {
+                    memory.none = 0;
+                    self.awaited
+                        .note(&closed.intent, names, now + rules.list_lag);
+                }
                 OrderOutcome::Fenced(_) | OrderOutcome::Revoked => {}
             }
         }
@@ -152,16 +165,6 @@
         }
     }
 
-    /// Returns a class's price in a data centre, with the risk of being reclaimed.
-    fn price(&self, dc: &Dc, class: &ClassName, rules: &ClassRules) -> u64 {
-        let reclaims = self
-            .places
-            .get(&(dc.clone(), class.clone()))
-            .map_or(0, |memory| u64::from(memory.reclaims.min(10)));
-        let percent = 100 + reclaims * self.rules.reclaim_percent;
-        rules.cost_per_hour.max(1) * percent / 100
-    }
-
     // --- Bounds
 
     fn keep_bounds(
@@ -228,7 +231,14 @@
             OrderReason::Worth
         };
         let wanted = (shortage.interactive + shortage.training).div_ceil(shortage.slots);
-        let action = TargetAction::Start(wanted.min(room(view, dc, class)));
+        let most = if rules.reclaimable {
+            self.reclaimable_room(view, service)
+        } else if shortage.interactive == 0 && self.has_reclaimable(view, dc, service, now) {
+            self.kept_share(view, service, wanted)
+        } else {
+            wanted
+        };
+        let action = TargetAction::Start(wanted.min(most).min(room(view, dc, class)));
         if self.order(view, dc, class, (action, reason), now, orders) {
             self.waited.remove(&key);
         }
@@ -257,41 +267,6 @@
         })
     }
 
-    /// Finds the cheapest class that may be started, at its price with risk.
-    fn cheapest<'a>(
-        &self,
-        view: ScalingView<'a>,
-        shortage: &Shortage<'_>,
-        now: Millis,
-    ) -> Option<(&'a ClassName, &'a ClassRules)> {
-        let dc = shortage.dc;
-        classes_of(view, shortage.service)
-            .filter(|(class, _)| self.is_open(dc, class, now) && room(view, dc, class) > 0)
-            .filter(|(_, rules)| {
-                !rules.reclaimable
-                    || shortage.interactive == 0 && self.may_add_reclaimable(view, shortage.service)
-            })
-            .min_by_key(|(class, rules)| self.price(dc, class, rules))
-    }
-
-    /// Tells whether one more reclaimable target leaves the service enough that can't be reclaimed.
-    fn may_add_reclaimable(&self, view: ScalingView<'_>, service: &ServiceName) -> bool {
-        let of_service = |reclaimable: bool| {
-            classes_of(view, service)
-                .filter(|(_, rules)| rules.reclaimable == reclaimable)
-                .map(|(class, _)| {
-                    let dcs = view.configuration.dcs.keys();
-                    dcs.map(|dc| {
-                        count(view, dc, class, TargetPhase::Counted) + starting(view, dc, class)
-                    })
-                    .sum::<u32>()
-                })
-                .sum::<u32>()
-        };
-        let (cheap, kept) = (of_service(true) + 1, of_service(false));
-        cheap * 100 <= (cheap + kept) * self.rules.reclaimable_percent
-    }
-
     fn stop_idle(
         &mut self,
         view: ScalingView<'_>,
@@ -336,14 +311,11 @@
 
     // --- Orders
 
-    fn is_open(&self, dc: &Dc, class: &ClassName, now: Millis) -> bool {
+    fn is_open(&self, dc: &Dc, class: &ClassName, pause: Millis, now: Millis) -> bool {
         self.places
             .get(&(dc.clone(), class.clone()))
             .is_none_or(|memory| {
-                now >= memory.shut_until
-                    && memory
-                        .ordered
-                        .is_none_or(|at| now >= at + self.rules.cooling)
+                now >= memory.shut_until && memory.ordered.is_none_or(|at| now >= at + pause)
             })
     }
 
@@ -366,7 +338,11 @@
             .open
             .iter()
             .any(|open| open.intent.dc == *dc && open.intent.class == *class);
-        if is_empty || is_pending || !self.is_open(dc, class, now) {
+        let pause = match reason {
+            OrderReason::Floor | OrderReason::Ceiling | OrderReason::Reclaimed => self.rules.settle,
+            OrderReason::Idle | OrderReason::Worth => self.rules.cooling,
+        };
+        if is_empty || is_pending || !self.is_open(dc, class, pause, now) {
             return false;
         }
         let per_minute = view.configuration.dcs[dc].orders_per_minute as usize;
--- a/crates/godwitspool-version/src/scaling_rules.rs
+++ b/crates/godwitspool-version/src/scaling_rules.rs
@@ -9,7 +9,7 @@
     pub backoff: Millis,
     /// Longest wait after none were available.
     pub backoff_most: Millis,
-    /// Shortest time between orders for a class in a data centre.
+    /// Shortest time between orders for a class in a data centre that follow the work.
     pub cooling: Millis,
     /// Slots kept free for interactive requests, in percent of those in use.
     pub headroom_percent: u32,
@@ -17,6 +17,11 @@
     pub interactive_worth: u64,
     /// Most of a service's slots in reclaimable classes, in percent.
     pub reclaimable_percent: u32,
+    /// Shortest time between orders for a class in a data centre that restore a bound or replace
+    /// reclaimed targets: an order is read back from the log within it.
+    pub settle: Millis,
+    /// Time in which the platform's list shows what was started or stopped.
+    pub list_lag: Millis,
     /// Added to a class's price for each reclaim remembered, in percent.
     pub reclaim_percent: u64,
 }
@@ -30,6 +35,8 @@
             headroom_percent: 25,
             interactive_worth: 20,
             reclaimable_percent: 70,
+            settle: Millis(2_000),
+            list_lag: Millis(30_000),
             reclaim_percent: 50,
         }
     }
--- a/crates/godwitspool-version/src/scaling_view.rs
+++ b/crates/godwitspool-version/src/scaling_view.rs
@@ -78,6 +78,20 @@
     bounds(view, dc, class).1.saturating_sub(counted)
 }
 
+/// Counts the targets of a service in all data centres, by whether they can be reclaimed.
+pub(crate) fn count_service(
+    view: ScalingView<'_>,
+    service: &ServiceName,
+    reclaimable: bool,
+) -> u32 {
+    let classes = classes_of(view, service).filter(|(_, rules)| rules.reclaimable == reclaimable);
+    let counts = classes.flat_map(|(class, _)| {
+        let dcs = view.configuration.dcs.keys();
+        dcs.map(move |dc| count(view, dc, class, TargetPhase::Counted) + starting(view, dc, class))
+    });
+    counts.sum()
+}
+
 /// Counts the targets that serve a service or are about to.
 pub(crate) fn capacity(view: ScalingView<'_>, dc: &Dc, service: &ServiceName) -> u32 {
     classes_of(view, service)
--- a/crates/godwitspool-version/tests/fold.rs
+++ b/crates/godwitspool-version/tests/fold.rs
@@ -326,3 +326,22 @@
     assert_eq!(old, new);
     assert!(ConfigurationChange::between(&old, &new).is_empty());
 }
+
+#[test]
+fn a_renewal_of_an_ended_term_does_not_count() {
+    let mut fold = Fold::default();
+    let step = |step| {
+        RecordBody::Lease(LeaseRecord {
+            step,
+            lease: LeaseKind::Orders,
+            holder: life(1),
+        })
+    };
+    let claim = |after| step(LeaseStep::Claim { after });
+    let renewal = step(LeaseStep::Renew(Term(0)));
+    for body in [claim(None), claim(Some(Offset(0))), renewal] {
+        fold.apply(fold.next(), &Record::new(body)).unwrap();
+    }
+    assert_eq!(fold.lease(LeaseKind::Orders).last, Some(Offset(1)));
+    assert_eq!(fold.counts().overtaken, 1);
+}
