Capacity page: roles worked out from the fits, slopes of gossip, demand and leases

Change: tables for entry, steward candidate, holder, reader, usage collector and the platform's log, filled from fits.csv; the page names what carries each and what breaks first.

--- a/crates/godwitspool-measure/src/capacity/roles.rs
+++ b/crates/godwitspool-measure/src/capacity/roles.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod log;
+mod steward;
 
 use crate::{
     Table,
@@ -15,7 +16,14 @@
 
 /// Works out every role.
 pub(super) fn all(fleet: &Fleet, fits: &Fits) -> Result<Vec<RoleTable>, FitsError> {
-    Ok(vec![entry::table(fleet, fits)?, log::table(fleet, fits)?])
+    Ok(vec![
+        entry::table(fleet, fits)?,
+        steward::candidate(fleet, fits)?,
+        steward::holder(fleet, fits)?,
+        steward::reader(fleet, fits)?,
+        steward::collector(fleet, fits)?,
+        log::table(fleet, fits)?,
+    ])
 }
 
 /// Lists every row of every role.
--- a/crates/godwitspool-measure/src/slopes/configuration.rs
+++ b/crates/godwitspool-measure/src/slopes/configuration.rs
@@ -10,7 +10,7 @@
     messages::{Member, View},
     platform::{TargetEntry, TargetState},
 };
-use godwitspool_types::{Key, Offset, Workspace};
+use godwitspool_types::{Incarnation, Key, Offset, Workspace};
 use godwitspool_version::{
     Configuration, ConfigurationChange, Fold, HostLife, KeyRule, LeaseKind, LeaseRecord, LeaseStep,
     Publish, Record, RecordBody, ServiceRef, WorkspaceRules,
@@ -55,6 +55,9 @@
             &[100, 1_000, 5_000],
             fold_us,
         ),
+        Series::measure("lease-bytes", "records", "bytes", &[10, 100, 1_000], |n| {
+            lease_chain(n).iter().map(String::len).sum::<usize>() as f64
+        }),
         Series::measure(
             "lease-fold-us",
             "records",
@@ -215,24 +218,33 @@
 }
 
 fn lease_fold_us(records: usize) -> f64 {
+    let texts = lease_chain(records);
+    time_us(1, || {
+        let mut fold = Fold::default();
+        for (offset, text) in texts.iter().enumerate() {
+            fold.apply_text(Offset(offset as u64), text)
+                .expect("offsets are in order");
+        }
+        fold
+    })
+}
+
+/// Claims that each follow the one before.
+fn lease_chain(records: usize) -> Vec<String> {
+    let holder = HostLife {
+        host: "dc-7-host-101".into(),
+        incarnation: Incarnation(1_796_000_000_000),
+    };
     let mut last = None;
-    let texts: Vec<_> = (0..records)
+    (0..records)
         .map(|offset| {
             let claim = LeaseRecord {
-                holder: HostLife::default(),
+                holder: holder.clone(),
                 lease: LeaseKind::Orders,
                 step: LeaseStep::Claim { after: last },
             };
             last = Some(Offset(offset as u64));
             Record::new(RecordBody::Lease(claim)).encode()
         })
-        .collect();
-    time_us(1, || {
-        let mut fold = Fold::default();
-        for (offset, text) in texts.iter().enumerate() {
-            fold.apply_text(Offset(offset as u64), text)
-                .expect("offsets are in order");
-        }
-        fold
-    })
+        .collect()
 }
--- a/crates/godwitspool-measure/src/slopes/mod.rs
+++ b/crates/godwitspool-measure/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! Slopes: what a unit more of something costs, measured at three or more sizes.
 
 mod configuration;
+mod gossip;
 mod serving;
 mod stream;
 mod usage;
@@ -37,6 +38,7 @@
 
 fn measure_all(options: &Options) -> Vec<Series> {
     let mut all = configuration::measure();
+    all.extend(gossip::measure(options.seed));
     all.extend(usage::measure());
     all.extend(serving::measure(options.seed));
     match stream::measure() {
--- a/crates/godwitspool-measure/src/slopes/usage.rs
+++ b/crates/godwitspool-measure/src/slopes/usage.rs
@@ -1,6 +1,6 @@
-//! Slopes of usage records, seals and windows.
+//! Slopes of demand, usage records, seals and windows.
 
-use godwitspool_connection::messages::{StewardRequest, UsageRecord};
+use godwitspool_connection::messages::{Demand, ServiceDemand, StewardRequest, UsageRecord};
 use godwitspool_types::{Incarnation, Offset, RequestId};
 use godwitspool_version::{
     Coverage, Fold, HostLife, Record, RecordBody, UsageFigures, UsageRange, UsageSeal,
@@ -11,6 +11,15 @@
 pub(super) fn measure() -> Vec<Series> {
     let sizes = [10, 100, 1_000];
     vec![
+        Series::measure("demand-bytes", "services", "bytes", &[1, 3, 10], |n| {
+            encode(&StewardRequest::Demand(demand(n))).len() as f64
+        }),
+        Series::measure("demand-us", "services", "us", &[1, 3, 10], |n| {
+            let bytes = encode(&StewardRequest::Demand(demand(n)));
+            time_us(200, || {
+                postcard::from_bytes::<StewardRequest>(&bytes).is_ok()
+            })
+        }),
         Series::measure("usage-message-bytes", "requests", "bytes", &sizes, |n| {
             encode(&StewardRequest::HoldUsage(records(n))).len() as f64
         }),
@@ -59,6 +68,21 @@
     postcard::to_stdvec(message).expect("a message has a postcard form")
 }
 
+fn demand(services: usize) -> Demand {
+    let service = |index: usize| ServiceDemand {
+        service: format!("party/service-{index}").into(),
+        interactive: 300,
+        training: 300,
+        waiting: 200,
+        backlog: 3_000,
+    };
+    Demand {
+        host: "dc-7-host-101".into(),
+        services: (0..services).map(service).collect(),
+        suspects: Vec::new(),
+    }
+}
+
 fn records(count: usize) -> Vec<UsageRecord> {
     let record = |index: usize| UsageRecord {
         host: "dc-7-host-101".into(),
