Rollouts: longest first, tables of stragglers, shares, staleness and samples

Cause: a group of long answers that starts late holds up its step; nothing measured the policies. Group lengths are kept by step.

--- a/crates/godwitspool-entry/src/rollout/dispatch.rs
+++ b/crates/godwitspool-entry/src/rollout/dispatch.rs
@@ -1,7 +1,7 @@
-//! Starts samples on targets, and moves those that are late or whose target is reclaimed.
+//! Starts samples on targets, within what the interactive leaves.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::BTreeSet,
     sync::{Arc, Mutex, atomic::AtomicBool},
     thread,
     time::Duration,
@@ -12,10 +12,7 @@
     platform::{TargetEntry, TargetState as Platform},
 };
 use godwitspool_request::{TrainingShare, stable_hash};
-use godwitspool_rollout::{
-    Attempt, ReclaimBudget, ReclaimMove, ReclaimedStream, Remedy, SampleId, ScoreEvent, ShareRules,
-    TargetPace, plan_reclaim,
-};
+use godwitspool_rollout::{SampleId, ScoreEvent, ShareRules};
 use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName};
 
 use super::{
@@ -29,7 +26,7 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 const TICK_MS: Millis = Millis(100);
 const REMEDY_MS: Millis = Millis(250);
-const FIRST_PACE_MS: f64 = 20.0;
+pub(super) const FIRST_PACE_MS: f64 = 20.0;
 
 /// Runs the rollouts of this host until the entry stops.
 pub(crate) fn run(shared: &Arc<Shared>) {
@@ -50,6 +47,8 @@
             state.reclaim(&shared.settings.host, &view, now);
             if now - remedied >= REMEDY_MS {
                 remedied = now;
+                state.measure_paces(now);
+                state.sort_queues();
                 state.remedy(&shared.settings.host, now);
             }
             state.dispatch(shared, &view, now)
@@ -101,7 +100,7 @@
     }
 
     /// Returns how many more training streams this host may start on a target.
-    fn room(&self, own: &HostName, target: &TargetName, now: Millis) -> u32 {
+    pub(super) fn room(&self, own: &HostName, target: &TargetName, now: Millis) -> u32 {
         let Some(known) = self.targets.get(target) else {
             return 0;
         };
@@ -279,6 +278,7 @@
         let fitting = targets.filter(|target| {
             target.service == *service
                 && target.state == Platform::Live
+                && !self.is_slow(&target.target)
                 && self.room(&shared.settings.host, &target.target, now) > 0
         });
         let id = &job.partial.id;
@@ -291,129 +291,4 @@
             (is_meant, !is_avoided, is_near, affinity)
         })
     }
-
-    // -----------------------------------------------------------------------------------------------
-    // Moves
-
-    /// Moves or hedges the samples that hold up their step.
-    fn remedy(&mut self, own: &HostName, now: Millis) {
-        let mut paces: Vec<_> = self
-            .targets
-            .iter()
-            .map(|(target, known)| TargetPace {
-                target: target.clone(),
-                tokens_per_s: 1_000.0 / known.pace_ms.max(0.1),
-                room: self.room(own, target, now),
-            })
-            .collect();
-        let running: Vec<_> = self.running.values().cloned().collect();
-        let (mut hedges, mut moves) = (Vec::new(), HashMap::new());
-        for (name, trainer) in &mut self.trainers {
-            if !trainer.queue.is_empty() {
-                continue;
-            }
-            let streams = running.iter().filter(|running| running.id.trainer == *name);
-            let attempts: Vec<_> = streams.filter_map(|running| attempt_of(running)).collect();
-            let remedies = trainer
-                .stragglers
-                .decide(&attempts, &mut paces, Millis::ZERO, now);
-            for remedy in remedies {
-                match remedy {
-                    Remedy::Hedge { id, to } => hedges.push((id, to)),
-                    Remedy::Migrate { id, to } | Remedy::Resume { id, to } => {
-                        moves.insert(id, to);
-                    }
-                }
-            }
-        }
-        for running in running.iter().filter(|running| !running.is_hedge) {
-            if let Some(to) = moves.get(&running.id) {
-                running.progress().move_to = Some(to.clone());
-            }
-            if let Some((_, to)) = hedges.iter().find(|(id, _)| *id == running.id) {
-                let mut progress = running.progress();
-                progress.hedge = Some(to.clone());
-                let partial = stream::part_of(&progress.partial);
-                drop(progress);
-                self.enqueue(Job {
-                    generation: running.generation,
-                    hedge: true,
-                    kv: None,
-                    partial,
-                    spec: running.spec.clone(),
-                    to: Some(to.clone()),
-                    avoid: Some(running.target.clone()),
-                });
-            }
-        }
-    }
-
-    /// Moves the samples off targets that are reclaimed within seconds.
-    fn reclaim(&mut self, own: &HostName, view: &View, now: Millis) {
-        let going = |target: &TargetName| {
-            let known = view.targets.iter().find(|entry| entry.target == *target);
-            known.is_some_and(|entry| entry.state == Platform::Reclaimed)
-        };
-        let streams: Vec<_> = self
-            .running
-            .values()
-            .filter(|running| going(&running.target) && running.progress().move_to.is_none())
-            .cloned()
-            .collect();
-        if streams.is_empty() {
-            return;
-        }
-        let live = view
-            .targets
-            .iter()
-            .filter(|entry| entry.state == Platform::Live);
-        let budget = ReclaimBudget {
-            room: live.map(|entry| self.room(own, &entry.target, now)).sum(),
-            ..ReclaimBudget::default()
-        };
-        let reclaimed = streams.iter().map(|running| self.reclaimed(running));
-        for (id, chosen) in plan_reclaim(reclaimed.collect(), &budget) {
-            let stream = streams.iter().find(|running| running.id == id);
-            // Each move keeps the tokens; only what ends in time stays.
-            if let Some(running) = stream.filter(|_| chosen != ReclaimMove::Finish) {
-                running.progress().move_to = Some(TargetName::default());
-            }
-        }
-    }
-
-    fn reclaimed(&self, running: &Running) -> ReclaimedStream {
-        let tokens = running.progress().partial.tokens.len() as u32;
-        let trainer = self.trainers.get(&running.id.trainer);
-        let rest = trainer.map_or(0.0, |trainer| {
-            let most = running.spec.max_tokens;
-            trainer
-                .stragglers
-                .expected_rest(running.id.group, tokens, most)
-        });
-        let pace = self.targets.get(&running.target);
-        let pace_ms = pace.map_or(FIRST_PACE_MS, |known| known.pace_ms);
-        ReclaimedStream {
-            id: running.id.clone(),
-            rest_ms: Millis((rest * pace_ms) as u64),
-            tokens,
-        }
-    }
-}
-
-fn attempt_of(running: &Running) -> Option<Attempt> {
-    let progress = running.progress();
-    if progress.move_to.is_some() || running.is_hedge {
-        return None;
-    }
-    Some(Attempt {
-        id: running.id.clone(),
-        heard: progress.heard,
-        max_tokens: running.spec.max_tokens,
-        prompt: (running.spec.bytes() / 4) as u32,
-        started: running.started,
-        target: running.target.clone(),
-        tokens: progress.partial.tokens.len() as u32,
-        resumed: progress.resumed,
-        hedge: progress.hedge.clone(),
-    })
 }
--- a/crates/godwitspool-entry/src/rollout/mod.rs
+++ b/crates/godwitspool-entry/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod dispatch;
 pub(crate) mod journal;
+mod moves;
 mod outbox;
 pub(crate) mod peers;
 mod portions;
--- /dev/null
+++ b/crates/godwitspool-entry/src/rollout/moves.rs
@@ -0,0 +1,213 @@
+//! Moves samples that are late or whose target is reclaimed, and puts the longest first.
+
+use std::collections::HashMap;
+
+use godwitspool_connection::{messages::View, platform::TargetState as Platform};
+use godwitspool_rollout::{
+    Attempt, ReclaimBudget, ReclaimMove, ReclaimedStream, Remedy, StepNumber, TargetPace,
+    plan_reclaim,
+};
+use godwitspool_types::{HostName, Millis, TargetName};
+
+use super::{
+    dispatch::FIRST_PACE_MS,
+    rollouts::{Job, Running, State},
+    stream,
+};
+
+/// Tokens from which a stream tells its target's pace.
+const PACE_TOKENS: u32 = 5;
+/// Part by which an empty target's pace nears the usual one, each time.
+const FORGETTING: f64 = 0.02;
+/// A target this much slower than the median gets no new samples.
+const SLOW_FACTOR: f64 = 3.0;
+
+impl State {
+    /// Measures the pace of each target by its present streams.
+    pub(super) fn measure_paces(&mut self, now: Millis) {
+        let mut sums: HashMap<TargetName, (f64, f64)> = HashMap::new();
+        for running in self.running.values() {
+            let progress = running.progress();
+            let made = progress.partial.tokens.len() as u32 - progress.resumed;
+            if made >= PACE_TOKENS {
+                let sum = sums.entry(running.target.clone()).or_default();
+                sum.0 += (now - running.started).0 as f64;
+                sum.1 += f64::from(made);
+            }
+        }
+        for (target, known) in &mut self.targets {
+            match sums.get(target) {
+                Some((ms, tokens)) => known.pace_ms = ms / tokens,
+                // What is known of an empty target gets old.
+                None => known.pace_ms += FORGETTING * (FIRST_PACE_MS - known.pace_ms),
+            }
+        }
+    }
+
+    /// Tells whether a target is much slower than the others of its service.
+    pub(super) fn is_slow(&self, target: &TargetName) -> bool {
+        let Some(known) = self.targets.get(target) else {
+            return false;
+        };
+        let peers = self
+            .targets
+            .values()
+            .filter(|peer| peer.service == known.service);
+        let mut paces: Vec<f64> = peers.map(|peer| peer.pace_ms).collect();
+        paces.sort_by(f64::total_cmp);
+        known.pace_ms > SLOW_FACTOR * paces[paces.len() / 2]
+    }
+
+    /// Puts what was begun first, then one sample of each group, then the longest to expect.
+    pub(super) fn sort_queues(&mut self) {
+        let mut longest: HashMap<(StepNumber, u32), u32> = HashMap::new();
+        for running in self.running.values() {
+            let most = longest
+                .entry((running.id.step, running.id.group))
+                .or_default();
+            *most = (*most).max(running.progress().partial.tokens.len() as u32);
+        }
+        for trainer in self.trainers.values_mut() {
+            let stragglers = &trainer.stragglers;
+            let mut lengths: HashMap<(StepNumber, u32), f64> = HashMap::new();
+            for job in &trainer.queue {
+                let group = (job.partial.id.step, job.partial.id.group);
+                lengths.entry(group).or_insert_with(|| {
+                    let running = longest.get(&group).copied().unwrap_or(0);
+                    stragglers.expected_length(&job.partial.id, running, job.spec.max_tokens)
+                });
+            }
+            trainer.queue.make_contiguous().sort_by(|a, b| {
+                let key = |job: &Job| {
+                    let id = &job.partial.id;
+                    let is_fresh = job.partial.tokens.is_empty() && job.kv.is_none();
+                    (is_fresh, id.step, is_fresh && id.index > 0)
+                };
+                let length = |job: &Job| lengths[&(job.partial.id.step, job.partial.id.group)];
+                key(a)
+                    .cmp(&key(b))
+                    .then_with(|| length(b).total_cmp(&length(a)))
+            });
+        }
+    }
+
+    /// Moves or hedges the samples that hold up their step.
+    pub(super) fn remedy(&mut self, own: &HostName, now: Millis) {
+        let mut paces: Vec<_> = self
+            .targets
+            .iter()
+            .map(|(target, known)| TargetPace {
+                target: target.clone(),
+                tokens_per_s: 1_000.0 / known.pace_ms.max(0.1),
+                room: self.room(own, target, now),
+            })
+            .collect();
+        let running: Vec<_> = self.running.values().cloned().collect();
+        let (mut hedges, mut moves) = (Vec::new(), HashMap::new());
+        for (name, trainer) in &mut self.trainers {
+            if !trainer.queue.is_empty() {
+                continue;
+            }
+            let streams = running.iter().filter(|running| running.id.trainer == *name);
+            let attempts: Vec<_> = streams.filter_map(|running| attempt_of(running)).collect();
+            let remedies = trainer
+                .stragglers
+                .decide(&attempts, &mut paces, Millis::ZERO, now);
+            for remedy in remedies {
+                match remedy {
+                    Remedy::Hedge { id, to } => hedges.push((id, to)),
+                    Remedy::Migrate { id, to } | Remedy::Resume { id, to } => {
+                        moves.insert(id, to);
+                    }
+                }
+            }
+        }
+        for running in running.iter().filter(|running| !running.is_hedge) {
+            if let Some(to) = moves.get(&running.id) {
+                running.progress().move_to = Some(to.clone());
+            }
+            if let Some((_, to)) = hedges.iter().find(|(id, _)| *id == running.id) {
+                let mut progress = running.progress();
+                progress.hedge = Some(to.clone());
+                let partial = stream::part_of(&progress.partial);
+                drop(progress);
+                self.enqueue(Job {
+                    generation: running.generation,
+                    hedge: true,
+                    kv: None,
+                    partial,
+                    spec: running.spec.clone(),
+                    to: Some(to.clone()),
+                    avoid: Some(running.target.clone()),
+                });
+            }
+        }
+    }
+
+    /// Moves the samples off targets that are reclaimed within seconds.
+    pub(super) fn reclaim(&mut self, own: &HostName, view: &View, now: Millis) {
+        let going = |target: &TargetName| {
+            let known = view.targets.iter().find(|entry| entry.target == *target);
+            known.is_some_and(|entry| entry.state == Platform::Reclaimed)
+        };
+        let streams: Vec<_> = self
+            .running
+            .values()
+            .filter(|running| going(&running.target) && running.progress().move_to.is_none())
+            .cloned()
+            .collect();
+        if streams.is_empty() {
+            return;
+        }
+        let live = view
+            .targets
+            .iter()
+            .filter(|entry| entry.state == Platform::Live);
+        let budget = ReclaimBudget {
+            room: live.map(|entry| self.room(own, &entry.target, now)).sum(),
+            ..ReclaimBudget::default()
+        };
+        let reclaimed = streams.iter().map(|running| self.reclaimed(running));
+        for (id, chosen) in plan_reclaim(reclaimed.collect(), &budget) {
+            let stream = streams.iter().find(|running| running.id == id);
+            // Each move keeps the tokens; only what ends in time stays.
+            if let Some(running) = stream.filter(|_| chosen != ReclaimMove::Finish) {
+                running.progress().move_to = Some(TargetName::default());
+            }
+        }
+    }
+
+    fn reclaimed(&self, running: &Running) -> ReclaimedStream {
+        let tokens = running.progress().partial.tokens.len() as u32;
+        let trainer = self.trainers.get(&running.id.trainer);
+        let rest = trainer.map_or(0.0, |trainer| {
+            let most = running.spec.max_tokens;
+            trainer.stragglers.expected_rest(&running.id, tokens, most)
+        });
+        let pace = self.targets.get(&running.target);
+        let pace_ms = pace.map_or(FIRST_PACE_MS, |known| known.pace_ms);
+        ReclaimedStream {
+            id: running.id.clone(),
+            rest_ms: Millis((rest * pace_ms) as u64),
+            tokens,
+        }
+    }
+}
+
+fn attempt_of(running: &Running) -> Option<Attempt> {
+    let progress = running.progress();
+    if progress.move_to.is_some() || running.is_hedge {
+        return None;
+    }
+    Some(Attempt {
+        id: running.id.clone(),
+        heard: progress.heard,
+        max_tokens: running.spec.max_tokens,
+        prompt: (running.spec.bytes() / 4) as u32,
+        started: running.started,
+        target: running.target.clone(),
+        tokens: progress.partial.tokens.len() as u32,
+        resumed: progress.resumed,
+        hedge: progress.hedge.clone(),
+    })
+}
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -20,7 +20,7 @@
 use godwitspool_request::TrainingShare;
 use godwitspool_rollout::{
     Answer, GroupSpec, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction, StepEvent,
-    StepRules, StragglerRules, Stragglers, TrainerSteps,
+    StepNumber, StepRules, StragglerRules, Stragglers, TrainerSteps,
 };
 use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName, WeightVersion};
 use godwitspool_version::TrainerRules;
@@ -199,6 +199,7 @@
         };
         let mut actions = held.introduce(&view, trainer, &shared.settings.host, now);
         actions.extend(held.steps.decide(event, now));
+        held.forget_handed_over();
         let sends = state.carry_out(&shared.settings.host, trainer, actions);
         // Queued under the lock, so that messages leave in the order of the decisions.
         for (to, message) in sends {
@@ -410,6 +411,16 @@
         })
     }
 
+    /// Forgets the lengths of groups in steps before the oldest open one.
+    fn forget_handed_over(&mut self) {
+        let oldest = self.steps.image().progress().next();
+        if let Some(StepNumber(oldest)) = oldest.map(|(step, _)| step)
+            && oldest > 0
+        {
+            self.stragglers.forget(StepNumber(oldest - 1));
+        }
+    }
+
     /// Tells the steps of the hosts and of the version in the view.
     fn introduce(
         &mut self,
--- a/crates/godwitspool-entry/src/rollout/scores.rs
+++ b/crates/godwitspool-entry/src/rollout/scores.rs
@@ -34,7 +34,7 @@
         return;
     };
     held.stragglers
-        .learn(sample.id.group, sample.tokens.len() as u32);
+        .learn(&sample.id, sample.tokens.len() as u32);
     if held.rules.scorer.as_str().is_empty() {
         drop(state);
         let event = StepEvent::Finished { generation, sample };
--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, slopes};
+use crate::{Options, Table, rollout, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -15,11 +15,33 @@
 
 impl Command {
     /// Every command, in order of name.
-    pub const ALL: &'static [Self] = &[Self {
-        about: "what a unit more of each thing costs, with a line fitted to each",
-        name: "slopes",
-        run: slopes::run,
-    }];
+    pub const ALL: &'static [Self] = &[
+        Self {
+            about: "bytes and time of waiting samples",
+            name: "samples",
+            run: rollout::samples,
+        },
+        Self {
+            about: "how near 12 trainers come to their shares",
+            name: "shares",
+            run: rollout::shares,
+        },
+        Self {
+            about: "what a unit more of each thing costs, with a line fitted to each",
+            name: "slopes",
+            run: slopes::run,
+        },
+        Self {
+            about: "ages of samples at delivery",
+            name: "staleness",
+            run: rollout::staleness,
+        },
+        Self {
+            about: "step times with stragglers, by policy",
+            name: "stragglers",
+            run: rollout::stragglers,
+        },
+    ];
 
     /// Finds a command.
     ///
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -11,6 +11,7 @@
 mod command;
 mod fit;
 mod options;
+mod rollout;
 mod series;
 mod slopes;
 mod system;
--- a/crates/godwitspool-rollout/src/straggler.rs
+++ b/crates/godwitspool-rollout/src/straggler.rs
@@ -9,9 +9,10 @@
 
 use godwitspool_types::{Millis, TargetName};
 
-use crate::{Lengths, SampleId};
+use crate::{Lengths, SampleId, StepNumber};
 
 const UNLEARNT_ANSWERS: f64 = 50.0;
+const LONG_FACTOR: f64 = 2.0;
 const MIGRATE_TOKENS: u32 = 200;
 
 /// Bounds of the remedies.
@@ -20,9 +21,11 @@
     /// Part of a step's tokens that remedies may cost.
     pub extra_work: f64,
     /// Answers of the group from which on its own lengths count.
-    pub group_answers: u64,
+    pub group_answers: usize,
     /// Time saved that a move has to bring, on top of what it costs.
     pub least_gain_ms: Millis,
+    /// Part of the remaining time that a move has to save.
+    pub least_part: f64,
     /// Tokens of prompt that a target reads in the time of one generated token.
     pub prefill_ratio: f64,
     /// Time without a token after which a stream counts as silent.
@@ -35,6 +38,7 @@
             extra_work: 0.04,
             group_answers: 4,
             least_gain_ms: Millis(1_000),
+            least_part: 0.25,
             prefill_ratio: 20.0,
             silent_ms: Millis(5_000),
         }
@@ -101,11 +105,13 @@
     },
 }
 
+type GroupKey = (StepNumber, u32);
+
 /// Lengths and budget of one trainer's steps.
 #[derive(Debug, Default)]
 pub struct Stragglers {
     extra: f64,
-    groups: BTreeMap<u32, Lengths>,
+    groups: BTreeMap<GroupKey, Vec<u32>>,
     made: f64,
     model: Lengths,
     rules: StragglerRules,
@@ -127,20 +133,21 @@
     }
 
     /// Learns the length of a whole answer.
-    pub fn learn(&mut self, group: u32, tokens: u32) {
+    pub fn learn(&mut self, id: &SampleId, tokens: u32) {
         self.model.add(u64::from(tokens));
-        self.groups.entry(group).or_default().add(u64::from(tokens));
+        self.groups
+            .entry((id.step, id.group))
+            .or_default()
+            .push(tokens);
         self.made += f64::from(tokens);
     }
 
-    /// Begins a step: group numbers start anew, the model's lengths stay.
-    pub fn begin_step(&mut self) {
-        self.groups.clear();
-        self.extra = 0.0;
-        self.made = 0.0;
+    /// Forgets the groups of a step and of all before it; the model's lengths stay.
+    pub fn forget(&mut self, step: StepNumber) {
+        self.groups = self.groups.split_off(&(StepNumber(step.0 + 1), 0));
     }
 
-    /// Returns the part of the step's tokens that remedies have cost.
+    /// Returns the part of the tokens made that remedies have cost.
     pub fn extra_work(&self) -> f64 {
         if self.made > 0.0 {
             self.extra / self.made
@@ -149,25 +156,27 @@
         }
     }
 
-    /// Returns the tokens still to expect from a sample of a group that has `tokens` already.
-    pub fn expected_rest(&self, group: u32, tokens: u32, max_tokens: u32) -> f64 {
-        let own = self.groups.get(&group);
-        let own = own.filter(|lengths| lengths.len() >= self.rules.group_answers);
+    /// Returns the tokens still to expect from a sample that has `tokens` already.
+    pub fn expected_rest(&self, id: &SampleId, tokens: u32, max_tokens: u32) -> f64 {
         let model = self.model.expected_rest(u64::from(tokens));
-        let rest = match own {
-            // A group may have seen no answer as long as this one; the model has.
-            Some(own) => own.expected_rest(u64::from(tokens)).max(model),
-            None => model,
-        };
+        let own = self.groups.get(&(id.step, id.group));
+        let own = own.filter(|lengths| lengths.len() >= self.rules.group_answers);
+        // A group may have seen no answer as long as this one; the model has.
+        let rest = own.map_or(model, |lengths| mean_rest(lengths, tokens).max(model));
         rest.min(f64::from(max_tokens.saturating_sub(tokens)))
     }
 
-    /// Orders groups that wait: those with the longest answers to expect first.
-    pub fn longest_first(&self, waiting: &mut [(u32, u32)]) {
-        waiting.sort_by(|a, b| {
-            let rest = |(group, max): (u32, u32)| self.expected_rest(group, 0, max);
-            rest(*b).total_cmp(&rest(*a)).then(a.cmp(b))
-        });
+    /// Returns the length to expect of a sample that waits.
+    ///
+    /// `longest` is the most tokens that a running sample of its group has: once that is far beyond
+    /// the usual, the others are expected to be as long before any of them is whole.
+    pub fn expected_length(&self, id: &SampleId, longest: u32, max_tokens: u32) -> f64 {
+        let usual = self.expected_rest(id, 0, max_tokens);
+        if f64::from(longest) < self.model.mean() * LONG_FACTOR {
+            return usual;
+        }
+        let seen = f64::from(longest) + self.expected_rest(id, longest, max_tokens);
+        usual.max(seen)
     }
 
     /// Chooses remedies for the running samples.
@@ -207,7 +216,7 @@
 
     /// Returns the milliseconds until a sample is whole on its present target.
     fn remaining_ms(&self, attempt: &Attempt, now: Millis) -> f64 {
-        let rest = self.expected_rest(attempt.id.group, attempt.tokens, attempt.max_tokens);
+        let rest = self.expected_rest(&attempt.id, attempt.tokens, attempt.max_tokens);
         let made = f64::from(attempt.tokens.saturating_sub(attempt.resumed).max(1));
         let spent = (now - attempt.started).0 as f64;
         let silent = (now - attempt.heard).0 as f64;
@@ -226,7 +235,7 @@
             pace.room > 0 && pace.tokens_per_s > 0.0 && pace.target != attempt.target
         });
         let best = others.max_by(|a, b| a.tokens_per_s.total_cmp(&b.tokens_per_s))?;
-        let rest = self.expected_rest(attempt.id.group, attempt.tokens, attempt.max_tokens);
+        let rest = self.expected_rest(&attempt.id, attempt.tokens, attempt.max_tokens);
         let read = f64::from(attempt.prompt + attempt.tokens) / self.rules.prefill_ratio;
         let is_silent = now - attempt.heard >= self.rules.silent_ms;
         // A hedge runs the rest twice; a move only reads what it brings along.
@@ -235,7 +244,8 @@
         let elsewhere = (read + rest) * ms_per_token;
         let gain = remaining - elsewhere.max(end);
         let pays = gain > cost * ms_per_token / f64::from(best.room.max(1))
-            && gain >= self.rules.least_gain_ms.0 as f64;
+            && gain >= self.rules.least_gain_ms.0 as f64
+            && gain >= self.rules.least_part * remaining;
         let budget = self.rules.extra_work * self.made.max(self.model.mean() * UNLEARNT_ANSWERS);
         if !pays || self.extra + cost > budget {
             return None;
@@ -253,3 +263,15 @@
         Some((remedy, elsewhere))
     }
 }
+
+/// Returns the mean rest of the answers that grew longer; none did, nothing is expected.
+fn mean_rest(lengths: &[u32], tokens: u32) -> f64 {
+    let longer = lengths.iter().filter(|length| **length > tokens);
+    let rests = longer.map(|length| f64::from(length - tokens));
+    let count = rests.clone().count();
+    if count > 0 {
+        rests.sum::<f64>() / count as f64
+    } else {
+        0.0
+    }
+}
