--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, slopes};
+use crate::{Options, Table, control, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -15,11 +15,28 @@
 
 impl Command {
     /// Every command, in order of name.
-    pub const ALL: &'static [Self] = &[Self {
-        about: "what a unit more of each thing costs, with a line fitted to each",
-        name: "slopes",
-        run: slopes::run,
-    }];
+    pub const ALL: &'static [Self] = &[
+        Self {
+            about: "time from a record's acceptance to its being in force on every host",
+            name: "in-force",
+            run: control::in_force,
+        },
+        Self {
+            about: "replay of the log, and the size and load time of snapshots",
+            name: "log",
+            run: control::log,
+        },
+        Self {
+            about: "detection of dead hosts, hosts removed wrongly, bytes and processor time",
+            name: "membership",
+            run: control::membership,
+        },
+        Self {
+            about: "what a unit more of each thing costs, with a line fitted to each",
+            name: "slopes",
+            run: slopes::run,
+        },
+    ];
 
     /// Finds a command.
     ///
--- /dev/null
+++ b/crates/godwitspool-measure/src/control/membership.rs
@@ -0,0 +1,287 @@
+//! Membership: how soon a dead host is gone, who is removed wrongly, and what it costs.
+
+use std::{
+    net::UdpSocket,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use godwitspool_connection::platform::HostEntry;
+use godwitspool_process::{
+    Clock,
+    membership::{Gossip, GossipEvent, MemberRecord, MembershipRules, simulated::Net},
+};
+use godwitspool_types::{Incarnation, Millis};
+
+use super::rig::{listing, processor_time};
+use crate::{Options, Table};
+
+const SIZES: [usize; 3] = [10, 50, 131];
+const LOSSES: [f64; 2] = [0.0, 0.05];
+const KILLS: usize = 20;
+const WATCHED: Millis = Millis(600_000);
+const LOADED: Millis = Millis(60_000);
+const FIND: Millis = Millis(120_000);
+/// Other data centres at the size to design for.
+const FAR_DCS: usize = 28;
+const SOCKET_SIZES: [usize; 2] = [10, 50];
+const SOCKET_RUN: Duration = Duration::from_secs(10);
+
+pub(crate) fn run(options: &Options) -> Vec<Table> {
+    vec![
+        detection(options.seed),
+        false_positives(options.seed),
+        load(options.seed),
+        sockets(),
+    ]
+}
+
+fn data_centre(hosts: usize, loss: f64, seed: u64) -> Net {
+    let mut net = Net::new(seed);
+    net.add_hosts("tbilisi", hosts);
+    let found = net.run_until(FIND, |net| net.all_see(hosts));
+    assert!(found.is_some(), "{hosts} hosts don't find each other");
+    net.loss = loss;
+    net
+}
+
+/// Kills hosts one at a time and times until all others see them gone.
+fn detection(seed: u64) -> Table {
+    let columns = [
+        "hosts",
+        "loss_percent",
+        "kills",
+        "first_ms",
+        "mean_ms",
+        "max_ms",
+    ];
+    let mut table = Table::new("membership-detection", &columns);
+    for hosts in SIZES {
+        for loss in LOSSES {
+            let times: Vec<_> = (0..KILLS)
+                .map(|kill| kill_one(hosts, loss, seed, kill))
+                .collect();
+            let mean =
+                |pick: fn(&Gone) -> u64| times.iter().map(pick).sum::<u64>() / times.len() as u64;
+            let max = times
+                .iter()
+                .map(|gone| gone.all_ms)
+                .max()
+                .unwrap_or_default();
+            table.row([
+                hosts.to_string(),
+                format!("{:.0}", loss * 100.0),
+                KILLS.to_string(),
+                mean(|gone| gone.first_ms).to_string(),
+                mean(|gone| gone.all_ms).to_string(),
+                max.to_string(),
+            ]);
+        }
+    }
+    table
+}
+
+/// When the first and when all others saw that a host was gone.
+struct Gone {
+    first_ms: u64,
+    all_ms: u64,
+}
+
+fn kill_one(hosts: usize, loss: f64, seed: u64, kill: usize) -> Gone {
+    let mut net = data_centre(hosts, loss, seed + kill as u64);
+    net.run_for(Millis(1_000 + 37 * kill as u64));
+    net.hosts[0].runs = false;
+    let believers = |net: &Net| (1..hosts).filter(|host| net.sees(*host, 0)).count();
+    let first = net.run_until(FIND, |net| believers(net) < hosts - 1);
+    let rest = net.run_until(FIND, |net| believers(net) == 0);
+    let first_ms = first.unwrap_or(FIND).0;
+    Gone {
+        first_ms,
+        all_ms: first_ms + rest.unwrap_or(FIND).0,
+    }
+}
+
+/// Counts hosts that are suspected and removed although all of them live.
+fn false_positives(seed: u64) -> Table {
+    let columns = [
+        "hosts",
+        "loss_percent",
+        "host_hours",
+        "suspected",
+        "refuted",
+        "removed",
+    ];
+    let mut table = Table::new("membership-false-positives", &columns);
+    for hosts in SIZES {
+        for loss in [0.05, 0.15] {
+            let mut net = data_centre(hosts, loss, seed);
+            net.run_for(WATCHED);
+            let counts = || net.hosts.iter().map(|host| host.membership.counts());
+            let hours = hosts as f64 * WATCHED.seconds() / 3_600.0;
+            table.row([
+                hosts.to_string(),
+                format!("{:.0}", loss * 100.0),
+                format!("{hours:.1}"),
+                counts()
+                    .map(|counts| counts.suspected)
+                    .sum::<u64>()
+                    .to_string(),
+                counts()
+                    .map(|counts| counts.refuted)
+                    .sum::<u64>()
+                    .to_string(),
+                counts().map(|counts| counts.downs).sum::<u64>().to_string(),
+            ]);
+        }
+    }
+    table
+}
+
+/// Measures what hosts send and compute while nothing happens.
+fn load(seed: u64) -> Table {
+    let columns = [
+        "hosts",
+        "other_dcs",
+        "loss_percent",
+        "mean_bytes_per_s",
+        "max_bytes_per_s",
+        "datagrams_per_s",
+        "mean_core_percent",
+        "max_core_percent",
+    ];
+    let mut table = Table::new("membership-load", &columns);
+    for (hosts, dcs) in [(10, 0), (50, 0), (131, 0), (4, 2), (131, FAR_DCS)] {
+        for loss in LOSSES {
+            table.row(load_row(hosts, dcs, loss, seed));
+        }
+    }
+    table
+}
+
+fn load_row(hosts: usize, dcs: usize, loss: f64, seed: u64) -> [String; 8] {
+    let mut net = Net::new(seed);
+    net.add_hosts("tbilisi", hosts);
+    for dc in 0..dcs {
+        net.add_hosts(&format!("dc-{dc:02}"), 1);
+    }
+    let found = net.run_until(FIND, |net| net.all_see_near(hosts));
+    assert!(found.is_some(), "{hosts} hosts don't find each other");
+    net.loss = loss;
+    net.run_for(Millis(10_000));
+    let before: Vec<_> = net
+        .hosts
+        .iter()
+        .map(|host| (host.sent, host.worked))
+        .collect();
+    net.run_for(LOADED);
+    let seconds = LOADED.seconds();
+    let near = || net.hosts.iter().zip(&before).take(hosts);
+    let rates = near().map(|(host, (sent, _))| (host.sent.bytes - sent.bytes) as f64 / seconds);
+    let rates: Vec<_> = rates.collect();
+    let datagrams = near().map(|(host, (sent, _))| host.sent.datagrams - sent.datagrams);
+    let cores = near()
+        .map(|(host, (_, worked))| host.worked.saturating_sub(*worked).as_secs_f64() / seconds);
+    let cores: Vec<_> = cores.map(|core| core * 100.0).collect();
+    [
+        hosts.to_string(),
+        dcs.to_string(),
+        format!("{:.0}", loss * 100.0),
+        format!("{:.0}", mean(&rates)),
+        format!("{:.0}", max(&rates)),
+        format!(
+            "{:.1}",
+            datagrams.sum::<u64>() as f64 / hosts as f64 / seconds
+        ),
+        format!("{:.3}", mean(&cores)),
+        format!("{:.3}", max(&cores)),
+    ]
+}
+
+fn mean(figures: &[f64]) -> f64 {
+    figures.iter().sum::<f64>() / figures.len() as f64
+}
+
+fn max(figures: &[f64]) -> f64 {
+    figures.iter().copied().fold(0.0, f64::max)
+}
+
+// ---
+
+/// Measures hosts over real sockets of this machine; the processor time is that of all of them, with
+/// the operating system's share.
+fn sockets() -> Table {
+    let columns = [
+        "hosts",
+        "seconds",
+        "bytes_per_s",
+        "datagrams_per_s",
+        "core_percent",
+        "removed",
+    ];
+    let mut table = Table::new("membership-sockets", &columns);
+    for hosts in SOCKET_SIZES {
+        let gossips = start_all(hosts);
+        let before: Vec<_> = gossips.iter().map(Gossip::counts).collect();
+        let worked = processor_time();
+        thread::sleep(SOCKET_RUN);
+        let worked = processor_time().saturating_sub(worked).as_secs_f64();
+        let seconds = SOCKET_RUN.as_secs_f64() * hosts as f64;
+        let grown = gossips.iter().zip(&before).map(|(gossip, before)| {
+            let counts = gossip.counts();
+            (
+                counts.sent - before.sent,
+                counts.sent_bytes - before.sent_bytes,
+            )
+        });
+        let (sent, bytes) = grown.fold((0, 0), |sum, grown| (sum.0 + grown.0, sum.1 + grown.1));
+        let removed: u64 = gossips
+            .iter()
+            .map(|gossip| gossip.counts().membership.downs)
+            .sum();
+        table.row([
+            hosts.to_string(),
+            SOCKET_RUN.as_secs().to_string(),
+            format!("{:.0}", bytes as f64 / seconds),
+            format!("{:.1}", sent as f64 / seconds),
+            format!("{:.3}", worked * 100.0 / seconds),
+            removed.to_string(),
+        ]);
+    }
+    table
+}
+
+fn start_all(hosts: usize) -> Vec<Gossip> {
+    let started: Vec<_> = (0..hosts).map(start).collect();
+    let listed: Vec<_> = started.iter().map(|(_, entry)| entry.clone()).collect();
+    let gossips: Vec<_> = started.into_iter().map(|(gossip, _)| gossip).collect();
+    for gossip in &gossips {
+        gossip.listed(listed.clone());
+    }
+    let begun = Instant::now();
+    while gossips.iter().any(|gossip| gossip.members().len() < hosts) {
+        assert!(
+            begun.elapsed() < Duration::from_mins(1),
+            "hosts don't find each other"
+        );
+        thread::sleep(Duration::from_millis(20));
+    }
+    gossips
+}
+
+fn start(number: usize) -> (Gossip, HostEntry) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port of the loopback is free");
+    let address = socket.local_addr().expect("a bound socket has an address");
+    let name = format!("gori-{number}");
+    let own = MemberRecord::default()
+        .with_host(name.clone(), "gori")
+        .with_addresses(address, address)
+        .with_life(Incarnation(1));
+    let (sender, _) = mpsc::channel::<GossipEvent>();
+    let rules = MembershipRules::default();
+    let gossip = Gossip::start(socket, own, rules, Clock::start(), sender);
+    (
+        gossip.expect("a thread starts"),
+        listing(&name, "gori", address),
+    )
+}
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -8,6 +8,7 @@
 //! stand in the same table, from the same run and seed.
 
 mod command;
+mod control;
 mod fit;
 mod options;
 mod series;
