--- a/crates/godwitspool-measure/src/control/rig.rs
+++ b/crates/godwitspool-measure/src/control/rig.rs
@@ -145,11 +145,15 @@
         self.platform.targets()
     }
 
-    fn order(&self, order: &TargetOrder) -> Result<OrderAnswer, PlatformError> {
-        self.platform.order(order)
+    fn order(
+        &self,
+        order: &TargetOrder,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<OrderAnswer, PlatformError> {
+        self.platform.order(order, may_send)
     }
 
-    fn report(&self, report: &UsageReport) -> Result<(), PlatformError> {
-        self.platform.report(report)
+    fn report(&self, report: &UsageReport, may: &dyn Fn() -> bool) -> Result<(), PlatformError> {
+        self.platform.report(report, may_send)
     }
 }
