--- a/crates/godwitspool-connection/src/peer/server.rs
+++ b/crates/godwitspool-connection/src/peer/server.rs
@@ -43,7 +43,7 @@
             connections: 512,
             frame_bytes: 16 << 20,
             idle: Millis(60_000),
-            threads: 64,
+            threads: 256,
         }
     }
 }
--- a/crates/godwitspool-measure/src/control/rig.rs
+++ b/crates/godwitspool-measure/src/control/rig.rs
@@ -153,7 +153,11 @@
         self.platform.order(order, may_send)
     }
 
-    fn report(&self, report: &UsageReport, may: &dyn Fn() -> bool) -> Result<(), PlatformError> {
+    fn report(
+        &self,
+        report: &UsageReport,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<(), PlatformError> {
         self.platform.report(report, may_send)
     }
 }
