--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod capacity;
 mod command;
+mod control;
 mod fit;
 mod options;
 mod series;
