--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, rollout, slopes};
+use crate::{Options, Table, control, rollout, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +16,21 @@
 impl Command {
     /// Every command, in order of name.
     pub const ALL: &'static [Self] = &[
+        Self {
+            about: "time from a record's acceptance to its being in force on every host",
+            name: "in-force",
+            run: control::in_force,
+        },
+        Self {
+            about: "replay of the log, and the size and load time of snapshots",
+            name: "log",
+            run: control::log,
+        },
+        Self {
+            about: "detection of dead hosts, hosts removed wrongly, bytes and processor time",
+            name: "membership",
+            run: control::membership,
+        },
         Self {
             about: "bytes and time of waiting samples",
             name: "samples",
