--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod fit;
 mod options;
+mod rollout;
 mod series;
 mod slopes;
 mod system;
