--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -9,8 +9,10 @@
 
 mod capacity;
 mod command;
+mod control;
 mod fit;
 mod options;
+mod rollout;
 mod series;
 mod slopes;
 mod system;
