Demo: plain services crash, go silent and lose answers as well

Cause: no fault met the plain services, so nothing tried at-most-once for calls that may not be repeated. Change: engine-crash, stream-silence and lost-answer each meet a plain service too.

--- a/crates/godwitspool-demo/src/inject.rs
+++ b/crates/godwitspool-demo/src/inject.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_fakes::{Engine, SwapFault};
+use godwitspool_fakes::{Engine, PlainFault, PlainService, SwapFault};
 use godwitspool_history::{Event, Recorder};
 use godwitspool_types::{Dc, HostName, Offset};
 use godwitspool_version::{LeaseKind, Record, RecordBody};
@@ -30,6 +30,8 @@
 const KEY_OVERLAP: Duration = Duration::from_secs(2);
 /// Time for which some callers go on with a withdrawn key.
 const OLD_KEY_KEPT: Duration = Duration::from_secs(6);
+/// Time for which a plain service loses its answers.
+const PLAIN_FAULT: Duration = Duration::from_millis(400);
 const POLL: Duration = Duration::from_millis(20);
 
 /// Brings faults about.
@@ -60,11 +62,17 @@
     fn bring_about(&self, fault: Fault) {
         let lasting = Duration::from_millis(fault.lasting_ms);
         match fault.kind {
-            FaultKind::EngineCrash => self.with_engine(fault.pick, Engine::crash),
+            FaultKind::EngineCrash => {
+                self.with_engine(fault.pick, Engine::crash);
+                self.with_plain(fault.pick, PlainService::crash);
+            }
             FaultKind::HostRestart => self.restart_host(fault.pick),
             FaultKind::KeyWithdrawal => self.withdraw_key(fault.pick),
             FaultKind::LogOutage => self.log_outage(lasting),
-            FaultKind::LostAnswer => self.system.platform.lose_answers(LOST_ANSWERS),
+            FaultKind::LostAnswer => {
+                self.system.platform.lose_answers(LOST_ANSWERS);
+                self.lose_plain_answers(fault.pick);
+            }
             FaultKind::Partition => self.partition(fault.pick, lasting),
             FaultKind::PausedHolder => self.pause_holder(lasting),
             FaultKind::Poison => self.poison(fault.pick),
@@ -72,7 +80,10 @@
                 let dc = &self.host(fault.pick).place.dc;
                 drop(self.system.platform.reclaim(dc, RECLAIM_NOTICE_MS));
             }
-            FaultKind::StreamSilence => self.with_engine(fault.pick, Engine::silence),
+            FaultKind::StreamSilence => {
+                self.with_engine(fault.pick, Engine::silence);
+                self.with_plain(fault.pick, |service| service.relay().silence());
+            }
             FaultKind::SwapFailure => self.fail_swaps(fault.pick, lasting),
         }
     }
@@ -174,6 +185,27 @@
         }
     }
 
+    fn with_plain(&self, pick: u64, act: impl FnOnce(&PlainService)) {
+        let services = self.system.platform.running_plain_services();
+        if let Some(service) = services.get(pick as usize % services.len().max(1)) {
+            act(service);
+        }
+    }
+
+    /// Lets calls of one plain service run without their answers, or with half of them.
+    fn lose_plain_answers(&self, pick: u64) {
+        let fault = if pick.is_multiple_of(2) {
+            PlainFault::Cut
+        } else {
+            PlainFault::Lost
+        };
+        self.with_plain(pick / 2, |service| {
+            service.set_fault(fault);
+            self.wait_until(Instant::now() + PLAIN_FAULT);
+            service.set_fault(PlainFault::None);
+        });
+    }
+
     fn host(&self, pick: u64) -> &Host {
         &self.system.hosts[pick as usize % self.system.hosts.len()]
     }
--- a/crates/godwitspool-fakes/src/platform.rs
+++ b/crates/godwitspool-fakes/src/platform.rs
@@ -268,6 +268,19 @@
         engines.collect()
     }
 
+    /// Returns the plain services that run.
+    pub fn running_plain_services(&self) -> Vec<Arc<PlainService>> {
+        let state = lock(&self.shared.state);
+        let services = state
+            .fleet
+            .running()
+            .filter_map(|(_, target)| match target {
+                Target::Engine(_) => None,
+                Target::Plain(plain) => Some(Arc::clone(plain)),
+            });
+        services.collect()
+    }
+
     /// Returns all plain services there were, those that ended included.
     pub fn plain_services(&self) -> Vec<Arc<PlainService>> {
         let state = lock(&self.shared.state);
