Entry: usage is held by stewards before an answer ends, and demand is reported

Change: Billing counts what a caller got, has it held by the own host's steward (which copies it to two more) or by two others while that one is silent, and the end of an answer waits for it, bounded; demand by service goes to the steward every 0.5 s.

--- a/crates/godwitspool-entry/src/process/mod.rs
+++ b/crates/godwitspool-entry/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! What lives for the process.
 
+pub(crate) mod billing;
+pub(crate) mod demand;
 pub(crate) mod entry;
 pub(crate) mod operators;
 pub(crate) mod serving;
--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -14,11 +14,16 @@
 use godwitspool_request::TargetId;
 use godwitspool_types::TargetName;
 
-use crate::{connection::peers::Links, process::serving::Serving, rollout::rollouts::Rollouts};
+use crate::{
+    connection::peers::Links,
+    process::{billing::Billing, serving::Serving},
+    rollout::rollouts::Rollouts,
+};
 
 /// State that the daemon's threads share.
 #[derive(Debug)]
 pub(crate) struct Shared {
+    pub(crate) billing: Billing,
     clients: Mutex<HashMap<SocketAddr, TargetClient>>,
     draining: AtomicBool,
     leaving: AtomicBool,
@@ -35,6 +40,7 @@
 impl Shared {
     pub(crate) fn new(settings: EntrySettings) -> Self {
         Self {
+            billing: Billing::default(),
             clients: Mutex::default(),
             draining: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/crates/godwitspool-entry/src/process/upkeep.rs
+++ b/crates/godwitspool-entry/src/process/upkeep.rs
@@ -1,5 +1,5 @@
-//! What the interactive path does by itself: follow the view, look at queues, read loads, renew
-//! parts of limits.
+//! What the entry does by itself: follow the view, look at queues, read loads, renew parts of limits,
+//! report demand, have usage held.
 
 use std::{
     collections::BTreeSet,
@@ -18,7 +18,7 @@
 use godwitspool_version::ServiceKind;
 
 use crate::{
-    process::{serving, shared::Shared},
+    process::{billing, demand, serving, shared::Shared},
     request::{keyed, quota},
 };
 
@@ -31,7 +31,13 @@
 
 /// Starts the threads.
 pub(crate) fn start(shared: &Arc<Shared>) -> io::Result<Vec<JoinHandle<()>>> {
-    let parts: [(&str, Part); 3] = [("view", watch), ("loads", read_loads), ("limits", renew)];
+    let parts: [(&str, Part); 5] = [
+        ("billing", billing::run),
+        ("demand", demand::run),
+        ("limits", renew),
+        ("loads", read_loads),
+        ("view", watch),
+    ];
     let spawn = |(name, part): (&str, Part)| {
         let shared = Arc::clone(shared);
         let thread = thread::Builder::new().name(name.to_owned());
--- a/crates/godwitspool-entry/src/request/dispatch.rs
+++ b/crates/godwitspool-entry/src/request/dispatch.rs
@@ -19,7 +19,10 @@
 };
 use godwitspool_types::{ClassName, Dc, Millis, RequestId, ServiceName, TargetName, Workspace};
 
-use crate::request::work::Work;
+use crate::{
+    process::demand::{Load, Loads},
+    request::work::Work,
+};
 
 /// Slots of a target whose service isn't configured.
 const DEFAULT_SLOTS: u32 = 16;
@@ -272,6 +275,19 @@
             .fail(reason, after, both, now, &mut rand::rng())
     }
 
+    /// Returns how much runs and waits, by service.
+    pub(crate) fn loads(&self) -> Loads {
+        let state = self.lock();
+        let load = |admission: &Admission| Load {
+            running: admission.running(),
+            waiting: admission.waiting() as u32,
+        };
+        let services = state.admissions.iter();
+        services
+            .map(|(service, admission)| (service.clone(), load(admission)))
+            .collect()
+    }
+
     /// Returns requests that run and wait, by service.
     pub(crate) fn status(&self) -> serde_json::Value {
         let state = self.lock();
--- a/crates/godwitspool-entry/src/request/generation.rs
+++ b/crates/godwitspool-entry/src/request/generation.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     connection::answer::Answering,
-    process::shared::Shared,
+    process::{billing::Got, shared::Shared},
     request::{
         authorize::{self, OpenGuard},
         dispatch::Paces,
@@ -30,7 +30,7 @@
     let id = RequestId::random();
     let prepared = prepare(&mut request, shared, id);
     let mut answering = Answering::new(request, id, Arc::clone(shared));
-    let outcome = prepared.and_then(|prepared| {
+    let ending = prepared.and_then(|prepared| {
         let tries = Tries::begin(shared, prepared.work.clone())?;
         let mut generation = Generation {
             answering: &mut answering,
@@ -41,10 +41,13 @@
             stitch: Stitch::default(),
             tries,
         };
-        generation.run()
+        let ending = generation.run();
+        generation.bill(&ending);
+        ending
     });
-    match outcome {
-        Ok(()) => {}
+    match ending {
+        Ok(Ending::Left) => {}
+        Ok(Ending::Whole) => answering.finish(),
         Err(refusal) => answering.refuse(&refusal),
     }
 }
@@ -115,6 +118,15 @@
     Ok(body)
 }
 
+/// How a generation ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    /// The caller went away.
+    Left,
+    /// The answer is whole, but for its end.
+    Whole,
+}
+
 /// How an attempt ended.
 enum Ended {
     /// The key was withdrawn.
@@ -139,7 +151,7 @@
 }
 
 impl Generation<'_> {
-    fn run(&mut self) -> Result<(), Refusal> {
+    fn run(&mut self) -> Result<Ending, Refusal> {
         let mut attempt = 0;
         loop {
             match self.attempt(attempt) {
@@ -149,10 +161,9 @@
                     self.shared
                         .serving
                         .note(self.tries.work.id, Step::Whole { tokens });
-                    self.answering.finish();
-                    return Ok(());
+                    return Ok(Ending::Whole);
                 }
-                Ended::Left => return Ok(()),
+                Ended::Left => return Ok(Ending::Left),
                 Ended::Cut => return Err(Reason::KeyWithdrawnMidway.into()),
                 Ended::Wrong(message) => {
                     log::info!("engine refuses a request: {message}");
@@ -173,6 +184,20 @@
         }
     }
 
+    /// Counts what the caller got. A whole answer's end waits until other hosts hold the count.
+    fn bill(&self, ending: &Result<Ending, Refusal>) {
+        let tokens = self.stitch.tokens().len() as u64;
+        if tokens > 0 || *ending == Ok(Ending::Whole) {
+            let got = Got {
+                request: self.tries.work.id,
+                tokens,
+            };
+            self.shared
+                .billing
+                .count(&self.shared, &self.tries.work.caller, got);
+        }
+    }
+
     fn attempt(&mut self, attempt: u32) -> Ended {
         let target = self.tries.on.target.clone();
         let mut paces = self.shared.serving.dispatch.paces(&target);
--- a/crates/godwitspool-entry/src/request/plain.rs
+++ b/crates/godwitspool-entry/src/request/plain.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     connection::answer,
-    process::shared::Shared,
+    process::{billing::Got, shared::Shared},
     request::{
         authorize::{self, OpenGuard},
         generation::read_body,
@@ -137,6 +137,11 @@
         match attempt(prepared, shared, &mut tries) {
             Ok(answer) => {
                 tries.answered();
+                let got = Got {
+                    request: prepared.work.id,
+                    tokens: 0,
+                };
+                shared.billing.count(shared, &prepared.work.caller, got);
                 shared
                     .serving
                     .note(prepared.work.id, Step::Whole { tokens: 0 });
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -26,7 +26,7 @@
 use godwitspool_version::TrainerRules;
 
 use super::{journal::Journal, outbox::Outbox, portions::Portions, ranking};
-use crate::process::shared::Shared;
+use crate::process::{demand::Loads, shared::Shared};
 
 /// Time without a token after which a sample is hedged.
 const SILENT_MS: Millis = Millis(1_500);
@@ -266,6 +266,18 @@
         })
     }
 
+    /// Returns how many samples run and wait, by service.
+    pub(crate) fn loads(&self) -> Loads {
+        let state = self.lock();
+        let mut loads = Loads::new();
+        for trainer in state.trainers.values() {
+            let load = loads.entry(trainer.rules.service.clone()).or_default();
+            load.running += trainer.runs;
+            load.waiting += trainer.queue.len() as u32;
+        }
+        loads
+    }
+
     /// Returns the steps and streams on this host, for operators.
     pub(crate) fn status(&self) -> serde_json::Value {
         let state = self.lock();
