--- a/crates/godwitspool-entry/src/rollout/dispatch.rs
+++ b/crates/godwitspool-entry/src/rollout/dispatch.rs
@@ -12,7 +12,7 @@
     platform::{TargetEntry, TargetState as Platform},
 };
 use godwitspool_request::{TrainingShare, stable_hash};
-use godwitspool_rollout::{SampleId, ScoreEvent, ShareRules};
+use godwitspool_rollout::{Freshness, SampleId, ScoreEvent, ShareRules};
 use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName};
 
 use super::{
@@ -114,6 +114,17 @@
             .min(known.share.room(known.training + elsewhere))
     }
 
+    /// Tells whether a target's weights are older than the trainer takes samples of.
+    fn is_too_old(&self, trainer: &TrainerName, target: &TargetName) -> bool {
+        let weights = self.portions.weights(target);
+        let (Some(trainer), Some(weights)) = (self.trainers.get(trainer), weights) else {
+            return false;
+        };
+        let order = trainer.steps.image().order();
+        let bound = trainer.rules.staleness_versions;
+        matches!(order.freshness(weights, bound), Freshness::TooOld { .. })
+    }
+
     /// Adds up the shares of the trainers that want work of a service.
     fn shares_of(&self, service: &ServiceName) -> u32 {
         let wanting = self.trainers.values().filter(|trainer| {
@@ -279,6 +290,7 @@
             target.service == *service
                 && target.state == Platform::Live
                 && !self.is_slow(&target.target)
+                && !self.is_too_old(&job.partial.id.trainer, &target.target)
                 && self.room(&shared.settings.host, &target.target, now) > 0
         });
         let id = &job.partial.id;
--- a/crates/godwitspool-entry/src/rollout/portions.rs
+++ b/crates/godwitspool-entry/src/rollout/portions.rs
@@ -5,22 +5,27 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use godwitspool_connection::messages::Portion;
-use godwitspool_types::{HostName, Millis, ServiceName, TargetName};
+use godwitspool_connection::messages::{Portion, TargetLoad};
+use godwitspool_types::{HostName, Millis, ServiceName, TargetName, WeightVersion};
 
 const FORGET_MS: Millis = Millis(2_000);
 
 /// What is known of the other hosts' training, and of the targets' load.
 #[derive(Debug, Default)]
 pub(super) struct Portions {
-    busy: HashMap<TargetName, (u32, Millis)>,
+    loads: HashMap<TargetName, (TargetLoad, Millis)>,
     hosts: BTreeMap<HostName, (Portion, Millis)>,
 }
 
 impl Portions {
-    /// Takes in how many requests a target has.
-    pub(super) fn report(&mut self, target: &TargetName, busy: u32, now: Millis) {
-        self.busy.insert(target.clone(), (busy, now));
+    /// Takes in a target's load.
+    pub(super) fn report(&mut self, load: &TargetLoad, now: Millis) {
+        self.loads.insert(load.target.clone(), (load.clone(), now));
+    }
+
+    /// Returns the version that a target uses, as last reported.
+    pub(super) fn weights(&self, target: &TargetName) -> Option<&WeightVersion> {
+        self.loads.get(target).map(|(load, _)| &load.weights)
     }
 
     /// Takes in what another host runs.
@@ -30,11 +35,9 @@
 
     /// Returns the requests that a target has, as last reported.
     pub(super) fn busy(&self, target: &TargetName, now: Millis) -> u32 {
-        let report = self.busy.get(target);
-        report.map_or(
-            0,
-            |(busy, at)| if now - *at < FORGET_MS { *busy } else { 0 },
-        )
+        let report = self.loads.get(target);
+        let fresh = report.filter(|(_, at)| now - *at < FORGET_MS);
+        fresh.map_or(0, |(load, _)| load.busy)
     }
 
     /// Counts the other hosts' training streams on a target.
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -225,7 +225,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         for load in loads {
-            state.portions.report(&load.target, load.busy, now);
+            state.portions.report(load, now);
         }
     }
 
--- a/crates/godwitspool-entry/tests/rollouts.rs
+++ b/crates/godwitspool-entry/tests/rollouts.rs
@@ -4,7 +4,8 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -15,12 +16,12 @@
 };
 use godwitspool_entry::Entry;
 use godwitspool_fakes::{
-    ClassOptions, EngineOptions, Platform, PlatformOptions, Scorer, TargetKind, answer_tokens,
-    prompt_hash, token,
+    ClassOptions, Engine, EngineEvent, EngineOptions, Platform, PlatformOptions, Scorer, SwapFault,
+    TargetKind, answer_tokens, prompt_hash, token,
 };
 use godwitspool_process::{EntrySettings, StewardSettings};
 use godwitspool_steward::Steward;
-use godwitspool_types::{Dc, Key};
+use godwitspool_types::{Dc, Key, Millis};
 use godwitspool_version::{
     Configuration, ConfigurationChange, KeyRule, Publish, Record, RecordBody, ServiceKind,
     ServiceRules, TrainerRules, WorkspaceRules,
@@ -69,7 +70,7 @@
     entries: Vec<Option<Entry>>,
     hosts: Vec<HostEntry>,
     platform: Platform,
-    steward: Steward,
+    stewards: Vec<Option<Steward>>,
 }
 
 impl System {
@@ -97,26 +98,31 @@
             ..Publish::default()
         };
         platform.append(Record::new(RecordBody::Publish(publish)).encode());
-        let settings = StewardSettings::default()
-            .with_host("h0", "north")
-            .with_platform(format!("http://{}", platform.address()));
-        let steward = Steward::start(settings).unwrap();
         let mut system = Self {
             entries: Vec::new(),
             hosts: Vec::new(),
             platform,
-            steward,
+            stewards: Vec::new(),
         };
         (0..hosts).for_each(|host| system.add(host));
         system.platform.set_hosts(system.hosts.clone());
+        wait(|| system.entries.iter().flatten().all(Entry::ready));
         system
     }
 
     fn add(&mut self, host: usize) {
         let name = format!("h{host}");
+        let peers = free_address();
+        let settings = StewardSettings::default()
+            .with_host(name.as_str(), "north")
+            .with_entry(peers)
+            .with_platform(format!("http://{}", self.platform.address()))
+            .with_term(Millis(2_000));
+        let steward = Steward::start(settings).unwrap();
         let settings = EntrySettings::default()
             .with_host(name.as_str(), "north")
-            .with_steward(self.steward.address());
+            .with_peers(peers)
+            .with_steward(steward.address());
         let entry = Entry::start(settings).unwrap();
         self.hosts.push(HostEntry {
             address: Ipv4Addr::LOCALHOST.into(),
@@ -124,15 +130,29 @@
             entry_port: entry.peer_address().port(),
             host: name.as_str().into(),
             leaving: false,
-            steward_port: self.steward.address().port(),
+            steward_port: steward.address().port(),
         });
-        wait(|| entry.ready());
         self.entries.push(Some(entry));
+        self.stewards.push(Some(steward));
+    }
+
+    /// Publishes a version of the model's weights.
+    fn publish_weights(&self, from: &Configuration, version: &str) -> Configuration {
+        let mut next = from.clone();
+        next.weights.insert("model".into(), version.into());
+        let publish = Publish {
+            change: ConfigurationChange::between(from, &next),
+            ..Publish::default()
+        };
+        let body = Record::new(RecordBody::Publish(publish)).encode();
+        self.platform.append(body);
+        next
     }
 
     /// Ends a host at once; the platform's list says so a while later.
     fn kill(&mut self, host: usize) {
         self.entries[host] = None;
+        self.stewards[host] = None;
         let name = format!("h{host}");
         self.hosts.retain(|entry| entry.host.as_str() != name);
         self.platform.set_hosts(self.hosts.clone());
@@ -204,6 +224,12 @@
     }
 }
 
+/// Returns an address that nobody uses now.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
 fn agent() -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
@@ -248,16 +274,11 @@
     assert_eq!(ids.collect::<Vec<_>>(), expected.collect::<Vec<_>>());
     for sample in samples {
         let group = number(sample, "group");
-        let id = format!("party/motifs/{step}/{group}/{}", number(sample, "index"));
-        let seed = rapidhash::v3::rapidhash_v3(id.as_bytes());
-        let message = Message {
-            content: prompt(step, group),
-            role: "user".to_owned(),
-        };
-        let hash = prompt_hash(&[message], seed);
+        let index = number(sample, "index");
+        let hash = hash_of(step, group, index);
         let (count, finish) = answer_tokens(hash, MAX_TOKENS);
         let tokens: Vec<_> = (0..count).map(|index| token(hash, index)).collect();
-        assert_eq!(sample["tokens"], json!(tokens), "{id}");
+        assert_eq!(sample["tokens"], json!(tokens), "{group}/{index}");
         let named = if finish == Finish::Length {
             "length"
         } else {
@@ -270,6 +291,17 @@
     }
 }
 
+/// Returns the hash by which engines know a sample's prompt and seed.
+fn hash_of(step: u64, group: u32, index: u32) -> u64 {
+    let id = format!("party/motifs/{step}/{group}/{index}");
+    let seed = rapidhash::v3::rapidhash_v3(id.as_bytes());
+    let message = Message {
+        content: prompt(step, group),
+        role: "user".to_owned(),
+    };
+    prompt_hash(&[message], seed)
+}
+
 fn number(value: &Value, field: &str) -> u32 {
     value[field].as_u64().unwrap() as u32
 }
@@ -430,6 +462,60 @@
     assert!(samples.iter().all(|sample| sample.get("score").is_none()));
 }
 
+#[test]
+fn new_weights_reach_all_engines_and_no_sample_is_mislabelled() {
+    let system = System::start(1, 4, "");
+    let engines = system.platform.engines();
+    engines[0].set_swap_fault(SwapFault::FalseSuccess);
+    engines[1].set_swap_fault(SwapFault::Fails);
+    let mut configuration = configuration("");
+    for (step, version) in (1..).zip(["v2", "v3", "v4"]) {
+        system.submit(0, step);
+        configuration = system.publish_weights(&configuration, version);
+        let sound = &engines[2..];
+        wait(|| {
+            sound
+                .iter()
+                .all(|engine| engine.weights().as_str() == version)
+        });
+        let batch = system.fetch(0, step);
+        check(step, &batch);
+        check_labels(step, &batch, &engines);
+        system.acknowledge(0, step, &batch);
+    }
+    assert_eq!(engines[0].weights().as_str(), "v1");
+    engines[0].set_swap_fault(SwapFault::None);
+    engines[1].set_swap_fault(SwapFault::None);
+    system.publish_weights(&configuration, "v5");
+    wait(|| {
+        engines
+            .iter()
+            .all(|engine| engine.weights().as_str() == "v5")
+    });
+}
+
+/// Checks that engines made the tokens of each sample with the versions that it names.
+fn check_labels(step: u64, batch: &Value, engines: &[Arc<Engine>]) {
+    let mut made: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+    for record in engines.iter().flat_map(|engine| engine.history()) {
+        if let EngineEvent::Ended { prompt, spans, .. } = record.event {
+            let versions = spans.iter().map(|span| span.version.to_string());
+            made.entry(prompt).or_default().extend(versions);
+        }
+    }
+    for sample in batch["samples"].as_array().unwrap() {
+        let (group, index) = (number(sample, "group"), number(sample, "index"));
+        let hash = hash_of(step, group, index);
+        for span in sample["spans"].as_array().unwrap() {
+            let version = span["version"].as_str().unwrap();
+            assert!(
+                made[&hash].contains(version),
+                "{step}/{group}/{index}: {span}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_sample_is_explained() {
     let system = System::start(1, 1, "");
--- a/crates/godwitspool-steward/src/process/shared.rs
+++ b/crates/godwitspool-steward/src/process/shared.rs
@@ -64,6 +64,8 @@
     pub(crate) orders: Reasons,
     /// Usage reports, by how they ended.
     pub(crate) reports: Reasons,
+    /// Weight swaps, by how they ended.
+    pub(crate) swaps: Reasons,
     /// Usage records, by what became of them.
     pub(crate) usage: Reasons,
 }
@@ -76,6 +78,7 @@
             lease_steps: metrics.reasons("lease_steps", "Terms begun and ended on this host"),
             orders: metrics.reasons("orders", "Target orders, by how they ended"),
             reports: metrics.reasons("usage_reports", "Usage reports, by how they ended"),
+            swaps: metrics.reasons("weight_swaps", "Weight swaps, by how they ended"),
             usage: metrics.reasons("usage_records", "Usage records, by what became of them"),
         }
     }
--- a/crates/godwitspool-steward/src/process/steward.rs
+++ b/crates/godwitspool-steward/src/process/steward.rs
@@ -33,7 +33,7 @@
         outbox,
         shared::{Parts, Shared},
     },
-    version::{leases, lists, orders, usage},
+    version::{leases, lists, orders, usage, weights},
 };
 
 const APPEND_PERIOD: Millis = Millis(20);
@@ -41,6 +41,7 @@
 const LIST_PERIOD: Millis = Millis(200);
 const ORDER_PERIOD: Millis = Millis(200);
 const USAGE_PERIOD: Millis = Millis(200);
+const WEIGHT_PERIOD: Millis = Millis(50);
 const BIND_ATTEMPTS: usize = 16;
 /// Renewals in a term, so that two may be lost.
 const RENEWALS_IN_TERM: u64 = 4;
@@ -131,6 +132,7 @@
         steward.spawn_ticked("lists", LIST_PERIOD, lists::run)?;
         steward.spawn_ticked("orders", ORDER_PERIOD, orders::run)?;
         steward.spawn_ticked("usage", USAGE_PERIOD, usage::run)?;
+        steward.spawn_ticked("weights", WEIGHT_PERIOD, weights::run)?;
         Ok(steward)
     }
 
--- a/crates/godwitspool-steward/src/version/mod.rs
+++ b/crates/godwitspool-steward/src/version/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod lists;
 pub(crate) mod orders;
 pub(crate) mod usage;
+pub(crate) mod weights;
