Weights: test over sockets with a false and a failing swap

Cause: the test's second publish named no base and was overtaken. Change: it names its base. The steward's rollout reaches all sound engines, labels stay true.

--- a/crates/godwitspool-entry/tests/rollouts.rs
+++ b/crates/godwitspool-entry/tests/rollouts.rs
@@ -21,7 +21,7 @@
 };
 use godwitspool_process::{EntrySettings, StewardSettings};
 use godwitspool_steward::Steward;
-use godwitspool_types::{Dc, Key, Millis};
+use godwitspool_types::{Dc, Key, Millis, Offset};
 use godwitspool_version::{
     Configuration, ConfigurationChange, KeyRule, Publish, Record, RecordBody, ServiceKind,
     ServiceRules, TrainerRules, WorkspaceRules,
@@ -70,6 +70,8 @@
     entries: Vec<Option<Entry>>,
     hosts: Vec<HostEntry>,
     platform: Platform,
+    /// Offset of the last publish.
+    published: Offset,
     stewards: Vec<Option<Steward>>,
 }
 
@@ -97,11 +99,12 @@
             change,
             ..Publish::default()
         };
-        platform.append(Record::new(RecordBody::Publish(publish)).encode());
+        let published = platform.append(Record::new(RecordBody::Publish(publish)).encode());
         let mut system = Self {
             entries: Vec::new(),
             hosts: Vec::new(),
             platform,
+            published,
             stewards: Vec::new(),
         };
         (0..hosts).for_each(|host| system.add(host));
@@ -137,15 +140,16 @@
     }
 
     /// Publishes a version of the model's weights.
-    fn publish_weights(&self, from: &Configuration, version: &str) -> Configuration {
+    fn publish_weights(&mut self, from: &Configuration, version: &str) -> Configuration {
         let mut next = from.clone();
         next.weights.insert("model".into(), version.into());
         let publish = Publish {
+            base: Some(self.published),
             change: ConfigurationChange::between(from, &next),
             ..Publish::default()
         };
         let body = Record::new(RecordBody::Publish(publish)).encode();
-        self.platform.append(body);
+        self.published = self.platform.append(body);
         next
     }
 
@@ -464,7 +468,7 @@
 
 #[test]
 fn new_weights_reach_all_engines_and_no_sample_is_mislabelled() {
-    let system = System::start(1, 4, "");
+    let mut system = System::start(1, 4, "");
     let engines = system.platform.engines();
     engines[0].set_swap_fault(SwapFault::FalseSuccess);
     engines[1].set_swap_fault(SwapFault::Fails);
