--- a/crates/godwitspool-connection/tests/peer.rs
+++ b/crates/godwitspool-connection/tests/peer.rs
@@ -190,6 +190,17 @@
     assert_eq!(link.call(&4).unwrap(), 8);
 }
 
+#[test]
+fn a_frame_that_claims_too_much_is_refused_before_its_body() {
+    let server = doubling(ServeBounds::default().with_idle(Millis(600_000)));
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_read_timeout(Some(GENEROUS)).unwrap();
+    let header = [b"GWS1".as_slice(), &u32::MAX.to_le_bytes()].concat();
+    stream.write_all(&header).unwrap();
+    assert_eq!(stream.read(&mut [0]).unwrap(), 0);
+    assert_eq!(server.counts().damaged, 1);
+}
+
 #[test]
 fn a_clean_end_is_no_damage() {
     let server = doubling(ServeBounds::default());
--- a/crates/godwitspool-process/tests/folder.rs
+++ b/crates/godwitspool-process/tests/folder.rs
@@ -94,6 +94,14 @@
     );
 }
 
+#[test]
+fn a_shared_name_does_not_hide_a_partys_own() {
+    let shared = "services: {desk: {kind: plain, slots: 3}}";
+    let configuration = join_texts(&[FLEET, STUDIO, shared]).unwrap().configuration;
+    let workspace = &configuration.workspaces["studio/weddings"];
+    assert_eq!(workspace.services["lookup"].service.as_str(), "studio/desk");
+}
+
 #[test]
 fn the_later_file_wins_and_it_is_said_over_whom() {
     let season = "party: studio\nworkspaces: {weddings: {rate: 90/s, concurrency: 64}}";
