--- a/crates/godwitspool-process/src/membership/receive.rs
+++ b/crates/godwitspool-process/src/membership/receive.rs
@@ -82,8 +82,13 @@
         let near = sender.dc == self.own.dc;
         let differs = near && datagram.digest != self.table.digest(&self.own);
         match &datagram.message {
-            Message::Ack { sequence, .. } => {
-                self.probes.retain(|probe| probe.sequence != *sequence);
+            Message::Ack { sequence, answered } => {
+                let host = answered
+                    .as_ref()
+                    .map_or(&sender.host, |answered| &answered.host);
+                // The address may be another host's by now.
+                self.probes
+                    .retain(|probe| probe.sequence != *sequence || probe.host != *host);
                 self.finish_errand(*sequence, sender, now, actions);
                 if differs {
                     let news = self.datagram(Message::News, Some(sender), true, now);
--- a/crates/godwitspool-process/tests/membership.rs
+++ b/crates/godwitspool-process/tests/membership.rs
@@ -184,6 +184,24 @@
     assert!(members.iter().any(|member| member.leaving), "{members:?}");
 }
 
+#[test]
+fn another_host_on_the_same_address_does_not_answer_for_the_old_one() {
+    let mut net = dc_of(4, 13);
+    let old = net.name(0);
+    let own = net.hosts[0].membership.own().clone();
+    let new = own.with_host("tbilisi-new", "tbilisi");
+    net.hosts[0].membership =
+        godwitspool_process::membership::Membership::new(new, net.rules, net.now);
+    net.list_all();
+    let replaced = |net: &Net| {
+        net.hosts.iter().all(|host| {
+            let members = host.membership.members(net.now);
+            members.len() == 4 && members.iter().all(|member| member.host != old)
+        })
+    };
+    assert!(net.run_until(MINUTE, replaced).is_some());
+}
+
 #[test]
 fn leaving_is_known_at_once_and_gone_without_suspicion() {
     let mut net = dc_of(11, 11);
