Scaling: interactive peaks are held, training is sized by its work; compared over one load

Change: interactive needs follow a decaying peak and count only targets that stay; training gets the slots that finish its work within a horizon, by a learnt time per sample; a service with only reclaimable classes uses them.

--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, slopes};
+use crate::{Options, Table, policies, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -15,11 +15,18 @@
 
 impl Command {
     /// Every command, in order of name.
-    pub const ALL: &'static [Self] = &[Self {
-        about: "what a unit more of each thing costs, with a line fitted to each",
-        name: "slopes",
-        run: slopes::run,
-    }];
+    pub const ALL: &'static [Self] = &[
+        Self {
+            about: "target cost and waits: the scaling policy, a fixed fleet, a simple threshold",
+            name: "scaling",
+            run: policies::scaling,
+        },
+        Self {
+            about: "what a unit more of each thing costs, with a line fitted to each",
+            name: "slopes",
+            run: slopes::run,
+        },
+    ];
 
     /// Finds a command.
     ///
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -11,6 +11,7 @@
 mod command;
 mod fit;
 mod options;
+mod policies;
 mod series;
 mod slopes;
 mod system;
--- a/crates/godwitspool-version/src/scaling.rs
+++ b/crates/godwitspool-version/src/scaling.rs
@@ -4,17 +4,21 @@
 //! as much worth as a start costs, and stopped once their idle time has cost as much as the next
 //! start would. So neither a short burst nor a short pause moves anything.
 
+mod service_memory;
 mod shares;
 
 use std::collections::{BTreeMap, VecDeque};
 
 use godwitspool_types::{ClassName, Dc, Millis, Offset, ServiceName};
 
+use self::service_memory::ServiceMemory;
 use crate::{
-    OrderBook, OrderOutcome, OrderReason, ScalingRules, ScalingView, TargetAction, TargetPhase,
+    ClassRules, OrderBook, OrderOutcome, OrderReason, ScalingRules, ScalingView, TargetAction,
+    TargetPhase,
     awaited_targets::AwaitedTargets,
     scaling_view::{
-        bounds, capacity, classes_of, count, has_reclaimed, idle_names, room, starting,
+        bounds, capacity, classes_of, count, has_reclaimed, idle_names, kept_capacity, room,
+        starting,
     },
 };
 
@@ -67,8 +71,7 @@
     ordered: BTreeMap<Dc, VecDeque<Millis>>,
     places: BTreeMap<Place, Memory>,
     rules: ScalingRules,
-    /// Worth lost by waiting work, in price units times milliseconds.
-    waited: BTreeMap<(Dc, ServiceName), u64>,
+    services: BTreeMap<(Dc, ServiceName), ServiceMemory>,
 }
 
 type Place = (Dc, ClassName);
@@ -83,12 +86,19 @@
     shut_until: Millis,
 }
 
+/// What a data centre needs for a service, in slots.
 struct Shortage<'a> {
     dc: &'a Dc,
+    /// Lacking for interactive requests.
     interactive: u32,
+    /// Needed for interactive requests.
+    needed: u32,
     service: &'a ServiceName,
     slots: u32,
+    /// Lacking for training.
     training: u32,
+    /// In use or wanted at once by training.
+    wished: u32,
 }
 
 impl Scaling {
@@ -101,7 +111,7 @@
             ordered: BTreeMap::new(),
             places: BTreeMap::new(),
             rules,
-            waited: BTreeMap::new(),
+            services: BTreeMap::new(),
         }
     }
 
@@ -198,12 +208,12 @@
         (span, now): (Millis, Millis),
         orders: &mut Vec<ScalingOrder>,
     ) {
-        let Some(shortage) = self.shortage(view, dc, service) else {
+        let Some(shortage) = self.shortage(view, dc, service, span) else {
             return;
         };
         let key = (dc.clone(), service.clone());
         if shortage.interactive + shortage.training == 0 {
-            self.waited.remove(&key);
+            self.service(&key).waited = 0;
             self.stop_idle(view, &shortage, (span, now), orders);
             return;
         }
@@ -218,9 +228,9 @@
         let worth = self.rules.interactive_worth;
         let weighed = u64::from(shortage.interactive) * worth + u64::from(shortage.training);
         let lost = weighed * price * span.0 / u64::from(shortage.slots);
-        let worth_lost = self.waited.entry(key.clone()).or_default();
-        *worth_lost = worth_lost.saturating_add(lost);
-        let is_worth = *worth_lost >= price * rules.start_ms;
+        let memory = self.service(&key);
+        memory.waited = memory.waited.saturating_add(lost);
+        let is_worth = memory.waited >= price * rules.start_ms;
         let reclaimed = has_reclaimed(view, dc, service);
         if !reclaimed && !is_worth {
             return;
@@ -230,7 +240,11 @@
         } else {
             OrderReason::Worth
         };
-        let wanted = (shortage.interactive + shortage.training).div_ceil(shortage.slots);
+        let wanted = if shortage.interactive > 0 {
+            shortage.interactive.div_ceil(shortage.slots)
+        } else {
+            shortage.training.div_ceil(shortage.slots)
+        };
         let most = if rules.reclaimable {
             self.reclaimable_room(view, service)
         } else if shortage.interactive == 0 && self.has_reclaimable(view, dc, service, now) {
@@ -240,33 +254,46 @@
         };
         let action = TargetAction::Start(wanted.min(most).min(room(view, dc, class)));
         if self.order(view, dc, class, (action, reason), now, orders) {
-            self.waited.remove(&key);
+            self.service(&key).waited = 0;
         }
     }
 
     fn shortage<'a>(
-        &self,
+        &mut self,
         view: ScalingView<'a>,
         dc: &'a Dc,
         service: &'a ServiceName,
+        span: Millis,
     ) -> Option<Shortage<'a>> {
+        let rules = self.rules;
         let slots = view.configuration.services.get(service)?.slots.max(1);
         let load = view
             .loads
             .iter()
             .find(|load| load.dc == *dc && load.service == *service);
         let (interactive, training) = load.map_or((0, 0), |load| (load.interactive, load.training));
-        let capacity = slots * capacity(view, dc, service);
-        let needed = interactive + interactive * self.rules.headroom_percent / 100;
+        let all = slots * capacity(view, dc, service);
+        let kept = slots * kept_capacity(view, dc, service);
+        let memory = self.service(&(dc.clone(), service.clone()));
+        memory.note(interactive, training, (all, span), &rules);
+        let peak = memory.peak.ceil() as u32;
+        let needed = peak + peak * rules.headroom_percent / 100;
+        let wished = memory.training_slots(training, &rules);
         Some(Shortage {
             dc,
-            interactive: needed.saturating_sub(capacity),
+            interactive: needed.saturating_sub(kept),
+            needed,
             service,
             slots,
-            training: training.saturating_sub(capacity.saturating_sub(needed)),
+            training: wished.saturating_sub(all.saturating_sub(needed)),
+            wished: training,
         })
     }
 
+    fn service(&mut self, key: &(Dc, ServiceName)) -> &mut ServiceMemory {
+        self.services.entry(key.clone()).or_default()
+    }
+
     fn stop_idle(
         &mut self,
         view: ScalingView<'_>,
@@ -274,19 +301,21 @@
         (span, now): (Millis, Millis),
         orders: &mut Vec<ScalingOrder>,
     ) {
-        let load = view
-            .loads
-            .iter()
-            .find(|load| load.dc == *spare.dc && load.service == *spare.service);
-        let used = load.map_or(0, |load| {
-            load.interactive + load.interactive * self.rules.headroom_percent / 100 + load.training
-        });
-        let needed = used.div_ceil(spare.slots);
-        let idle = capacity(view, spare.dc, spare.service).saturating_sub(needed);
-        let costliest = classes_of(view, spare.service)
-            .filter(|(class, _)| {
-                count(view, spare.dc, class, TargetPhase::Counted) > bounds(view, spare.dc, class).0
+        let used = (spare.needed + spare.wished).div_ceil(spare.slots);
+        let idle = capacity(view, spare.dc, spare.service).saturating_sub(used);
+        let interactive = spare.needed.div_ceil(spare.slots);
+        let kept = kept_capacity(view, spare.dc, spare.service).saturating_sub(interactive);
+        let surplus = |class: &ClassName, rules: &ClassRules| {
+            let counted = count(view, spare.dc, class, TargetPhase::Counted);
+            let above = counted.saturating_sub(bounds(view, spare.dc, class).0);
+            above.min(if rules.reclaimable {
+                idle
+            } else {
+                idle.min(kept)
             })
+        };
+        let costliest = classes_of(view, spare.service)
+            .filter(|(class, rules)| surplus(class, rules) > 0)
             .max_by_key(|(class, rules)| self.price(spare.dc, class, rules));
         let Some((class, rules)) = costliest else {
             return;
@@ -294,17 +323,11 @@
         let place = (spare.dc.clone(), class.clone());
         let price = self.price(spare.dc, class, rules);
         let memory = self.places.entry(place).or_default();
-        if idle == 0 {
-            memory.idle_cost = 0;
-            return;
-        }
         memory.idle_cost = memory.idle_cost.saturating_add(price * span.0);
         if memory.idle_cost < price * rules.start_ms.max(self.rules.cooling.0) {
             return;
         }
-        let counted = count(view, spare.dc, class, TargetPhase::Counted);
-        let surplus = idle.min(counted - bounds(view, spare.dc, class).0);
-        let names = idle_names(view, spare.dc, class, surplus);
+        let names = idle_names(view, spare.dc, class, surplus(class, rules));
         let change = (TargetAction::Stop(names), OrderReason::Idle);
         self.order(view, spare.dc, class, change, now, orders);
     }
--- a/crates/godwitspool-version/src/scaling/shares.rs
+++ b/crates/godwitspool-version/src/scaling/shares.rs
@@ -5,7 +5,7 @@
 use super::{Scaling, Shortage};
 use crate::{
     ClassRules, ScalingView,
-    scaling_view::{classes_of, count_service, room},
+    scaling_view::{classes_of, count_service, has_kept, room},
 };
 
 impl Scaling {
@@ -33,7 +33,7 @@
             })
             .filter(|(_, rules)| {
                 !rules.reclaimable
-                    || shortage.interactive == 0
+                    || (shortage.interactive == 0 || !has_kept(view, shortage.service))
                         && self.reclaimable_room(view, shortage.service) > 0
             })
             .min_by_key(|(class, rules)| self.price(dc, class, rules))
@@ -42,6 +42,9 @@
     /// Counts the reclaimable targets that may be added while the service keeps enough that can't be
     /// reclaimed.
     pub(super) fn reclaimable_room(&self, view: ScalingView<'_>, service: &ServiceName) -> u32 {
+        if !has_kept(view, service) {
+            return u32::MAX;
+        }
         let percent = self.rules.reclaimable_percent.min(99);
         let kept = count_service(view, service, false);
         let most = kept * percent / (100 - percent);
--- a/crates/godwitspool-version/src/scaling_rules.rs
+++ b/crates/godwitspool-version/src/scaling_rules.rs
@@ -15,6 +15,8 @@
     pub headroom_percent: u32,
     /// How many times its target's price a waiting interactive request is worth.
     pub interactive_worth: u64,
+    /// Time in which a peak of interactive work is forgotten.
+    pub peak_decay: Millis,
     /// Most of a service's slots in reclaimable classes, in percent.
     pub reclaimable_percent: u32,
     /// Shortest time between orders for a class in a data centre that restore a bound or replace
@@ -22,6 +24,10 @@
     pub settle: Millis,
     /// Time in which the platform's list shows what was started or stopped.
     pub list_lag: Millis,
+    /// Time of a sample, until it is learnt.
+    pub sample: Millis,
+    /// Time in which waiting samples are to be done.
+    pub training_horizon: Millis,
     /// Added to a class's price for each reclaim remembered, in percent.
     pub reclaim_percent: u64,
 }
@@ -37,6 +43,9 @@
             reclaimable_percent: 70,
             settle: Millis(2_000),
             list_lag: Millis(30_000),
+            peak_decay: Millis(1_800_000),
+            sample: Millis(20_000),
+            training_horizon: Millis(180_000),
             reclaim_percent: 50,
         }
     }
--- a/crates/godwitspool-version/src/scaling_view.rs
+++ b/crates/godwitspool-version/src/scaling_view.rs
@@ -78,6 +78,21 @@
     bounds(view, dc, class).1.saturating_sub(counted)
 }
 
+/// Tells whether the service has a class that can't be reclaimed.
+pub(crate) fn has_kept(view: ScalingView<'_>, service: &ServiceName) -> bool {
+    classes_of(view, service).any(|(_, rules)| !rules.reclaimable)
+}
+
+/// Counts the targets that interactive requests are given to: those that can't be reclaimed, if the
+/// service has a class of them.
+pub(crate) fn kept_capacity(view: ScalingView<'_>, dc: &Dc, service: &ServiceName) -> u32 {
+    let has_kept = has_kept(view, service);
+    classes_of(view, service)
+        .filter(|(_, rules)| !has_kept || !rules.reclaimable)
+        .map(|(class, _)| count(view, dc, class, TargetPhase::Counted) + starting(view, dc, class))
+        .sum()
+}
+
 /// Counts the targets of a service in all data centres, by whether they can be reclaimed.
 pub(crate) fn count_service(
     view: ScalingView<'_>,
