--- a/crates/godwitspool-fakes/src/platform.rs
+++ b/crates/godwitspool-fakes/src/platform.rs
@@ -197,7 +197,7 @@
         }
     }
 
-    /// Keeps back what a data centre and the platform send each other until unset.
+    /// Keeps the platform's answers to a data centre back until unset.
     pub fn set_view_held(&self, dc: &Dc, on: bool) {
         if let Some(view) = lock(&self.views).get(dc) {
             view.relay.set_held(on);
@@ -268,6 +268,19 @@
         engines.collect()
     }
 
+    /// Returns the plain services that run.
+    pub fn running_plain_services(&self) -> Vec<Arc<PlainService>> {
+        let state = lock(&self.shared.state);
+        let services = state
+            .fleet
+            .running()
+            .filter_map(|(_, target)| match target {
+                Target::Engine(_) => None,
+                Target::Plain(plain) => Some(Arc::clone(plain)),
+            });
+        services.collect()
+    }
+
     /// Returns all plain services there were, those that ended included.
     pub fn plain_services(&self) -> Vec<Arc<PlainService>> {
         let state = lock(&self.shared.state);
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -9,9 +9,11 @@
 
 mod capacity;
 mod command;
+mod control;
 mod fit;
 mod options;
 mod policies;
+mod rollout;
 mod series;
 mod slopes;
 mod system;
