--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -51,8 +51,6 @@
             name: "slopes",
             run: slopes::run,
         },
-<<<<<<< HEAD
-=======
         Self {
             about: "ages of samples at delivery",
             name: "staleness",
@@ -63,7 +61,6 @@
             name: "stragglers",
             run: rollout::stragglers,
         },
->>>>>>> main
     ];
 
     /// Finds a command.
