--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, control, rollout, slopes};
+use crate::{Options, Table, control, policies, rollout, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -41,6 +41,11 @@
             name: "shares",
             run: rollout::shares,
         },
+        Self {
+            about: "target cost and waits: the scaling policy, a fixed fleet, a simple threshold",
+            name: "scaling",
+            run: policies::scaling,
+        },
         Self {
             about: "what a unit more of each thing costs, with a line fitted to each",
             name: "slopes",
