History: a key may be refused from when its withdrawal is asked for; demo: a long answer meets a withdrawal

Change: Event::Withdrawing; the check that a key works takes the earlier of the two. The checks that it stops still count from the acceptance. The demo asks for an answer of 5 s and more before each withdrawal.

--- a/crates/godwitspool-demo/src/caller.rs
+++ b/crates/godwitspool-demo/src/caller.rs
@@ -22,6 +22,7 @@
 
 const MOST_TOKENS: u32 = 48;
 const LEAST_TOKENS: u32 = 8;
+const LONG_TOKENS: u32 = 900;
 const TRIES: u32 = 4;
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 const THINK_MS: std::ops::Range<u64> = 30..170;
@@ -276,6 +277,20 @@
         }
     }
 
+    /// Asks for an answer that takes longer than a withdrawn key may work.
+    pub(crate) fn ask_long(&self, key: &Key) {
+        let mut services = self.session.services.iter().filter(|service| !service.open);
+        let engine = services.find(|service| service.rules.kind == ServiceKind::Engine);
+        let Some(service) = engine else {
+            return;
+        };
+        let mut long = asked(service, ask_text(&mut rand::rng()));
+        if let Asked::Generation(asked) = &mut long {
+            asked.max_tokens = LONG_TOKENS;
+        }
+        self.send(service, Some(key), &long);
+    }
+
     /// Sends a request that crashes each target that runs it, again and again.
     pub(crate) fn poison(&self, times: u32, stop: &AtomicBool) {
         let mut services = self.session.services.iter();
--- a/crates/godwitspool-demo/src/inject.rs
+++ b/crates/godwitspool-demo/src/inject.rs
@@ -28,6 +28,8 @@
 const RECLAIM_NOTICE_MS: u64 = 2_500;
 /// Time between the issue of a new key and the withdrawal of the old one.
 const KEY_OVERLAP: Duration = Duration::from_secs(2);
+/// Time between a long request and the withdrawal of its key.
+const LONG_ANSWER_LEAD: Duration = Duration::from_millis(300);
 /// Time for which some callers go on with a withdrawn key.
 const OLD_KEY_KEPT: Duration = Duration::from_secs(6);
 /// Time for which a plain service loses its answers.
@@ -138,19 +140,20 @@
             keys.current = new;
             keys.old = Some(old.clone());
         }
-        if self.operator.withdraw(&old) {
-            self.wait_until(Instant::now() + OLD_KEY_KEPT);
-        }
+        thread::scope(|scope| {
+            let caller = self.caller(session);
+            let old = &old;
+            scope.spawn(move || caller.ask_long(old));
+            self.wait_until(Instant::now() + LONG_ANSWER_LEAD);
+            if self.operator.withdraw(old) {
+                self.wait_until(Instant::now() + OLD_KEY_KEPT);
+            }
+        });
         lock(&session.keys).old = None;
     }
 
     fn poison(&self, pick: u64) {
-        let caller = Caller {
-            client: Client::new(),
-            keeps_old_key: false,
-            recorder: self.recorder.clone(),
-            session: Arc::clone(self.session(pick)),
-        };
+        let caller = self.caller(self.session(pick));
         caller.poison(POISON_TIMES, self.stop);
     }
 
@@ -206,6 +209,15 @@
         });
     }
 
+    fn caller(&self, session: &Arc<Session>) -> Caller {
+        Caller {
+            client: Client::new(),
+            keeps_old_key: false,
+            recorder: self.recorder.clone(),
+            session: Arc::clone(session),
+        }
+    }
+
     fn host(&self, pick: u64) -> &Host {
         &self.system.hosts[pick as usize % self.system.hosts.len()]
     }
--- a/crates/godwitspool-demo/src/operator.rs
+++ b/crates/godwitspool-demo/src/operator.rs
@@ -105,6 +105,7 @@
     /// Withdraws a key.
     pub(crate) fn withdraw(&self, key: &Key) -> bool {
         let digest = key.digest();
+        self.recorder.record(Event::Withdrawing(digest));
         let withdrawal = Record::new(RecordBody::KeyWithdraw { digest });
         let withdrawn = self.append(&withdrawal).is_some();
         if withdrawn {
--- a/crates/godwitspool-history/src/check/configuration.rs
+++ b/crates/godwitspool-history/src/check/configuration.rs
@@ -16,8 +16,12 @@
         let Some(issued) = index.issued.get(&key) else {
             continue;
         };
-        let withdrawn = index.withdrawn.get(&key);
-        let valid = withdrawn.is_none_or(|withdrawn| outcome.at < withdrawn.at);
+        // The answer to a withdrawal may come long after it took effect, or never.
+        let withdrawals = [index.withdrawing.get(&key), index.withdrawn.get(&key)];
+        let valid = withdrawals
+            .into_iter()
+            .flatten()
+            .all(|line| outcome.at < line.at);
         if valid && sent.at > index.due(issued.at, bounds.in_force) {
             let reason = format!("a key was refused {} after its issue", sent.at - issued.at);
             let lines = [*issued, sent, outcome];
--- a/crates/godwitspool-history/src/event.rs
+++ b/crates/godwitspool-history/src/event.rs
@@ -212,6 +212,8 @@
         /// Workspace that it stands for.
         workspace: Workspace,
     },
+    /// An operator asks for a key's withdrawal; it may be in force from now on.
+    Withdrawing(KeyDigest),
     /// The withdrawal of a key was accepted into the configuration.
     Withdrawn(KeyDigest),
     /// A weight version was accepted into the configuration.
--- a/crates/godwitspool-history/src/index.rs
+++ b/crates/godwitspool-history/src/index.rs
@@ -21,8 +21,10 @@
     asked: HashMap<Work, Vec<Millis>>,
     /// Sendings, in order of time.
     pub(crate) sent: Vec<&'a Line>,
-    /// Withdrawals of keys.
+    /// Withdrawals of keys, from when they were accepted.
     pub(crate) withdrawn: HashMap<KeyDigest, &'a Line>,
+    /// Withdrawals of keys, from when they were asked for.
+    pub(crate) withdrawing: HashMap<KeyDigest, &'a Line>,
 }
 
 impl<'a> Index<'a> {
@@ -48,6 +50,9 @@
                 Event::Withdrawn(key) => {
                     index.withdrawn.entry(*key).or_insert(line);
                 }
+                Event::Withdrawing(key) => {
+                    index.withdrawing.entry(*key).or_insert(line);
+                }
                 Event::CutOff(dc) => {
                     held.entry(dc.clone()).or_insert(line.at);
                 }
--- a/crates/godwitspool-history/tests/callers.rs
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -215,6 +215,23 @@
     assert_eq!(broken(events), expected);
 }
 
+#[rstest]
+#[case::before(20_000, &[Promise::ConfigurationInForce])]
+#[case::after(20_100, &[])]
+fn a_key_may_be_refused_once_its_withdrawal_is_asked_for(
+    #[case] refused_at: u64,
+    #[case] expected: &[Promise],
+) {
+    let events = [
+        (1, issued("k", "linen")),
+        (20_050, Event::Withdrawing(key("k"))),
+        (refused_at - 1, sent(1)),
+        (refused_at, refused(1, true, Ran::NotRun)),
+        (25_000, Event::Withdrawn(key("k"))),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
 #[test]
 fn a_key_that_was_refused_after_withdrawal_never_works_again() {
     let events = [
