Command line: a test in which two publishes race

Cause: nothing showed that the later of two publishes is told so. Change: the test brings the race about with a slow platform, and tries again when the two did not meet.

--- a/crates/godwitspool-cli/tests/cli.rs
+++ b/crates/godwitspool-cli/tests/cli.rs
@@ -2,12 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::{fs, net::TcpListener, path::PathBuf, sync::Arc};
+use std::{fs, net::TcpListener, path::PathBuf, sync::Arc, thread, time::Duration};
 
 use godwitspool_fakes::{Platform, PlatformOptions};
 use godwitspool_process::{Metrics, Operated, OperatorHttp, Readiness};
 use godwitspool_types::{Key, Offset};
-use godwitspool_version::{Record, RecordBody};
+use godwitspool_version::{Publish, Record, RecordBody};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -147,6 +147,34 @@
     );
 }
 
+/// Tells whether a publish was made by one who had seen none before.
+fn follows_nothing(record: &str) -> bool {
+    let body = Record::decode(record).unwrap().body;
+    matches!(body, RecordBody::Publish(publish) if publish.base.is_none())
+}
+
+#[test]
+fn of_two_publishes_at_once_the_later_is_told() {
+    const TRIES: usize = 10;
+    for _ in 0..TRIES {
+        let (platform, url) = platform();
+        platform.set_slow(400);
+        let publish = thread::spawn(move || run(&["publish", &habimana(), "--platform", &url]));
+        // The command has read the log after 400 ms and appends 400 ms later.
+        thread::sleep(Duration::from_millis(600));
+        let other = RecordBody::Publish(Publish::default());
+        let first = platform.append(Record::new(other).encode()) == Offset(0);
+        let done = publish.join().unwrap();
+        if first && follows_nothing(&platform.log(Offset(1))[0].body) {
+            assert_eq!(done.status, 1, "{}", done.out);
+            let said = done.errors.contains("another publish was first");
+            assert!(said, "{}", done.errors);
+            return;
+        }
+    }
+    panic!("no publish met another in {TRIES} tries");
+}
+
 #[test]
 fn an_outage_is_an_error() {
     let (platform, url) = platform();
