--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -28,7 +28,7 @@
 pub use daemon::{DaemonCommand, FINDINGS_STATUS, Termination};
 pub use findings::Findings;
 pub use http_listener::HttpListener;
-pub use metrics::{Metrics, Reasons};
+pub use metrics::{Metrics, Reasons, Watched};
 pub use operator_http::{Operated, OperatorHttp, Readiness};
 pub use settings::{EntrySettings, LogFormat, StewardSettings};
 pub use timer::{Tick, Timer};
--- a/crates/godwitspool-process/src/log_reader/thread.rs
+++ b/crates/godwitspool-process/src/log_reader/thread.rs
@@ -19,7 +19,7 @@
     source::{Answer, Sources},
 };
 use crate::{
-    Clock,
+    Clock, Metrics, Watched,
     membership::{Gossip, Hints},
 };
 
@@ -114,6 +114,20 @@
         look(&self.shared.replica())
     }
 
+    /// Shows what was counted among a process's metrics.
+    pub fn register(&self, metrics: &Metrics) {
+        let shared = Arc::clone(&self.shared);
+        metrics.watch(move || {
+            let counts = shared.replica().counts();
+            let watched = |name, help, value| Watched { name, help, value };
+            vec![
+                watched("log_applied", "Records of the log applied", counts.applied),
+                watched("log_gaps", "Gaps in the log that were noticed", counts.gaps),
+                watched("log_restored", "Snapshots restored", counts.restored),
+            ]
+        });
+    }
+
     /// Answers another host that asks for a snapshot.
     pub fn snapshot(&self) -> StewardAnswer {
         self.read(Replica::snapshot_answer)
--- a/crates/godwitspool-process/src/membership/gossip.rs
+++ b/crates/godwitspool-process/src/membership/gossip.rs
@@ -19,7 +19,7 @@
     DATAGRAM_BYTES, Datagram, Hints, MemberRecord, Membership, MembershipAction, MembershipCounts,
     MembershipEvent, MembershipRules, RumorBody,
 };
-use crate::Clock;
+use crate::{Clock, Metrics, Watched};
 
 const TICK: Duration = Duration::from_millis(25);
 
@@ -148,14 +148,13 @@
 
     /// Returns what was counted.
     pub fn counts(&self) -> GossipCounts {
-        GossipCounts {
-            damaged: self.shared.damaged.load(Ordering::Relaxed),
-            membership: self.shared.membership().counts(),
-            received: self.shared.received.load(Ordering::Relaxed),
-            sent: self.shared.sent.load(Ordering::Relaxed),
-            sent_bytes: self.shared.sent_bytes.load(Ordering::Relaxed),
-            unsent: self.shared.unsent.load(Ordering::Relaxed),
-        }
+        self.shared.counts()
+    }
+
+    /// Shows what was counted among a process's metrics.
+    pub fn register(&self, metrics: &Metrics) {
+        let shared = Arc::clone(&self.shared);
+        metrics.watch(move || watched(&shared.counts()));
     }
 
     /// Takes the platform's lagging list, or the hosts of the settings.
@@ -206,6 +205,17 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn counts(&self) -> GossipCounts {
+        GossipCounts {
+            damaged: self.damaged.load(Ordering::Relaxed),
+            membership: self.membership().counts(),
+            received: self.received.load(Ordering::Relaxed),
+            sent: self.sent.load(Ordering::Relaxed),
+            sent_bytes: self.sent_bytes.load(Ordering::Relaxed),
+            unsent: self.unsent.load(Ordering::Relaxed),
+        }
+    }
+
     fn run<Event: From<GossipEvent>>(&self, subscriber: &Sender<Event>) {
         // One byte more than allowed, so that a longer datagram is seen as such.
         let mut buffer = [0; DATAGRAM_BYTES + 1];
@@ -288,3 +298,52 @@
         ConnectionRefused | Interrupted | TimedOut | WouldBlock
     )
 }
+
+fn watched(counts: &GossipCounts) -> Vec<Watched> {
+    let watched = |name, help, value| Watched { name, help, value };
+    let members = &counts.membership;
+    vec![
+        watched(
+            "gossip_damaged",
+            "Datagrams that were damaged",
+            counts.damaged,
+        ),
+        watched(
+            "gossip_received",
+            "Datagrams that came whole",
+            counts.received,
+        ),
+        watched("gossip_sent", "Datagrams sent", counts.sent),
+        watched(
+            "gossip_sent_bytes",
+            "Bytes of the datagrams sent",
+            counts.sent_bytes,
+        ),
+        watched(
+            "gossip_unsent",
+            "Datagrams that could not be sent",
+            counts.unsent,
+        ),
+        watched("members_down", "Hosts found gone here", members.downs),
+        watched(
+            "members_suspected",
+            "Hosts suspected here",
+            members.suspected,
+        ),
+        watched(
+            "membership_pauses",
+            "Pauses of this process that were noticed",
+            members.pauses,
+        ),
+        watched(
+            "membership_refuted",
+            "Suspicions of this host that it refuted",
+            members.refuted,
+        ),
+        watched(
+            "membership_twins",
+            "Later lives of this host's name",
+            members.twins,
+        ),
+    ]
+}
--- a/crates/godwitspool-process/src/metrics.rs
+++ b/crates/godwitspool-process/src/metrics.rs
@@ -6,9 +6,10 @@
 };
 
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
+    collector::Collector,
+    encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric, text::encode},
     metrics::{
-        counter::Counter,
+        counter::{ConstCounter, Counter},
         family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
@@ -69,6 +70,20 @@
         reasons
     }
 
+    /// Registers counters that are kept elsewhere and read when they are asked for.
+    ///
+    /// ```
+    /// use godwitspool_process::{Metrics, Watched};
+    ///
+    /// let metrics = Metrics::default();
+    /// metrics.watch(|| vec![Watched { name: "pauses", help: "Pauses noticed", value: 3 }]);
+    /// assert!(metrics.text().contains("godwitspool_pauses_total 3"));
+    /// ```
+    pub fn watch(&self, read: impl Fn() -> Vec<Watched> + Send + Sync + 'static) {
+        let watch = Box::new(Watch(Box::new(read)));
+        self.registry().register_collector(watch);
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -107,3 +122,33 @@
         self.0.get_or_create(&Reason { reason }).get()
     }
 }
+
+/// A counter that is kept elsewhere.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Watched {
+    /// Name.
+    pub name: &'static str,
+    /// What it counts.
+    pub help: &'static str,
+    /// The count.
+    pub value: u64,
+}
+
+struct Watch(Box<dyn Fn() -> Vec<Watched> + Send + Sync>);
+
+impl fmt::Debug for Watch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Watch").finish_non_exhaustive()
+    }
+}
+
+impl Collector for Watch {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        for Watched { name, help, value } in (self.0)() {
+            let counter = ConstCounter::new(value);
+            let kind = counter.metric_type();
+            counter.encode(encoder.encode_descriptor(name, help, None, kind)?)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/godwitspool-process/tests/gossip.rs
+++ b/crates/godwitspool-process/tests/gossip.rs
@@ -11,7 +11,7 @@
 
 use godwitspool_connection::platform::HostEntry;
 use godwitspool_process::{
-    Clock,
+    Clock, Metrics,
     membership::{Gossip, GossipEvent, Hints, MemberRecord, MembershipRules, RumorBody},
 };
 use godwitspool_types::{Incarnation, Offset};
@@ -130,4 +130,12 @@
         hosts[0].gossip.counts().damaged == sent
     });
     assert!(sees(&hosts, 2));
+    let metrics = Metrics::default();
+    hosts[0].gossip.register(&metrics);
+    let text = metrics.text();
+    assert!(
+        text.contains(&format!("godwitspool_gossip_damaged_total {sent}")),
+        "{text}"
+    );
+    assert!(text.contains("godwitspool_members_down_total 0"), "{text}");
 }
--- a/crates/godwitspool-steward/src/process/steward.rs
+++ b/crates/godwitspool-steward/src/process/steward.rs
@@ -102,6 +102,8 @@
             events.clone(),
         )?;
         let metrics = Arc::new(Metrics::default());
+        gossip.register(&metrics);
+        reader.register(&metrics);
         let shared = Arc::new(Shared::new(Parts {
             clock,
             gossip,
