History: an answer whose key is withdrawn isn't cut by a shutdown

Change: a break at or after the request for its key's withdrawal isn't held against the shutdown; a test of both sides.

--- a/crates/godwitspool-history/src/check/answers.rs
+++ b/crates/godwitspool-history/src/check/answers.rs
@@ -80,16 +80,24 @@
     let shutdowns = shutdowns(history);
     let mut violations = Vec::new();
     for sent in &index.sent {
-        let Event::Sent { host, request, .. } = &sent.event else {
+        let Event::Sent {
+            host, key, request, ..
+        } = &sent.event
+        else {
             continue;
         };
         let outcomes = index.outcomes(*request);
+        // An answer whose key is being withdrawn is to be cut.
+        let withdrawing = key.and_then(|key| index.withdrawing.get(&key));
         let broken = outcomes
             .iter()
             .find(|line| matches!(line.event, Event::Broken(_)));
         let (Some(broken), Some(shutdowns)) = (broken, shutdowns.get(host)) else {
             continue;
         };
+        if withdrawing.is_some_and(|withdrawing| withdrawing.at <= broken.at) {
+            continue;
+        }
         let cut = shutdowns.iter().find(|shutdown| {
             sent.at < shutdown.line.at && (shutdown.line.at..=shutdown.end).contains(&broken.at)
         });
--- a/crates/godwitspool-history/tests/callers.rs
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -203,6 +203,23 @@
     assert_eq!(broken(events), expected);
 }
 
+#[rstest]
+#[case::withdrawn_before(11, &[])]
+#[case::withdrawn_later(13, &[Promise::Shutdown])]
+fn an_answer_of_a_withdrawn_key_is_not_cut_by_the_shutdown(
+    #[case] withdrawn_at: u64,
+    #[case] expected: &[Promise],
+) {
+    let events = [
+        (1, issued("k", "linen")),
+        (5, sent(1)),
+        (10, Event::Stopping("h".into())),
+        (withdrawn_at, Event::Withdrawing(key("k"))),
+        (12, Event::Broken(RequestId(1))),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
 #[rstest]
 #[case::in_time(9_000, &[])]
 #[case::late(9_100, &[Promise::ConfigurationInForce])]
