--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -12,6 +12,7 @@
 mod fit;
 mod options;
 mod series;
+mod serving;
 mod slopes;
 mod system;
 mod table;
--- /dev/null
+++ b/crates/godwitspool-measure/src/serving/latency.rs
@@ -0,0 +1,203 @@
+//! Latency that the entry adds, over real sockets.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+
+use godwitspool_connection::{
+    messages::{StewardAnswer, StewardRequest, View},
+    peer::{ServeBounds, Server},
+    platform::{TargetEntry, TargetState},
+};
+use godwitspool_entry::Entry;
+use godwitspool_fakes::{PlainOptions, PlainService};
+use godwitspool_process::EntrySettings;
+use godwitspool_types::{Key, Offset};
+use godwitspool_version::{Configuration, KeyRule, ServiceRef, ServiceRules, WorkspaceRules};
+
+use crate::{Options, Table};
+
+const KEY: &str = "gsk-measure";
+const RATE: u64 = 500;
+const CALLERS: u64 = 16;
+const ROUNDS: u64 = 4;
+const ROUND: Duration = Duration::from_secs(3);
+const READY: Duration = Duration::from_secs(10);
+
+/// Calls a plain service that answers at once, directly and through the entry, in turns.
+pub(crate) fn run(_options: &Options) -> Vec<Table> {
+    let columns = ["path", "calls", "failed", "p50_ms", "p99_ms", "p999_ms"];
+    let mut table = Table::new("latency", &columns);
+    match measure() {
+        Ok(paths) => {
+            for path in &paths {
+                table.row(path.cells());
+            }
+            let added = |part: f64| paths[1].at(part) - paths[0].at(part);
+            table.row([
+                "added".to_owned(),
+                String::new(),
+                String::new(),
+                format!("{:.3}", added(0.5)),
+                format!("{:.3}", added(0.99)),
+                format!("{:.3}", added(0.999)),
+            ]);
+        }
+        Err(error) => log::error!("latency isn't measured: {error}"),
+    }
+    vec![table]
+}
+
+struct Path {
+    failed: usize,
+    name: &'static str,
+    times_ms: Vec<f64>,
+}
+
+impl Path {
+    fn at(&self, part: f64) -> f64 {
+        let index = (self.times_ms.len() as f64 * part) as usize;
+        self.times_ms.get(index).copied().unwrap_or(f64::NAN)
+    }
+
+    fn cells(&self) -> [String; 6] {
+        [
+            self.name.to_owned(),
+            (self.times_ms.len() + self.failed).to_string(),
+            self.failed.to_string(),
+            format!("{:.3}", self.at(0.5)),
+            format!("{:.3}", self.at(0.99)),
+            format!("{:.3}", self.at(0.999)),
+        ]
+    }
+}
+
+fn measure() -> std::io::Result<[Path; 2]> {
+    let service = PlainService::start(PlainOptions {
+        delay_ms: 0,
+        ..PlainOptions::default()
+    })?;
+    let view = Arc::new(Mutex::new(view(&service)));
+    let steward = serve(&view)?;
+    let settings = EntrySettings::default()
+        .with_host("n0", "north")
+        .with_steward(steward.address());
+    let entry = Entry::start(settings)?;
+    let direct = format!("http://{}/ping", service.address());
+    let through = format!("http://{}/services/orders/ping", entry.address());
+    let end = Instant::now() + READY;
+    while call(&agent(), &through).is_none() && Instant::now() < end {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let mut paths = [("direct", direct), ("through the entry", through)].map(|(name, url)| {
+        let path = Path {
+            failed: 0,
+            name,
+            times_ms: Vec::new(),
+        };
+        (path, url)
+    });
+    for _ in 0..ROUNDS {
+        for (path, url) in &mut paths {
+            let times = load(url);
+            path.failed += times.iter().filter(|time| time.is_none()).count();
+            path.times_ms.extend(times.into_iter().flatten());
+        }
+    }
+    Ok(paths.map(|(mut path, _)| {
+        path.times_ms.sort_by(f64::total_cmp);
+        path
+    }))
+}
+
+/// Calls at a fixed rate; a late start counts into the time.
+fn load(url: &str) -> Vec<Option<f64>> {
+    let begin = Instant::now();
+    let calls = RATE * ROUND.as_secs() / CALLERS;
+    let gap = Duration::from_secs(1) * CALLERS as u32 / RATE as u32;
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let offset = gap * caller as u32 / CALLERS as u32;
+                scope.spawn(move || {
+                    let agent = agent();
+                    let turn = |turn: u64| {
+                        let due = begin + offset + gap * turn as u32;
+                        thread::sleep(due.saturating_duration_since(Instant::now()));
+                        call(&agent, url).map(|()| due.elapsed().as_secs_f64() * 1_000.0)
+                    };
+                    (0..calls).map(turn).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        let times = callers.into_iter().filter_map(|caller| caller.join().ok());
+        times.flatten().collect()
+    })
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::new_with_defaults()
+}
+
+fn call(agent: &ureq::Agent, url: &str) -> Option<()> {
+    let key = format!("Bearer {KEY}");
+    let mut response = agent.get(url).header("Authorization", key).call().ok()?;
+    response.body_mut().read_to_vec().ok().map(drop)
+}
+
+fn view(service: &PlainService) -> View {
+    let reference = ServiceRef {
+        service: "party/orders".into(),
+    };
+    let workspace = WorkspaceRules {
+        concurrency: 1_000,
+        keys: vec![KeyRule {
+            digest: Key::from(KEY).digest(),
+            withdrawn: false,
+        }],
+        rate_per_s: 100_000,
+        services: [("orders".into(), reference)].into(),
+        ..WorkspaceRules::default()
+    };
+    let rules = ServiceRules {
+        idempotent: true,
+        slots: 256,
+        ..ServiceRules::default()
+    };
+    let configuration = Configuration {
+        services: [("party/orders".into(), rules)].into(),
+        workspaces: [("acme".into(), workspace)].into(),
+        ..Configuration::default()
+    };
+    let target = TargetEntry {
+        address: service.address(),
+        class: "reserved".into(),
+        dc: "north".into(),
+        model: "".into(),
+        service: "party/orders".into(),
+        state: TargetState::Live,
+        target: service.target().clone(),
+    };
+    View {
+        configuration: Arc::new(configuration),
+        offset: Offset(1),
+        revision: 1,
+        targets: vec![target],
+        ..View::default()
+    }
+}
+
+fn serve(view: &Arc<Mutex<View>>) -> std::io::Result<Server> {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let view = Arc::clone(view);
+    Server::start(listener, ServeBounds::default(), move |request| {
+        if !matches!(request, StewardRequest::View(0)) {
+            thread::sleep(Duration::from_millis(500));
+        }
+        let view = view.lock().unwrap_or_else(PoisonError::into_inner);
+        StewardAnswer::View(Box::new(view.clone()))
+    })
+}
