--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, serving, slopes};
+use crate::{Options, Table, control, rollout, serving, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -31,11 +31,26 @@
             name: "herd",
             run: serving::herd,
         },
+        Self {
+            about: "time from a record's acceptance to its being in force on every host",
+            name: "in-force",
+            run: control::in_force,
+        },
         Self {
             about: "latency that the entry adds, over real sockets",
             name: "latency",
             run: serving::latency,
         },
+        Self {
+            about: "replay of the log, and the size and load time of snapshots",
+            name: "log",
+            run: control::log,
+        },
+        Self {
+            about: "detection of dead hosts, hosts removed wrongly, bytes and processor time",
+            name: "membership",
+            run: control::membership,
+        },
         Self {
             about: "targets that a poison crashes",
             name: "poison",
@@ -46,6 +61,16 @@
             name: "retries",
             run: serving::retries,
         },
+        Self {
+            about: "bytes and time of waiting samples",
+            name: "samples",
+            run: rollout::samples,
+        },
+        Self {
+            about: "how near 12 trainers come to their shares",
+            name: "shares",
+            run: rollout::shares,
+        },
         Self {
             about: "time to find a silent connection, and live streams cut",
             name: "silence",
@@ -56,6 +81,16 @@
             name: "slopes",
             run: slopes::run,
         },
+        Self {
+            about: "ages of samples at delivery",
+            name: "staleness",
+            run: rollout::staleness,
+        },
+        Self {
+            about: "step times with stragglers, by policy",
+            name: "stragglers",
+            run: rollout::stragglers,
+        },
     ];
 
     /// Finds a command.
--- a/crates/godwitspool-measure/src/serving/fleet.rs
+++ b/crates/godwitspool-measure/src/serving/fleet.rs
@@ -96,6 +96,8 @@
 pub(super) struct Fleet {
     pub(super) engines: Vec<Engine>,
     hosts: Vec<Host>,
+    /// Tokens left of training streams that were cut.
+    cut: Vec<f64>,
     ids: Vec<TargetId>,
     pub(super) now: u64,
     policy: Policy,
@@ -116,6 +118,7 @@
         let mut ids = Vec::new();
         let hosts = (0..shape.hosts).map(|_| {
             let mut targets = Targets::new(Dc::from("north"));
+            targets.set_hosts(shape.hosts as u32);
             ids = (0..shape.engines)
                 .map(|index| targets.put(facts(index, shape.slots)))
                 .collect();
@@ -130,6 +133,7 @@
         Self {
             engines: vec![Engine::default(); shape.engines],
             hosts,
+            cut: Vec::new(),
             ids,
             now: 0,
             policy,
@@ -185,7 +189,7 @@
                 arrived: self.now,
                 host,
                 started: self.now,
-                tokens,
+                tokens: self.cut.pop().unwrap_or(tokens),
                 workspace: None,
             });
         }
@@ -287,6 +291,7 @@
                 };
                 if let Some(job) = cut {
                     self.hosts[job.host].targets.end(self.ids[index]);
+                    self.cut.push(job.tokens);
                 }
             }
         }
