--- a/crates/godwitspool-request/src/target.rs
+++ b/crates/godwitspool-request/src/target.rs
@@ -54,7 +54,7 @@
     /// Requests of other hosts, going by the last reports.
     pub(crate) others: u32,
     /// Mean of the others' requests; none before the first report.
-    others_mean: Option<f32>,
+    pub(crate) others_mean: Option<f32>,
     /// Own requests in flight.
     pub(crate) own: u32,
     /// Own requests in flight when the last report came.
