--- a/crates/godwitspool-request/src/admission.rs
+++ b/crates/godwitspool-request/src/admission.rs
@@ -212,7 +212,7 @@
 
     /// Refuses what can't be answered in time any more.
     fn expire(&mut self, now: Millis, actions: &mut Vec<AdmissionAction>) {
-        let latest = now + Millis(self.held_ms as u64 / 2);
+        let latest = now + Millis(self.held_ms as u64);
         for flow in self.flows.values_mut() {
             flow.queue.retain(|ticket| {
                 let alive = ticket.deadline > latest;
--- a/crates/godwitspool-request/src/target.rs
+++ b/crates/godwitspool-request/src/target.rs
@@ -41,7 +41,7 @@
 }
 
 /// Weight of a new report in the mean of the others' load.
-const REPORT_WEIGHT: f32 = 0.25;
+const REPORT_WEIGHT: f32 = 0.05;
 
 /// A target with its load.
 #[derive(Clone, Debug, Default)]
