--- a/crates/godwitspool-request/tests/refusal.rs
+++ b/crates/godwitspool-request/tests/refusal.rs
@@ -52,3 +52,24 @@
     let refusal = Refusal::from(Reason::QueueFull).with_retry(Millis(ms));
     assert_eq!(refusal.retry_seconds(), Some(seconds));
 }
+
+#[test]
+fn every_reason_stands_on_the_operators_page() {
+    let page = include_str!("../../../docs/operators/serving.md");
+    for reason in Reason::ALL {
+        let row = format!(
+            "| {} | {} | {}",
+            reason.code(),
+            reason.status(),
+            reason.ran()
+        );
+        assert!(page.contains(&row), "{row}");
+    }
+    for retry in RetryReason::ALL {
+        assert!(
+            page.contains(&format!("| {} | ", retry.code())),
+            "{}",
+            retry.code()
+        );
+    }
+}
