--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, control, rollout, serving, slopes};
+use crate::{Options, Table, control, policies, rollout, serving, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +66,11 @@
             name: "samples",
             run: rollout::samples,
         },
+        Self {
+            about: "target cost and waits: the scaling policy, a fixed fleet, a simple threshold",
+            name: "scaling",
+            run: policies::scaling,
+        },
         Self {
             about: "how near 12 trainers come to their shares",
             name: "shares",
