--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, control, policies, rollout, slopes};
+use crate::{Options, Table, control, policies, rollout, serving, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -16,11 +16,31 @@
 impl Command {
     /// Every command, in order of name.
     pub const ALL: &'static [Self] = &[
+        Self {
+            about: "workspaces' latency under a training flood and a surge, against no admission control",
+            name: "admission",
+            run: serving::admission,
+        },
+        Self {
+            about: "cost of a choice and of a load report at several sizes of the fleet",
+            name: "decisions",
+            run: serving::decisions,
+        },
+        Self {
+            about: "unevenness of engines' loads when reports lag",
+            name: "herd",
+            run: serving::herd,
+        },
         Self {
             about: "time from a record's acceptance to its being in force on every host",
             name: "in-force",
             run: control::in_force,
         },
+        Self {
+            about: "latency that the entry adds, over real sockets",
+            name: "latency",
+            run: serving::latency,
+        },
         Self {
             about: "replay of the log, and the size and load time of snapshots",
             name: "log",
@@ -31,20 +51,35 @@
             name: "membership",
             run: control::membership,
         },
+        Self {
+            about: "targets that a poison crashes",
+            name: "poison",
+            run: serving::poison,
+        },
+        Self {
+            about: "extra load from retries when targets fail",
+            name: "retries",
+            run: serving::retries,
+        },
         Self {
             about: "bytes and time of waiting samples",
             name: "samples",
             run: rollout::samples,
         },
+        Self {
+            about: "target cost and waits: the scaling policy, a fixed fleet, a simple threshold",
+            name: "scaling",
+            run: policies::scaling,
+        },
         Self {
             about: "how near 12 trainers come to their shares",
             name: "shares",
             run: rollout::shares,
         },
         Self {
-            about: "target cost and waits: the scaling policy, a fixed fleet, a simple threshold",
-            name: "scaling",
-            run: policies::scaling,
+            about: "time to find a silent connection, and live streams cut",
+            name: "silence",
+            run: serving::silence,
         },
         Self {
             about: "what a unit more of each thing costs, with a line fitted to each",
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -15,6 +15,7 @@
 mod policies;
 mod rollout;
 mod series;
+mod serving;
 mod slopes;
 mod system;
 mod table;
--- a/crates/godwitspool-request/src/training_share.rs
+++ b/crates/godwitspool-request/src/training_share.rs
@@ -4,8 +4,8 @@
 
 /// The training share of one engine, kept by the one host that places training work on it.
 ///
-/// Headroom follows the most interactive requests that were seen lately. Engines admit whatever
-/// they get, so training is cut as soon as less than half of the headroom is free.
+/// Headroom is what interactive requests take on average, their usual spread, and a reserve. Engines
+/// admit whatever they get, so training is cut as soon as less than half of the reserve is free.
 ///
 /// ```
 /// use godwitspool_request::TrainingShare;
@@ -14,46 +14,54 @@
 /// let mut share = TrainingShare::new(16);
 /// share.observe(0, Millis(0));
 /// assert_eq!(share.room(10), 2);
+/// assert_eq!(share.cuts(12), 0);
 /// share.observe(8, Millis(100));
-/// assert_eq!(share.cuts(12), 8);
+/// assert_eq!(share.cuts(12), 6);
 /// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct TrainingShare {
     interactive: u32,
-    peak: f64,
+    mean: f64,
     seen: Millis,
     slots: u32,
+    spread: f64,
 }
 
 impl TrainingShare {
     /// Smallest part of the slots that is kept free of training.
     const LEAST: f64 = 0.25;
-    /// Headroom over the most interactive requests seen lately.
-    const MARGIN: f64 = 1.5;
-    /// Span after which a peak counts half.
-    const HALF_LIFE: Millis = Millis(10_000);
+    /// Part of the slots that is kept free beside interactive requests.
+    const RESERVE: f64 = 0.125;
+    /// Span in which the means take up most of a change.
+    const MEMORY: Millis = Millis(5_000);
 
     /// Starts with the least headroom.
     pub fn new(slots: u32) -> Self {
         Self {
             interactive: 0,
-            peak: 0.0,
+            mean: 0.0,
             seen: Millis::ZERO,
             slots,
+            spread: 0.0,
         }
     }
 
     /// Records how many interactive requests the engine runs.
     pub fn observe(&mut self, interactive: u32, now: Millis) {
-        let halvings = (now - self.seen).0 as f64 / Self::HALF_LIFE.0 as f64;
-        self.peak = (self.peak * 0.5_f64.powf(halvings)).max(f64::from(interactive));
+        let age = (now - self.seen).0 as f64 / Self::MEMORY.0 as f64;
+        let weight = 1.0 - (-age).exp();
+        let gap = f64::from(interactive) - self.mean;
+        self.spread += (gap.abs() - self.spread) * weight;
+        self.mean += gap * weight;
         self.seen = now;
         self.interactive = interactive;
     }
 
     /// Returns how many more training streams the engine may get beside those it runs.
     pub fn room(&self, training: u32) -> u32 {
-        self.allowed().saturating_sub(training)
+        let busy = self.interactive + training + self.reserve();
+        let free = self.slots.saturating_sub(busy);
+        self.allowed().saturating_sub(training).min(free)
     }
 
     /// Returns how many of the training streams that the engine runs are to be cut and resumed
@@ -61,12 +69,12 @@
     pub fn cuts(&self, training: u32) -> u32 {
         let busy = self.interactive + training;
         let free = self.slots.saturating_sub(busy);
-        let spare = self.headroom().saturating_sub(self.interactive);
-        if busy > self.slots || free * 2 < spare {
-            training.saturating_sub(self.allowed())
-        } else {
-            0
+        if free * 2 >= self.reserve() {
+            return 0;
         }
+        (busy + self.reserve())
+            .saturating_sub(self.slots)
+            .min(training)
     }
 
     fn allowed(&self) -> u32 {
@@ -75,7 +83,11 @@
 
     fn headroom(&self) -> u32 {
         let least = f64::from(self.slots) * Self::LEAST;
-        let wanted = (self.peak * Self::MARGIN).max(least);
-        (wanted.ceil() as u32).min(self.slots)
+        let wanted = self.mean + self.spread + f64::from(self.reserve());
+        (wanted.max(least).ceil() as u32).min(self.slots)
+    }
+
+    fn reserve(&self) -> u32 {
+        (f64::from(self.slots) * Self::RESERVE).ceil() as u32
     }
 }
