--- a/crates/godwitspool-entry/src/request/dispatch.rs
+++ b/crates/godwitspool-entry/src/request/dispatch.rs
@@ -97,6 +97,8 @@
     /// Takes the targets of a view.
     pub(crate) fn learn(&self, view: &View) {
         let mut state = self.lock();
+        let hosts = view.members.iter().filter(|member| !member.leaving);
+        state.targets.set_hosts(hosts.count() as u32);
         let known: Vec<TargetName> = state.targets.names().cloned().collect();
         for name in known {
             if !view.targets.iter().any(|entry| entry.target == name) {
--- a/crates/godwitspool-request/src/pool.rs
+++ b/crates/godwitspool-request/src/pool.rs
@@ -13,13 +13,20 @@
 /// Candidates that a ranking returns.
 pub(crate) const CANDIDATES: usize = 4;
 
+/// A member with its hash, so that ranking touches nothing else.
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    hash: u64,
+    id: u32,
+}
+
 /// Targets that are alike, in the order in which pools are tried.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
     pub(crate) cost: u64,
     pub(crate) dc: Dc,
-    buckets: Vec<Vec<u32>>,
-    members: Vec<u32>,
+    buckets: Vec<Vec<Member>>,
+    members: Vec<Member>,
     pub(crate) reclaimable: bool,
 }
 
@@ -39,13 +46,14 @@
     }
 
     pub(crate) fn add(&mut self, id: u32, hash: u64) {
-        self.members.push(id);
-        self.buckets[hash as usize % BUCKETS].push(id);
+        let member = Member { hash, id };
+        self.members.push(member);
+        self.buckets[hash as usize % BUCKETS].push(member);
     }
 
     pub(crate) fn remove(&mut self, id: u32, hash: u64) {
-        self.members.retain(|&member| member != id);
-        self.buckets[hash as usize % BUCKETS].retain(|&member| member != id);
+        self.members.retain(|member| member.id != id);
+        self.buckets[hash as usize % BUCKETS].retain(|member| member.id != id);
     }
 
     /// Returns usable members in order of their rendezvous weight for a key.
@@ -57,22 +65,37 @@
         targets: &[Target],
         usable: impl Fn(u32, &Target) -> bool,
     ) -> Ranking {
-        let mut ranking = Ranking::default();
-        let weigh = |&id: &u32| (weight(key, targets[id as usize].hash), id);
-        let usable = |&id: &u32| usable(id, &targets[id as usize]);
+        let weigh = |member: &Member| (weight(key, member.hash), member.id);
+        let usable = |member: &Member| usable(member.id, &targets[member.id as usize]);
         if self.members.len() <= RANKED_WHOLE {
-            let members = self.members.iter().filter(|id| usable(id)).map(weigh);
-            members.for_each(|member| ranking.push(member));
+            let mut ranking = Ranking::default();
+            self.members
+                .iter()
+                .map(weigh)
+                .for_each(|entry| ranking.push(entry));
+            if ranking.ids().all(|id| usable(&Member { hash: 0, id })) {
+                return ranking;
+            }
+            let mut ranking = Ranking::default();
+            let fit = self.members.iter().filter(|member| usable(member));
+            fit.map(weigh).for_each(|entry| ranking.push(entry));
             return ranking;
         }
         let mut buckets = Ranking::default();
         for (index, _) in filled(&self.buckets) {
             buckets.push((weight(key, index as u64 + 1), index as u32));
         }
+        let mut ranking = Ranking::default();
         for index in buckets.ids() {
-            let members = self.buckets[index as usize].iter();
-            if let Some((_, id)) = members.filter(|id| usable(id)).map(weigh).max() {
-                ranking.append(id);
+            let members = &self.buckets[index as usize];
+            let first = members.iter().max_by_key(|member| weigh(member));
+            // Only when the first isn't usable are the others looked at.
+            let best = first.filter(|member| usable(member)).or_else(|| {
+                let fit = members.iter().filter(|member| usable(member));
+                fit.max_by_key(|member| weigh(member))
+            });
+            if let Some(member) = best {
+                ranking.append(member.id);
             }
         }
         ranking
@@ -88,12 +111,12 @@
             SEARCHED
         };
         (0..most)
-            .map(|step| self.members[(start + step) % count])
+            .map(|step| self.members[(start + step) % count].id)
             .find(|&id| usable(id))
     }
 }
 
-fn filled(buckets: &[Vec<u32>]) -> impl Iterator<Item = (usize, &Vec<u32>)> {
+fn filled(buckets: &[Vec<Member>]) -> impl Iterator<Item = (usize, &Vec<Member>)> {
     buckets
         .iter()
         .enumerate()
@@ -126,7 +149,7 @@
         self.count += 1;
     }
 
-    pub(crate) fn ids(&self) -> impl Iterator<Item = u32> + use<> {
+    pub(crate) fn ids(&self) -> impl Clone + Iterator<Item = u32> + use<> {
         let Self { count, entries } = *self;
         entries.into_iter().take(count).map(|(_, id)| id)
     }
--- a/crates/godwitspool-request/src/targets.rs
+++ b/crates/godwitspool-request/src/targets.rs
@@ -16,6 +16,8 @@
 const COMFORTABLE: u32 = 750;
 /// Fill in thousandths at which a target takes nothing more.
 const FULL: u32 = 1_000;
+/// Part of a nearly full service that a host may use, in hundredths of an even share.
+const SHARE_SLACK: u64 = 125;
 /// How much fuller the target of an affinity may be than its alternative, in thousandths.
 const AFFINITY_SLACK: u32 = 250;
 
@@ -40,6 +42,23 @@
     pub version: Option<WeightVersion>,
 }
 
+/// What a choice has come upon so far.
+#[derive(Default)]
+struct Seen {
+    /// Whether any target fits, full or not.
+    fits: bool,
+    /// A target with room, though not comfortable.
+    room: Option<u32>,
+}
+
+/// Sums over the targets of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    others: u64,
+    own: u64,
+    slots: u64,
+}
+
 /// The choice of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -74,9 +93,11 @@
 pub struct Targets {
     dc: Dc,
     free: Vec<u32>,
+    hosts: u32,
     ids: HashMap<TargetName, u32>,
     pools: HashMap<ServiceName, Vec<Pool>>,
     table: Vec<Target>,
+    totals: HashMap<ServiceName, Total>,
 }
 
 impl Targets {
@@ -85,15 +106,22 @@
         Self {
             dc,
             free: Vec::new(),
+            hosts: 1,
             ids: HashMap::new(),
             pools: HashMap::new(),
             table: Vec::new(),
+            totals: HashMap::new(),
         }
     }
 
     // -----------------------------------------------------------------------
     // What is known
 
+    /// Sets how many hosts send work to the targets.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts;
+    }
+
     /// Adds a target, or changes what is known of it.
     pub fn put(&mut self, facts: TargetFacts) -> TargetId {
         if let Some(&id) = self.ids.get(&facts.target) {
@@ -130,7 +158,9 @@
     /// Takes the load report of a target.
     pub fn report(&mut self, name: &TargetName, report: &LoadReport) {
         if let Some(&id) = self.ids.get(name) {
+            self.count(id, false);
             self.table[id as usize].report(report);
+            self.count(id, true);
         }
     }
 
@@ -159,13 +189,17 @@
 
     /// Counts a request that is handed to a target.
     pub fn begin(&mut self, id: TargetId) {
+        self.count(id.0, false);
         self.table[id.0 as usize].own += 1;
+        self.count(id.0, true);
     }
 
     /// Counts a request that left a target.
     pub fn end(&mut self, id: TargetId) {
+        self.count(id.0, false);
         let target = &mut self.table[id.0 as usize];
         target.own = target.own.saturating_sub(1);
+        self.count(id.0, true);
         self.release(id.0);
     }
 
@@ -185,21 +219,41 @@
         if let Some(holder) = self.choose_holder(need, now) {
             return Choice::Target(holder);
         }
-        let mut fits = false;
-        let passes = [(COMFORTABLE, false), (FULL, false), (FULL, true)];
-        for (limit, reclaimable) in passes {
+        if self.is_over_share(&need.service) {
+            return Choice::Full;
+        }
+        let mut seen = Seen::default();
+        for reclaimable in [false, true] {
             for pool in pools {
-                if pool.reclaimable && !need.resumable && !reclaimable {
+                if (pool.reclaimable && !need.resumable) != reclaimable {
                     continue;
                 }
-                match self.choose_within(pool, need, limit, now) {
-                    Choice::None => {}
-                    Choice::Full => fits = true,
-                    found @ Choice::Target(_) => return found,
+                if let Some(id) = self.choose_within(pool, need, &mut seen, now) {
+                    return Choice::Target(TargetId(id));
                 }
             }
+            // What can't go on elsewhere takes a reclaimable target only when all others are full.
+            if let Some(id) = seen.room {
+                return Choice::Target(TargetId(id));
+            }
+        }
+        if seen.fits {
+            Choice::Full
+        } else {
+            Choice::None
         }
-        if fits { Choice::Full } else { Choice::None }
+    }
+
+    /// Tells whether this host has more than its part of a service whose targets are nearly full.
+    ///
+    /// Reports lag, so hosts that all see the same room would fill it several times over.
+    fn is_over_share(&self, service: &ServiceName) -> bool {
+        let Some(total) = self.totals.get(service) else {
+            return false;
+        };
+        let busy = (total.others + total.own) * 1_000 >= total.slots * u64::from(COMFORTABLE);
+        let part = total.slots * SHARE_SLACK / 100 / u64::from(self.hosts.max(1));
+        self.hosts > 1 && busy && total.own > part
     }
 
     /// Returns the least loaded target of the own data centre that holds the prefix and has room.
@@ -215,41 +269,62 @@
         holders.min_by_key(|id| self.table[id.0 as usize].fill())
     }
 
-    fn choose_within(&self, pool: &Pool, need: &Need, limit: u32, now: Millis) -> Choice {
+    /// Returns a member with comfortable room, and notes one with room at all.
+    fn choose_within(&self, pool: &Pool, need: &Need, seen: &mut Seen, now: Millis) -> Option<u32> {
         let key = need.affinity.unwrap_or(need.fingerprint);
         let usable = |id: u32, target: &Target| usable(id, target, need, now);
         let fill = |id: u32| self.table[id as usize].fill();
         let ranking = pool.rank(key, &self.table, usable);
         let mut ids = ranking.ids();
-        let Some(first) = ids.next() else {
-            let found = pool.search(key, |id| {
-                usable(id, &self.table[id as usize]) && fill(id) < limit
-            });
-            return found.map_or(Choice::None, |id| Choice::Target(TargetId(id)));
-        };
         let slack = need.affinity.map_or(0, |_| AFFINITY_SLACK);
-        let best = match ids.next() {
-            Some(second) if fill(first) > fill(second) + slack => second,
-            _ => first,
+        let best = match (ids.next(), ids.next()) {
+            (Some(first), Some(second)) if fill(first) > fill(second) + slack => Some(second),
+            (first, _) => first,
         };
-        let found = std::iter::once(best)
-            .chain(ranking.ids())
-            .find(|&id| fill(id) < limit)
-            .or_else(|| {
-                pool.search(key, |id| {
-                    usable(id, &self.table[id as usize]) && fill(id) < limit
-                })
+        seen.fits |= best.is_some();
+        let ranked = best.into_iter().chain(ranking.ids());
+        if let Some(id) = ranked.clone().find(|&id| fill(id) < COMFORTABLE) {
+            return Some(id);
+        }
+        if seen.room.is_none() {
+            seen.room = ranked.clone().find(|&id| fill(id) < FULL);
+        }
+        if seen.room.is_none() {
+            seen.room = pool.search(key, |id| {
+                fill(id) < FULL && usable(id, &self.table[id as usize])
             });
-        found.map_or(Choice::Full, |id| Choice::Target(TargetId(id)))
+            seen.fits |= seen.room.is_some();
+        }
+        None
     }
 
     // -----------------------------------------------------------------------
 
+    /// Counts a target that takes work into the sums of its service, or out of them.
+    fn count(&mut self, id: u32, into: bool) {
+        let target = &self.table[id as usize];
+        if !target.facts.takes || target.gone {
+            return;
+        }
+        let Some(total) = self.totals.get_mut(&target.facts.service) else {
+            return;
+        };
+        let part = [target.others, target.own, target.facts.slots].map(u64::from);
+        let sums = [&mut total.others, &mut total.own, &mut total.slots];
+        for (sum, part) in sums.into_iter().zip(part) {
+            *sum = if into { *sum + part } else { *sum - part };
+        }
+    }
+
     fn offer(&mut self, id: u32) {
         let target = &self.table[id as usize];
         if !target.facts.takes {
             return;
         }
+        let service = target.facts.service.clone();
+        self.totals.entry(service).or_default();
+        self.count(id, true);
+        let target = &self.table[id as usize];
         let TargetFacts {
             cost,
             dc,
@@ -273,6 +348,7 @@
     }
 
     fn withdraw(&mut self, id: u32) {
+        self.count(id, false);
         let target = &self.table[id as usize];
         if let Some(pools) = self.pools.get_mut(&target.facts.service) {
             pools
--- a/crates/godwitspool-request/tests/targets.rs
+++ b/crates/godwitspool-request/tests/targets.rs
@@ -335,3 +335,27 @@
     assert!(prefixes.holders(4_999).is_empty());
     assert_eq!(prefixes.next(&target), 0);
 }
+
+#[test]
+fn a_host_of_a_nearly_full_service_keeps_to_its_part() {
+    let mut targets = fleet(4, 10);
+    targets.set_hosts(2);
+    let report = |busy| LoadReport {
+        busy,
+        ..LoadReport::default()
+    };
+    for _ in 0..26 {
+        let id = chosen(&targets, &need(1));
+        targets.begin(id);
+    }
+    assert!(
+        matches!(targets.choose(&need(1), NOW), Choice::Target(_)),
+        "not yet nearly full"
+    );
+    for index in 0..4 {
+        targets.report(&TargetName::from(format!("t{index}")), &report(1));
+    }
+    assert_eq!(targets.choose(&need(1), NOW), Choice::Full);
+    targets.set_hosts(1);
+    assert!(matches!(targets.choose(&need(1), NOW), Choice::Target(_)));
+}
