--- a/crates/godwitspool-request/src/target.rs
+++ b/crates/godwitspool-request/src/target.rs
@@ -40,6 +40,9 @@
     pub weights: WeightVersion,
 }
 
+/// Weight of a new report in the mean of the others' load.
+const REPORT_WEIGHT: f32 = 0.05;
+
 /// A target with its load.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Target {
@@ -48,8 +51,10 @@
     /// Set once the target is no longer listed; it stays until its last request ends.
     pub(crate) gone: bool,
     pub(crate) hash: u64,
-    /// Requests of other hosts, going by the last report.
+    /// Requests of other hosts, going by the last reports.
     pub(crate) others: u32,
+    /// Mean of the others' requests; none before the first report.
+    pub(crate) others_mean: Option<f32>,
     /// Own requests in flight.
     pub(crate) own: u32,
     /// Own requests in flight when the last report came.
@@ -70,7 +75,12 @@
 
     /// Takes a report. It lags, so it counts the own requests of about one report ago.
     pub(crate) fn report(&mut self, report: &LoadReport) {
-        self.others = report.busy.saturating_sub(self.own_before);
+        let others = report.busy.saturating_sub(self.own_before) as f32;
+        // A mean keeps hosts from swinging together after each report.
+        let mean = self.others_mean.unwrap_or(others);
+        let mean = mean + (others - mean) * REPORT_WEIGHT;
+        self.others_mean = Some(mean);
+        self.others = mean.round() as u32;
         self.own_before = self.own;
         if self.weights != report.weights {
             self.weights = report.weights.clone();
