--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, control, policies, rollout, slopes};
+use crate::{Options, Table, control, handover, policies, rollout, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +16,11 @@
 impl Command {
     /// Every command, in order of name.
     pub const ALL: &'static [Self] = &[
+        Self {
+            about: "time without a holder after the holder of a lease is killed or leaves",
+            name: "handover",
+            run: handover::run,
+        },
         Self {
             about: "time from a record's acceptance to its being in force on every host",
             name: "in-force",
--- a/crates/godwitspool-measure/src/lib.rs
+++ b/crates/godwitspool-measure/src/lib.rs
@@ -11,6 +11,7 @@
 mod command;
 mod control;
 mod fit;
+mod handover;
 mod options;
 mod policies;
 mod rollout;
