--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -20,6 +20,8 @@
             about: "time without a holder after the holder of a lease is killed or leaves",
             name: "handover",
             run: handover::run,
+        },
+        Self {
             about: "workspaces' latency under a training flood and a surge, against no admission control",
             name: "admission",
             run: serving::admission,
