Entry and steward: log lines are written

Cause: a trial with a real steward wrote no line, since neither main installed the logger. Change: both mains install it in the form that the settings name. Conclusion: the settings key log now takes effect.

--- a/crates/godwitspool-entry/src/main.rs
+++ b/crates/godwitspool-entry/src/main.rs
@@ -1,9 +1,9 @@
 //! The entry daemon: `godwitspool-entry SETTINGS.yaml`.
 
-use std::{path::Path, process::ExitCode};
+use std::{io, path::Path, process::ExitCode};
 
 use godwitspool_entry::Entry;
-use godwitspool_process::{DaemonCommand, EntrySettings, FINDINGS_STATUS, Termination};
+use godwitspool_process::{DaemonCommand, EntrySettings, FINDINGS_STATUS, Termination, logs};
 
 const HELP: &str = "\
 godwitspool-entry SETTINGS.yaml [--check]
@@ -52,7 +52,8 @@
 }
 
 /// Serves until the second termination signal, or until the drain after the first has ended.
-fn serve(settings: EntrySettings) -> std::io::Result<()> {
+fn serve(settings: EntrySettings) -> io::Result<()> {
+    logs::install(settings.log).map_err(io::Error::other)?;
     let termination = Termination::watch()?;
     let bound = settings.drain.duration();
     let entry = Entry::start(settings)?;
--- a/crates/godwitspool-steward/src/main.rs
+++ b/crates/godwitspool-steward/src/main.rs
@@ -1,8 +1,8 @@
 //! The steward daemon: `godwitspool-steward SETTINGS.yaml`.
 
-use std::{path::Path, process::ExitCode};
+use std::{io, path::Path, process::ExitCode};
 
-use godwitspool_process::{DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination};
+use godwitspool_process::{DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination, logs};
 use godwitspool_steward::Steward;
 
 const HELP: &str = "\
@@ -52,7 +52,8 @@
 }
 
 /// Serves until a termination signal.
-fn serve(settings: StewardSettings) -> std::io::Result<()> {
+fn serve(settings: StewardSettings) -> io::Result<()> {
+    logs::install(settings.log).map_err(io::Error::other)?;
     let termination = Termination::watch()?;
     let steward = Steward::start(settings)?;
     log::info!(address:% = steward.address(); "steward serves");
