--- a/crates/godwitspool-measure/src/capacity/roles.rs
+++ b/crates/godwitspool-measure/src/capacity/roles.rs
@@ -3,6 +3,7 @@
 mod entry;
 mod log;
 mod steward;
+mod trainer;
 
 use crate::{
     Table,
@@ -18,6 +19,7 @@
 pub(super) fn all(fleet: &Fleet, fits: &Fits) -> Result<Vec<RoleTable>, FitsError> {
     Ok(vec![
         entry::table(fleet, fits)?,
+        trainer::table(fleet, fits)?,
         steward::candidate(fleet, fits)?,
         steward::holder(fleet, fits)?,
         steward::reader(fleet, fits)?,
--- a/crates/godwitspool-measure/src/rollout/lab.rs
+++ b/crates/godwitspool-measure/src/rollout/lab.rs
@@ -6,14 +6,14 @@
 };
 use godwitspool_types::{Millis, WeightVersion};
 
-pub(super) struct Lab {
-    pub(super) now: Millis,
-    pub(super) started: Vec<(u64, SampleId)>,
-    pub(super) steps: TrainerSteps,
+pub(crate) struct Lab {
+    pub(crate) now: Millis,
+    pub(crate) started: Vec<(u64, SampleId)>,
+    pub(crate) steps: TrainerSteps,
 }
 
 impl Lab {
-    pub(super) fn new(rules: StepRules) -> Self {
+    pub(crate) fn new(rules: StepRules) -> Self {
         let mut lab = Self {
             now: Millis::ZERO,
             started: Vec::new(),
@@ -23,7 +23,7 @@
         lab
     }
 
-    pub(super) fn tell(&mut self, event: StepEvent) -> Option<Answer> {
+    pub(crate) fn tell(&mut self, event: StepEvent) -> Option<Answer> {
         let mut given = None;
         for action in self.steps.decide(event, self.now) {
             match action {
@@ -35,7 +35,7 @@
         given
     }
 
-    pub(super) fn submit(&mut self, step: u64, groups: u32, samples: u32) -> Option<Answer> {
+    pub(crate) fn submit(&mut self, step: u64, groups: u32, samples: u32) -> Option<Answer> {
         let groups = (0..groups).map(|group| GroupSpec {
             group,
             max_tokens: 4_096,
@@ -57,7 +57,7 @@
         self.tell(StepEvent::Request { reply: 1, request })
     }
 
-    pub(super) fn finish(&mut self, at: usize, tokens: usize, version: &WeightVersion) {
+    pub(crate) fn finish(&mut self, at: usize, tokens: usize, version: &WeightVersion) {
         let (generation, id) = self.started.swap_remove(at);
         let mut sample = Sample::new(id);
         for _ in 0..tokens {
@@ -66,7 +66,7 @@
         self.tell(StepEvent::Finished { generation, sample });
     }
 
-    pub(super) fn fetch(&mut self, step: u64, page: u32) -> Option<Answer> {
+    pub(crate) fn fetch(&mut self, step: u64, page: u32) -> Option<Answer> {
         let request = Request::Fetch {
             digest: None,
             page,
--- a/crates/godwitspool-measure/src/rollout/mod.rs
+++ b/crates/godwitspool-measure/src/rollout/mod.rs
@@ -7,6 +7,8 @@
 mod step_run;
 mod stragglers;
 
+pub(crate) use lab::Lab;
+
 use crate::{Options, Table};
 
 /// Measures bytes and time of waiting samples.
--- a/crates/godwitspool-measure/src/slopes/mod.rs
+++ b/crates/godwitspool-measure/src/slopes/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod gossip;
+mod rollout;
 mod serving;
 mod stream;
 mod usage;
@@ -40,6 +41,7 @@
     let mut all = configuration::measure();
     all.extend(gossip::measure(options.seed));
     all.extend(usage::measure());
+    all.extend(rollout::measure());
     all.extend(serving::measure(options.seed));
     match stream::measure() {
         Ok(series) => all.extend(series),
