Demo: a reclaimable target runs in each data centre from the start

Cause: a mutation (leaving targets take work) showed nothing: no reclaimable target was ever ordered, so reclaim met none. Change: the platform starts one of each reclaimable class where its ceiling allows any. Conclusion: reclaim meets targets.

--- a/crates/godwitspool-demo/src/deployment.rs
+++ b/crates/godwitspool-demo/src/deployment.rs
@@ -78,7 +78,8 @@
         version.unwrap_or_else(|| WeightVersion::from("v1"))
     }
 
-    /// Returns the classes as the platform offers them, each data centre at its floor. The address is
+    /// Returns the classes as the platform offers them, each data centre at its floor and with one
+    /// target of each class that can be reclaimed. The address is
     /// the demo's own, since a target that is down gives its port up.
     pub(crate) fn classes(&self, address: IpAddr) -> Vec<ClassOptions> {
         let listen = SocketAddr::new(address, 0);
@@ -106,11 +107,17 @@
                         dcs.filter_map(|(dc, rules)| Some((dc.clone(), *of(rules).get(class)?)))
                             .collect::<BTreeMap<_, _>>()
                     };
+                let available = bounds(|rules| &rules.ceiling);
+                let mut initial = bounds(|rules| &rules.floor);
+                if rules.reclaimable {
+                    // One runs in each data centre from the start, so that it can be reclaimed.
+                    initial.extend(available.keys().map(|dc| (dc.clone(), 1)));
+                }
                 Some(ClassOptions {
-                    available: bounds(|rules| &rules.ceiling),
+                    available,
                     class: class.clone(),
                     fencing: rules.fencing,
-                    initial: bounds(|rules| &rules.floor),
+                    initial,
                     kind,
                     reclaimable: rules.reclaimable,
                     restart_ms: RESTART_MS,
