Demo: callers' connections end with the entry, as they would with its process

Cause: a mutation (a drain waits for nothing) showed nothing: threads of a dropped entry went on answering, which the threads of a process that has ended can't; and connections that nobody answered stayed open for 15 s. Change: a relay stands before each entry and closes all connections once the entry has ended.

--- a/crates/godwitspool-demo/src/host.rs
+++ b/crates/godwitspool-demo/src/host.rs
@@ -8,6 +8,7 @@
 
 use godwitspool_connection::platform::HostEntry;
 use godwitspool_entry::Entry;
+use godwitspool_fakes::Relay;
 use godwitspool_process::{EntrySettings, StewardSettings};
 use godwitspool_steward::Steward;
 use godwitspool_types::{Dc, HostName, Millis};
@@ -15,6 +16,7 @@
 
 use crate::{DemoError, error::StartSnafu};
 
+const BEHIND_PORT: u16 = 7_006;
 const CALLERS_PORT: u16 = 7_003;
 const ENTRY_PORT: u16 = 7_001;
 const ENTRY_OPERATORS_PORT: u16 = 7_004;
@@ -67,7 +69,7 @@
     fn start_entry(&self) -> Result<Entry, DemoError> {
         let settings = EntrySettings::default()
             .with_host(self.host.clone(), self.dc.clone())
-            .with_callers(self.callers())
+            .with_callers(self.at(BEHIND_PORT))
             .with_operators(self.at(ENTRY_OPERATORS_PORT))
             .with_peers(self.at(ENTRY_PORT))
             .with_steward(self.at(STEWARD_PORT));
@@ -91,6 +93,8 @@
 #[derive(Debug)]
 pub(crate) struct Host {
     entry: Mutex<Option<Entry>>,
+    /// Carries callers' connections, which end with the entry as they would with its process.
+    front: Relay,
     /// Where it runs.
     pub(crate) place: Place,
     steward: Mutex<Option<Steward>>,
@@ -100,9 +104,12 @@
     pub(crate) fn start(place: Place) -> Result<Self, DemoError> {
         let steward = place.start_steward()?;
         let entry = place.start_entry()?;
+        let front = Relay::start(place.callers(), place.at(BEHIND_PORT));
+        let front = front.context(StartSnafu { part: "front" })?;
         let (entry, steward) = (Mutex::new(Some(entry)), Mutex::new(Some(steward)));
         Ok(Self {
             entry,
+            front,
             place,
             steward,
         })
@@ -119,7 +126,9 @@
         let mut entry = self.entry.lock().unwrap_or_else(PoisonError::into_inner);
         let hurry = AtomicBool::new(false);
         let cut = entry.take().map_or(0, |entry| entry.drain(DRAIN, &hurry));
+        self.front.set_down(true);
         *entry = Some(self.place.start_entry()?);
+        self.front.set_down(false);
         Ok(cut)
     }
 
