Serving: tests see a resumed stream that starts anew, and a reserve that isn't restored

Change: the resume test looks at the second engine's first token, the training test at a large engine.

--- a/crates/godwitspool-entry/tests/failures.rs
+++ b/crates/godwitspool-entry/tests/failures.rs
@@ -57,6 +57,15 @@
         answer.join().unwrap().assert_whole(&prompt, 80);
     });
     assert_eq!(bench.engines.iter().map(received).sum::<usize>(), 2);
+    let starts = bench.engines.iter().flat_map(Engine::history);
+    let starts = starts.filter_map(|record| match record.event {
+        EngineEvent::Received { start, .. } => Some(start),
+        _ => None,
+    });
+    assert!(
+        starts.max().unwrap() > 0,
+        "the second engine goes on where the first one ended"
+    );
     let metrics = bench.metrics(0);
     assert!(
         metrics.contains("retries_total{reason=\"stream-broken\"} 1"),
--- a/crates/godwitspool-request/tests/admission.rs
+++ b/crates/godwitspool-request/tests/admission.rs
@@ -208,6 +208,10 @@
     assert_eq!(share.cuts(10), 0, "half of the reserve is still free");
     share.observe(6, Millis(20));
     assert_eq!(share.cuts(10), 2);
+    let mut large = TrainingShare::new(64);
+    large.observe(20, Millis(0));
+    assert_eq!(large.cuts(40), 0);
+    assert_eq!(large.cuts(41), 5, "3 free of a reserve of 8");
 }
 
 #[test]
