--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands by name.
 
-use crate::{Options, Table, control, policies, rollout, serving, slopes};
+use crate::{Options, Table, control, handover, policies, rollout, serving, slopes};
 
 /// A measurement.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +16,11 @@
 impl Command {
     /// Every command, in order of name.
     pub const ALL: &'static [Self] = &[
+        Self {
+            about: "time without a holder after the holder of a lease is killed or leaves",
+            name: "handover",
+            run: handover::run,
+        },
         Self {
             about: "workspaces' latency under a training flood and a surge, against no admission control",
             name: "admission",
