--- a/crates/godwitspool-entry/src/rollout/dispatch.rs
+++ b/crates/godwitspool-entry/src/rollout/dispatch.rs
@@ -17,7 +17,8 @@
 
 use super::{
     journal::SampleEvent,
-    rollouts::{Job, Running, State, StreamProgress, TargetState},
+    rollouts::{State, TargetState},
+    running::{Job, Running, StreamProgress},
     scores,
     stream::{self, Stream},
 };
--- a/crates/godwitspool-entry/src/rollout/moves.rs
+++ b/crates/godwitspool-entry/src/rollout/moves.rs
@@ -11,7 +11,8 @@
 
 use super::{
     dispatch::FIRST_PACE_MS,
-    rollouts::{Job, Running, State},
+    rollouts::State,
+    running::{Job, Running},
     stream,
 };
 
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -4,28 +4,31 @@
     collections::{BTreeMap, HashMap, VecDeque},
     sync::{
         Arc, Condvar, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::Ordering,
         mpsc::{self, Sender},
     },
     time::Duration,
 };
 
-use godwitspool_connection::{
-    engine::KvHandle,
-    messages::{
-        EntryAnswer, EntryRequest, Portion, RolloutAnswer, RolloutRequest, TargetLoad, View,
-    },
+use godwitspool_connection::messages::{
+    EntryAnswer, EntryRequest, Portion, RolloutAnswer, RolloutRequest, TargetLoad, View,
 };
 use godwitspool_process::Clock;
 use godwitspool_request::TrainingShare;
 use godwitspool_rollout::{
-    Answer, GroupSpec, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction, StepEvent,
-    StepNumber, StepRules, StragglerRules, Stragglers, TrainerSteps,
+    Answer, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction, StepEvent, StepNumber,
+    StepRules, StragglerRules, Stragglers, TrainerSteps,
 };
 use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName, WeightVersion};
 use godwitspool_version::TrainerRules;
 
-use super::{journal::Journal, outbox::Outbox, portions::Portions, ranking};
+use super::{
+    journal::Journal,
+    outbox::Outbox,
+    portions::Portions,
+    ranking,
+    running::{Job, Running},
+};
 use crate::process::shared::Shared;
 
 /// Time without a token after which a sample is hedged.
@@ -82,49 +85,6 @@
     pub(super) training: u32,
 }
 
-/// A sample to make, with what was made of it already.
-#[derive(Clone, Debug)]
-pub(super) struct Job {
-    pub(super) generation: u64,
-    pub(super) hedge: bool,
-    pub(super) kv: Option<KvHandle>,
-    pub(super) partial: Sample,
-    pub(super) spec: GroupSpec,
-    /// Target that it is meant for, or that it has just left.
-    pub(super) to: Option<TargetName>,
-    pub(super) avoid: Option<TargetName>,
-}
-
-/// A stream that makes a sample.
-#[derive(Debug)]
-pub(super) struct Running {
-    pub(super) cancelled: AtomicBool,
-    pub(super) generation: u64,
-    pub(super) id: SampleId,
-    pub(super) is_hedge: bool,
-    pub(super) progress: Mutex<StreamProgress>,
-    pub(super) request: String,
-    pub(super) spec: GroupSpec,
-    pub(super) started: Millis,
-    pub(super) target: TargetName,
-}
-
-/// What a stream has made so far.
-#[derive(Clone, Debug)]
-pub(super) struct StreamProgress {
-    pub(super) hedge: Option<TargetName>,
-    pub(super) heard: Millis,
-    pub(super) move_to: Option<TargetName>,
-    pub(super) partial: Sample,
-    pub(super) resumed: u32,
-}
-
-impl Running {
-    pub(super) fn progress(&self) -> MutexGuard<'_, StreamProgress> {
-        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 impl Rollouts {
     pub(crate) fn new() -> Self {
         Self {
@@ -246,44 +206,6 @@
             self.outbox.send(shared, &member.host, message);
         }
     }
-
-    /// Returns what happened to a sample on this host, for operators.
-    pub(crate) fn explained(&self, id: &SampleId) -> Option<serde_json::Value> {
-        let state = self.lock();
-        let events = state.journal.explain(id);
-        let trainer = state.trainers.get(&id.trainer)?;
-        let sample = trainer.steps.image().sample(id);
-        let waits = trainer.queue.iter().any(|job| job.partial.id == *id);
-        let is_known = sample.is_some() || waits || !events.is_empty();
-        is_known.then(|| {
-            serde_json::json!({
-                "events": events,
-                "sample": id.to_string(),
-                "spans": sample.map(|sample| &sample.spans),
-                "waits": waits,
-                "whole": sample.is_some(),
-            })
-        })
-    }
-
-    /// Returns the steps and streams on this host, for operators.
-    pub(crate) fn status(&self) -> serde_json::Value {
-        let state = self.lock();
-        let trainers = state.trainers.iter().map(|(name, trainer)| {
-            let running = state.running.values();
-            let running = running
-                .filter(|running| running.id.trainer == *name)
-                .count();
-            let status = trainer.status(running);
-            (name.to_string(), status)
-        });
-        serde_json::Value::Object(trainers.collect())
-    }
-
-    /// Lists what happened to a sample on this host.
-    pub(crate) fn explain(&self, id: &SampleId) -> Vec<String> {
-        self.lock().journal.explain(id)
-    }
 }
 
 impl State {
@@ -386,31 +308,6 @@
 }
 
 impl Trainer {
-    fn status(&self, running: usize) -> serde_json::Value {
-        let image = self.steps.image();
-        let steps: Vec<_> = image
-            .progress()
-            .map(|(step, progress)| serde_json::json!({ "step": step, "progress": progress }))
-            .collect();
-        let counts = self.steps.counts();
-        serde_json::json!({
-            "acknowledged": counts.acknowledged,
-            "bytes": image.bytes(),
-            "dropped": counts.dropped,
-            "extra_work": self.stragglers.extra_work(),
-            "frozen": counts.frozen,
-            "home": self.steps.is_home(),
-            "queued": self.queue.len(),
-            "refused": counts.refused,
-            "remade": counts.remade,
-            "replica": self.steps.is_replica(),
-            "running": running,
-            "steps": steps,
-            "takeovers": counts.takeovers,
-            "tenure": self.steps.epoch().to_string(),
-        })
-    }
-
     /// Forgets the lengths of groups in steps before the oldest open one.
     fn forget_handed_over(&mut self) {
         let oldest = self.steps.image().progress().next();
--- a/crates/godwitspool-entry/src/rollout/stream.rs
+++ b/crates/godwitspool-entry/src/rollout/stream.rs
@@ -12,7 +12,7 @@
 
 use super::{
     journal::SampleEvent,
-    rollouts::{Job, Running, StreamProgress},
+    running::{Job, Running, StreamProgress},
     scores,
 };
 use crate::process::shared::{OnTarget, Shared};
--- a/crates/godwitspool-measure/src/command.rs
+++ b/crates/godwitspool-measure/src/command.rs
@@ -16,6 +16,11 @@
 impl Command {
     /// Every command, in order of name.
     pub const ALL: &'static [Self] = &[
+        Self {
+            about: "trainers' idle time through faults, over real sockets",
+            name: "idle",
+            run: rollout::idle,
+        },
         Self {
             about: "time from a record's acceptance to its being in force on every host",
             name: "in-force",
--- a/crates/godwitspool-measure/src/rollout/mod.rs
+++ b/crates/godwitspool-measure/src/rollout/mod.rs
@@ -1,14 +1,21 @@
 //! Rollouts: stragglers, shares, staleness, the cost of a waiting sample, and idle trainers.
 
+mod idle;
 mod lab;
 mod samples;
 mod shares;
 mod staleness;
 mod step_run;
 mod stragglers;
+mod trainer_system;
 
 use crate::{Options, Table};
 
+/// Measures trainers' idle time through faults, over real sockets.
+pub(crate) fn idle(options: &Options) -> Vec<Table> {
+    vec![idle::measure(options)]
+}
+
 /// Measures bytes and time of waiting samples.
 pub(crate) fn samples(_options: &Options) -> Vec<Table> {
     vec![samples::measure()]
