--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -29,7 +29,7 @@
     ranking,
     running::{Job, Running},
 };
-use crate::process::shared::Shared;
+use crate::process::{demand::Loads, shared::Shared};
 
 /// Time without a token after which a sample is hedged.
 const SILENT_MS: Millis = Millis(1_500);
@@ -206,6 +206,18 @@
             self.outbox.send(shared, &member.host, message);
         }
     }
+
+    /// Returns how many samples run and wait, by service.
+    pub(crate) fn loads(&self) -> Loads {
+        let state = self.lock();
+        let mut loads = Loads::new();
+        for trainer in state.trainers.values() {
+            let load = loads.entry(trainer.rules.service.clone()).or_default();
+            load.running += trainer.runs;
+            load.waiting += trainer.queue.len() as u32;
+        }
+        loads
+    }
 }
 
 impl State {
