--- a/crates/godwitspool-measure/tests/capacity.rs
+++ b/crates/godwitspool-measure/tests/capacity.rs
@@ -1,10 +1,5 @@
 //! The capacity page agrees with the measured slopes.
 
-#![expect(
-    clippy::unwrap_used,
-    reason = "a file that can't be read fails the test"
-)]
-
 use std::{fs, path::Path};
 
 use godwitspool_measure::{page_agrees, write_page};
