Entry's end leaves no call hanging

Change: the callers' thread ends last; the listening socket is shut first, so new callers find the port closed; what was accepted before is given out, and refused as draining, until 100 ms pass without a request, at most 1 s. Conclusion: a call at an ending entry is answered or finds the port closed; only requests sent later than a second on a kept connection still end with the process.

--- a/crates/godwitspool-entry/src/process/entry.rs
+++ b/crates/godwitspool-entry/src/process/entry.rs
@@ -130,8 +130,8 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
+        self.shared.begin_drain();
         self.shared.stop();
-        self.callers = None;
         if let Some(peers) = self.peers.take() {
             peers.stop();
         }
@@ -140,5 +140,7 @@
             // A panicked thread has nothing left to stop.
             drop(thread.join());
         }
+        // Last, so that whoever still calls is told that nothing ran.
+        self.callers = None;
     }
 }
--- a/crates/godwitspool-process/src/http_listener.rs
+++ b/crates/godwitspool-process/src/http_listener.rs
@@ -2,18 +2,22 @@
 
 use std::{
     fmt, io,
-    net::{SocketAddr, TcpListener},
+    net::{Shutdown, SocketAddr, TcpListener},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use socket2::{SockRef, TcpKeepalive};
 use tiny_http::{Request, Server};
 
+/// Time without a request, after the stop, that ends the listener.
+const LAST_QUIET: Duration = Duration::from_millis(100);
+/// Longest time from the stop to the end of the listener.
+const LAST_BOUND: Duration = Duration::from_secs(1);
 const REOPEN_PAUSE: Duration = Duration::from_millis(50);
 const BACKLOG: i32 = 1_024;
 const SILENCE: Duration = Duration::from_secs(30);
@@ -24,6 +28,8 @@
 /// This opens a new one on the same listener, so that no caller finds the port closed.
 pub struct HttpListener {
     address: SocketAddr,
+    /// When the first wait after the stop began.
+    ended: OnceLock<Instant>,
     listener: TcpListener,
     reopened: AtomicU64,
     server: Mutex<Arc<Server>>,
@@ -54,6 +60,7 @@
         socket.set_tcp_user_timeout(Some(SILENCE))?;
         Ok(Self {
             address: listener.local_addr()?,
+            ended: OnceLock::new(),
             reopened: AtomicU64::new(0),
             server: Mutex::new(Arc::new(open(&listener)?)),
             stopped: AtomicBool::new(false),
@@ -77,18 +84,32 @@
             let server = self.server();
             match server.recv() {
                 Ok(request) => return Some(request),
-                Err(_) if self.stopped.load(Ordering::Acquire) => return None,
+                Err(_) if self.stopped.load(Ordering::Acquire) => {
+                    return self.next_of_the_last(&server);
+                }
                 Err(error) => self.reopen(&server, &error),
             }
         }
     }
 
-    /// Ends every [`HttpListener::next`] under way and to come.
+    /// Accepts no further connection and ends every [`HttpListener::next`], under way and to come,
+    /// once it has given out what was received.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Release);
+        // New callers are refused by the system, so they know that nothing ran.
+        if let Err(error) = SockRef::from(&self.listener).shutdown(Shutdown::Both) {
+            log::debug!(address:% = self.address; "listener was closed before: {error}");
+        }
         self.server().unblock();
     }
 
+    /// Waits for a request on a connection that was accepted before the stop.
+    fn next_of_the_last(&self, server: &Server) -> Option<Request> {
+        let since = *self.ended.get_or_init(Instant::now);
+        let left = LAST_BOUND.saturating_sub(since.elapsed());
+        server.recv_timeout(LAST_QUIET.min(left)).ok().flatten()
+    }
+
     fn reopen(&self, failed: &Arc<Server>, error: &io::Error) {
         let mut server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
         if !Arc::ptr_eq(&server, failed) {
