--- a/crates/godwitspool-measure/src/rollout/mod.rs
+++ b/crates/godwitspool-measure/src/rollout/mod.rs
@@ -9,6 +9,8 @@
 mod stragglers;
 mod trainer_system;
 
+pub(crate) use lab::Lab;
+
 use crate::{Options, Table};
 
 /// Measures trainers' idle time through faults, over real sockets.
