Billing: tests of the held usage; answers don't wait while no steward holds

Cause: with every steward away each answer's end waited 1.5 s; found by the latency table, whose stand-in for a steward holds nothing and which then ran past its bound of 200 s. Change: after a failed attempt nothing is waited for until records are held again; the table's stand-in holds usage; the tests' stand-in steward records it. Conclusion: usage is held before an answer's end while a steward is there, and follows later while none is.

--- a/crates/godwitspool-entry/src/process/billing.rs
+++ b/crates/godwitspool-entry/src/process/billing.rs
@@ -39,6 +39,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Set while no steward holds records; answers then don't wait.
+    failing: bool,
     held: u64,
     next: u64,
     waiting: Vec<UsageRecord>,
@@ -68,13 +70,16 @@
 impl Billing {
     /// Counts what a caller got and waits until it is held, for a bounded time.
     ///
+    /// While no steward is reached nothing is waited for: the entry serves on and keeps the records
+    /// until one is.
+    ///
     /// A request without a workspace, on an open route, is nobody's to pay.
     pub(crate) fn count(&self, shared: &Shared, caller: &Caller, got: Got) {
         if caller.workspace.as_str().is_empty() {
             return;
         }
         let sequence = self.add(shared, caller, got);
-        let waits = |state: &mut State| state.held < sequence;
+        let waits = |state: &mut State| state.held < sequence && !state.failing;
         let (state, _) = self
             .changed
             .wait_timeout_while(self.lock(), HELD_BOUND, waits)
@@ -116,6 +121,7 @@
     fn settle(&self, batch: &[UsageRecord]) {
         let Some(last) = batch.last() else { return };
         let mut state = self.lock();
+        state.failing = false;
         state.held = last.sequence;
         state
             .waiting
@@ -123,6 +129,11 @@
         self.changed.notify_all();
     }
 
+    fn fail(&self) {
+        self.lock().failing = true;
+        self.changed.notify_all();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -146,6 +157,7 @@
             log::error!(records = batch.len(); "usage is lost: no steward holds it");
             return;
         } else {
+            shared.billing.fail();
             thread::sleep(RETRY_PAUSE);
         }
     }
--- a/crates/godwitspool-entry/tests/bench/mod.rs
+++ b/crates/godwitspool-entry/tests/bench/mod.rs
@@ -5,14 +5,17 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
 use godwitspool_connection::{
     engine::{Chunk, Message},
-    messages::{Member, StewardAnswer, StewardRequest, View},
+    messages::{Member, StewardAnswer, StewardRequest, UsageRecord, View},
     peer::{ServeBounds, Server},
     platform::{TargetEntry, TargetState},
 };
@@ -35,10 +38,20 @@
     pub engines: Vec<Engine>,
     pub entries: Vec<Entry>,
     pub plains: Vec<PlainService>,
+    /// What the steward holds of usage.
+    pub usage: Arc<Usage>,
     _steward: Server,
     view: Arc<Mutex<View>>,
 }
 
+/// Usage records that the steward was given.
+#[derive(Default)]
+pub struct Usage {
+    pub records: Mutex<Vec<UsageRecord>>,
+    /// Set while the steward holds nothing.
+    pub refuses: AtomicBool,
+}
+
 pub fn configuration() -> Configuration {
     let chat = ServiceRules {
         idempotent: true,
@@ -90,7 +103,8 @@
             PlainService::start(options).unwrap()
         });
         let view = Arc::new(Mutex::new(View::default()));
-        let steward = serve_view(&view);
+        let usage = Arc::new(Usage::default());
+        let steward = serve_view(&view, &usage);
         let settings = |index: usize| {
             EntrySettings::default()
                 .with_host(format!("n{index}"), "north")
@@ -103,6 +117,7 @@
             engines: engines.collect(),
             entries,
             plains: plains.collect(),
+            usage,
             _steward: steward,
             view,
         };
@@ -189,12 +204,20 @@
     }
 }
 
-fn serve_view(view: &Arc<Mutex<View>>) -> Server {
+fn serve_view(view: &Arc<Mutex<View>>, usage: &Arc<Usage>) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let view = Arc::clone(view);
+    let (view, usage) = (Arc::clone(view), Arc::clone(usage));
     Server::start(listener, ServeBounds::default(), move |request| {
-        let StewardRequest::View(known) = request else {
-            return StewardAnswer::Done;
+        let known = match request {
+            StewardRequest::View(known) => known,
+            StewardRequest::HoldUsage(_) if usage.refuses.load(Ordering::Acquire) => {
+                return StewardAnswer::NotReady;
+            }
+            StewardRequest::HoldUsage(records) => {
+                usage.records.lock().unwrap().extend(records);
+                return StewardAnswer::Done;
+            }
+            _ => return StewardAnswer::Done,
         };
         let end = Instant::now() + Duration::from_millis(500);
         while view.lock().unwrap().revision == known && Instant::now() < end {
--- a/crates/godwitspool-measure/src/serving/latency.rs
+++ b/crates/godwitspool-measure/src/serving/latency.rs
@@ -194,7 +194,10 @@
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let view = Arc::clone(view);
     Server::start(listener, ServeBounds::default(), move |request| {
-        if !matches!(request, StewardRequest::View(0)) {
+        let StewardRequest::View(known) = request else {
+            return StewardAnswer::Done;
+        };
+        if known != 0 {
             thread::sleep(Duration::from_millis(500));
         }
         let view = view.lock().unwrap_or_else(PoisonError::into_inner);
