Daemons share one main function

Change: Program in godwitspool-process reads the command line, loads and serves; a peer message with its id is called Tagged. Conclusion: a daemon's main is its help and its serve function.

--- a/crates/godwitspool-connection/src/peer/frame.rs
+++ b/crates/godwitspool-connection/src/peer/frame.rs
@@ -70,7 +70,7 @@
 
 /// A message with the id that matches answers to requests.
 #[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Envelope<T> {
+pub(super) struct Tagged<T> {
     pub id: u64,
     pub body: T,
 }
--- a/crates/godwitspool-connection/src/peer/link.rs
+++ b/crates/godwitspool-connection/src/peer/link.rs
@@ -18,7 +18,7 @@
 use snafu::{ResultExt, Snafu};
 
 use super::{
-    frame::{self, Envelope, FrameError},
+    frame::{self, FrameError, Tagged},
     watch_silence,
 };
 
@@ -182,7 +182,7 @@
     pub fn call_within(&self, request: &Request, bound: Millis) -> Result<Answer, LinkError> {
         let address = self.address;
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let message = Envelope { id, body: request };
+        let message = Tagged { id, body: request };
         let sent =
             frame::encode(&message, self.bounds.frame_bytes).context(RequestSnafu { address })?;
         let connection = self.connection()?;
@@ -231,7 +231,7 @@
 
 /// Decodes an answer's body behind its id.
 fn decode_answer<Answer: DeserializeOwned>(body: &[u8]) -> Result<Answer, FrameError> {
-    frame::decode::<Envelope<Answer>>(body).map(|message| message.body)
+    frame::decode::<Tagged<Answer>>(body).map(|message| message.body)
 }
 
 // ---
--- a/crates/godwitspool-connection/src/peer/server.rs
+++ b/crates/godwitspool-connection/src/peer/server.rs
@@ -17,7 +17,7 @@
 use socket2::SockRef;
 
 use super::{
-    frame::{self, Envelope, FrameError},
+    frame::{self, FrameError, Tagged},
     pool::Pool,
     watch_silence,
 };
@@ -311,12 +311,12 @@
         Answer: Serialize + 'static,
     {
         while let Some(body) = frame::read(stream, self.bounds.frame_bytes)? {
-            self.answer(frame::decode::<Envelope<Request>>(&body)?);
+            self.answer(frame::decode::<Tagged<Request>>(&body)?);
         }
         Ok(())
     }
 
-    fn answer<Request, Answer>(&self, message: Envelope<Request>)
+    fn answer<Request, Answer>(&self, message: Tagged<Request>)
     where
         Handler: Fn(Request) -> Answer + Send + Sync + 'static,
         Request: DeserializeOwned + Send + 'static,
@@ -327,7 +327,7 @@
         let shared = Arc::clone(&self.shared);
         let bound = self.bounds.frame_bytes;
         self.pool.run(Box::new(move || {
-            let answer = Envelope {
+            let answer = Tagged {
                 id: message.id,
                 body: handler(message.body),
             };
--- a/crates/godwitspool-entry/src/main.rs
+++ b/crates/godwitspool-entry/src/main.rs
@@ -1,9 +1,9 @@
 //! The entry daemon: `godwitspool-entry SETTINGS.yaml`.
 
-use std::{io, path::Path, process::ExitCode};
+use std::{io, process::ExitCode};
 
 use godwitspool_entry::Entry;
-use godwitspool_process::{DaemonCommand, EntrySettings, FINDINGS_STATUS, Termination, logs};
+use godwitspool_process::{EntrySettings, Program, Termination, logs};
 
 const HELP: &str = "\
 godwitspool-entry SETTINGS.yaml [--check]
@@ -16,39 +16,12 @@
   --version";
 
 fn main() -> ExitCode {
-    let command = match DaemonCommand::parse(std::env::args_os().skip(1)) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("godwitspool-entry: {error}");
-            return ExitCode::from(FINDINGS_STATUS);
-        }
+    let program = Program {
+        help: HELP,
+        name: env!("CARGO_BIN_NAME"),
+        version: env!("CARGO_PKG_VERSION"),
     };
-    match command {
-        DaemonCommand::Help => println!("{HELP}"),
-        DaemonCommand::Version => println!("godwitspool-entry {}", env!("CARGO_PKG_VERSION")),
-        DaemonCommand::Check(path) => {
-            return load(&path).map_or_else(|code| code, |_| ExitCode::SUCCESS);
-        }
-        DaemonCommand::Run(path) => return load(&path).map_or_else(|code| code, run),
-    }
-    ExitCode::SUCCESS
-}
-
-fn load(path: &Path) -> Result<EntrySettings, ExitCode> {
-    EntrySettings::load(path).map_err(|findings| {
-        eprintln!("{findings}");
-        ExitCode::from(FINDINGS_STATUS)
-    })
-}
-
-fn run(settings: EntrySettings) -> ExitCode {
-    match serve(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("godwitspool-entry: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    program.run(|path| EntrySettings::load(path), serve)
 }
 
 /// Serves until the second termination signal, or until the drain after the first has ended.
--- a/crates/godwitspool-entry/tests/bench/mod.rs
+++ b/crates/godwitspool-entry/tests/bench/mod.rs
@@ -52,6 +52,13 @@
     pub refuses: AtomicBool,
 }
 
+impl Usage {
+    pub fn sequences(&self) -> Vec<u64> {
+        let records = self.records.lock().unwrap();
+        records.iter().map(|record| record.sequence).collect()
+    }
+}
+
 pub fn configuration() -> Configuration {
     let chat = ServiceRules {
         idempotent: true,
--- a/crates/godwitspool-entry/tests/billing.rs
+++ b/crates/godwitspool-entry/tests/billing.rs
@@ -9,11 +9,6 @@
 
 const TOKENS: u32 = 12;
 
-fn sequences(bench: &Bench) -> Vec<u64> {
-    let records = bench.usage.records.lock().unwrap();
-    records.iter().map(|record| record.sequence).collect()
-}
-
 #[test]
 fn usage_is_held_before_an_answer_ends() {
     let bench = Bench::start(1, 1, 1, 2);
@@ -32,7 +27,7 @@
     );
 
     bench.order(0, "one", None);
-    assert_eq!(sequences(&bench), [1, 2]);
+    assert_eq!(bench.usage.sequences(), [1, 2]);
 }
 
 #[test]
@@ -44,7 +39,7 @@
             .generate(0, "a prompt", TOKENS)
             .assert_whole("a prompt", TOKENS);
     }
-    assert!(sequences(&bench).is_empty());
+    assert!(bench.usage.sequences().is_empty());
     bench.usage.refuses.store(false, Ordering::Release);
-    wait_until(|| sequences(&bench) == [1, 2, 3]);
+    wait_until(|| bench.usage.sequences() == [1, 2, 3]);
 }
--- a/crates/godwitspool-process/src/daemon.rs
+++ b/crates/godwitspool-process/src/daemon.rs
@@ -17,9 +17,6 @@
     iterator::Signals,
 };
 
-/// Exit status for findings in settings or on the command line.
-pub const FINDINGS_STATUS: u8 = 2;
-
 /// What a daemon's command line asks for: `NAME SETTINGS.yaml [--check] [--help] [--version]`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DaemonCommand {
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -20,15 +20,17 @@
 pub mod membership;
 mod metrics;
 mod operator_http;
+mod program;
 pub mod settings;
 mod timer;
 pub mod yaml;
 
 pub use clock::Clock;
-pub use daemon::{DaemonCommand, FINDINGS_STATUS, Termination};
+pub use daemon::{DaemonCommand, Termination};
 pub use findings::Findings;
 pub use http_listener::HttpListener;
 pub use metrics::{Metrics, Reasons, Watched};
 pub use operator_http::{Operated, OperatorHttp, Readiness};
+pub use program::Program;
 pub use settings::{EntrySettings, LogFormat, StewardSettings};
 pub use timer::{Tick, Timer};
--- a/crates/godwitspool-steward/src/main.rs
+++ b/crates/godwitspool-steward/src/main.rs
@@ -1,8 +1,8 @@
 //! The steward daemon: `godwitspool-steward SETTINGS.yaml`.
 
-use std::{io, path::Path, process::ExitCode};
+use std::{io, process::ExitCode};
 
-use godwitspool_process::{DaemonCommand, FINDINGS_STATUS, StewardSettings, Termination, logs};
+use godwitspool_process::{Program, StewardSettings, Termination, logs};
 use godwitspool_steward::Steward;
 
 const HELP: &str = "\
@@ -16,39 +16,12 @@
   --version";
 
 fn main() -> ExitCode {
-    let command = match DaemonCommand::parse(std::env::args_os().skip(1)) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("godwitspool-steward: {error}");
-            return ExitCode::from(FINDINGS_STATUS);
-        }
+    let program = Program {
+        help: HELP,
+        name: env!("CARGO_BIN_NAME"),
+        version: env!("CARGO_PKG_VERSION"),
     };
-    match command {
-        DaemonCommand::Help => println!("{HELP}"),
-        DaemonCommand::Version => println!("godwitspool-steward {}", env!("CARGO_PKG_VERSION")),
-        DaemonCommand::Check(path) => {
-            return load(&path).map_or_else(|code| code, |_| ExitCode::SUCCESS);
-        }
-        DaemonCommand::Run(path) => return load(&path).map_or_else(|code| code, run),
-    }
-    ExitCode::SUCCESS
-}
-
-fn load(path: &Path) -> Result<StewardSettings, ExitCode> {
-    StewardSettings::load(path).map_err(|findings| {
-        eprintln!("{findings}");
-        ExitCode::from(FINDINGS_STATUS)
-    })
-}
-
-fn run(settings: StewardSettings) -> ExitCode {
-    match serve(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("godwitspool-steward: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    program.run(|path| StewardSettings::load(path), serve)
 }
 
 /// Serves until a termination signal.
