--- a/crates/godwitspool-measure/src/main.rs
+++ b/crates/godwitspool-measure/src/main.rs
@@ -2,11 +2,13 @@
 
 use std::{path::Path, process::ExitCode};
 
-use godwitspool_measure::{Command, Options, page_agrees, write_page};
+use godwitspool_measure::{Command, Options, draw, page_agrees, write_page};
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
 /// Command that works the capacity page out of the measured slopes.
 const CAPACITY: &str = "capacity";
+/// Command that draws the plots of the measured figures.
+const PLOTS: &str = "plots";
 const CAPACITY_PAGE: &str = "docs/CAPACITY.md";
 const USAGE_ERROR: u8 = 2;
 
@@ -14,6 +16,7 @@
 enum Ask {
     Capacity { check: bool, options: Options },
     Help,
+    Plots(Options),
     Run(&'static Command, Options),
 }
 
@@ -24,6 +27,7 @@
             print_help();
             ExitCode::SUCCESS
         }
+        Ok(Ask::Plots(options)) => plots(&options),
         Ok(Ask::Run(command, options)) => run(command, &options),
         Err(error) => {
             eprintln!("godwitspool-measure: {error}");
@@ -48,6 +52,7 @@
     }
     match name.as_deref() {
         None => Ok(Ask::Help),
+        Some(PLOTS) if !check => Ok(Ask::Plots(options)),
         Some(CAPACITY) => Ok(Ask::Capacity { check, options }),
         Some(_) if check => Err("--check goes with capacity only".into()),
         Some(name) => match Command::named(name) {
@@ -62,6 +67,7 @@
     for command in Command::ALL {
         println!("  {:<14} {}", command.name, command.about);
     }
+    println!("  {PLOTS:<14} draws the main slopes and policies from their CSV");
     println!("  {CAPACITY:<14} works {CAPACITY_PAGE} out of the slopes; --check only compares");
 }
 
@@ -103,3 +109,13 @@
         }
     }
 }
+
+fn plots(options: &Options) -> ExitCode {
+    match draw(&options.out) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("godwitspool-measure: {}: {error}", options.out.display());
+            ExitCode::FAILURE
+        }
+    }
+}
