Open routes are called by their qualified names

Cause: found by the demo: /services/PARTY/NAME/path was parted at its first slash, so the name was the party's and the call was refused for its missing key. Change: the longest open route that the path begins with is the name; else the part before the first slash. Two allowances of dead code that had come into use are gone. Conclusion: an open route needs no key and no trick with its slash.

--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -90,7 +90,6 @@
     }
 
     /// Counts a request on a target until the guard is dropped.
-    #[allow(dead_code, reason = "the trainers' path counts its work with it")]
     pub(crate) fn enter_target(self: &Arc<Self>, target: &TargetName) -> OnTarget {
         let id = self.serving.dispatch.begin(target);
         self.enter_chosen(target, id)
--- a/crates/godwitspool-entry/src/request/dispatch.rs
+++ b/crates/godwitspool-entry/src/request/dispatch.rs
@@ -210,7 +210,6 @@
     // Work on targets
 
     /// Counts work on a target that was chosen by others than this.
-    #[allow(dead_code, reason = "the trainers' path counts its work with it")]
     pub(crate) fn begin(&self, target: &TargetName) -> Option<TargetId> {
         let mut state = self.lock();
         let id = state.targets.find(target)?;
--- a/crates/godwitspool-entry/src/request/plain.rs
+++ b/crates/godwitspool-entry/src/request/plain.rs
@@ -1,10 +1,10 @@
 //! Requests that pass through to plain services.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use godwitspool_connection::{CallError, Header, PlainAnswer, PlainCall};
 use godwitspool_request::Reason;
-use godwitspool_types::{Ran, RequestId};
+use godwitspool_types::{Ran, RequestId, ServiceName};
 use serde::{Deserialize, Serialize};
 use tiny_http::{Request, Response};
 
@@ -75,8 +75,8 @@
     if shared.draining() {
         return Err(Reason::Draining.into());
     }
-    let split = rest.find(['/', '?']).unwrap_or(rest.len());
-    let (alias, path) = rest.split_at(split);
+    let view = shared.view();
+    let (alias, path) = split_alias(rest, &view.configuration.open_routes);
     let path = if path.starts_with('/') {
         path.to_owned()
     } else {
@@ -95,7 +95,6 @@
         },
     );
     let body = read_body(request, shared)?;
-    let view = shared.view();
     let method = request.method().to_string();
     let print = work::fingerprint(&caller.service, &format!("{method} {path}"), &body);
     let work = Work::new(id, caller, print, &view.configuration, now);
@@ -109,6 +108,18 @@
     Ok(Prepared { call, open, work })
 }
 
+/// Parts the service's name from the path behind it.
+///
+/// A workspace's own names have no slash. An open route has no workspace, so it goes by its qualified
+/// name, which has one.
+fn split_alias<'a>(rest: &'a str, open_routes: &BTreeSet<ServiceName>) -> (&'a str, &'a str) {
+    let ends = |at: usize| rest[at..].is_empty() || rest[at..].starts_with(['/', '?']);
+    let open = open_routes.iter().map(ServiceName::as_str);
+    let named = open.filter(|name| rest.starts_with(name) && ends(name.len()));
+    let split = named.map(str::len).max();
+    rest.split_at(split.unwrap_or_else(|| rest.find(['/', '?']).unwrap_or(rest.len())))
+}
+
 fn call_claimed(
     prepared: &Prepared,
     shared: &Arc<Shared>,
