Batches are billed to the trainer's workspace; shutdown check tells engines' failures apart

Cause: (1) samples were billed to nobody. Ruled out: the drain's bound and the end of the process, which end a connection without an event. Change: a batch is counted once, when its first acknowledgment is held by the replica. The recorder has Explained, the reason of an answer's error event; the shutdown check passes over just retries-spent and quarantined. Any other reason, or none, is a violation as before, with a test of each side. Conclusion: the check means what the promise says; bills cover trainers.

--- a/crates/godwitspool-demo/src/caller.rs
+++ b/crates/godwitspool-demo/src/caller.rs
@@ -18,7 +18,7 @@
 use godwitspool_version::{ServiceKind, ServiceRules};
 use rand::{Rng, seq::IndexedRandom};
 
-use crate::client::{Client, Plain, PlainCall, Refusal, Reply, Tokens};
+use crate::client::{BROKE_OFF, Client, Plain, PlainCall, Refusal, Reply, Tokens};
 
 const MOST_TOKENS: u32 = 48;
 const LEAST_TOKENS: u32 = 8;
@@ -215,7 +215,13 @@
                     Event::Refused { key, ran, request },
                 )
             }
-            Reply::Broken(reason) => (Ended::Broken(reason), Event::Broken(request)),
+            Reply::Broken(reason) => {
+                if let Some(reason) = reason.strip_prefix(BROKE_OFF) {
+                    let reason = reason.to_owned();
+                    self.recorder.record(Event::Explained { reason, request });
+                }
+                (Ended::Broken(reason), Event::Broken(request))
+            }
         };
         self.recorder.record(event);
         ended
--- a/crates/godwitspool-demo/src/client.rs
+++ b/crates/godwitspool-demo/src/client.rs
@@ -14,6 +14,8 @@
     http::{Request, Response},
 };
 
+/// Begins the reason of an answer that ended with an error event; the event's reason follows.
+pub(crate) const BROKE_OFF: &str = "the answer broke off: ";
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -230,7 +232,7 @@
 fn add(event: &str, tokens: &mut Tokens) -> Result<(), Reply<Tokens>> {
     if let Ok(error) = serde_json::from_str::<ErrorBody>(event) {
         let reason = error.error.reason;
-        return Err(Reply::Broken(format!("the answer broke off: {reason}")));
+        return Err(Reply::Broken(format!("{BROKE_OFF}{reason}")));
     }
     let chunk = serde_json::from_str::<Chunk>(event)
         .map_err(|error| Reply::Broken(format!("{error} in {event:?}")))?;
--- a/crates/godwitspool-entry/src/process/billing.rs
+++ b/crates/godwitspool-entry/src/process/billing.rs
@@ -89,7 +89,8 @@
         }
     }
 
-    fn add(&self, shared: &Shared, caller: &Caller, got: Got) -> u64 {
+    /// Counts what a caller got, without a wait, and returns the record's sequence number.
+    pub(crate) fn add(&self, shared: &Shared, caller: &Caller, got: Got) -> u64 {
         let mut state = self.lock();
         state.next += 1;
         let sequence = state.next;
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -14,12 +14,14 @@
     EntryAnswer, EntryRequest, Portion, RolloutAnswer, RolloutRequest, TargetLoad, View,
 };
 use godwitspool_process::Clock;
-use godwitspool_request::TrainingShare;
+use godwitspool_request::{Caller, TrainingShare};
 use godwitspool_rollout::{
-    Answer, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction, StepEvent, StepNumber,
-    StepRules, StragglerRules, Stragglers, TrainerSteps,
+    Answer, HandedOver, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction, StepEvent,
+    StepNumber, StepRules, StragglerRules, Stragglers, TrainerSteps,
+};
+use godwitspool_types::{
+    HostName, Millis, RequestId, ServiceName, TargetName, TrainerName, WeightVersion,
 };
-use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName, WeightVersion};
 use godwitspool_version::TrainerRules;
 
 use super::{
@@ -29,7 +31,7 @@
     ranking,
     running::{Job, Running},
 };
-use crate::process::{demand::Loads, shared::Shared};
+use crate::process::{billing::Got, demand::Loads, shared::Shared};
 
 /// Time without a token after which a sample is hedged.
 const SILENT_MS: Millis = Millis(1_500);
@@ -160,7 +162,7 @@
         let mut actions = held.introduce(&view, trainer, &shared.settings.host, now);
         actions.extend(held.steps.decide(event, now));
         held.forget_handed_over();
-        let sends = state.carry_out(&shared.settings.host, trainer, actions);
+        let sends = state.carry_out(shared, trainer, actions);
         // Queued under the lock, so that messages leave in the order of the decisions.
         for (to, message) in sends {
             self.outbox.send(shared, &to, message);
@@ -255,10 +257,11 @@
 
     fn carry_out(
         &mut self,
-        own: &HostName,
+        shared: &Shared,
         trainer: &TrainerName,
         actions: Vec<StepAction>,
     ) -> Vec<(HostName, RolloutRequest)> {
+        let own = &shared.settings.host;
         let mut sends = Vec::new();
         for action in actions {
             match action {
@@ -269,6 +272,7 @@
                     }
                 }
                 StepAction::Cancel { id } => self.cancel(&id),
+                StepAction::Count(handed) => self.count(shared, trainer, handed),
                 StepAction::Send { to, message } => {
                     let from = own.clone();
                     let trainer = trainer.clone();
@@ -297,6 +301,27 @@
         sends
     }
 
+    /// Counts a batch for the trainer's workspace; stewards hold the count soon after.
+    fn count(&self, shared: &Shared, trainer: &TrainerName, handed: HandedOver) {
+        let Some(held) = self.trainers.get(trainer) else {
+            return;
+        };
+        let caller = Caller {
+            service: held.rules.service.clone(),
+            workspace: held.rules.workspace.clone(),
+        };
+        let request = RequestId::random();
+        log::info!(request:%, trainer:%, step = handed.step.0; "batch is billed");
+        shared.billing.add(
+            shared,
+            &caller,
+            Got {
+                request,
+                tokens: handed.tokens,
+            },
+        );
+    }
+
     /// Queues a job; what was begun goes first.
     pub(super) fn enqueue(&mut self, job: Job) {
         if let Some(trainer) = self.trainers.get_mut(&job.partial.id.trainer) {
--- a/crates/godwitspool-history/src/check/answers.rs
+++ b/crates/godwitspool-history/src/check/answers.rs
@@ -6,6 +6,9 @@
 
 use crate::{Answer, Event, History, Line, Promise, Violation, index::Index};
 
+/// Reasons that an entry gives when targets failed a request too often.
+const TARGETS_REASONS: [&str; 2] = ["quarantined", "retries-spent"];
+
 /// A caller gets the whole answer to its own request.
 pub(crate) fn whole(history: &History) -> Vec<Violation> {
     let broken = history.lines().iter().filter_map(|line| {
@@ -98,6 +101,9 @@
         if withdrawing.is_some_and(|withdrawing| withdrawing.at <= broken.at) {
             continue;
         }
+        if outcomes.iter().any(|line| is_of_targets(&line.event)) {
+            continue;
+        }
         let cut = shutdowns.iter().find(|shutdown| {
             sent.at < shutdown.line.at && (shutdown.line.at..=shutdown.end).contains(&broken.at)
         });
@@ -110,6 +116,14 @@
     violations
 }
 
+/// Tells whether an answer was ended for what its targets did, which no shutdown brings about.
+fn is_of_targets(event: &Event) -> bool {
+    let Event::Explained { reason, .. } = event else {
+        return false;
+    };
+    TARGETS_REASONS.contains(&reason.as_str())
+}
+
 struct Shutdown<'a> {
     end: Millis,
     line: &'a Line,
--- a/crates/godwitspool-history/src/event.rs
+++ b/crates/godwitspool-history/src/event.rs
@@ -117,6 +117,13 @@
     },
     /// The connection or the answer broke off and the caller knows that it did.
     Broken(RequestId),
+    /// The answer that breaks off told the caller why, before its end.
+    Explained {
+        /// Machine-readable reason.
+        reason: String,
+        /// Request.
+        request: RequestId,
+    },
 
     // ---- Trainers ----
     /// A trainer's whole step was accepted.
--- a/crates/godwitspool-history/src/index.rs
+++ b/crates/godwitspool-history/src/index.rs
@@ -37,7 +37,9 @@
                     index.asked.entry(*work).or_default().push(line.at);
                     index.sent.push(line);
                 }
-                Event::Progress(request) | Event::Broken(request) => index.outcome(*request, line),
+                Event::Progress(request)
+                | Event::Broken(request)
+                | Event::Explained { request, .. } => index.outcome(*request, line),
                 Event::Answered { request, .. } | Event::Refused { request, .. } => {
                     index.outcome(*request, line);
                 }
--- a/crates/godwitspool-history/tests/callers.rs
+++ b/crates/godwitspool-history/tests/callers.rs
@@ -220,6 +220,26 @@
     assert_eq!(broken(events), expected);
 }
 
+#[rstest]
+#[case::of_targets("retries-spent", &[])]
+#[case::of_a_crashing_request("quarantined", &[])]
+#[case::of_the_shutdown("draining", &[Promise::Shutdown])]
+#[case::of_anything_else("no-target", &[Promise::Shutdown])]
+fn only_what_targets_did_excuses_an_answer_cut_in_a_shutdown(
+    #[case] reason: &str,
+    #[case] expected: &[Promise],
+) {
+    let (reason, request) = (reason.to_owned(), RequestId(1));
+    let events = [
+        (1, issued("k", "linen")),
+        (5, sent(1)),
+        (10, Event::Stopping("h".into())),
+        (12, Event::Explained { reason, request }),
+        (12, Event::Broken(request)),
+    ];
+    assert_eq!(broken(events), expected);
+}
+
 #[rstest]
 #[case::in_time(9_000, &[])]
 #[case::late(9_100, &[Promise::ConfigurationInForce])]
--- a/crates/godwitspool-measure/src/rollout/lab.rs
+++ b/crates/godwitspool-measure/src/rollout/lab.rs
@@ -29,7 +29,7 @@
             match action {
                 StepAction::Answer { answer, .. } => given = Some(answer),
                 StepAction::Start { generation, id, .. } => self.started.push((generation, id)),
-                StepAction::Cancel { .. } | StepAction::Send { .. } => {}
+                StepAction::Cancel { .. } | StepAction::Count(_) | StepAction::Send { .. } => {}
             }
         }
         given
--- a/crates/godwitspool-rollout/src/lib.rs
+++ b/crates/godwitspool-rollout/src/lib.rs
@@ -44,8 +44,8 @@
 pub use scoring::{ScoreAction, ScoreEvent, Scoring, ScoringRules};
 pub use share::{ShareRules, Shares};
 pub use step::{
-    Answer, Epoch, Image, PeerMessage, Progress, Record, Refusal, Request, StepAction, StepCounts,
-    StepEvent, StepRules, TrainerSteps,
+    Answer, Epoch, HandedOver, Image, PeerMessage, Progress, Record, Refusal, Request, StepAction,
+    StepCounts, StepEvent, StepRules, TrainerSteps,
 };
 pub use straggler::{Attempt, Remedy, StragglerRules, Stragglers, TargetPace};
 pub use swap::{SwapAction, SwapEvent, SwapFailure, SwapPlan, SwapRules, SwapState};
--- a/crates/godwitspool-rollout/src/step/event.rs
+++ b/crates/godwitspool-rollout/src/step/event.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Answer, Image, Record, Request};
-use crate::{GroupSpec, Sample, SampleId};
+use crate::{GroupSpec, Sample, SampleId, StepNumber};
 
 /// A tenure of a home. The greater one wins wherever two meet.
 #[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -70,6 +70,8 @@
         /// Sample.
         id: SampleId,
     },
+    /// Counts a batch that was handed over, once for each step.
+    Count(HandedOver),
     /// Sends a message to another host.
     Send {
         /// Receiver.
@@ -88,6 +90,15 @@
     },
 }
 
+/// A batch that a trainer has acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HandedOver {
+    /// Step.
+    pub step: StepNumber,
+    /// Tokens of all its samples.
+    pub tokens: u64,
+}
+
 /// A message between the hosts that keep a trainer's steps.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
--- a/crates/godwitspool-rollout/src/step/home.rs
+++ b/crates/godwitspool-rollout/src/step/home.rs
@@ -5,7 +5,7 @@
 use godwitspool_types::{Millis, WeightVersion};
 
 use super::{
-    Answer, Pending, Record, Refusal, Request, Role, StepAction, TrainerSteps,
+    Answer, HandedOver, Pending, Record, Refusal, Request, Role, StepAction, TrainerSteps,
     image::{Stage, spec_hash},
 };
 use crate::{Digest, Freshness, GroupSpec, Sample, SampleId, StepNumber};
@@ -25,8 +25,12 @@
             self.probe(now, actions);
             return;
         }
+        let mut handed = None;
         let answer = match request {
-            Request::Acknowledge { digest, step } => self.acknowledge(step, digest, now, actions),
+            Request::Acknowledge { digest, step } => {
+                handed = self.handed_over(step);
+                self.acknowledge(step, digest, now, actions)
+            }
             Request::Fetch { digest, page, step } => self.fetch(step, page, digest, now, actions),
             Request::Rewind { number, step } => self.rewind(number, step, now, actions),
             Request::Submit {
@@ -36,7 +40,7 @@
             } => self.submit(step, total, groups, now, actions),
         };
         match answer {
-            Ok(answer) => self.answer_once_held(reply, answer, actions),
+            Ok(answer) => self.answer_once_held(reply, answer, handed, actions),
             Err(refusal) => {
                 self.counts.refused += 1;
                 let answer = Answer::Refused(refusal);
@@ -102,6 +106,19 @@
         page.map(Answer::Page).ok_or(Refusal::NoSuchPage)
     }
 
+    /// Returns what an acknowledgment hands over; nothing for a step that isn't held frozen.
+    fn handed_over(&self, step: StepNumber) -> Option<HandedOver> {
+        let Stage::Frozen { batch, .. } = &self.image.step(step)?.stage else {
+            return None;
+        };
+        let tokens = batch
+            .samples
+            .iter()
+            .map(|sample| sample.tokens.len() as u64)
+            .sum();
+        Some(HandedOver { step, tokens })
+    }
+
     fn acknowledge(
         &mut self,
         step: StepNumber,
@@ -347,10 +364,17 @@
         });
     }
 
-    fn answer_once_held(&mut self, reply: u64, answer: Answer, actions: &mut Vec<StepAction>) {
+    fn answer_once_held(
+        &mut self,
+        reply: u64,
+        answer: Answer,
+        handed: Option<HandedOver>,
+        actions: &mut Vec<StepAction>,
+    ) {
         if let Role::Home(home) = &mut self.role {
             home.pending.push(Pending {
                 answer,
+                handed,
                 reply,
                 sequence: home.sequence,
             });
--- a/crates/godwitspool-rollout/src/step/mod.rs
+++ b/crates/godwitspool-rollout/src/step/mod.rs
@@ -11,7 +11,7 @@
 mod request;
 mod role;
 
-pub use event::{Epoch, PeerMessage, StepAction, StepEvent};
+pub use event::{Epoch, HandedOver, PeerMessage, StepAction, StepEvent};
 pub use image::{Image, Record};
 pub use request::{Answer, Progress, Refusal, Request};
 
@@ -117,6 +117,8 @@
 #[derive(Debug)]
 struct Pending {
     answer: Answer,
+    /// What is counted once the answer is given.
+    handed: Option<HandedOver>,
     reply: u64,
     sequence: u64,
 }
--- a/crates/godwitspool-rollout/src/step/replication.rs
+++ b/crates/godwitspool-rollout/src/step/replication.rs
@@ -38,6 +38,7 @@
             .pending
             .extract_if(.., |pending| ready(pending.sequence))
         {
+            actions.extend(pending.handed.map(StepAction::Count));
             let (reply, answer) = (pending.reply, pending.answer);
             actions.push(StepAction::Answer { reply, answer });
         }
