--- a/crates/godwitspool-entry/src/connection/callers.rs
+++ b/crates/godwitspool-entry/src/connection/callers.rs
@@ -47,6 +47,7 @@
             while let Some(request) = own.next() {
                 start(request, &shared);
             }
+            refuse_late(own);
         })?;
     Ok(Callers {
         listener,
@@ -54,6 +55,23 @@
     })
 }
 
+/// Refuses what comes late on connections that were accepted before the end; bounded in time.
+///
+/// Nobody waits for this thread: it matters only where the process outlives its entry.
+fn refuse_late(listener: Arc<HttpListener>) {
+    let refuse = move || {
+        while let Some(request) = listener.next_late() {
+            answer::refuse(request, &Refusal::from(Reason::Draining));
+        }
+    };
+    let spawned = thread::Builder::new()
+        .name("late-callers".to_owned())
+        .spawn(refuse);
+    if let Err(error) = spawned {
+        log::debug!("late callers are not refused: {error}");
+    }
+}
+
 fn start(request: Request, shared: &Arc<Shared>) {
     if shared.in_progress() >= MAX_IN_PROGRESS {
         answer::refuse(request, &Refusal::from(Reason::QueueFull));
--- a/crates/godwitspool-process/src/http_listener.rs
+++ b/crates/godwitspool-process/src/http_listener.rs
@@ -18,6 +18,8 @@
 const LAST_QUIET: Duration = Duration::from_millis(100);
 /// Longest time from the stop to the end of the listener.
 const LAST_BOUND: Duration = Duration::from_secs(1);
+/// Longest time from the stop in which late requests are still given out.
+const LATE_BOUND: Duration = Duration::from_secs(5);
 const REOPEN_PAUSE: Duration = Duration::from_millis(50);
 const BACKLOG: i32 = 1_024;
 const SILENCE: Duration = Duration::from_secs(30);
@@ -105,11 +107,25 @@
 
     /// Waits for a request on a connection that was accepted before the stop.
     fn next_of_the_last(&self, server: &Server) -> Option<Request> {
-        let since = *self.ended.get_or_init(Instant::now);
-        let left = LAST_BOUND.saturating_sub(since.elapsed());
+        let left = self.left(LAST_BOUND);
         server.recv_timeout(LAST_QUIET.min(left)).ok().flatten()
     }
 
+    /// Waits for a request that came after [`HttpListener::next`] had ended, on a connection accepted
+    /// before the stop; nothing once five seconds have passed since.
+    pub fn next_late(&self) -> Option<Request> {
+        self.server()
+            .recv_timeout(self.left(LATE_BOUND))
+            .ok()
+            .flatten()
+    }
+
+    /// Returns what is left of a bound that began with the first wait after the stop.
+    fn left(&self, bound: Duration) -> Duration {
+        let since = *self.ended.get_or_init(Instant::now);
+        bound.saturating_sub(since.elapsed())
+    }
+
     fn reopen(&self, failed: &Arc<Server>, error: &io::Error) {
         let mut server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
         if !Arc::ptr_eq(&server, failed) {
