HTTP listener: no wait without a bound after its stop

Cause: the copy of tests/ending.rs that never ended, looked at with a debugger: the callers' thread stood in the server's receive. The server's marker for a stop ends one wait only; a request given out behind it led to another wait, which nothing ended. Ruled out: the peers' server and the upkeep threads, which had ended. Change: after the stop only bounded waits follow, and a marker or an accept error does not cut their bound short.

--- a/crates/godwitspool-process/src/http_listener.rs
+++ b/crates/godwitspool-process/src/http_listener.rs
@@ -84,6 +84,10 @@
     pub fn next(&self) -> Option<Request> {
         loop {
             let server = self.server();
+            // The marker that ends a wait comes once, so no wait without a bound follows the stop.
+            if self.stopped.load(Ordering::Acquire) {
+                return self.next_of_the_last(&server);
+            }
             match server.recv() {
                 Ok(request) => return Some(request),
                 Err(_) if self.stopped.load(Ordering::Acquire) => {
@@ -107,17 +111,13 @@
 
     /// Waits for a request on a connection that was accepted before the stop.
     fn next_of_the_last(&self, server: &Server) -> Option<Request> {
-        let left = self.left(LAST_BOUND);
-        server.recv_timeout(LAST_QUIET.min(left)).ok().flatten()
+        receive_within(server, LAST_QUIET.min(self.left(LAST_BOUND)))
     }
 
     /// Waits for a request that came after [`HttpListener::next`] had ended, on a connection accepted
     /// before the stop; nothing once five seconds have passed since.
     pub fn next_late(&self) -> Option<Request> {
-        self.server()
-            .recv_timeout(self.left(LATE_BOUND))
-            .ok()
-            .flatten()
+        receive_within(&self.server(), self.left(LATE_BOUND))
     }
 
     /// Returns what is left of a bound that began with the first wait after the stop.
@@ -149,3 +149,17 @@
 fn open(listener: &TcpListener) -> io::Result<Server> {
     Server::from_listener(listener.try_clone()?, None).map_err(io::Error::other)
 }
+
+/// Waits for a request for the whole bound, whatever else ends a wait of the server.
+fn receive_within(server: &Server, bound: Duration) -> Option<Request> {
+    let end = Instant::now() + bound;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if let Ok(Some(request)) = server.recv_timeout(left) {
+            return Some(request);
+        }
+        if left.is_zero() {
+            return None;
+        }
+    }
+}
