--- /dev/null
+++ b/crates/godwitspool-host/src/batch/book.rs
@@ -0,0 +1,240 @@
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    io,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc::Sender},
+    time::{Duration, Instant},
+};
+
+use godwitspool_types::Workspace;
+
+use super::{Batch, Finished, ItemResult, ItemState, ResultPage, Submission, partition_of};
+use crate::http::Waker;
+
+/// Bytes of results in one answer; the interface allows a megabyte.
+const PAGE_BYTES: usize = 900 * 1024;
+
+/// The batches of the partitions that this host owns.
+#[derive(Debug)]
+pub struct Book {
+    parts: Mutex<BTreeMap<u32, Part>>,
+    changed: Condvar,
+    count: u32,
+    /// Wakes the runner when there may be something to start or to stop.
+    pub waker: Waker,
+}
+
+/// An owned partition.
+#[derive(Debug)]
+pub struct Part {
+    /// Epoch under which it is owned.
+    pub epoch: u64,
+    /// Its batches.
+    pub batches: BTreeMap<String, Batch>,
+    writer: Sender<Finished>,
+}
+
+impl Part {
+    /// Hands a finished item to the partition's writer.
+    pub fn write(&self, finished: Finished) {
+        if self.writer.send(finished).is_err() {
+            // The partition is being closed; its next owner runs the item again.
+            log::info!(epoch = self.epoch; "result dropped, partition closes");
+        }
+    }
+}
+
+/// What a host knows of a batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Lookup<T> {
+    /// It is here.
+    Found(T),
+    /// This host owns its partition and knows no such batch of the workspace.
+    Missing,
+    /// Another host owns its partition, or none.
+    Elsewhere,
+}
+
+impl Book {
+    /// Creates an empty book for so many partitions.
+    ///
+    /// # Errors
+    ///
+    /// When no pipe can be opened.
+    pub fn new(parts: u32) -> io::Result<Self> {
+        Ok(Self {
+            parts: Mutex::new(BTreeMap::new()),
+            changed: Condvar::new(),
+            count: parts,
+            waker: Waker::new()?,
+        })
+    }
+
+    /// Gives access to the owned partitions.
+    pub fn lock(&self) -> MutexGuard<'_, BTreeMap<u32, Part>> {
+        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over a partition.
+    pub fn open(&self, part: u32, epoch: u64, batches: Vec<Batch>, writer: Sender<Finished>) {
+        let batches = batches.into_iter();
+        let batches = batches.map(|batch| (batch.submission.id.clone(), batch)).collect();
+        let opened = Part {
+            epoch,
+            batches,
+            writer,
+        };
+        self.lock().insert(part, opened);
+        self.notify();
+    }
+
+    /// Gives up a partition that is owned under an epoch.
+    pub fn close(&self, part: u32, epoch: u64) {
+        let mut parts = self.lock();
+        if parts.get(&part).is_some_and(|part| part.epoch == epoch) {
+            parts.remove(&part);
+        }
+        drop(parts);
+        self.notify();
+    }
+
+    /// Takes over a batch that was accepted. Returns whether it is new.
+    pub fn accept(&self, part: u32, submission: Arc<Submission>) -> bool {
+        let mut parts = self.lock();
+        let Some(part) = parts.get_mut(&part) else {
+            return false;
+        };
+        let Entry::Vacant(entry) = part.batches.entry(submission.id.clone()) else {
+            return false;
+        };
+        entry.insert(Batch::new(submission, Vec::new()));
+        drop(parts);
+        self.notify();
+        true
+    }
+
+    /// Ends a batch: no item of it starts, and those that run are stopped.
+    pub fn end(&self, part: u32, batch: &str) -> bool {
+        let mut parts = self.lock();
+        let found = parts.get_mut(&part).and_then(|part| part.batches.get_mut(batch));
+        let Some(batch) = found else {
+            return false;
+        };
+        let first = !std::mem::replace(&mut batch.ended, true);
+        drop(parts);
+        self.notify();
+        first
+    }
+
+    /// Drops a batch whose records were removed.
+    pub fn forget(&self, part: u32, batch: &str) {
+        if let Some(part) = self.lock().get_mut(&part) {
+            part.batches.remove(batch);
+        }
+    }
+
+    /// Lists results that the store holds now.
+    pub fn list(&self, part: u32, epoch: u64, listed: &[Finished]) {
+        let mut parts = self.lock();
+        let Some(part) = parts.get_mut(&part).filter(|part| part.epoch == epoch) else {
+            return;
+        };
+        for Finished { batch, result } in listed {
+            if let Some(batch) = part.batches.get_mut(batch) {
+                batch.results.push(Arc::new(result.clone()));
+            }
+        }
+        drop(parts);
+        self.notify();
+    }
+
+    /// Returns results from a position on; waits for the first if there is none yet.
+    pub fn read(
+        &self,
+        id: &str,
+        workspace: Option<&Workspace>,
+        after: u64,
+        wait: Duration,
+    ) -> Lookup<ResultPage> {
+        let due = Instant::now() + wait;
+        let mut parts = self.lock();
+        loop {
+            let Some(part) = parts.get(&partition_of(id, self.count)) else {
+                return Lookup::Elsewhere;
+            };
+            let Some(batch) = find(part, id, workspace) else {
+                return Lookup::Missing;
+            };
+            let left = due.saturating_duration_since(Instant::now());
+            let ready = batch.results.len() as u64 > after;
+            if ready || left.is_zero() || !batch.is_open() {
+                return Lookup::Found(page(&batch.submission, &batch.results, after));
+            }
+            let waited = self.changed.wait_timeout(parts, left);
+            parts = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Returns the body of an item that has no result yet.
+    pub fn body(&self, id: &str, workspace: Option<&Workspace>, item: &str) -> Lookup<Vec<u8>> {
+        let parts = self.lock();
+        let Some(part) = parts.get(&partition_of(id, self.count)) else {
+            return Lookup::Elsewhere;
+        };
+        let Some(batch) = find(part, id, workspace) else {
+            return Lookup::Missing;
+        };
+        let mut items = batch.submission.items.iter();
+        match items.find(|spec| spec.id == item) {
+            Some(spec) => Lookup::Found(spec.body.clone()),
+            None => Lookup::Missing,
+        }
+    }
+
+    /// Returns how many items run and how many wait.
+    pub fn counts(&self) -> (usize, usize) {
+        let parts = self.lock();
+        let batches = parts.values().flat_map(|part| part.batches.values());
+        let open = batches.filter(|batch| !batch.ended);
+        let states = open.flat_map(|batch| batch.items.iter().map(|item| item.state));
+        states.fold((0, 0), |(running, waiting), state| match state {
+            ItemState::Running => (running + 1, waiting),
+            ItemState::Waiting { .. } => (running, waiting + 1),
+            ItemState::Done => (running, waiting),
+        })
+    }
+
+    fn notify(&self) {
+        self.changed.notify_all();
+        self.waker.wake();
+    }
+}
+
+fn find<'a>(part: &'a Part, id: &str, workspace: Option<&Workspace>) -> Option<&'a Batch> {
+    let batch = part.batches.get(id)?;
+    let allowed = workspace.is_none_or(|workspace| batch.submission.workspace == *workspace);
+    allowed.then_some(batch)
+}
+
+/// Returns the results from a position on, up to the size of a page.
+pub fn page(submission: &Submission, results: &[Arc<ItemResult>], after: u64) -> ResultPage {
+    let mut used = 0;
+    let from = (after as usize).min(results.len());
+    let rows: Vec<(String, Arc<ItemResult>)> = results[from..]
+        .iter()
+        .take_while(|result| {
+            let first = used == 0;
+            used += result.output.len() + 128;
+            first || used <= PAGE_BYTES
+        })
+        .map(|result| {
+            let item = submission.items.get(result.item as usize);
+            let id = item.map(|item| item.id.clone()).unwrap_or_default();
+            (id, Arc::clone(result))
+        })
+        .collect();
+    ResultPage {
+        total: submission.items.len(),
+        next: after + rows.len() as u64,
+        results: rows,
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/batch/order.rs
@@ -0,0 +1,54 @@
+use super::{Submission, groups};
+
+/// Estimate for an item without a hint, as a share of the most that it may generate.
+const UNHINTED_SHARE: f64 = 0.25;
+
+/// Returns the tokens that an item is expected to take.
+pub fn predicted_tokens(submission: &Submission, item: usize) -> u64 {
+    let item = &submission.items[item];
+    let most = item.tokens as f64;
+    item.hint.unwrap_or((most * UNHINTED_SHARE) as u64)
+}
+
+/// Returns the order in which a batch's items start.
+///
+/// Load pattern: more items than places, of which the trainer waits for a share of the groups only,
+/// and lengths with a heavy tail. A group counts when its longest item is done, so the groups that
+/// are expected to be longest, beyond the wanted number, come last; among the wanted ones the
+/// longest start first, so that none is left alone at the end. Items of a group stay beside each
+/// other, which lets them share their prompt.
+///
+/// ```
+/// use godwitspool_host::batch::{ItemSpec, Submission, order_items};
+///
+/// let item = |group: &str, hint| ItemSpec {
+///     group: group.to_owned(),
+///     hint: Some(hint),
+///     ..ItemSpec::default()
+/// };
+/// let submission = Submission {
+///     wanted_groups: 2,
+///     items: vec![item("huge", 900), item("short", 10), item("long", 90)],
+///     ..Submission::default()
+/// };
+/// assert_eq!(order_items(&submission), [2, 1, 0]);
+/// ```
+pub fn order_items(submission: &Submission) -> Vec<usize> {
+    let mut ranked: Vec<(u64, usize, Vec<usize>)> = groups(&submission.items)
+        .into_values()
+        .map(|items| {
+            let longest = items.iter().map(|item| predicted_tokens(submission, *item)).max();
+            (longest.unwrap_or_default(), items[0], items)
+        })
+        .collect();
+    ranked.sort_by_key(|(longest, first, _)| (*longest, *first));
+    let wanted = (submission.wanted_groups as usize).min(ranked.len());
+    let rest = ranked.split_off(wanted);
+    let longest_first = ranked.into_iter().rev();
+    let mut order = Vec::with_capacity(submission.items.len());
+    for (_, _, mut items) in longest_first.chain(rest) {
+        items.sort_by_key(|item| std::cmp::Reverse(predicted_tokens(submission, *item)));
+        order.extend(items);
+    }
+    order
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -0,0 +1,388 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::{self, Receiver, RecvTimeoutError, Sender},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use super::{Batch, BatchRecord, Book, Finished, ItemResult, Submission};
+use crate::{
+    StoreBounds,
+    store::{Store, StoreError, Stored, Topic, Writer, read_all},
+};
+
+/// Longest wait for a new batch in one read.
+const READ_WAIT: Duration = Duration::from_secs(10);
+/// Results that end within this time share an append; small beside the seconds in which a step's
+/// results are due, and it bounds the writes of a partition to 25 a second.
+const GROUP_DELAY: Duration = Duration::from_millis(40);
+/// Pauses after a failed call to the store: first, and longest.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+/// Stack of the partition's threads.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Owns a partition of the batches: reads what was accepted, writes results.
+#[derive(Debug)]
+pub struct Owner {
+    /// Epoch under which the partition is owned.
+    pub epoch: u64,
+    task: Arc<Task>,
+}
+
+struct Task {
+    book: Arc<Book>,
+    bounds: StoreBounds,
+    epoch: u64,
+    part: u32,
+    stopped: AtomicBool,
+    store: Arc<dyn Store>,
+}
+
+impl std::fmt::Debug for Task {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Task")
+            .field("part", &self.part)
+            .field("epoch", &self.epoch)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Owner {
+    /// Begins to take a partition over, under an epoch that no other owner ever uses.
+    ///
+    /// # Errors
+    ///
+    /// When no thread can be started.
+    pub fn start(
+        store: Arc<dyn Store>,
+        book: Arc<Book>,
+        bounds: StoreBounds,
+        part: u32,
+        epoch: u64,
+    ) -> io::Result<Self> {
+        let task = Arc::new(Task {
+            book,
+            bounds,
+            epoch,
+            part,
+            stopped: AtomicBool::new(false),
+            store,
+        });
+        let own = Arc::clone(&task);
+        thread::Builder::new()
+            .name("partition".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || own.run())?;
+        Ok(Self { epoch, task })
+    }
+
+    /// Tells whether the partition was lost to another owner.
+    pub fn is_lost(&self) -> bool {
+        self.task.is_stopped()
+    }
+
+    /// Gives the partition up.
+    pub fn stop(&self) {
+        self.task.stop("given up");
+    }
+}
+
+impl Task {
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
+    fn stop(&self, reason: &str) {
+        if !self.stopped.swap(true, Ordering::SeqCst) {
+            log::info!(part = self.part, epoch = self.epoch, reason; "partition closed");
+        }
+        self.book.close(self.part, self.epoch);
+    }
+
+    fn run(self: Arc<Self>) {
+        let began = Instant::now();
+        let fence = || {
+            let writer = Writer {
+                epoch: self.epoch,
+                seq: 0,
+            };
+            self.store.append(Topic::Results, self.part, &[], Some(writer))
+        };
+        if self.persist("fence", fence).is_none() {
+            return;
+        }
+        let Some((results, _)) = self.persist("results", || self.load(Topic::Results)) else {
+            return;
+        };
+        let Some((records, mut next)) = self.persist("batches", || self.load(Topic::Batches))
+        else {
+            return;
+        };
+        let mut assembly = Assembly::default();
+        let (batches, positions) = self.assemble(results, records, &mut assembly);
+        let (sender, receiver) = mpsc::channel();
+        let (part, epoch) = (self.part, self.epoch);
+        let took_ms = began.elapsed().as_millis() as u64;
+        log::info!(part, epoch, batches = batches.len(), took_ms; "partition opened");
+        self.open(batches, sender);
+        let own = Arc::clone(&self);
+        let spawned = thread::Builder::new()
+            .name("results".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || own.write(&receiver, positions));
+        if let Err(error) = spawned {
+            log::error!(error:%, part; "no thread for a partition's results");
+            self.stop("no thread");
+            return;
+        }
+        while !self.is_stopped() {
+            let read = || match self.store.read(Topic::Batches, part, next, READ_WAIT) {
+                Err(StoreError::Gone { .. }) => {
+                    let (records, end) = self.load(Topic::Batches)?;
+                    Ok((records, end))
+                }
+                read => read.map(|tail| (tail.records, tail.next)),
+            };
+            let Some((records, end)) = self.persist("tail", read) else {
+                return;
+            };
+            next = end;
+            self.follow(records, &mut assembly);
+        }
+    }
+
+    /// Opens the partition unless it was given up meanwhile.
+    fn open(&self, batches: Vec<Batch>, sender: Sender<Finished>) {
+        self.book.open(self.part, self.epoch, batches, sender);
+        if self.is_stopped() {
+            self.book.close(self.part, self.epoch);
+        }
+    }
+
+    fn load(&self, topic: Topic) -> Result<(Vec<Stored>, u64), StoreError> {
+        read_all(self.store.as_ref(), topic, self.part, None, |_| true)
+    }
+
+    /// Repeats a call until it succeeds; `None` once the partition is lost or given up.
+    fn persist<T>(&self, what: &str, call: impl Fn() -> Result<T, StoreError>) -> Option<T> {
+        let (mut pause, longest) = RETRY_PAUSE;
+        let mut failed = false;
+        while !self.is_stopped() {
+            match call() {
+                Ok(value) => {
+                    if failed {
+                        log::info!(part = self.part, what; "store answers again");
+                    }
+                    return Some(value);
+                }
+                Err(error @ StoreError::Fenced { .. }) => {
+                    log::warn!(part = self.part, epoch = self.epoch, what, error:%; "partition lost");
+                    self.stop("fenced");
+                }
+                Err(error) => {
+                    if !failed {
+                        log::warn!(part = self.part, what, error:%; "store call failed, repeated");
+                    }
+                    failed = true;
+                    thread::sleep(pause);
+                    pause = (pause * 2).min(longest);
+                }
+            }
+        }
+        None
+    }
+
+    fn assemble(
+        &self,
+        results: Vec<Stored>,
+        records: Vec<Stored>,
+        assembly: &mut Assembly,
+    ) -> (Vec<Batch>, HashMap<String, u64>) {
+        let mut listed: HashMap<String, BTreeMap<u64, Arc<ItemResult>>> = HashMap::new();
+        for stored in results {
+            match BatchRecord::read(stored) {
+                Ok(BatchRecord::Result {
+                    batch,
+                    position,
+                    result,
+                }) => {
+                    let results = listed.entry(batch).or_default();
+                    results.insert(position, Arc::new(result));
+                }
+                Ok(_) => {}
+                Err(error) => log::warn!(part = self.part, error:%; "result record left out"),
+            }
+        }
+        let mut positions = HashMap::new();
+        let mut batches = BTreeMap::new();
+        for change in assembly.read(self.part, records) {
+            match change {
+                Change::Accepted(submission) => {
+                    let results = listed.remove(&submission.id).unwrap_or_default();
+                    let results: Vec<_> = results.into_values().collect();
+                    positions.insert(submission.id.clone(), results.len() as u64);
+                    let id = submission.id.clone();
+                    batches.insert(id, Batch::new(Arc::new(submission), results));
+                }
+                Change::Ended(batch) => {
+                    if let Some(batch) = batches.get_mut(&batch) {
+                        batch.ended = true;
+                    }
+                }
+                Change::Removed(batch) => drop(batches.remove(&batch)),
+            }
+        }
+        (batches.into_values().collect(), positions)
+    }
+
+    fn follow(&self, records: Vec<Stored>, assembly: &mut Assembly) {
+        for change in assembly.read(self.part, records) {
+            match change {
+                Change::Accepted(submission) => {
+                    let (batch, items) = (submission.id.clone(), submission.items.len());
+                    let (step, model) = (submission.step, submission.model.clone());
+                    if self.book.accept(self.part, Arc::new(submission)) {
+                        log::info!(batch:%, items, step, model:%, part = self.part; "batch taken over");
+                    }
+                }
+                Change::Ended(batch) => {
+                    if self.book.end(self.part, &batch) {
+                        log::info!(batch:%, part = self.part; "batch ended");
+                    }
+                }
+                Change::Removed(batch) => self.book.forget(self.part, &batch),
+            }
+        }
+    }
+
+    /// Appends results in groups, and lists them once the store holds them.
+    fn write(&self, receiver: &Receiver<Finished>, mut positions: HashMap<String, u64>) {
+        let mut seq = 1;
+        while let Ok(first) = receiver.recv() {
+            let mut group = vec![first];
+            let mut bytes = group[0].result.output.len();
+            let due = Instant::now() + GROUP_DELAY;
+            while bytes < self.bounds.call_bytes / 2 {
+                let left = due.saturating_duration_since(Instant::now());
+                match receiver.recv_timeout(left) {
+                    Ok(finished) => {
+                        bytes += finished.result.output.len();
+                        group.push(finished);
+                    }
+                    Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => break,
+                }
+            }
+            let records: Vec<_> = group
+                .iter()
+                .map(|Finished { batch, result }| {
+                    let position = positions.entry(batch.clone()).or_default();
+                    *position += 1;
+                    BatchRecord::of_result(batch, *position - 1, result)
+                })
+                .collect();
+            let writer = Writer {
+                epoch: self.epoch,
+                seq,
+            };
+            let append = || self.store.append(Topic::Results, self.part, &records, Some(writer));
+            if self.persist("append results", append).is_none() {
+                return;
+            }
+            seq += 1;
+            self.book.list(self.part, self.epoch, &group);
+        }
+    }
+}
+
+/// Puts submissions together that lie in several records.
+#[derive(Debug, Default)]
+struct Assembly {
+    parts: HashMap<String, BTreeMap<u32, Vec<u8>>>,
+}
+
+enum Change {
+    Accepted(Submission),
+    Ended(String),
+    Removed(String),
+}
+
+impl Assembly {
+    fn read(&mut self, part: u32, records: Vec<Stored>) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for stored in records {
+            match BatchRecord::read(stored) {
+                Ok(BatchRecord::Part {
+                    batch,
+                    index,
+                    bytes,
+                }) => {
+                    self.parts.entry(batch).or_default().insert(index, bytes);
+                }
+                Ok(BatchRecord::Whole { batch, parts }) => match self.join(&batch, parts) {
+                    Ok(submission) => changes.push(Change::Accepted(submission)),
+                    Err(reason) => log::warn!(part, batch:%, reason:%; "batch left out"),
+                },
+                Ok(BatchRecord::End { batch }) => changes.push(Change::Ended(batch)),
+                Ok(BatchRecord::Removed { batch }) => changes.push(Change::Removed(batch)),
+                Ok(BatchRecord::Result { .. }) => {}
+                Err(error) => log::warn!(part, error:%; "batch record left out"),
+            }
+        }
+        changes
+    }
+
+    fn join(&mut self, batch: &str, count: u32) -> Result<Submission, String> {
+        let parts = self.parts.remove(batch).unwrap_or_default();
+        if parts.len() != count as usize {
+            return Err(format!("{} of {count} parts", parts.len()));
+        }
+        let bytes: Vec<u8> = parts.into_values().flatten().collect();
+        postcard::from_bytes(&bytes).map_err(|error| error.to_string())
+    }
+}
+
+/// Reads a batch and its results from the store, for a host that reaches no owner of it.
+///
+/// # Errors
+///
+/// When the store doesn't answer. A batch that doesn't exist is no error.
+pub fn read_stored(
+    store: &dyn Store,
+    part: u32,
+    batch: &str,
+) -> Result<Option<(Submission, Vec<Arc<ItemResult>>)>, StoreError> {
+    let before = BatchRecord::before(batch);
+    let belongs = |key: &str| BatchRecord::belongs(key, batch);
+    let (records, _) = read_all(store, Topic::Batches, part, Some(&before), belongs)?;
+    let changes = Assembly::default().read(part, records);
+    let mut accepted = changes.into_iter().filter_map(|change| match change {
+        Change::Accepted(submission) => Some(submission),
+        Change::Ended(_) | Change::Removed(_) => None,
+    });
+    let Some(submission) = accepted.next() else {
+        return Ok(None);
+    };
+    let (records, _) = read_all(store, Topic::Results, part, Some(&before), belongs)?;
+    let mut results = BTreeMap::new();
+    for stored in records {
+        match BatchRecord::read(stored) {
+            Ok(BatchRecord::Result {
+                position, result, ..
+            }) => {
+                results.insert(position, Arc::new(result));
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!(part, batch, error:%; "result record left out"),
+        }
+    }
+    // Positions are appended in their order, so a read that overlaps an append has no gap before
+    // its end.
+    let whole = results.into_iter().enumerate();
+    let whole = whole.take_while(|(index, (position, _))| *index as u64 == *position);
+    Ok(Some((submission, whole.map(|(_, (_, result))| result).collect())))
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -0,0 +1,163 @@
+//! Records of batches and results in the store.
+
+use rapidhash::v3::rapidhash_v3;
+use snafu::Snafu;
+
+use super::{ItemResult, Submission};
+use crate::{
+    StoreBounds,
+    store::{Keyed, Stored},
+};
+
+/// Room left in a record for its key and framing.
+const RECORD_OVERHEAD: usize = 256;
+
+/// Returns the partition of a batch. Every host must agree on it.
+pub fn partition_of(batch: &str, parts: u32) -> u32 {
+    (rapidhash_v3(batch.as_bytes()) % u64::from(parts.max(1))) as u32
+}
+
+/// What a record of the batches or results says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BatchRecord {
+    /// Part of a submission that is larger than a record.
+    Part {
+        /// The batch.
+        batch: String,
+        /// Number of the part.
+        index: u32,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
+    /// The submission is whole with so many parts.
+    Whole {
+        /// The batch.
+        batch: String,
+        /// Number of parts.
+        parts: u32,
+    },
+    /// The batch has been ended.
+    End {
+        /// The batch.
+        batch: String,
+    },
+    /// A result in its position.
+    Result {
+        /// The batch.
+        batch: String,
+        /// The position.
+        position: u64,
+        /// The result.
+        result: ItemResult,
+    },
+    /// A key of a batch was removed.
+    Removed {
+        /// The batch.
+        batch: String,
+    },
+}
+
+/// A record of batches that can't be read.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("record {key}: {reason}"))]
+pub struct RecordError {
+    key: String,
+    reason: String,
+}
+
+impl BatchRecord {
+    /// Returns the appends that store a submission, in their order: the last one makes it whole.
+    pub fn of_submission(submission: &Submission, bounds: &StoreBounds) -> Vec<Vec<Keyed>> {
+        let bytes = encode(submission);
+        let size = bounds.record_bytes.saturating_sub(RECORD_OVERHEAD).max(1);
+        let id = &submission.id;
+        let chunks = bytes.chunks(size).enumerate();
+        let mut records: Vec<Keyed> = chunks
+            .map(|(index, chunk)| Keyed::new(format!("{id}/b{index:05}"), chunk))
+            .collect();
+        let parts = records.len() as u32;
+        records.push(Keyed::new(format!("{id}/c"), parts.to_be_bytes()));
+        let mut calls: Vec<Vec<Keyed>> = vec![Vec::new()];
+        let mut used = 0;
+        for record in records {
+            let length = record.value.as_ref().map_or(0, Vec::len) + RECORD_OVERHEAD;
+            if used + length > bounds.call_bytes {
+                calls.push(Vec::new());
+                used = 0;
+            }
+            used += length;
+            if let Some(call) = calls.last_mut() {
+                call.push(record);
+            }
+        }
+        calls
+    }
+
+    /// Returns the record that ends a batch.
+    pub fn of_end(batch: &str) -> Keyed {
+        Keyed::new(format!("{batch}/e"), [1])
+    }
+
+    /// Returns the record of a result.
+    pub fn of_result(batch: &str, position: u64, result: &ItemResult) -> Keyed {
+        Keyed::new(format!("{batch}/r{position:08}"), encode(result))
+    }
+
+    /// Returns the smallest key behind which all keys of a batch follow.
+    pub fn before(batch: &str) -> String {
+        format!("{batch}/")
+    }
+
+    /// Tells whether a key belongs to a batch.
+    pub fn belongs(key: &str, batch: &str) -> bool {
+        key.strip_prefix(batch).is_some_and(|rest| rest.starts_with('/'))
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// When the key or the content is of another form.
+    pub fn read(stored: Stored) -> Result<Self, RecordError> {
+        let Keyed { key, value } = stored.record;
+        let wrong = |reason: &str| RecordError {
+            key: key.clone(),
+            reason: reason.to_owned(),
+        };
+        let (batch, kind) = key.rsplit_once('/').ok_or_else(|| wrong("no kind"))?;
+        let batch = batch.to_owned();
+        let Some(value) = value else {
+            return Ok(Self::Removed { batch });
+        };
+        let number = |digits: &str| digits.parse().map_err(|_| wrong("no number"));
+        match kind.split_at_checked(1) {
+            Some(("b", digits)) => Ok(Self::Part {
+                batch,
+                index: number(digits)? as u32,
+                bytes: value,
+            }),
+            Some(("c", "")) => {
+                let parts = value.try_into().map_err(|_| wrong("no count of parts"))?;
+                Ok(Self::Whole {
+                    batch,
+                    parts: u32::from_be_bytes(parts),
+                })
+            }
+            Some(("e", "")) => Ok(Self::End { batch }),
+            Some(("r", digits)) => Ok(Self::Result {
+                batch,
+                position: number(digits)?,
+                result: postcard::from_bytes(&value).map_err(|error| wrong(&error.to_string()))?,
+            }),
+            _ => Err(wrong("unknown kind")),
+        }
+    }
+}
+
+/// Encodes a value of the project's own. Such values are plain data, whose encoding doesn't fail.
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap_or_else(|error| {
+        log::error!(error:%; "value can't be encoded");
+        Vec::new()
+    })
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -0,0 +1,392 @@
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use godwitspool_types::{Millis, ModelName, TargetName};
+
+use super::{Batch, RunFailure, Submission, Verdict};
+use crate::{
+    dialect::Passing,
+    http::{CallError, Connection, Exchange, Progress, wait},
+    process::Shared,
+    version::{Configuration, Outcome},
+};
+
+/// A run whose target sends nothing for so long goes on elsewhere. Loads of weights stop a target
+/// for about a second, longer while several load.
+const EVENT_STALL: Millis = Millis(3_000);
+/// A run whose target hasn't begun to answer for so long is tried elsewhere: the time in which a
+/// full queue of a target empties.
+const HEAD_STALL: Millis = Millis(4_000);
+/// A target that doesn't take a connection for so long is taken as gone: several round trips
+/// between data centres.
+const CONNECT_STALL: Millis = Millis(300);
+/// Time between looks at stalled runs, and at items that found no target.
+const LOOK: Millis = Millis(100);
+
+/// Runs the items of the owned partitions, in one thread.
+#[derive(Debug)]
+pub struct Runner {
+    shared: Arc<Shared>,
+    runs: Vec<Run>,
+}
+
+/// An item that runs at a target.
+#[derive(Debug)]
+struct Run {
+    part: u32,
+    epoch: u64,
+    submission: Arc<Submission>,
+    item: usize,
+    model: ModelName,
+    target: TargetName,
+    address: SocketAddr,
+    exchange: Exchange,
+    /// Bytes of an event that isn't whole yet.
+    buffer: Vec<u8>,
+    began: Millis,
+    heard: Millis,
+    head_read: bool,
+}
+
+/// How a run stands after its socket was served.
+enum Step {
+    Goes,
+    Ended(RunEnd),
+}
+
+enum RunEnd {
+    Completed,
+    Failed(RunFailure, Outcome),
+}
+
+impl Runner {
+    /// Creates a runner without runs.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Runs items until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// When the operating system refuses to wait for sockets.
+    pub fn run(mut self) -> io::Result<()> {
+        loop {
+            let waiting = self.start_items();
+            let timeout = (waiting || !self.runs.is_empty()).then(|| LOOK.duration());
+            self.wait(timeout)?;
+            self.advance();
+        }
+    }
+
+    fn wait(&self, timeout: Option<Duration>) -> io::Result<()> {
+        let mut sockets = vec![self.shared.book.waker.socket()];
+        sockets.extend(self.runs.iter().map(|run| run.exchange.socket()));
+        wait(&sockets, timeout)?;
+        self.shared.book.waker.clear();
+        Ok(())
+    }
+
+    /// Starts what may start; returns whether items are left that wait.
+    fn start_items(&mut self) -> bool {
+        let Some(configuration) = self.shared.configuration() else {
+            return false;
+        };
+        let mut waiting = false;
+        let now = self.shared.clock.now();
+        let mut started = Vec::new();
+        let mut parts = self.shared.book.lock();
+        for (number, part) in &mut *parts {
+            let mut dropped = Vec::new();
+            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+                loop {
+                    let item = match batch.next_item(now) {
+                        Ok(item) => item,
+                        Err(soonest) => {
+                            waiting |= soonest.is_some();
+                            break;
+                        }
+                    };
+                    let submission = &batch.submission;
+                    let Some(route) = configuration.route(&submission.host, &submission.prefix)
+                    else {
+                        log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up, its route is gone");
+                        dropped.push(batch.finish(item, false));
+                        continue;
+                    };
+                    let Some(service) = route.service(rand::random()).cloned() else {
+                        break;
+                    };
+                    let Some(run) = self.start(&configuration, &service, batch, item, now) else {
+                        waiting = true;
+                        break;
+                    };
+                    batch.items[item].state = super::ItemState::Running;
+                    started.push(Run {
+                        part: *number,
+                        epoch: part.epoch,
+                        ..run
+                    });
+                }
+            }
+            dropped.into_iter().for_each(|finished| part.write(finished));
+        }
+        drop(parts);
+        self.runs.extend(started);
+        waiting
+    }
+
+    fn start(
+        &self,
+        configuration: &Configuration,
+        service: &godwitspool_types::ServiceName,
+        batch: &mut Batch,
+        index: usize,
+        now: Millis,
+    ) -> Option<Run> {
+        let shared = &self.shared;
+        let submission = Arc::clone(&batch.submission);
+        let spec = &submission.items[index];
+        let progress = &batch.items[index].progress;
+        let only = (submission.single_version && progress.last_event.is_some())
+            .then(|| progress.version)
+            .flatten();
+        let models = configuration.services.get(service).map(|service| &service.models[..]);
+        let model = submission.model.clone();
+        let mut fleet = shared.fleet();
+        let dealt = fleet.deal(service, models.unwrap_or_default());
+        let target = fleet.place(service, &model, submission.min_version, &dealt, now)?;
+        let (name, address) = (target.entry.name.clone(), target.entry.address);
+        let passing = Passing {
+            target: &name,
+            workspace: Some(&submission.workspace),
+            left: None,
+            resume_after: progress.last_event,
+            version: only,
+        };
+        let request = shared.dialect.item(&submission, spec, &passing);
+        let connection = match shared.pool.connect(address) {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::warn!(target_name:% = name, error:%; "cannot connect to a target");
+                fleet.start(&name);
+                fleet.finish(&name, Outcome::Failed, now);
+                return None;
+            }
+        };
+        fleet.start(&name);
+        drop(fleet);
+        log::info!(
+            batch:% = submission.id, item:% = spec.id, target_name:% = name,
+            resume_after:? = progress.last_event, failures = batch.items[index].failures;
+            "item starts"
+        );
+        Some(Run {
+            part: 0,
+            epoch: 0,
+            item: index,
+            model,
+            target: name,
+            address,
+            exchange: Exchange::new(connection, &request),
+            buffer: Vec::new(),
+            began: now,
+            heard: now,
+            head_read: false,
+            submission,
+        })
+    }
+
+    /// Serves the sockets of all runs, and ends those whose batch has ended or whose partition was
+    /// given up.
+    fn advance(&mut self) {
+        let now = self.shared.clock.now();
+        let shared = Arc::clone(&self.shared);
+        let mut parts = shared.book.lock();
+        let mut going = Vec::with_capacity(self.runs.len());
+        for mut run in std::mem::take(&mut self.runs) {
+            let part = parts.get_mut(&run.part).filter(|part| part.epoch == run.epoch);
+            let batch = part.and_then(|part| part.batches.get_mut(&run.submission.id));
+            let Some(batch) = batch.filter(|batch| !batch.ended) else {
+                shared.fleet().finish(&run.target, Outcome::Dropped, now);
+                continue;
+            };
+            let end = match run.step(&shared, batch, now) {
+                Step::Goes => {
+                    going.push(run);
+                    continue;
+                }
+                Step::Ended(end) => end,
+            };
+            let finished = run.end(&shared, batch, end, now);
+            if let (Some(finished), Some(part)) = (finished, parts.get_mut(&run.part)) {
+                part.write(finished);
+            }
+            run.release(&shared);
+        }
+        drop(parts);
+        self.runs.extend(going);
+    }
+}
+
+impl Run {
+    fn step(&mut self, shared: &Shared, batch: &mut Batch, now: Millis) -> Step {
+        let progress = self.exchange.advance();
+        let failed = |failure, outcome| Step::Ended(RunEnd::Failed(failure, outcome));
+        if !self.head_read
+            && let Some(head) = self.exchange.head()
+        {
+            self.head_read = true;
+            self.heard = now;
+            let reply = shared.dialect.reply(head);
+            let spec = &self.submission.items[self.item];
+            if reply.id.as_deref() != Some(&spec.id) {
+                log::warn!(item:% = spec.id, target_name:% = self.target, answered:? = reply.id; "answer belongs to another request");
+                return failed(RunFailure::Broken, Outcome::Failed);
+            }
+            if head.status == 200
+                && let Some(version) = reply.version
+            {
+                shared.fleet().learn(&self.target, &self.model, version);
+                batch.items[self.item].progress.version = Some(version);
+            }
+        }
+        let status = self.exchange.head().map(|head| head.status);
+        if status == Some(200) {
+            let bytes = self.exchange.take_body();
+            if !bytes.is_empty() {
+                self.heard = now;
+                self.buffer.extend_from_slice(&bytes);
+                if let Err(failure) = self.read_events(shared, batch) {
+                    return failed(failure, Outcome::Failed);
+                }
+            }
+        }
+        match progress {
+            Ok(Progress::Pending) => self.check_stall(now),
+            Ok(Progress::Done) => self.done(shared, batch, now),
+            Err(error) => {
+                let spec = &self.submission.items[self.item];
+                log::info!(item:% = spec.id, target_name:% = self.target, error:%; "run broke off");
+                let failure = match error {
+                    CallError::Connect { .. } => RunFailure::NotRun,
+                    _ => RunFailure::Broken,
+                };
+                failed(failure, Outcome::Failed)
+            }
+        }
+    }
+
+    fn check_stall(&self, now: Millis) -> Step {
+        let silent = now - self.heard;
+        let bound = match (self.head_read, self.exchange.was_sent()) {
+            (true, _) => EVENT_STALL,
+            (false, true) => HEAD_STALL,
+            (false, false) => CONNECT_STALL,
+        };
+        if silent < bound {
+            return Step::Goes;
+        }
+        let spec = &self.submission.items[self.item];
+        log::info!(item:% = spec.id, target_name:% = self.target, silent_ms = silent.0, head = self.head_read; "run stalled");
+        Step::Ended(RunEnd::Failed(RunFailure::Broken, Outcome::Failed))
+    }
+
+    /// Takes over the events that are whole.
+    fn read_events(&mut self, shared: &Shared, batch: &mut Batch) -> Result<(), RunFailure> {
+        let spec = &self.submission.items[self.item];
+        let progress = &mut batch.items[self.item].progress;
+        while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
+            let lines: Vec<u8> = self.buffer.drain(..end + 2).collect();
+            let event = shared.dialect.event(&lines[..end]);
+            if let Some(version) = event.version {
+                progress.version = Some(version);
+                shared.fleet().learn(&self.target, &self.model, version);
+            }
+            let Some(number) = event.number else {
+                continue;
+            };
+            let expected = progress.last_event.map(|last| last + 1);
+            if expected.is_some_and(|expected| expected != number) {
+                log::warn!(item:% = spec.id, target_name:% = self.target, number, expected; "event out of order");
+                return Err(RunFailure::Broken);
+            }
+            let stale = progress.version.is_some_and(|version| version < self.submission.min_version);
+            let mixed = self.submission.single_version
+                && progress.versions.last().is_some_and(|last| Some(*last) != progress.version);
+            if stale || mixed {
+                log::warn!(item:% = spec.id, target_name:% = self.target, version:? = progress.version, min_version = self.submission.min_version; "run under a version that doesn't fit");
+                return Err(RunFailure::Unusable);
+            }
+            progress.push(number, &event.data);
+        }
+        Ok(())
+    }
+
+    fn done(&mut self, shared: &Shared, batch: &mut Batch, now: Millis) -> Step {
+        let Some(head) = self.exchange.head() else {
+            return Step::Goes;
+        };
+        let (status, reply) = (head.status, shared.dialect.reply(head));
+        let failed = |failure, outcome| Step::Ended(RunEnd::Failed(failure, outcome));
+        let answered = Outcome::Answered((now - self.began).0 as f64);
+        if reply.not_run {
+            return failed(RunFailure::NotRun, Outcome::Refused);
+        }
+        match status {
+            200 if !self.buffer.is_empty() => failed(RunFailure::Broken, Outcome::Failed),
+            200 if batch.items[self.item].progress.last_event.is_none() => {
+                failed(RunFailure::Broken, Outcome::Failed)
+            }
+            200 => Step::Ended(RunEnd::Completed),
+            422 => failed(RunFailure::Rejected, answered),
+            421 => failed(RunFailure::NotRun, Outcome::Refused),
+            500 => failed(RunFailure::Failed, answered),
+            _ => failed(RunFailure::Broken, Outcome::Failed),
+        }
+    }
+
+    /// Takes over how the run ended; returns the item if it ended too.
+    fn end(
+        &self,
+        shared: &Shared,
+        batch: &mut Batch,
+        end: RunEnd,
+        now: Millis,
+    ) -> Option<super::Finished> {
+        let spec = &self.submission.items[self.item];
+        let took_ms = (now - self.began).0;
+        match end {
+            RunEnd::Completed => {
+                shared.fleet().finish(&self.target, Outcome::Answered(took_ms as f64), now);
+                let finished = batch.finish(self.item, true);
+                log::info!(
+                    batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
+                    took_ms, versions:? = finished.result.versions;
+                    "item completed"
+                );
+                Some(finished)
+            }
+            RunEnd::Failed(failure, outcome) => {
+                shared.fleet().finish(&self.target, outcome, now);
+                let verdict = batch.fail(self.item, failure, now);
+                log::info!(
+                    batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
+                    took_ms, failure:?, verdict:?, events:? = batch.items[self.item].progress.last_event;
+                    "run failed"
+                );
+                (verdict == Verdict::GiveUp).then(|| batch.finish(self.item, false))
+            }
+        }
+    }
+
+    /// Keeps the connection if it can carry another request.
+    fn release(self, shared: &Shared) {
+        let connection: Option<Connection> = self.exchange.finish().1;
+        if let Some(connection) = connection {
+            shared.pool.put(self.address, connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/duty/mod.rs
@@ -0,0 +1,5 @@
+//! Decisions of the duties: which target loads which version, what a window's report says.
+
+mod loads;
+
+pub use loads::{Loading, plan_loads};
--- /dev/null
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -0,0 +1,141 @@
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use godwitspool_types::Millis;
+
+use super::{
+    Shared,
+    duties::Desk,
+    shared::lease_clock,
+};
+use crate::{
+    batch::Owner,
+    store::{Assignment, Topic},
+};
+
+/// A member that has sent nothing for so long loses its partitions: short beside the seconds in
+/// which a batch's results are due, long beside the store's slow answers.
+const MEMBER_TTL: Duration = Duration::from_millis(2_000);
+/// Renewals within that time.
+const RENEWALS: u32 = 3;
+/// Bits of an epoch that are drawn at random, so that no two owners ever share one.
+const EPOCH_RANDOM_BITS: u32 = 16;
+
+/// Stays in the hosts' group and owns the partitions that the store deals to this host.
+pub struct Membership {
+    shared: Arc<Shared>,
+    desk: Arc<Desk>,
+    owners: HashMap<u32, Held>,
+    generation: u64,
+}
+
+struct Held {
+    owner: Owner,
+    generation: u64,
+}
+
+impl Membership {
+    /// Creates a member that holds nothing.
+    pub fn new(shared: Arc<Shared>, desk: Arc<Desk>) -> Self {
+        Self {
+            desk,
+            generation: 0,
+            owners: HashMap::new(),
+            shared,
+        }
+    }
+
+    /// Renews the membership until the process drains, then gives everything up.
+    pub fn run(mut self) {
+        let ttl = MEMBER_TTL.max(self.shared.settings.store.member_ttl);
+        let mut failing = false;
+        while !self.shared.is_draining() {
+            let sent = lease_clock();
+            match self.shared.store.join(&self.shared.member, self.generation, ttl) {
+                Ok(assignment) => {
+                    if failing {
+                        log::info!(generation = assignment.generation; "membership renewed again");
+                    }
+                    failing = false;
+                    self.take(&assignment, sent + Millis::from(ttl));
+                }
+                Err(error) => {
+                    if !failing {
+                        log::warn!(error:%, generation = self.generation; "membership not renewed");
+                    }
+                    failing = true;
+                }
+            }
+            thread::sleep(ttl / RENEWALS);
+        }
+        self.desk.release();
+        for held in self.owners.values() {
+            held.owner.stop();
+        }
+        match self.shared.store.leave(&self.shared.member) {
+            Ok(()) => log::info!("left the hosts' group"),
+            Err(error) => log::warn!(error:%; "leaving the hosts' group not confirmed"),
+        }
+    }
+
+    fn take(&mut self, assignment: &Assignment, until: Millis) {
+        let changed = assignment.generation != self.generation;
+        self.generation = assignment.generation;
+        if changed {
+            log::info!(generation = assignment.generation, parts:? = assignment.parts; "partitions dealt");
+            self.shared.peers.suspect();
+        }
+        let dealt = |topic| {
+            let parts = assignment.parts.iter().filter(move |(held, _)| *held == topic);
+            parts.map(|(_, part)| *part)
+        };
+        if dealt(Topic::Duty).next().is_some() {
+            self.desk.hold(epoch(assignment.generation), until);
+        } else {
+            self.desk.release();
+        }
+        let parts: Vec<u32> = dealt(Topic::Results).collect();
+        self.owners.retain(|part, held| {
+            let kept = parts.contains(part);
+            if !kept {
+                held.owner.stop();
+            }
+            kept
+        });
+        for part in parts {
+            let held = self.owners.get(&part);
+            let lost = held.is_some_and(|held| {
+                held.owner.is_lost() && held.generation != assignment.generation
+            });
+            if held.is_none() || lost {
+                self.own(part, assignment.generation);
+            }
+        }
+    }
+
+    fn own(&mut self, part: u32, generation: u64) {
+        let started = Owner::start(
+            Arc::clone(&self.shared.store),
+            Arc::clone(&self.shared.book),
+            self.shared.settings.store,
+            part,
+            epoch(generation),
+        );
+        match started {
+            Ok(owner) => {
+                self.owners.insert(part, Held { owner, generation });
+            }
+            Err(error) => log::error!(error:%, part; "no thread for a partition"),
+        }
+    }
+}
+
+/// Returns an epoch that is higher than those of earlier generations and unlike any other.
+fn epoch(generation: u64) -> u64 {
+    let random = rand::random::<u64>() & ((1 << EPOCH_RANDOM_BITS) - 1);
+    (generation << EPOCH_RANDOM_BITS) | random
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -0,0 +1,14 @@
+//! What lives for the process: shared state, threads that follow the store, duties, peers.
+
+mod calls;
+mod duties;
+mod host;
+mod membership;
+mod peers;
+mod shared;
+mod tails;
+mod usage;
+
+pub use host::Host;
+pub use shared::{Edges, Shared, unix_ms};
+pub use usage::UsageBook;
--- /dev/null
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -0,0 +1,195 @@
+use std::{
+    sync::{Arc, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use godwitspool_types::{Millis, TargetName};
+
+use super::{
+    Shared,
+    peers::{self, MIRROR_PATH},
+};
+use crate::{
+    dialect::OperatorRecord,
+    http::Request,
+    store::{Stored, Topic},
+    version::{Mirror, MirrorChange},
+};
+
+/// Longest wait in one read. A store that turns this host away without an answer is noticed after
+/// it, within the bound on the age of the configuration.
+const READ_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause between reads of the targets' entries, which change several times a second: bounds the
+/// calls, and stays well below the time after which a leaving target must not be used.
+const TARGETS_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Bound on a peer's answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Entries that vanish within this time after a failed read may have lapsed.
+const AWAY_MEMORY: Millis = Millis(4_000);
+
+/// Follows the operators' records and the targets' entries, from the store or else from a peer.
+pub fn follow(shared: &Arc<Shared>, topic: Topic) {
+    let mut failed: Option<Millis> = None;
+    let mut away = false;
+    let mut turn = 0;
+    loop {
+        let next = mirrors(shared)[index(topic)].next();
+        let fetched = Mirror::fetch(shared.store.as_ref(), topic, next, READ_WAIT);
+        let now = shared.clock.now();
+        match fetched {
+            Ok(fetched) => {
+                if away {
+                    log::info!(topic:?; "store answers again");
+                    away = false;
+                }
+                let changes = mirrors(shared)[index(topic)].take(fetched, now);
+                let lapsing = failed.is_some_and(|failed| now - failed < AWAY_MEMORY);
+                apply(shared, topic, changes, lapsing);
+                if topic == Topic::Targets {
+                    expire(shared, now);
+                    thread::sleep(TARGETS_PAUSE);
+                }
+            }
+            Err(error) => {
+                if !away {
+                    log::warn!(topic:?, error:%; "store doesn't answer, peers are asked");
+                    away = true;
+                }
+                failed = Some(now);
+                turn += 1;
+                ask_peer(shared, topic, turn);
+                thread::sleep(RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+fn mirrors(shared: &Shared) -> MutexGuard<'_, [Mirror; 2]> {
+    shared.mirrors.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn index(topic: Topic) -> usize {
+    usize::from(topic == Topic::Targets)
+}
+
+fn ask_peer(shared: &Shared, topic: Topic, turn: usize) {
+    let addresses = shared.peers.addresses(shared);
+    if addresses.is_empty() {
+        return;
+    }
+    let address = addresses[turn % addresses.len()];
+    let from = mirrors(shared)[index(topic)].newest();
+    let target = format!("{MIRROR_PATH}?topic={}&from={from}", index(topic));
+    let request = Request::new("GET", target, Vec::new());
+    let records = match peers::call(shared, address, &request, PEER_TIMEOUT) {
+        Ok(answer) if answer.status == 200 => postcard::from_bytes::<Vec<Stored>>(&answer.body),
+        Ok(answer) => {
+            log::debug!(peer:% = address, status = answer.status; "peer has no copy");
+            return;
+        }
+        Err(error) => {
+            log::debug!(peer:% = address, error:%; "peer doesn't answer");
+            return;
+        }
+    };
+    match records {
+        Ok(records) => {
+            let now = shared.clock.now();
+            let mut copies = mirrors(shared);
+            let changes = copies[index(topic)].apply(records);
+            copies[index(topic)].confirmed = Some(now);
+            drop(copies);
+            if !changes.is_empty() {
+                log::info!(peer:% = address, topic:?, records = changes.len(); "news from a peer");
+            }
+            apply(shared, topic, changes, true);
+        }
+        Err(error) => log::warn!(peer:% = address, error:%; "peer's copy can't be read"),
+    }
+}
+
+/// Returns the copies that a peer asked for.
+pub fn copy(shared: &Shared, request: &Request) -> Option<Vec<u8>> {
+    let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+    let (topic, from) = (number("topic")? as usize, number("from")?);
+    let mirrors = shared.mirrors.lock().unwrap_or_else(PoisonError::into_inner);
+    let mirror = mirrors.get(topic)?;
+    mirror.confirmed?;
+    postcard::to_stdvec(&mirror.since(from)).ok()
+}
+
+fn apply(shared: &Shared, topic: Topic, changes: Vec<MirrorChange>, lapsing: bool) {
+    if changes.is_empty() {
+        return;
+    }
+    for change in changes {
+        match topic {
+            Topic::Targets => apply_target(shared, &change, lapsing),
+            _ => apply_operator(shared, &change),
+        }
+    }
+    shared.announce();
+}
+
+fn apply_operator(shared: &Shared, change: &MirrorChange) {
+    let Some(value) = &change.value else {
+        return;
+    };
+    match shared.dialect.operator_record(&change.key, value) {
+        Ok(Some(OperatorRecord::Configuration(configuration))) => {
+            let (version, routes) = (configuration.version, configuration.routes.len());
+            let keys = configuration.keys.len();
+            if shared.configure(*configuration) {
+                log::info!(version, routes, keys, offset = change.offset; "configuration in force");
+            }
+        }
+        Ok(Some(OperatorRecord::Version { model, version })) => {
+            if shared.name_version(&model, version) {
+                log::info!(model:%, version, offset = change.offset; "version named");
+            }
+        }
+        Ok(None) => log::debug!(key:% = change.key; "operators' record of another kind"),
+        Err(reason) => {
+            log::warn!(key:% = change.key, offset = change.offset, reason:%; "operators' record left out");
+        }
+    }
+}
+
+fn apply_target(shared: &Shared, change: &MirrorChange, lapsing: bool) {
+    let now = shared.clock.now();
+    let name = TargetName::from(change.key.as_str());
+    let Some(value) = &change.value else {
+        log::info!(target_name:% = name, lapsing, offset = change.offset; "target's entry removed");
+        shared.fleet().remove(&name, now, lapsing);
+        return;
+    };
+    match shared.dialect.target_entry(&change.key, value) {
+        Ok(entry) => {
+            let mut fleet = shared.fleet();
+            let known = fleet.get(&name).map(|target| target.entry.clone());
+            if known.as_ref() == Some(&entry) {
+                return;
+            }
+            let (draining, models) = (entry.draining, entry.models.clone());
+            let (service, address, born) = (entry.service.clone(), entry.address, entry.born);
+            if fleet.apply(entry) {
+                log::info!(target_name:% = name, service:%, address:%, draining, born, models:?; "target's entry");
+            } else {
+                log::info!(target_name:% = name, born; "entry of an earlier start left out");
+            }
+        }
+        Err(reason) => {
+            log::warn!(target_name:% = name, offset = change.offset, reason:%; "target's entry left out");
+            shared.fleet().remove(&name, now, false);
+        }
+    }
+}
+
+fn expire(shared: &Shared, now: Millis) {
+    for target in shared.fleet().expire(now) {
+        log::info!(target_name:% = target; "target gone, its entry hasn't come back");
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/process/usage.rs
@@ -0,0 +1,67 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use godwitspool_types::Workspace;
+
+/// Requests of this host by window and workspace, until the store holds them.
+#[derive(Debug)]
+pub struct UsageBook {
+    length_ms: u64,
+    windows: Mutex<BTreeMap<u64, HashMap<Workspace, u64>>>,
+}
+
+impl UsageBook {
+    /// Creates an empty book of windows of a length.
+    pub fn new(length: Duration) -> Self {
+        Self {
+            length_ms: (length.as_millis() as u64).max(1),
+            windows: Mutex::default(),
+        }
+    }
+
+    /// Returns the window of a time of day.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use godwitspool_host::process::UsageBook;
+    ///
+    /// assert_eq!(UsageBook::new(Duration::from_secs(5)).window(12_000), 2);
+    /// ```
+    pub fn window(&self, unix_ms: u64) -> u64 {
+        unix_ms / self.length_ms
+    }
+
+    /// Returns when a window ends, in milliseconds from 1970.
+    pub fn end_ms(&self, window: u64) -> u64 {
+        (window + 1) * self.length_ms
+    }
+
+    /// Counts a request that began to run at a time of day.
+    pub fn count(&self, workspace: &Workspace, unix_ms: u64) {
+        let window = self.window(unix_ms);
+        let mut windows = self.lock();
+        let counts = windows.entry(window).or_default();
+        *counts.entry(workspace.clone()).or_default() += 1;
+    }
+
+    /// Takes the counts of windows that ended before a time of day; of all with `u64::MAX`.
+    pub fn take_ended(&self, unix_ms: u64) -> Vec<(u64, Vec<(Workspace, u64)>)> {
+        let mut windows = self.lock();
+        let open = windows.split_off(&self.window(unix_ms));
+        let ended = std::mem::replace(&mut *windows, open);
+        let sorted = |counts: HashMap<Workspace, u64>| {
+            let mut counts: Vec<_> = counts.into_iter().collect();
+            counts.sort();
+            counts
+        };
+        ended.into_iter().map(|(window, counts)| (window, sorted(counts))).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, HashMap<Workspace, u64>>> {
+        self.windows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -0,0 +1,279 @@
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
+
+use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
+use rapidhash::v3::rapidhash_v3;
+
+/// First pause of a target that failed; doubles with each further failure.
+const PAUSE_FIRST: Millis = Millis(250);
+/// Longest pause of a target that failed: about the time in which a crashed one is back.
+const PAUSE_MAX: Millis = Millis(2_000);
+/// Pause of a target that said that it has no room or is loading weights. Loads take about a second.
+const PAUSE_REFUSED: Millis = Millis(150);
+/// Weight of the newest answer in a target's smoothed time, as in TCP's round-trip estimate.
+const SMOOTHING: f64 = 0.125;
+/// Assumed time of a target that has answered nothing yet, in milliseconds.
+const TIME_UNKNOWN: f64 = 20.0;
+/// A removed target is kept for this long if the store was away just before: entries that lapsed
+/// meanwhile are back within two seconds.
+const LAPSE_GRACE: Millis = Millis(2_000);
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetEntry {
+    /// Name; a restarted target may keep it.
+    pub name: TargetName,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub dc: Dc,
+    /// Requests that it serves at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Versions of its models.
+    pub models: HashMap<ModelName, u64>,
+    /// When it started, in milliseconds from 1970.
+    pub born: u64,
+}
+
+/// How an exchange with a target ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It answered after so many milliseconds.
+    Answered(f64),
+    /// The exchange was given up for reasons of the caller's.
+    Dropped,
+    /// The connection failed, broke or brought bytes that are no answer.
+    Failed,
+    /// It refused: no room, or loading.
+    Refused,
+}
+
+/// A target, with what this host has seen of it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What it says of itself.
+    pub entry: TargetEntry,
+    /// Requests of this host that run there.
+    pub running: u32,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not chosen before this time unless nothing else is left.
+    pub paused_until: Millis,
+    /// Smoothed time of its answers in milliseconds.
+    pub time_ms: f64,
+    /// Removed at this time, while its entry may still come back.
+    pub lapsed: Option<Millis>,
+}
+
+/// All targets. Decides where requests go; holds no clock or lock.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    targets: HashMap<TargetName, Target>,
+}
+
+impl Fleet {
+    /// Takes over a target's entry. Entries of an earlier start of it are left out.
+    pub fn apply(&mut self, entry: TargetEntry) -> bool {
+        match self.targets.get_mut(&entry.name) {
+            Some(target) if target.entry.born > entry.born => false,
+            Some(target) if target.entry.born == entry.born => {
+                let mut entry = entry;
+                for (model, version) in &target.entry.models {
+                    let newest = entry.models.entry(model.clone()).or_default();
+                    *newest = (*newest).max(*version);
+                }
+                target.entry = entry;
+                target.lapsed = None;
+                true
+            }
+            _ => {
+                let target = Target {
+                    running: self.targets.get(&entry.name).map_or(0, |old| old.running),
+                    failures: 0,
+                    paused_until: Millis::default(),
+                    time_ms: TIME_UNKNOWN,
+                    lapsed: None,
+                    entry,
+                };
+                self.targets.insert(target.entry.name.clone(), target);
+                true
+            }
+        }
+    }
+
+    /// Removes a target. One whose entry may have lapsed only because the store was away is kept
+    /// until [`Self::expire`].
+    pub fn remove(&mut self, name: &TargetName, now: Millis, store_was_away: bool) {
+        match self.targets.get_mut(name) {
+            Some(target) if store_was_away && !target.entry.draining => {
+                target.lapsed.get_or_insert(now);
+            }
+            _ => {
+                self.targets.remove(name);
+            }
+        }
+    }
+
+    /// Drops targets whose entries haven't come back.
+    pub fn expire(&mut self, now: Millis) -> Vec<TargetName> {
+        let is_over = |target: &Target| target.lapsed.is_some_and(|at| now >= at + LAPSE_GRACE);
+        let gone: Vec<TargetName> = self
+            .targets
+            .values()
+            .filter(|target| is_over(target))
+            .map(|target| target.entry.name.clone())
+            .collect();
+        gone.iter().for_each(|name| drop(self.targets.remove(name)));
+        gone
+    }
+
+    /// Returns a target.
+    pub fn get(&self, name: &TargetName) -> Option<&Target> {
+        self.targets.get(name)
+    }
+
+    /// Returns the targets of a service that may be used, in the order of their names.
+    pub fn usable(&self, service: &ServiceName) -> Vec<&Target> {
+        let targets = self.targets.values();
+        let mut usable: Vec<&Target> = targets
+            .filter(|target| target.entry.service == *service && !target.entry.draining)
+            .collect();
+        usable.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
+        usable
+    }
+
+    /// Counts a request that was sent to a target.
+    pub fn start(&mut self, name: &TargetName) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.running += 1;
+        }
+    }
+
+    /// Takes over how a request ended.
+    pub fn finish(&mut self, name: &TargetName, outcome: Outcome, now: Millis) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        target.running = target.running.saturating_sub(1);
+        match outcome {
+            Outcome::Answered(ms) => {
+                target.failures = 0;
+                target.paused_until = Millis::default();
+                target.time_ms += SMOOTHING * (ms - target.time_ms);
+            }
+            Outcome::Dropped => {}
+            Outcome::Failed => {
+                let pause = PAUSE_FIRST.0 << target.failures.min(3);
+                target.failures += 1;
+                target.paused_until = now + Millis(pause).min(PAUSE_MAX);
+            }
+            Outcome::Refused => target.paused_until = now + PAUSE_REFUSED,
+        }
+    }
+
+    /// Takes over the version of a model that a target's answer named.
+    pub fn learn(&mut self, name: &TargetName, model: &ModelName, version: u64) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.entry.models.insert(model.clone(), version);
+        }
+    }
+
+    /// Chooses the target for a request: the one that is expected to answer first, those of the
+    /// own data centre before equals. Paused ones come last.
+    pub fn choose(
+        &self,
+        service: &ServiceName,
+        dc: &Dc,
+        tried: &[TargetName],
+        now: Millis,
+    ) -> Option<&Target> {
+        let usable = self.usable(service);
+        let fresh = usable.into_iter().filter(|target| !tried.contains(&target.entry.name));
+        fresh.min_by(|a, b| {
+            let rank = |target: &Target| {
+                let paused = target.paused_until > now;
+                let load = f64::from(target.running) / f64::from(target.entry.slots.max(1));
+                let far = if target.entry.dc == *dc { 1.0 } else { 1.5 };
+                (paused, target.time_ms * (1.0 + load) * far)
+            };
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+    }
+
+    /// Chooses the target for an item of a batch: one whose version fits, with a free place, of
+    /// those dealt to the model before others, and the least loaded of them.
+    ///
+    /// Load pattern: a step of some sixty items at once. Items beyond the places wait at this host,
+    /// where their order can still change, and not in a target's queue.
+    pub fn place(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        min_version: u64,
+        dealt: &HashMap<TargetName, ModelName>,
+        now: Millis,
+    ) -> Option<&Target> {
+        let usable = self.usable(service).into_iter().filter(|target| {
+            let version = target.entry.models.get(model).copied().unwrap_or_default();
+            version >= min_version
+                && target.paused_until <= now
+                && target.running < target.entry.slots
+        });
+        usable.min_by_key(|target| {
+            let own = dealt.get(&target.entry.name) == Some(model);
+            let load = target.running * 100 / target.entry.slots.max(1);
+            (!own, load)
+        })
+    }
+
+    /// Returns how many places of a service's targets this host doesn't use.
+    pub fn free_places(&self, service: &ServiceName) -> u32 {
+        let places = |target: &Target| target.entry.slots.saturating_sub(target.running);
+        self.usable(service).into_iter().map(places).sum()
+    }
+
+    /// Deals a service's targets to its models, each to one, as evenly as possible and so that a
+    /// change of the targets moves few of the others.
+    pub fn deal(&self, service: &ServiceName, models: &[ModelName]) -> HashMap<TargetName, ModelName> {
+        let mut pairs: Vec<(u64, &TargetName, &ModelName)> = Vec::new();
+        let usable = self.usable(service);
+        for target in &usable {
+            for model in models {
+                let name = &target.entry.name;
+                let key = format!("{name}/{model}");
+                pairs.push((rapidhash_v3(key.as_bytes()), name, model));
+            }
+        }
+        pairs.sort_unstable();
+        let share = usable.len() / models.len().max(1);
+        let mut spare = usable.len() % models.len().max(1);
+        let mut held: HashMap<&ModelName, usize> = HashMap::new();
+        let mut dealt: HashMap<TargetName, ModelName> = HashMap::new();
+        let mut full: HashSet<&ModelName> = HashSet::new();
+        for (_, target, model) in pairs {
+            if dealt.contains_key(target) || full.contains(model) {
+                continue;
+            }
+            let count = held.entry(model).or_default();
+            if *count == share {
+                // One of the targets that don't divide evenly.
+                if spare == 0 {
+                    full.insert(model);
+                    continue;
+                }
+                spare -= 1;
+                full.insert(model);
+            }
+            *count += 1;
+            dealt.insert(target.clone(), model.clone());
+        }
+        dealt
+    }
+}
--- /dev/null
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -0,0 +1,11 @@
+//! What lives for a version: configuration, targets, mirrors of the store's keyed partitions.
+
+mod configuration;
+mod fleet;
+mod mirror;
+
+pub use configuration::{
+    AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
+};
+pub use fleet::{Fleet, Outcome, Target, TargetEntry};
+pub use mirror::{Fetched, Mirror, MirrorChange};
