News of the store are read in time even if an answer is lost; stand-ins for the platform

Ruled out: a configuration that went back (no host logged one), a stuck thread (the next read found it). Partitions' tails wait 1 s in place of 10 s.

--- /dev/null
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -0,0 +1,406 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+
+use godwitspool_host::http::{Bounds, Caller, Request, Response, Server};
+use serde_json::{Value, json};
+
+/// Keys of one page, as in the protocol.
+const PAGE_KEYS: usize = 500;
+/// Answers that are kept for repeated appends, as in the protocol.
+const REPEATS: usize = 5;
+/// How long a silenced call is held before its connection is closed.
+const SILENCE: Duration = Duration::from_secs(20);
+
+/// What the store does to a call.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses with 503.
+    Busy,
+    /// It carries the call out and doesn't answer.
+    Lose,
+    /// It neither carries the call out nor answers.
+    Silent,
+    /// It closes the connection at once.
+    Reset,
+}
+
+/// A store as the platform's protocol describes it, in memory.
+#[derive(Debug)]
+pub struct PlatformStore {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+type Decide = Box<dyn Fn(&Request) -> StoreFault + Send>;
+
+#[derive(Default)]
+struct State {
+    topics: HashMap<(String, u32), Partition>,
+    group: Group,
+    fault: Option<Decide>,
+    calls: HashMap<String, usize>,
+}
+
+impl std::fmt::Debug for State {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("State").field("calls", &self.calls).finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Partition {
+    records: Vec<Vec<u8>>,
+    first: u64,
+    newest: BTreeMap<String, (u64, Vec<u8>)>,
+    epoch: u64,
+    last_seq: Option<u64>,
+    repeats: Vec<(u64, Value)>,
+}
+
+#[derive(Debug, Default)]
+struct Group {
+    generation: u64,
+    members: BTreeMap<String, (Instant, Duration)>,
+    topics: Vec<String>,
+    owners: BTreeMap<(String, u32), String>,
+}
+
+impl PlatformStore {
+    /// Starts a store with so many partitions a topic.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn start(parts: u32) -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let own = Arc::clone(&shared);
+        let handle = move |caller: &mut Caller, request: Request| own.serve(caller, &request, parts);
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(address, Bounds::default, handle)?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Chooses the fault of each call from now on.
+    pub fn set_fault(&self, decide: impl Fn(&Request) -> StoreFault + Send + 'static) {
+        self.shared.lock().fault = Some(Box::new(decide));
+    }
+
+    /// Ends the faults.
+    pub fn heal(&self) {
+        self.shared.lock().fault = None;
+    }
+
+    /// Writes a keyed record, as the operators or a target do; without a value the key goes.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
+        let value = value.map(|value| value.to_string().into_bytes()).unwrap_or_default();
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(&value);
+        let mut state = self.shared.lock();
+        let partition = state.topics.entry((topic.to_owned(), 0)).or_default();
+        partition.append(true, record);
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
+    /// Forgets the history of a topic; the newest record of each key stays.
+    pub fn compact(&self, topic: &str) {
+        let mut state = self.shared.lock();
+        let partitions = state.topics.iter_mut().filter(|((name, _), _)| name == topic);
+        for (_, partition) in partitions {
+            partition.first += partition.records.len() as u64;
+            partition.records.clear();
+        }
+    }
+
+    /// Deals all partitions anew.
+    pub fn rebalance(&self, parts: u32) {
+        let mut state = self.shared.lock();
+        state.group.owners.clear();
+        state.group.deal(parts);
+    }
+
+    /// Returns the newest records of a topic, by partition and key.
+    pub fn newest(&self, topic: &str) -> Vec<(u32, String, Vec<u8>)> {
+        let state = self.shared.lock();
+        let partitions = state.topics.iter().filter(|((name, _), _)| name == topic);
+        let records = partitions.flat_map(|((_, part), partition)| {
+            let newest = partition.newest.iter();
+            newest.map(|(key, (_, value))| (*part, key.clone(), value.clone()))
+        });
+        let mut records: Vec<_> = records.collect();
+        records.sort();
+        records
+    }
+
+    /// Returns how many calls of a path were made.
+    pub fn calls(&self, path: &str) -> usize {
+        self.shared.lock().calls.get(path).copied().unwrap_or_default()
+    }
+}
+
+impl Drop for PlatformStore {
+    fn drop(&mut self) {
+        self.server.stop();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, caller: &mut Caller, request: &Request, parts: u32) -> io::Result<()> {
+        let closed = || Err(io::ErrorKind::ConnectionAborted.into());
+        let mut state = self.lock();
+        *state.calls.entry(request.path().to_owned()).or_default() += 1;
+        let fault = state.fault.as_ref().map(|decide| decide(request)).unwrap_or_default();
+        drop(state);
+        match fault {
+            StoreFault::Busy => return caller.respond(&Response::new(503, Vec::new())),
+            StoreFault::Reset => return closed(),
+            StoreFault::Silent => {
+                thread::sleep(SILENCE);
+                return closed();
+            }
+            StoreFault::None | StoreFault::Lose => {}
+        }
+        let answer = self.answer(request, parts);
+        if fault == StoreFault::Lose {
+            thread::sleep(SILENCE);
+            return closed();
+        }
+        caller.respond(&answer)
+    }
+
+    fn answer(&self, request: &Request, parts: u32) -> Response {
+        match request.path() {
+            "/api/log-append" => self.append(request),
+            "/api/log-read" => self.read(request),
+            "/api/log-newest" => self.page(request),
+            "/api/log-join" => self.join(request, parts),
+            "/api/log-leave" => {
+                let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+                let member = body["member"].as_str().unwrap_or_default();
+                let mut state = self.lock();
+                state.group.members.remove(member);
+                state.group.deal(parts);
+                Response::new(200, "{}")
+            }
+            "/api/log-owners" => {
+                let state = self.lock();
+                let owners = state.group.owners.iter();
+                let rows = owners.map(|((topic, part), member)| json!([topic, part, member, 0]));
+                json_answer(200, &json!({ "parts": rows.collect::<Vec<_>>() }))
+            }
+            _ => Response::new(404, Vec::new()),
+        }
+    }
+
+    fn append(&self, request: &Request) -> Response {
+        let (topic, part) = place(request);
+        if matches!(topic.as_str(), "keyed.op" | "keyed.servers") {
+            return Response::new(403, Vec::new());
+        }
+        let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+        let mut state = self.lock();
+        let keyed = topic.starts_with("keyed.");
+        let partition = state.topics.entry((topic, part)).or_default();
+        if let (Some(epoch), Some(seq)) = (number("epoch"), number("seq")) {
+            if epoch < partition.epoch {
+                return json_answer(409, &json!({ "why": "fenced" }));
+            }
+            if epoch > partition.epoch {
+                partition.epoch = epoch;
+                partition.last_seq = None;
+                partition.repeats.clear();
+            }
+            if !request.body.is_empty() {
+                if let Some((_, answer)) = partition.repeats.iter().find(|(old, _)| *old == seq) {
+                    return json_answer(200, answer);
+                }
+                let expected = partition.last_seq.map(|last| last + 1);
+                if expected.is_some_and(|expected| expected != seq) {
+                    return json_answer(409, &json!({ "why": "seq", "seq": expected }));
+                }
+                partition.last_seq = Some(seq);
+            }
+        }
+        if number("at").is_some_and(|at| at != partition.end()) {
+            return json_answer(412, &json!({ "end_offset": partition.end() }));
+        }
+        let offset = partition.end();
+        let mut rest = &request.body[..];
+        while let Some((length, behind)) = rest.split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            let Some((record, behind)) = behind.split_at_checked(length) else {
+                return Response::new(400, Vec::new());
+            };
+            partition.append(keyed, record.to_vec());
+            rest = behind;
+        }
+        let answer = json!({ "offset": offset, "end_offset": partition.end() });
+        if let Some(seq) = number("seq").filter(|_| !request.body.is_empty()) {
+            partition.repeats.push((seq, answer.clone()));
+            let surplus = partition.repeats.len().saturating_sub(REPEATS);
+            partition.repeats.drain(..surplus);
+        }
+        drop(state);
+        self.changed.notify_all();
+        json_answer(200, &answer)
+    }
+
+    fn read(&self, request: &Request) -> Response {
+        let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+        let from = number("start_from").unwrap_or_default();
+        let due = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or_default());
+        let mut state = self.lock();
+        loop {
+            let partition = state.topics.entry(place(request)).or_default();
+            if from < partition.first {
+                return json_answer(410, &json!({ "first_offset": partition.first }));
+            }
+            let left = due.saturating_duration_since(Instant::now());
+            if partition.end() > from || left.is_zero() {
+                let mut bytes = partition.end().to_be_bytes().to_vec();
+                bytes.extend_from_slice(&partition.first.to_be_bytes());
+                let skipped = (from - partition.first) as usize;
+                for record in partition.records.iter().skip(skipped) {
+                    bytes.extend_from_slice(&(record.len() as u32).to_be_bytes());
+                    bytes.extend_from_slice(record);
+                }
+                return Response::new(200, bytes);
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn page(&self, request: &Request) -> Response {
+        use base64::{Engine as _, prelude::BASE64_STANDARD};
+
+        let after = request.parameter("after").unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        let partition = state.topics.entry(place(request)).or_default();
+        let newest = partition.newest.iter().filter(|(key, _)| **key > after);
+        let mut items: Vec<Value> = newest
+            .take(PAGE_KEYS + 1)
+            .map(|(key, (offset, value))| {
+                json!({ "key": key, "offset": offset, "value": BASE64_STANDARD.encode(value) })
+            })
+            .collect();
+        let more = items.len() > PAGE_KEYS;
+        items.truncate(PAGE_KEYS);
+        let end = partition.end();
+        json_answer(200, &json!({ "items": items, "has_more": more, "end_offset": end }))
+    }
+
+    fn join(&self, request: &Request, parts: u32) -> Response {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let member = body["member"].as_str().unwrap_or_default().to_owned();
+        let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(3_000));
+        let topics = body["topics"].as_array().into_iter().flatten();
+        let topics: Vec<String> = topics.filter_map(|name| name.as_str().map(str::to_owned)).collect();
+        let mut state = self.lock();
+        let group = &mut state.group;
+        group.topics = topics;
+        let now = Instant::now();
+        let known = group.members.insert(member.clone(), (now, ttl)).is_some();
+        let members = group.members.len();
+        group.members.retain(|_, (seen, ttl)| now.duration_since(*seen) < *ttl);
+        if !known || group.members.len() != members {
+            group.deal(parts);
+        }
+        let owned = group.owners.iter().filter(|(_, owner)| **owner == member);
+        let rows: Vec<Value> = owned.map(|((topic, part), _)| json!([topic, part, 0])).collect();
+        let ttl_ms = ttl.as_millis() as u64;
+        let answer = json!({ "generation": group.generation, "ttl_ms": ttl_ms, "parts": rows });
+        json_answer(200, &answer)
+    }
+}
+
+impl Partition {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, keyed: bool, record: Vec<u8>) {
+        let offset = self.end();
+        if let Some((length, rest)) = record.split_first().filter(|_| keyed)
+            && let Some((key, value)) = rest.split_at_checked(usize::from(*length))
+        {
+            let key = String::from_utf8_lossy(key).into_owned();
+            if value.is_empty() {
+                self.newest.remove(&key);
+            } else {
+                self.newest.insert(key, (offset, value.to_vec()));
+            }
+        }
+        self.records.push(record);
+    }
+}
+
+impl Group {
+    /// Deals the partitions evenly; those whose holder is still a member and has no more than its
+    /// share stay.
+    fn deal(&mut self, parts: u32) {
+        self.generation += 1;
+        let all = self.topics.iter().flat_map(|topic| (0..parts).map(move |part| (topic, part)));
+        let all: Vec<(String, u32)> = all.map(|(topic, part)| (topic.clone(), part)).collect();
+        let members: Vec<&String> = self.members.keys().collect();
+        let most = all.len().div_ceil(members.len().max(1));
+        let mut held: HashMap<&String, usize> = HashMap::new();
+        let mut owners = BTreeMap::new();
+        let mut open = Vec::new();
+        for place in all {
+            let holder = self.owners.get(&place).and_then(|old| {
+                members.iter().copied().find(|member| *member == old)
+            });
+            match holder {
+                Some(member) if held.get(member).copied().unwrap_or_default() < most => {
+                    *held.entry(member).or_default() += 1;
+                    owners.insert(place, member.clone());
+                }
+                _ => open.push(place),
+            }
+        }
+        for place in open {
+            let least = members.iter().min_by_key(|member| held.get(*member).copied());
+            if let Some(member) = least {
+                *held.entry(member).or_default() += 1;
+                owners.insert(place, (*member).clone());
+            }
+        }
+        self.owners = owners;
+    }
+}
+
+fn place(request: &Request) -> (String, u32) {
+    let topic = request.parameter("topic").unwrap_or_default().to_owned();
+    let part = request.parameter("part").and_then(|text| text.parse().ok());
+    (topic, part.unwrap_or_default())
+}
+
+fn json_answer(status: u16, body: &Value) -> Response {
+    Response::new(status, body.to_string()).with("Content-Type", "application/json")
+}
--- /dev/null
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -0,0 +1,246 @@
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use godwitspool_host::http::{Bounds, Caller, Request, Response, Server};
+use serde_json::{Value, json};
+
+/// How long a hanging target holds a request.
+const HANG: Duration = Duration::from_secs(20);
+
+/// What a target does to a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TargetFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses with 503 and says that the request has not run.
+    Refuse,
+    /// It runs the request and fails it with this status.
+    Fail(u16),
+    /// It breaks off behind so many events.
+    CutAfter(u64),
+    /// It runs the request and never answers.
+    Hang,
+    /// It answers after so many milliseconds.
+    Slow(u64),
+    /// It answers under another request's identifier.
+    WrongId,
+    /// It sends a second answer behind the first.
+    Extra,
+    /// It answers under this version of the model.
+    Version(u64),
+}
+
+/// What a target runs.
+#[derive(Clone, Debug)]
+pub struct TargetOptions {
+    /// Name in its entry.
+    pub name: String,
+    /// Service in its entry.
+    pub service: String,
+    /// Places in its entry.
+    pub slots: u32,
+    /// Events of a stream; without any it answers with a body.
+    pub events: u64,
+    /// Time between events.
+    pub gap: Duration,
+    /// Versions of its models.
+    pub models: Vec<(String, u64)>,
+}
+
+impl Default for TargetOptions {
+    fn default() -> Self {
+        Self {
+            name: "t-1".to_owned(),
+            service: "service".to_owned(),
+            slots: 8,
+            events: 0,
+            gap: Duration::from_millis(2),
+            models: Vec::new(),
+        }
+    }
+}
+
+/// A worker of the platform's protocol.
+#[derive(Debug)]
+pub struct PlatformTarget {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+type Decide = Box<dyn Fn(&Request) -> TargetFault + Send>;
+
+struct Shared {
+    options: TargetOptions,
+    fault: Mutex<Option<Decide>>,
+    seen: Mutex<Vec<Request>>,
+    orders: Mutex<Vec<Value>>,
+    models: Mutex<HashMap<String, u64>>,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Shared").field("options", &self.options).finish_non_exhaustive()
+    }
+}
+
+impl PlatformTarget {
+    /// Starts a target.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn start(options: TargetOptions) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            fault: Mutex::default(),
+            models: Mutex::new(options.models.iter().cloned().collect()),
+            options,
+            orders: Mutex::default(),
+            seen: Mutex::default(),
+        });
+        let own = Arc::clone(&shared);
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handle = move |caller: &mut Caller, request: Request| own.serve(caller, request);
+        let server = Server::start(address, Bounds::default, handle)?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns its entry for the store.
+    pub fn entry(&self, state: &str) -> Value {
+        let models = lock(&self.shared.models);
+        let models = models.iter().map(|(name, version)| json!({ "name": name, "version": version }));
+        let options = &self.shared.options;
+        json!({
+            "service": options.service, "address": self.server.address().to_string(),
+            "zone": "north", "version": "v1", "slots": options.slots, "state": state,
+            "cold_left_ms": 0, "models": models.collect::<Vec<_>>(), "seq": 1, "born": 1,
+        })
+    }
+
+    /// Returns its name.
+    pub fn name(&self) -> &str {
+        &self.shared.options.name
+    }
+
+    /// Chooses the fault of each request from now on.
+    pub fn set_fault(&self, decide: impl Fn(&Request) -> TargetFault + Send + 'static) {
+        *lock(&self.shared.fault) = Some(Box::new(decide));
+    }
+
+    /// Returns the requests that it ran.
+    pub fn seen(&self) -> Vec<Request> {
+        lock(&self.shared.seen).clone()
+    }
+
+    /// Returns the orders that it got.
+    pub fn orders(&self) -> Vec<Value> {
+        lock(&self.shared.orders).clone()
+    }
+}
+
+impl Drop for PlatformTarget {
+    fn drop(&mut self) {
+        self.server.stop();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    fn serve(&self, caller: &mut Caller, request: Request) -> io::Result<()> {
+        let id = request.headers.get("Request-Id").unwrap_or_default().to_owned();
+        if request.path() == "/api/order" {
+            return self.order(caller, &request);
+        }
+        let wanted = request.headers.get("Expect-Instance");
+        if wanted.is_some_and(|wanted| wanted != self.options.name) {
+            let answer = Response::new(421, Vec::new()).with("Request-Id", &id);
+            return caller.respond(&answer.with("Instance-Id", &self.options.name));
+        }
+        let fault = lock(&self.fault).as_ref().map(|decide| decide(&request)).unwrap_or_default();
+        if fault == TargetFault::Refuse {
+            let answer = Response::new(503, Vec::new()).with("Request-Id", &id);
+            return caller.respond(&answer.with("Not-Run", "1"));
+        }
+        lock(&self.seen).push(request.clone());
+        let id = if fault == TargetFault::WrongId { "another".to_owned() } else { id };
+        match fault {
+            TargetFault::Hang => {
+                thread::sleep(HANG);
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            TargetFault::Slow(ms) => thread::sleep(Duration::from_millis(ms)),
+            TargetFault::Fail(status) => {
+                let answer = Response::new(status, "failed").with("Request-Id", &id);
+                return caller.respond(&answer.with("Server-Stamp", "stamp"));
+            }
+            _ => {}
+        }
+        if self.options.events > 0 {
+            return self.stream(caller, &request, &id, fault);
+        }
+        let body = format!("{}:{}", self.options.name, String::from_utf8_lossy(&request.body));
+        let answer = Response::new(200, body).with("Request-Id", &id);
+        let answer = answer.with("Server-Stamp", "stamp");
+        caller.respond(&answer)?;
+        if fault == TargetFault::Extra {
+            caller.respond(&answer)?;
+        }
+        Ok(())
+    }
+
+    fn stream(
+        &self,
+        caller: &mut Caller,
+        request: &Request,
+        id: &str,
+        fault: TargetFault,
+    ) -> io::Result<()> {
+        let model = request.headers.get("Model").unwrap_or_default();
+        let version = match fault {
+            TargetFault::Version(version) => version,
+            _ => lock(&self.models).get(model).copied().unwrap_or(1),
+        };
+        let head = Response::new(200, Vec::new())
+            .with("Content-Type", "text/event-stream")
+            .with("Request-Id", id)
+            .with("Server-Stamp", "stamp")
+            .with("Weight-Versions", version);
+        caller.begin(&head)?;
+        let last = request.headers.get("Last-Event-Id").and_then(|text| text.parse::<u64>().ok());
+        for number in last.map_or(1, |last| last + 1)..=self.options.events {
+            if fault == TargetFault::CutAfter(number - 1) {
+                caller.close = true;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            caller.chunk(format!("id: {number}\ndata: e{number}\n\n").as_bytes())?;
+            thread::sleep(self.options.gap);
+        }
+        caller.end()
+    }
+
+    fn order(&self, caller: &mut Caller, request: &Request) -> io::Result<()> {
+        let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let fence = |order: &Value| order["fence_token"].as_u64().unwrap_or_default();
+        let mut orders = lock(&self.orders);
+        let highest = orders.iter().map(fence).max().unwrap_or_default();
+        if fence(&order) < highest {
+            return caller.respond(&Response::new(412, Vec::new()));
+        }
+        let model = order["model"].as_str().unwrap_or_default().to_owned();
+        let version = order["version"].as_u64().unwrap_or_default();
+        orders.push(order);
+        drop(orders);
+        let old = lock(&self.models).insert(model, version);
+        let status = if old == Some(version) { 200 } else { 202 };
+        caller.respond(&Response::new(status, Vec::new()))
+    }
+}
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -16,8 +16,8 @@
     store::{Store, StoreError, Stored, Topic, Writer, read_all},
 };
 
-/// Longest wait for a new batch in one read.
-const READ_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait for a new batch in one read: an answer that is lost delays a batch by so much.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Results that end within this time share an append; small beside the seconds in which a step's
 /// results are due, and it bounds the writes of a partition to 25 a second.
 const GROUP_DELAY: Duration = Duration::from_millis(40);
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -11,4 +11,5 @@
 
 pub use host::Host;
 pub use shared::{Edges, Shared, unix_ms};
+pub use tails::news_wait;
 pub use usage::UsageBook;
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -13,13 +13,14 @@
 use crate::{
     dialect::OperatorRecord,
     http::Request,
-    store::{Stored, Topic},
+    store::{READ_SLACK, Stored, Topic},
     version::{Mirror, MirrorChange},
 };
 
-/// Longest wait in one read. A store that turns this host away without an answer is noticed after
-/// it, within the bound on the age of the configuration.
-const READ_WAIT: Duration = Duration::from_millis(2_000);
+/// Least wait in one read, whatever the bound on the age of the configuration.
+const READ_WAIT_LEAST: Duration = Duration::from_millis(200);
+/// Part of the bound on the age of the configuration that is kept for applying it.
+const APPLY_SHARE: f64 = 0.15;
 /// Pause between reads of the targets' entries, which change several times a second: bounds the
 /// calls, and stays well below the time after which a leaving target must not be used.
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
@@ -30,14 +31,31 @@
 /// Entries that vanish within this time after a failed read may have lapsed.
 const AWAY_MEMORY: Millis = Millis(4_000);
 
+/// Returns how long one read waits for news, so that a configuration is in force in time even if
+/// the answer that carried it was lost and the read is repeated after its bound.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use godwitspool_host::{process::news_wait, store::READ_SLACK};
+///
+/// let apply = Duration::from_secs(2);
+/// assert!(news_wait(apply) + READ_SLACK < apply);
+/// ```
+pub fn news_wait(apply: Duration) -> Duration {
+    let spent = READ_SLACK + RETRY_PAUSE + apply.mul_f64(APPLY_SHARE);
+    apply.saturating_sub(spent).max(READ_WAIT_LEAST)
+}
+
 /// Follows the operators' records and the targets' entries, from the store or else from a peer.
 pub fn follow(shared: &Arc<Shared>, topic: Topic) {
     let mut failed: Option<Millis> = None;
     let mut away = false;
     let mut turn = 0;
+    let wait = news_wait(shared.settings.apply);
     loop {
         let next = mirrors(shared)[index(topic)].next();
-        let fetched = Mirror::fetch(shared.store.as_ref(), topic, next, READ_WAIT);
+        let fetched = Mirror::fetch(shared.store.as_ref(), topic, next, wait);
         let now = shared.clock.now();
         match fetched {
             Ok(fetched) => {
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -23,6 +23,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
+    /// How long after its acknowledgement a configuration must be in force.
+    pub apply: Duration,
     /// A duty's former holder acts again no sooner than this after its last act.
     pub lease: Duration,
     /// Whether targets and the platform refuse fencing tokens lower than one already seen.
--- a/crates/godwitspool-host/src/store.rs
+++ b/crates/godwitspool-host/src/store.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+/// How long after the time that a read waits its answer is given up.
+pub const READ_SLACK: Duration = Duration::from_millis(700);
+
 /// What a partition of the store holds.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Topic {
