Runs move away from silent, queued and slow targets

Cause: an item on a slow target took up to 12.4 s and its group, then its step, and every later step of the trainer came late; a silent target was borne for 3 s. Ruled out: prompts that are read again (400 tokens a millisecond: some ms a move). Change: decide_move (pure) compares a run's pace and silence with the service's usual pace; the item goes on behind its last event at a target with a free place; place() puts slow targets last.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -7,6 +7,7 @@
 mod book;
 mod order;
 mod owner;
+mod pace;
 mod record;
 mod runner;
 mod state;
@@ -14,6 +15,7 @@
 pub use book::{Book, Lookup, Part, page};
 pub use order::{order_items, predicted_tokens};
 pub use owner::{Owner, read_stored};
+pub use pace::{Move, Pace, RunView, decide_move, usual_pace};
 pub use record::{BatchRecord, partition_of};
 pub use runner::Runner;
 pub use state::{Batch, Finished, Item, ItemState, Progress, RunFailure, Verdict};
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -1,8 +1,8 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use godwitspool_types::{Millis, ModelName, TargetName};
+use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
-use super::{Batch, RunFailure, Submission, Verdict};
+use super::{Batch, Move, Pace, RunFailure, RunView, Submission, Verdict, decide_move};
 use crate::{
     dialect::Passing,
     http::{CallError, Connection, Exchange, Progress, wait},
@@ -27,6 +27,8 @@
 pub struct Runner {
     shared: Arc<Shared>,
     runs: Vec<Run>,
+    /// When stalled and slow runs were looked for last.
+    looked: Millis,
 }
 
 /// An item that runs at a target.
@@ -45,6 +47,8 @@
     began: Millis,
     heard: Millis,
     head_read: bool,
+    pace: Pace,
+    service: ServiceName,
 }
 
 /// How a run stands after its socket was served.
@@ -63,6 +67,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
+            looked: Millis::ZERO,
             runs: Vec::new(),
         }
     }
@@ -141,7 +146,7 @@
     fn start(
         &self,
         configuration: &Configuration,
-        service: &godwitspool_types::ServiceName,
+        service: &ServiceName,
         batch: &mut Batch,
         index: usize,
         now: Millis,
@@ -157,7 +162,7 @@
         let model = submission.model.clone();
         let mut fleet = shared.fleet();
         let dealt = fleet.deal(service, models.unwrap_or_default());
-        let target = fleet.place(service, &model, submission.min_version, &dealt, now)?;
+        let target = fleet.place(service, &model, submission.min_version, &dealt, None, now)?;
         let (name, address) = (target.entry.name.clone(), target.entry.address);
         let passing = Passing {
             target: &name,
@@ -195,6 +200,8 @@
             began: now,
             heard: now,
             head_read: false,
+            pace: Pace::default(),
+            service: service.clone(),
             submission,
         })
     }
@@ -205,6 +212,10 @@
         let now = self.shared.clock.now();
         let shared = Arc::clone(&self.shared);
         let mut parts = shared.book.lock();
+        let look = now - self.looked >= LOOK;
+        if look {
+            self.looked = now;
+        }
         let mut going = Vec::with_capacity(self.runs.len());
         for mut run in std::mem::take(&mut self.runs) {
             let part = parts.get_mut(&run.part).filter(|part| part.epoch == run.epoch);
@@ -213,7 +224,7 @@
                 shared.fleet().finish(&run.target, Outcome::Dropped, now);
                 continue;
             };
-            let end = match run.step(&shared, batch, now) {
+            let end = match run.step(&shared, batch, look, now) {
                 Step::Goes => {
                     going.push(run);
                     continue;
@@ -232,7 +243,7 @@
 }
 
 impl Run {
-    fn step(&mut self, shared: &Shared, batch: &mut Batch, now: Millis) -> Step {
+    fn step(&mut self, shared: &Shared, batch: &mut Batch, look: bool, now: Millis) -> Step {
         let progress = self.exchange.advance();
         let failed = |failure, outcome| Step::Ended(RunEnd::Failed(failure, outcome));
         if !self.head_read
@@ -257,15 +268,24 @@
         if status == Some(200) {
             let bytes = self.exchange.take_body();
             if !bytes.is_empty() {
-                self.heard = now;
                 self.buffer.extend_from_slice(&bytes);
-                if let Err(failure) = self.read_events(shared, batch) {
-                    return failed(failure, Outcome::Failed);
+                match self.read_events(shared, batch) {
+                    Ok(events) => {
+                        let since_last = now - self.heard;
+                        if self.pace.events > 0 && events > 0 {
+                            let between_ms = since_last.0 as f64 / f64::from(events);
+                            shared.fleet().pace(&self.target, between_ms, now);
+                        }
+                        self.pace.push(events, since_last);
+                    }
+                    Err(failure) => return failed(failure, Outcome::Failed),
                 }
+                self.heard = now;
             }
         }
         match progress {
-            Ok(Progress::Pending) => self.check_stall(now),
+            Ok(Progress::Pending) if !look => Step::Goes,
+            Ok(Progress::Pending) => self.check_stall(shared, batch, now),
             Ok(Progress::Done) => self.done(shared, batch, now),
             Err(error) => {
                 let spec = &self.submission.items[self.item];
@@ -279,8 +299,21 @@
         }
     }
 
-    fn check_stall(&self, now: Millis) -> Step {
+    fn check_stall(&self, shared: &Shared, batch: &Batch, now: Millis) -> Step {
         let silent = now - self.heard;
+        if let Some(reason) = self.check_move(shared, batch, now) {
+            let spec = &self.submission.items[self.item];
+            log::info!(
+                item:% = spec.id, target_name:% = self.target, reason:?, silent_ms = silent.0,
+                between_ms = self.pace.between_ms, events = self.pace.events;
+                "run moves"
+            );
+            let outcome = match reason {
+                Move::Slow => Outcome::Dropped,
+                Move::Queued | Move::Silent => Outcome::Stalled,
+            };
+            return Step::Ended(RunEnd::Failed(RunFailure::Moved, outcome));
+        }
         let bound = match (self.head_read, self.exchange.was_sent()) {
             (true, _) => EVENT_STALL,
             (false, true) => HEAD_STALL,
@@ -294,10 +327,31 @@
         Step::Ended(RunEnd::Failed(RunFailure::Broken, Outcome::Failed))
     }
 
-    /// Takes over the events that are whole.
-    fn read_events(&mut self, shared: &Shared, batch: &mut Batch) -> Result<(), RunFailure> {
+    /// Returns why the run goes on elsewhere, if it is worth it and there is room.
+    fn check_move(&self, shared: &Shared, batch: &Batch, now: Millis) -> Option<Move> {
+        let fleet = shared.fleet();
+        let view = RunView {
+            begun: self.head_read,
+            silent: now - self.heard,
+            pace: self.pace,
+            usual_ms: fleet.usual_pace(&self.service, now),
+            moves: batch.items[self.item].moves,
+        };
+        let reason = decide_move(&view)?;
+        let min_version = self.submission.min_version;
+        let dealt = std::collections::HashMap::new();
+        let besides = Some(&self.target);
+        let other = fleet.place(&self.service, &self.model, min_version, &dealt, besides, now)?;
+        let known = other.pace.zip(view.usual_ms);
+        let faster = known.is_none_or(|((pace, _), usual)| pace < usual * 1.5);
+        (faster && !self.submission.single_version).then_some(reason)
+    }
+
+    /// Takes over the events that are whole; returns how many.
+    fn read_events(&mut self, shared: &Shared, batch: &mut Batch) -> Result<u32, RunFailure> {
         let spec = &self.submission.items[self.item];
         let progress = &mut batch.items[self.item].progress;
+        let mut events = 0;
         while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
             let lines: Vec<u8> = self.buffer.drain(..end + 2).collect();
             let event = shared.dialect.event(&lines[..end]);
@@ -321,8 +375,9 @@
                 return Err(RunFailure::Unusable);
             }
             progress.push(number, &event.data);
+            events += 1;
         }
-        Ok(())
+        Ok(events)
     }
 
     fn done(&mut self, shared: &Shared, batch: &mut Batch, now: Millis) -> Step {
@@ -361,10 +416,12 @@
         match end {
             RunEnd::Completed => {
                 shared.fleet().finish(&self.target, Outcome::Answered(took_ms as f64), now);
+                let (events, moves) = (self.pace.events, batch.items[self.item].moves);
                 let finished = batch.finish(self.item, true);
                 log::info!(
                     batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
-                    took_ms, versions:? = finished.result.versions;
+                    took_ms, events, moves, between_ms = self.pace.between_ms,
+                    versions:? = finished.result.versions;
                     "item completed"
                 );
                 Some(finished)
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -70,6 +70,8 @@
     pub failures: u32,
     /// Runs that the target rejected for good.
     pub rejections: u32,
+    /// Runs that were moved to another target.
+    pub moves: u32,
     /// What was generated so far.
     pub progress: Progress,
 }
@@ -83,6 +85,8 @@
     Failed,
     /// The target rejected the request for good.
     Rejected,
+    /// It goes on at another target; what has arrived stays.
+    Moved,
     /// The target didn't run it.
     NotRun,
     /// The output can't be used, so the next run starts from the beginning.
@@ -130,6 +134,7 @@
             },
             failures: 0,
             rejections: 0,
+            moves: 0,
             progress: Progress::default(),
         };
         let mut items = vec![waiting; submission.items.len()];
@@ -178,6 +183,7 @@
             RunFailure::Failed => item.failures += 1,
             RunFailure::Rejected => item.rejections += 1,
             RunFailure::Unusable => item.progress = Progress::default(),
+            RunFailure::Moved => item.moves += 1,
             RunFailure::Broken | RunFailure::NotRun => {}
         }
         if item.failures >= attempts || item.rejections >= REJECTIONS_MAX {
@@ -185,7 +191,7 @@
             return Verdict::GiveUp;
         }
         let pause = match failure {
-            RunFailure::NotRun => Millis::ZERO,
+            RunFailure::Moved | RunFailure::NotRun => Millis::ZERO,
             _ => RETRY_PAUSE,
         };
         item.state = ItemState::Waiting {
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -6,16 +6,27 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
+use crate::batch::usual_pace;
+
 /// First pause of a target that failed; doubles with each further failure.
 const PAUSE_FIRST: Millis = Millis(250);
 /// Longest pause of a target that failed: about the time in which a crashed one is back.
 const PAUSE_MAX: Millis = Millis(2_000);
 /// Pause of a target that said that it has no room or is loading weights. Loads take about a second.
 const PAUSE_REFUSED: Millis = Millis(150);
+/// Pause of a target that fell silent, at least the rest of a load of weights.
+const PAUSE_STALLED: Millis = Millis(400);
 /// Weight of the newest answer in a target's smoothed time, as in TCP's round-trip estimate.
 const SMOOTHING: f64 = 0.125;
 /// Assumed time of a target that has answered nothing yet, in milliseconds.
 const TIME_UNKNOWN: f64 = 20.0;
+/// A target's pace is forgotten after this time without news, so that one that was slow is tried
+/// again.
+const PACE_AGE: Millis = Millis(3_000);
+/// A target this much slower than usual gets no items while others can take them.
+const SLOW_FACTOR: f64 = 1.6;
+/// Weight of the newest time between events in a target's pace.
+const PACE_SMOOTHING: f64 = 0.2;
 /// A removed target is kept for this long if the store was away just before: entries that lapsed
 /// meanwhile are back within two seconds.
 const LAPSE_GRACE: Millis = Millis(2_000);
@@ -52,6 +63,8 @@
     Failed,
     /// It refused: no room, or loading.
     Refused,
+    /// It fell silent and the request went on elsewhere.
+    Stalled,
 }
 
 /// A target, with what this host has seen of it.
@@ -67,6 +80,8 @@
     pub paused_until: Millis,
     /// Smoothed time of its answers in milliseconds.
     pub time_ms: f64,
+    /// Smoothed time between a stream's events in milliseconds, and when it was learnt.
+    pub pace: Option<(f64, Millis)>,
     /// Removed at this time, while its entry may still come back.
     pub lapsed: Option<Millis>,
 }
@@ -98,6 +113,7 @@
                     failures: 0,
                     paused_until: Millis::default(),
                     time_ms: TIME_UNKNOWN,
+                    pace: None,
                     lapsed: None,
                     entry,
                 };
@@ -168,6 +184,7 @@
                 target.time_ms += SMOOTHING * (ms - target.time_ms);
             }
             Outcome::Dropped => {}
+            Outcome::Stalled => target.paused_until = now + PAUSE_STALLED,
             Outcome::Failed => {
                 let pause = PAUSE_FIRST.0 << target.failures.min(3);
                 target.failures += 1;
@@ -207,6 +224,24 @@
         })
     }
 
+    /// Takes over the time between two events of a stream.
+    pub fn pace(&mut self, name: &TargetName, between_ms: f64, now: Millis) {
+        if let Some(target) = self.targets.get_mut(name) {
+            let known = target.pace.filter(|(_, at)| now - *at < PACE_AGE);
+            let pace = known.map_or(between_ms, |(pace, _)| {
+                pace + PACE_SMOOTHING * (between_ms - pace)
+            });
+            target.pace = Some((pace, now));
+        }
+    }
+
+    /// Returns the usual time between events at a service's targets, in milliseconds.
+    pub fn usual_pace(&self, service: &ServiceName, now: Millis) -> Option<f64> {
+        let usable = self.usable(service).into_iter();
+        let fresh = usable.filter_map(|target| target.pace.filter(|(_, at)| now - *at < PACE_AGE));
+        usual_pace(fresh.map(|(pace, _)| pace).collect())
+    }
+
     /// Chooses the target for an item of a batch: one whose version fits, with a free place, of
     /// those dealt to the model before others, and the least loaded of them.
     ///
@@ -218,18 +253,23 @@
         model: &ModelName,
         min_version: u64,
         dealt: &HashMap<TargetName, ModelName>,
+        besides: Option<&TargetName>,
         now: Millis,
     ) -> Option<&Target> {
+        let usual = self.usual_pace(service, now);
         let usable = self.usable(service).into_iter().filter(|target| {
             let version = target.entry.models.get(model).copied().unwrap_or_default();
             version >= min_version
+                && Some(&target.entry.name) != besides
                 && target.paused_until <= now
                 && target.running < target.entry.slots
         });
         usable.min_by_key(|target| {
             let own = dealt.get(&target.entry.name) == Some(model);
             let load = target.running * 100 / target.entry.slots.max(1);
-            (!own, load)
+            let pace = target.pace.filter(|(_, at)| now - *at < PACE_AGE);
+            let slow = pace.zip(usual).is_some_and(|((pace, _), usual)| pace > usual * SLOW_FACTOR);
+            (slow, !own, load)
         })
     }
 
