Hosts hear of loads at once, and loads are a second apart

Loads 0.9 s apart overlapped and took 1.2 to 1.7 s. Ruled out: refusals for lack of room (all fell within 1.7 s of an order to the same target). Change: a LoadNotice goes to the other holders when a target accepts; place() leaves the target out for LOAD_TIME (1 s) and then expects the version, named to the target, which refuses if it has another.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -19,6 +19,8 @@
 /// A target that doesn't take a connection for so long is taken as gone: several round trips
 /// between data centres.
 const CONNECT_STALL: Millis = Millis(300);
+/// Another target counts as faster below this multiple of the usual time between events.
+const FASTER_FACTOR: f64 = 1.5;
 /// Time between looks at stalled runs, and at items that found no target.
 const LOOK: Millis = Millis(100);
 
@@ -173,14 +175,14 @@
         let model = submission.model.clone();
         let mut fleet = shared.fleet();
         let dealt = fleet.deal(service, models.unwrap_or_default());
-        let target = fleet.place(service, &model, submission.min_version, &dealt, None, now)?;
-        let (name, address) = (target.entry.name.clone(), target.entry.address);
+        let place = fleet.place(service, &model, submission.min_version, &dealt, None, now)?;
+        let (name, address) = (place.target, place.address);
         let passing = Passing {
             target: &name,
             workspace: Some(&submission.workspace),
             left: None,
             resume_after: progress.last_event,
-            version: only,
+            version: only.or(place.expected),
         };
         let request = shared.dialect.item(&submission, spec, &passing);
         let connection = match shared.pool.connect(address) {
@@ -354,7 +356,7 @@
         let besides = Some(&self.target);
         let other = fleet.place(&self.service, &self.model, min_version, &dealt, besides, now)?;
         let known = other.pace.zip(view.usual_ms);
-        let faster = known.is_none_or(|((pace, _), usual)| pace < usual * 1.5);
+        let faster = known.is_none_or(|(pace, usual)| pace < usual * FASTER_FACTOR);
         (faster && !self.submission.single_version).then_some(reason)
     }
 
--- a/crates/godwitspool-host/src/duty/loads.rs
+++ b/crates/godwitspool-host/src/duty/loads.rs
@@ -4,11 +4,9 @@
 
 use crate::{
     dialect::{LoadMode, LoadOrder},
-    version::Target,
+    version::{LOAD_TIME, Target},
 };
 
-/// Time that a load takes as a rule; after it another may start. The operators' sheets say 0.9 s.
-const LOAD_TIME: Millis = Millis(900);
 /// An accepted order whose effect hasn't shown after so long is given again: loads, and the time
 /// until a target's entry tells.
 const ORDER_TIMEOUT: Millis = Millis(4_000);
@@ -103,7 +101,7 @@
             .iter()
             .filter(|(target, at)| *at < newest && !view.is_loading(target))
             .collect();
-        behind.sort_by_key(|(target, at)| (!own(target), *at, target.load(now)));
+        behind.sort_by_key(|(target, at)| (!own(target), *at, target.running_everywhere(now)));
         for (rank, (target, at)) in behind.into_iter().enumerate() {
             let own = own(target);
             let need = if valid + rank < half.min(2) {
@@ -112,7 +110,7 @@
                 Need::Next
             } else if own && at + 1 < newest {
                 Need::Behind
-            } else if own && target.load(now) == 0 {
+            } else if own && target.running_everywhere(now) == 0 {
                 Need::Idle
             } else {
                 continue;
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -8,7 +8,7 @@
 use godwitspool_types::{Millis, TargetName, Workspace};
 
 use super::{
-    Shared,
+    LoadNotice, Shared,
     shared::{lease_clock, unix_ms},
 };
 use crate::{
@@ -253,7 +253,15 @@
             let mut loading = loading.lock().unwrap_or_else(PoisonError::into_inner);
             match ordered {
                 Ok(Ordered::Holds) => shared.fleet().learn(target, model, version),
-                Ok(Ordered::Accepted) => {}
+                Ok(Ordered::Accepted) => {
+                    shared.fleet().begin_load(target, model, version, shared.clock.now());
+                    let notice = LoadNotice {
+                        target: target.clone(),
+                        model: model.clone(),
+                        version,
+                    };
+                    shared.reports.send_load(&shared, notice);
+                }
                 // Nothing is known to load; ordered again once the target is due.
                 Ok(Ordered::Busy | Ordered::Fenced | Ordered::Refused) => {
                     if let Some(load) = loading.get_mut(target) {
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -11,7 +11,7 @@
 mod usage;
 
 pub use host::Host;
-pub use reports::RunReport;
+pub use reports::{LoadNotice, Notice, RunReport};
 pub use shared::{Edges, Shared, unix_ms};
 pub use tails::news_wait;
 pub use usage::UsageBook;
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -23,6 +23,26 @@
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// What hosts tell each other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Notice {
+    /// A target has accepted an order to load a version.
+    Load(LoadNotice),
+    /// Runs of a host.
+    Runs(RunReport),
+}
+
+/// A load that a target has begun.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LoadNotice {
+    /// The target.
+    pub target: TargetName,
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: u64,
+}
+
 /// Runs of one host.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RunReport {
@@ -100,7 +120,19 @@
             ..report.clone()
         };
         drop(sent);
-        let bytes = match postcard::to_stdvec(&report) {
+        self.broadcast(shared, socket, &Notice::Runs(report));
+    }
+
+    /// Tells the other hosts of a load, so that they neither send to the target meanwhile nor wait
+    /// for its entry afterwards.
+    pub fn send_load(&self, shared: &Shared, load: LoadNotice) {
+        if let Some(socket) = &self.socket {
+            self.broadcast(shared, socket, &Notice::Load(load));
+        }
+    }
+
+    fn broadcast(&self, shared: &Shared, socket: &UdpSocket, notice: &Notice) {
+        let bytes = match postcard::to_stdvec(notice) {
             Ok(bytes) if bytes.len() <= DATAGRAM_BYTES => bytes,
             Ok(bytes) => {
                 log::warn!(bytes = bytes.len(); "report between hosts is too large");
@@ -134,8 +166,14 @@
                     continue;
                 }
             };
-            match postcard::from_bytes::<RunReport>(&bytes[..length]) {
-                Ok(report) => shared.fleet().report(&report, shared.clock.now()),
+            let now = shared.clock.now();
+            match postcard::from_bytes::<Notice>(&bytes[..length]) {
+                Ok(Notice::Runs(report)) => shared.fleet().report(&report, now),
+                Ok(Notice::Load(load)) => {
+                    let LoadNotice { target, model, version } = &load;
+                    log::info!(target_name:% = target, model:%, version; "load begins");
+                    shared.fleet().begin_load(target, model, *version, now);
+                }
                 Err(error) => log::warn!(error:%, length; "report can't be read"),
             }
         }
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -8,6 +8,11 @@
 
 use crate::{batch::usual_pace, process::RunReport};
 
+/// Time that a target needs to load a version, as a rule: the operators' sheets say 0.9 s, and the
+/// order and its notice take some of the rest. Loads that overlap more than planned take longer.
+pub const LOAD_TIME: Millis = Millis(1_000);
+/// A load whose effect no entry or answer has shown after so long is taken as not carried out.
+const LOAD_AGE: Millis = Millis(4_000);
 /// First pause of a target that failed; doubles with each further failure.
 const PAUSE_FIRST: Millis = Millis(250);
 /// Longest pause of a target that failed: about the time in which a crashed one is back.
@@ -88,10 +93,25 @@
     pub time_ms: f64,
     /// Smoothed time between a stream's events in milliseconds, and when it was learnt.
     pub pace: Option<(f64, Millis)>,
+    /// A load that it began: model, version, and when.
+    pub load: Option<(ModelName, u64, Millis)>,
     /// Removed at this time, while its entry may still come back.
     pub lapsed: Option<Millis>,
 }
 
+/// Where an item goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The target.
+    pub target: TargetName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The version that it should have by now, if neither its entry nor an answer has told yet.
+    pub expected: Option<u64>,
+    /// Its time between events in milliseconds, if known.
+    pub pace: Option<f64>,
+}
+
 /// All targets. Decides where requests go; holds no clock or lock.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -101,8 +121,19 @@
 }
 
 impl Target {
+    /// Returns the version of a model with which it serves now; `None` while it loads one.
+    fn version(&self, model: &ModelName, now: Millis) -> Option<(u64, bool)> {
+        let told = self.entry.models.get(model).copied().unwrap_or_default();
+        match &self.load {
+            Some((of, version, at)) if of == model && *version > told && now - *at < LOAD_AGE => {
+                (now - *at >= LOAD_TIME).then_some((*version, true))
+            }
+            _ => Some((told, false)),
+        }
+    }
+
     /// Returns the requests that run there, those of other hosts included.
-    pub fn load(&self, now: Millis) -> u32 {
+    pub fn running_everywhere(&self, now: Millis) -> u32 {
         let others = self.others.values().filter(|(_, at)| now - *at < REPORT_AGE);
         self.running + others.map(|(count, _)| count).sum::<u32>()
     }
@@ -131,6 +162,7 @@
                     paused_until: Millis::default(),
                     time_ms: TIME_UNKNOWN,
                     pace: None,
+                    load: None,
                     lapsed: None,
                     entry,
                 };
@@ -241,6 +273,13 @@
         })
     }
 
+    /// Takes over that a target has begun to load a version.
+    pub fn begin_load(&mut self, name: &TargetName, model: &ModelName, version: u64, now: Millis) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.load = Some((model.clone(), version, now));
+        }
+    }
+
     /// Takes over another host's report of its runs.
     pub fn report(&mut self, report: &RunReport, now: Millis) {
         let newest = self.reports.get(&report.sender).map(|(number, _, _)| *number);
@@ -297,21 +336,28 @@
         dealt: &HashMap<TargetName, ModelName>,
         besides: Option<&TargetName>,
         now: Millis,
-    ) -> Option<&Target> {
+    ) -> Option<Placement> {
         let usual = self.usual_pace(service, now);
-        let usable = self.usable(service).into_iter().filter(|target| {
-            let version = target.entry.models.get(model).copied().unwrap_or_default();
-            version >= min_version
+        let fitting = self.usable(service).into_iter().filter_map(|target| {
+            let (version, expected) = target.version(model, now)?;
+            let fits = version >= min_version
                 && Some(&target.entry.name) != besides
                 && target.paused_until <= now
-                && target.load(now) < target.entry.slots
+                && target.running_everywhere(now) < target.entry.slots;
+            let pace = target.pace.filter(|(_, at)| now - *at < PACE_AGE).map(|(pace, _)| pace);
+            fits.then_some((target, expected.then_some(version), pace))
         });
-        usable.min_by_key(|target| {
+        let best = fitting.min_by_key(|(target, _, pace)| {
             let own = dealt.get(&target.entry.name) == Some(model);
-            let load = target.load(now) * 100 / target.entry.slots.max(1);
-            let pace = target.pace.filter(|(_, at)| now - *at < PACE_AGE);
-            let slow = pace.zip(usual).is_some_and(|((pace, _), usual)| pace > usual * SLOW_FACTOR);
+            let load = target.running_everywhere(now) * 100 / target.entry.slots.max(1);
+            let slow = pace.zip(usual).is_some_and(|(pace, usual)| pace > usual * SLOW_FACTOR);
             (slow, !own, load)
+        });
+        best.map(|(target, expected, pace)| Placement {
+            target: target.entry.name.clone(),
+            address: target.entry.address,
+            expected,
+            pace,
         })
     }
 
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -7,5 +7,5 @@
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
-pub use fleet::{Fleet, Outcome, Target, TargetEntry};
+pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use mirror::{Fetched, Mirror, MirrorChange};
