A host that the store turns away reaches it through another host

Ruled out: slow runs (all items of those steps had ended 5 s before). Change: Relay stands before the store's client: a call that fails is sent through another host, which tries it directly only; while a partition is lost it is tried directly once a second. The copies of the operators' and targets' records that peers gave, and submissions through peers, are gone with it. Outages of the whole store, or of a partition for all hosts, still hold results back.

--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -8,15 +8,15 @@
 
 use super::{
     Shared,
-    peers::{self, MIRROR_PATH, PEER_FIELD},
-    tails,
+    peers::{self, PEER_FIELD},
+    relay::RELAY_PATH,
 };
 use crate::{
     batch::{BatchRecord, Lookup, ResultPage, Submission, page, partition_of, read_stored},
     dialect::{Call, CallKind},
     http::{Caller, Request, Response},
     request::{Ended, forward},
-    store::{StoreError, Topic},
+    store::{Store, StoreError, Topic},
     version::{Configuration, RouteKind},
 };
 
@@ -26,12 +26,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Bound on a peer's answer beyond the time that it may wait itself.
 const PEER_SLACK: Duration = Duration::from_millis(600);
-/// Bound on one peer's part in storing a submission.
-const PEER_STORE: Duration = Duration::from_millis(1_500);
 /// Pause before an append whose outcome is unknown is repeated.
 const APPEND_PAUSE: Duration = Duration::from_millis(50);
-/// Peers that are asked to store what this host can't.
-const PEERS_ASKED: usize = 2;
 
 /// Answers a request, from a caller or from another host on a caller's behalf.
 ///
@@ -67,12 +63,8 @@
 ///
 /// When the host is gone.
 pub fn serve_peer(shared: &Arc<Shared>, caller: &mut Caller, request: &Request) -> io::Result<()> {
-    if request.path() == MIRROR_PATH {
-        let answer = match tails::copy(shared, request) {
-            Some(copy) => Response::new(200, copy),
-            None => Response::new(503, Vec::new()),
-        };
-        return caller.respond(&answer);
+    if request.path() == RELAY_PATH {
+        return caller.respond(&shared.store.serve(request));
     }
     serve(shared, caller, request)
 }
@@ -189,8 +181,7 @@
         }
     }
 
-    /// Appends records of a batch, through a peer if the store turns this host away. Records of a
-    /// batch never differ, so an append that is repeated does no harm.
+    /// Appends records of a batch. They never differ, so an append that is repeated does no harm.
     fn store(&self, part: u32, calls: &[Vec<crate::store::Keyed>]) -> Result<(), StoreError> {
         let due = self.due();
         let mut unknown = None;
@@ -204,12 +195,7 @@
                 if !matches!(error, StoreError::NotDone { .. }) {
                     unknown = Some(error.clone());
                 }
-                if !self.is_peer()
-                    && let Some(answer) = self.ask_peers(due)
-                {
-                    return answer;
-                }
-                if Instant::now() + APPEND_PAUSE >= due || self.is_peer() {
+                if Instant::now() + APPEND_PAUSE >= due {
                     return Err(unknown.unwrap_or(error));
                 }
                 std::thread::sleep(APPEND_PAUSE);
@@ -218,26 +204,6 @@
         Ok(())
     }
 
-    /// Has peers store what this host can't; `None` if none of them did.
-    fn ask_peers(&self, due: Instant) -> Option<Result<(), StoreError>> {
-        let addresses = self.shared.peers.addresses(self.shared);
-        let first = rand::random_range(0..addresses.len().max(1));
-        let turn = addresses.iter().cycle().skip(first);
-        for address in turn.take(addresses.len().min(PEERS_ASKED)) {
-            let left = due.saturating_duration_since(Instant::now()).min(PEER_STORE);
-            match peers::call(self.shared, *address, self.request, left) {
-                Ok(answer) if answer.status < 300 => return Some(Ok(())),
-                Ok(answer) => {
-                    log::info!(request:? = self.call.id, peer:% = address, status = answer.status; "peer can't store either");
-                }
-                Err(error) => {
-                    log::info!(request:? = self.call.id, peer:% = address, error:%; "peer doesn't answer");
-                }
-            }
-        }
-        None
-    }
-
     /// Reads results: from this host, its owner, or the store.
     fn read(&self, batch: &str, after: u64) -> Response {
         let shared = self.shared;
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -15,7 +15,7 @@
     dialect::{DutyError, Fence, LoadMode, LoadOrder, Ordered, WindowReport},
     duty::{LoadView, Loading, next_load, plan_loads},
     http::Exchange,
-    store::{Keyed, StoreError, Topic, Writer, read_all},
+    store::{Keyed, Store, StoreError, Topic, Writer, read_all},
     version::Outcome,
 };
 
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     batch::Owner,
-    store::{Assignment, Topic},
+    store::{Assignment, Store, Topic},
 };
 
 /// A member that has sent nothing for so long loses its partitions: short beside the seconds in
@@ -119,7 +119,7 @@
 
     fn own(&mut self, part: u32, generation: u64) {
         let started = Owner::start(
-            Arc::clone(&self.shared.store),
+            Arc::clone(&self.shared.store) as Arc<dyn Store>,
             Arc::clone(&self.shared.book),
             self.shared.settings.store,
             part,
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -5,12 +5,14 @@
 mod host;
 mod membership;
 mod peers;
+mod relay;
 mod reports;
 mod shared;
 mod tails;
 mod usage;
 
 pub use host::Host;
+pub use relay::Relay;
 pub use reports::{LoadNotice, Notice, RunReport};
 pub use shared::{Edges, Shared, unix_ms};
 pub use tails::news_wait;
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -9,7 +9,7 @@
 use super::Shared;
 use crate::{
     http::{CallError, Exchange, Request, Response},
-    store::{Holding, Topic},
+    store::{Holding, Store, Topic},
 };
 
 /// Age after which the list of holders is asked for anew when it is used.
@@ -18,8 +18,6 @@
 const AGE_MIN: Millis = Millis(250);
 /// Marks requests between hosts.
 pub const PEER_FIELD: &str = "Godwitspool-Peer";
-/// Path under which a host gives its copies of the operators' and targets' records.
-pub const MIRROR_PATH: &str = "/godwitspool/mirror";
 
 /// Other hosts, and which of them owns what.
 #[derive(Debug, Default)]
@@ -53,21 +51,6 @@
         (address != shared.settings.peer).then_some(address)
     }
 
-    /// Returns the addresses of other hosts: those that hold something, then the seeds.
-    pub fn addresses(&self, shared: &Shared) -> Vec<SocketAddr> {
-        let known = self.lock();
-        let holders = known.holdings.iter().filter_map(|holding| address(&holding.member));
-        let seeds = shared.settings.seeds.iter().copied();
-        let mut addresses: Vec<SocketAddr> = Vec::new();
-        for address in holders.chain(seeds) {
-            let own = address == shared.settings.peer || Some(address) == shared.settings.seed;
-            if !own && !addresses.contains(&address) {
-                addresses.push(address);
-            }
-        }
-        addresses
-    }
-
     /// Returns the addresses of the other hosts that hold a partition.
     pub fn holders(&self, shared: &Shared) -> Vec<SocketAddr> {
         self.refresh(shared);
@@ -105,7 +88,7 @@
 }
 
 /// Returns where a member of the hosts' group is reached.
-fn address(member: &str) -> Option<SocketAddr> {
+pub fn address(member: &str) -> Option<SocketAddr> {
     member.split('#').next()?.parse().ok()
 }
 
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -12,7 +12,7 @@
 use godwitspool_types::{Millis, ModelName};
 use rustix::time::{ClockId, clock_gettime};
 
-use super::{UsageBook, peers::Peers, reports::Reports};
+use super::{Relay, UsageBook, peers::Peers, reports::Reports};
 use crate::{
     Settings,
     batch::Book,
@@ -50,8 +50,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The platform's calls of one host at a time.
     pub duties: Arc<dyn Duties>,
-    /// The platform's store.
-    pub store: Arc<dyn Store>,
+    /// The platform's store, directly or through another host.
+    pub store: Arc<Relay>,
     /// Idle connections to targets and hosts.
     pub pool: Arc<Pool>,
     /// Batches of the owned partitions.
@@ -110,6 +110,7 @@
 
         let metrics = Metrics::default();
         let answers = metrics.reasons("answers", "Requests by how they ended");
+        let own = [Some(settings.peer), settings.seed].into_iter().flatten().collect();
         let incarnation = rand::random::<u32>();
         let member = format!("{}#{incarnation:08x}", settings.peer);
         Ok(Self {
@@ -131,7 +132,7 @@
             news_count: Mutex::default(),
             peers: Peers::default(),
             pool: Arc::default(),
-            store: edges.store,
+            store: Arc::new(Relay::new(edges.store, &settings.seeds, own)),
             usage: UsageBook::new(settings.window),
             settings,
         })
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -6,14 +6,10 @@
 
 use godwitspool_types::{Millis, TargetName};
 
-use super::{
-    Shared,
-    peers::{self, MIRROR_PATH},
-};
+use super::Shared;
 use crate::{
     dialect::OperatorRecord,
-    http::Request,
-    store::{READ_SLACK, Stored, Topic},
+    store::{READ_SLACK, Topic},
     version::{Mirror, MirrorChange},
 };
 
@@ -26,8 +22,6 @@
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Bound on a peer's answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Entries that vanish within this time after a failed read may have lapsed.
 const AWAY_MEMORY: Millis = Millis(4_000);
 
@@ -47,11 +41,10 @@
     apply.saturating_sub(spent).max(READ_WAIT_LEAST)
 }
 
-/// Follows the operators' records and the targets' entries, from the store or else from a peer.
+/// Follows the operators' records and the targets' entries, for as long as the process lives.
 pub fn follow(shared: &Arc<Shared>, topic: Topic) {
     let mut failed: Option<Millis> = None;
     let mut away = false;
-    let mut turn = 0;
     let wait = news_wait(shared.settings.apply);
     loop {
         let next = mirrors(shared)[index(topic)].next();
@@ -73,12 +66,10 @@
             }
             Err(error) => {
                 if !away {
-                    log::warn!(topic:?, error:%; "store doesn't answer, peers are asked");
+                    log::warn!(topic:?, error:%; "store doesn't answer");
                     away = true;
                 }
                 failed = Some(now);
-                turn += 1;
-                ask_peer(shared, topic, turn);
                 thread::sleep(RETRY_PAUSE);
             }
         }
@@ -93,52 +84,6 @@
     usize::from(topic == Topic::Targets)
 }
 
-fn ask_peer(shared: &Shared, topic: Topic, turn: usize) {
-    let addresses = shared.peers.addresses(shared);
-    if addresses.is_empty() {
-        return;
-    }
-    let address = addresses[turn % addresses.len()];
-    let from = mirrors(shared)[index(topic)].newest();
-    let target = format!("{MIRROR_PATH}?topic={}&from={from}", index(topic));
-    let request = Request::new("GET", target, Vec::new());
-    let records = match peers::call(shared, address, &request, PEER_TIMEOUT) {
-        Ok(answer) if answer.status == 200 => postcard::from_bytes::<Vec<Stored>>(&answer.body),
-        Ok(answer) => {
-            log::debug!(peer:% = address, status = answer.status; "peer has no copy");
-            return;
-        }
-        Err(error) => {
-            log::debug!(peer:% = address, error:%; "peer doesn't answer");
-            return;
-        }
-    };
-    match records {
-        Ok(records) => {
-            let now = shared.clock.now();
-            let mut copies = mirrors(shared);
-            let changes = copies[index(topic)].apply(records);
-            copies[index(topic)].confirmed = Some(now);
-            drop(copies);
-            if !changes.is_empty() {
-                log::info!(peer:% = address, topic:?, records = changes.len(); "news from a peer");
-            }
-            apply(shared, topic, changes, true);
-        }
-        Err(error) => log::warn!(peer:% = address, error:%; "peer's copy can't be read"),
-    }
-}
-
-/// Returns the copies that a peer asked for.
-pub fn copy(shared: &Shared, request: &Request) -> Option<Vec<u8>> {
-    let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
-    let (topic, from) = (number("topic")? as usize, number("from")?);
-    let mirrors = shared.mirrors.lock().unwrap_or_else(PoisonError::into_inner);
-    let mirror = mirrors.get(topic)?;
-    mirror.confirmed?;
-    postcard::to_stdvec(&mirror.since(from)).ok()
-}
-
 fn apply(shared: &Shared, topic: Topic, changes: Vec<MirrorChange>, lapsing: bool) {
     if changes.is_empty() {
         return;
--- a/crates/godwitspool-host/src/store.rs
+++ b/crates/godwitspool-host/src/store.rs
@@ -69,7 +69,7 @@
 }
 
 /// Makes appends to a partition repeatable and shuts out earlier writers.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Writer {
     /// Appends of lower epochs are refused once this one was seen.
     pub epoch: u64,
@@ -78,7 +78,7 @@
 }
 
 /// What came of a call to the store.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize, Snafu)]
 pub enum StoreError {
     /// Nothing was done: the store refused, or no connection came about.
     #[snafu(display("nothing done: {reason}"))]
@@ -113,7 +113,7 @@
 }
 
 /// Records that follow an offset.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Tail {
     /// Offset behind the last record of the answer.
     pub next: u64,
@@ -122,7 +122,7 @@
 }
 
 /// Newest records of keys, in the order of their keys.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
     /// Offset behind the partition's last record.
     pub end: u64,
@@ -133,7 +133,7 @@
 }
 
 /// Partitions that a member of the hosts' group holds.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Assignment {
     /// Grows with each change of the group.
     pub generation: u64,
@@ -142,7 +142,7 @@
 }
 
 /// Who holds a partition.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Holding {
     /// Topic.
     pub topic: Topic,
--- a/crates/godwitspool-host/src/version/mirror.rs
+++ b/crates/godwitspool-host/src/version/mirror.rs
@@ -42,36 +42,12 @@
         self.topic
     }
 
-    /// Returns the offset behind the newest record known.
-    pub fn newest(&self) -> u64 {
-        let offsets = self.records.values().map(|(offset, _)| offset + 1);
-        offsets.max().unwrap_or_default()
-    }
-
     /// Returns what a wait for news needs: the offset to read from, or `None` when the keys are to
     /// be read anew.
     pub fn next(&self) -> Option<u64> {
         self.next
     }
 
-    /// Forgets where the tail stands; the keys are read anew.
-    pub fn restart(&mut self) {
-        self.next = None;
-    }
-
-    /// Returns records from an offset on, removed ones too, for a host that can't reach the store.
-    pub fn since(&self, offset: u64) -> Vec<Stored> {
-        let newer = self.records.iter().filter(|(_, (at, _))| *at >= offset);
-        let stored = newer.map(|(key, (offset, value))| Stored {
-            offset: *offset,
-            record: Keyed {
-                key: key.clone(),
-                value: value.clone(),
-            },
-        });
-        stored.collect()
-    }
-
     /// Takes over records and returns those that are newer than what was known.
     pub fn apply(&mut self, records: impl IntoIterator<Item = Stored>) -> Vec<MirrorChange> {
         let mut changes = Vec::new();
