--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -58,7 +58,9 @@
 
 impl std::fmt::Debug for State {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("State").field("calls", &self.calls).finish_non_exhaustive()
+        f.debug_struct("State")
+            .field("calls", &self.calls)
+            .finish_non_exhaustive()
     }
 }
 
@@ -89,7 +91,8 @@
     pub fn start(parts: u32) -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
         let own = Arc::clone(&shared);
-        let handle = move |caller: &mut Caller, request: Request| own.serve(caller, &request, parts);
+        let handle =
+            move |caller: &mut Caller, request: Request| own.serve(caller, &request, parts);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(address, Bounds::default, handle)?;
         Ok(Self { server, shared })
@@ -112,7 +115,9 @@
 
     /// Writes a keyed record, as the operators or a target do; without a value the key goes.
     pub fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
-        let value = value.map(|value| value.to_string().into_bytes()).unwrap_or_default();
+        let value = value
+            .map(|value| value.to_string().into_bytes())
+            .unwrap_or_default();
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(&value);
@@ -126,7 +131,10 @@
     /// Forgets the history of a topic; the newest record of each key stays.
     pub fn compact(&self, topic: &str) {
         let mut state = self.shared.lock();
-        let partitions = state.topics.iter_mut().filter(|((name, _), _)| name == topic);
+        let partitions = state
+            .topics
+            .iter_mut()
+            .filter(|((name, _), _)| name == topic);
         for (_, partition) in partitions {
             partition.first += partition.records.len() as u64;
             partition.records.clear();
@@ -155,7 +163,12 @@
 
     /// Returns how many calls of a path were made.
     pub fn calls(&self, path: &str) -> usize {
-        self.shared.lock().calls.get(path).copied().unwrap_or_default()
+        self.shared
+            .lock()
+            .calls
+            .get(path)
+            .copied()
+            .unwrap_or_default()
     }
 }
 
@@ -174,7 +187,11 @@
         let closed = || Err(io::ErrorKind::ConnectionAborted.into());
         let mut state = self.lock();
         *state.calls.entry(request.path().to_owned()).or_default() += 1;
-        let fault = state.fault.as_ref().map(|decide| decide(request)).unwrap_or_default();
+        let fault = state
+            .fault
+            .as_ref()
+            .map(|decide| decide(request))
+            .unwrap_or_default();
         drop(state);
         match fault {
             StoreFault::Busy => return caller.respond(&Response::new(503, Vec::new())),
@@ -222,7 +239,11 @@
         if matches!(topic.as_str(), "keyed.op" | "keyed.servers") {
             return Response::new(403, Vec::new());
         }
-        let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .parameter(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let mut state = self.lock();
         let keyed = topic.starts_with("keyed.");
         let partition = state.topics.entry((topic, part)).or_default();
@@ -271,7 +292,11 @@
     }
 
     fn read(&self, request: &Request) -> Response {
-        let number = |name| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .parameter(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let from = number("start_from").unwrap_or_default();
         let due = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or_default());
         let mut state = self.lock();
@@ -312,7 +337,10 @@
         let more = items.len() > PAGE_KEYS;
         items.truncate(PAGE_KEYS);
         let end = partition.end();
-        json_answer(200, &json!({ "items": items, "has_more": more, "end_offset": end }))
+        json_answer(
+            200,
+            &json!({ "items": items, "has_more": more, "end_offset": end }),
+        )
     }
 
     fn join(&self, request: &Request, parts: u32) -> Response {
@@ -320,19 +348,25 @@
         let member = body["member"].as_str().unwrap_or_default().to_owned();
         let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(3_000));
         let topics = body["topics"].as_array().into_iter().flatten();
-        let topics: Vec<String> = topics.filter_map(|name| name.as_str().map(str::to_owned)).collect();
+        let topics: Vec<String> = topics
+            .filter_map(|name| name.as_str().map(str::to_owned))
+            .collect();
         let mut state = self.lock();
         let group = &mut state.group;
         group.topics = topics;
         let now = Instant::now();
         let known = group.members.insert(member.clone(), (now, ttl)).is_some();
         let members = group.members.len();
-        group.members.retain(|_, (seen, ttl)| now.duration_since(*seen) < *ttl);
+        group
+            .members
+            .retain(|_, (seen, ttl)| now.duration_since(*seen) < *ttl);
         if !known || group.members.len() != members {
             group.deal(parts);
         }
         let owned = group.owners.iter().filter(|(_, owner)| **owner == member);
-        let rows: Vec<Value> = owned.map(|((topic, part), _)| json!([topic, part, 0])).collect();
+        let rows: Vec<Value> = owned
+            .map(|((topic, part), _)| json!([topic, part, 0]))
+            .collect();
         let ttl_ms = ttl.as_millis() as u64;
         let answer = json!({ "generation": group.generation, "ttl_ms": ttl_ms, "parts": rows });
         json_answer(200, &answer)
@@ -365,7 +399,10 @@
     /// share stay.
     fn deal(&mut self, parts: u32) {
         self.generation += 1;
-        let all = self.topics.iter().flat_map(|topic| (0..parts).map(move |part| (topic, part)));
+        let all = self
+            .topics
+            .iter()
+            .flat_map(|topic| (0..parts).map(move |part| (topic, part)));
         let all: Vec<(String, u32)> = all.map(|(topic, part)| (topic.clone(), part)).collect();
         let members: Vec<&String> = self.members.keys().collect();
         let most = all.len().div_ceil(members.len().max(1));
@@ -373,9 +410,10 @@
         let mut owners = BTreeMap::new();
         let mut open = Vec::new();
         for place in all {
-            let holder = self.owners.get(&place).and_then(|old| {
-                members.iter().copied().find(|member| *member == old)
-            });
+            let holder = self
+                .owners
+                .get(&place)
+                .and_then(|old| members.iter().copied().find(|member| *member == old));
             match holder {
                 Some(member) if held.get(member).copied().unwrap_or_default() < most => {
                     *held.entry(member).or_default() += 1;
@@ -385,7 +423,9 @@
             }
         }
         for place in open {
-            let least = members.iter().min_by_key(|member| held.get(*member).copied());
+            let least = members
+                .iter()
+                .min_by_key(|member| held.get(*member).copied());
             if let Some(member) = least {
                 *held.entry(member).or_default() += 1;
                 owners.insert(place, (*member).clone());
--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -86,7 +86,9 @@
 
 impl std::fmt::Debug for Shared {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Shared").field("options", &self.options).finish_non_exhaustive()
+        f.debug_struct("Shared")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
     }
 }
 
@@ -106,7 +108,7 @@
         });
         let own = Arc::clone(&shared);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let handle = move |caller: &mut Caller, request: Request| own.serve(caller, request);
+        let handle = move |caller: &mut Caller, request: Request| own.serve(caller, &request);
         let server = Server::start(address, Bounds::default, handle)?;
         Ok(Self { server, shared })
     }
@@ -114,7 +116,9 @@
     /// Returns its entry for the store.
     pub fn entry(&self, state: &str) -> Value {
         let models = lock(&self.shared.models);
-        let models = models.iter().map(|(name, version)| json!({ "name": name, "version": version }));
+        let models = models
+            .iter()
+            .map(|(name, version)| json!({ "name": name, "version": version }));
         let options = &self.shared.options;
         json!({
             "service": options.service, "address": self.server.address().to_string(),
@@ -155,23 +159,34 @@
 }
 
 impl Shared {
-    fn serve(&self, caller: &mut Caller, request: Request) -> io::Result<()> {
-        let id = request.headers.get("Request-Id").unwrap_or_default().to_owned();
+    fn serve(&self, caller: &mut Caller, request: &Request) -> io::Result<()> {
+        let id = request
+            .headers
+            .get("Request-Id")
+            .unwrap_or_default()
+            .to_owned();
         if request.path() == "/api/order" {
-            return self.order(caller, &request);
+            return self.order(caller, request);
         }
         let wanted = request.headers.get("Expect-Instance");
         if wanted.is_some_and(|wanted| wanted != self.options.name) {
             let answer = Response::new(421, Vec::new()).with("Request-Id", &id);
             return caller.respond(&answer.with("Instance-Id", &self.options.name));
         }
-        let fault = lock(&self.fault).as_ref().map(|decide| decide(&request)).unwrap_or_default();
+        let fault = lock(&self.fault)
+            .as_ref()
+            .map(|decide| decide(request))
+            .unwrap_or_default();
         if fault == TargetFault::Refuse {
             let answer = Response::new(503, Vec::new()).with("Request-Id", &id);
             return caller.respond(&answer.with("Not-Run", "1"));
         }
         lock(&self.seen).push(request.clone());
-        let id = if fault == TargetFault::WrongId { "another".to_owned() } else { id };
+        let id = if fault == TargetFault::WrongId {
+            "another".to_owned()
+        } else {
+            id
+        };
         match fault {
             TargetFault::Hang => {
                 thread::sleep(HANG);
@@ -185,9 +200,13 @@
             _ => {}
         }
         if self.options.events > 0 {
-            return self.stream(caller, &request, &id, fault);
+            return self.stream(caller, request, &id, fault);
         }
-        let body = format!("{}:{}", self.options.name, String::from_utf8_lossy(&request.body));
+        let body = format!(
+            "{}:{}",
+            self.options.name,
+            String::from_utf8_lossy(&request.body)
+        );
         let answer = Response::new(200, body).with("Request-Id", &id);
         let answer = answer.with("Server-Stamp", "stamp");
         caller.respond(&answer)?;
@@ -215,7 +234,10 @@
             .with("Server-Stamp", "stamp")
             .with("Weight-Versions", version);
         caller.begin(&head)?;
-        let last = request.headers.get("Last-Event-Id").and_then(|text| text.parse::<u64>().ok());
+        let last = request
+            .headers
+            .get("Last-Event-Id")
+            .and_then(|text| text.parse::<u64>().ok());
         for number in last.map_or(1, |last| last + 1)..=self.options.events {
             if fault == TargetFault::CutAfter(number - 1) {
                 caller.close = true;
--- a/crates/godwitspool-host/src/batch/book.rs
+++ b/crates/godwitspool-host/src/batch/book.rs
@@ -1,11 +1,11 @@
 use std::{
-    collections::{BTreeMap, HashMap, btree_map::Entry},
+    collections::{BTreeMap, btree_map::Entry},
     io,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc::Sender},
     time::{Duration, Instant},
 };
 
-use godwitspool_types::{ModelName, Workspace};
+use godwitspool_types::Workspace;
 
 use super::{Batch, Finished, ItemResult, ItemState, ResultPage, Submission, partition_of};
 use crate::http::Waker;
@@ -77,7 +77,9 @@
     /// Takes over a partition.
     pub fn open(&self, part: u32, epoch: u64, batches: Vec<Batch>, writer: Sender<Finished>) {
         let batches = batches.into_iter();
-        let batches = batches.map(|batch| (batch.submission.id.clone(), batch)).collect();
+        let batches = batches
+            .map(|batch| (batch.submission.id.clone(), batch))
+            .collect();
         let opened = Part {
             epoch,
             batches,
@@ -115,7 +117,9 @@
     /// Ends a batch: no item of it starts, and those that run are stopped.
     pub fn end(&self, part: u32, batch: &str) -> bool {
         let mut parts = self.lock();
-        let found = parts.get_mut(&part).and_then(|part| part.batches.get_mut(batch));
+        let found = parts
+            .get_mut(&part)
+            .and_then(|part| part.batches.get_mut(batch));
         let Some(batch) = found else {
             return false;
         };
@@ -132,6 +136,20 @@
         }
     }
 
+    /// Returns the batches of a partition whose time is over: submitted longer ago than `ttl`, and
+    /// ended or with every result listed.
+    pub fn expired(&self, part: u32, now_ms: u64, ttl: Duration) -> Vec<Arc<Submission>> {
+        let ttl_ms = ttl.as_millis() as u64;
+        let parts = self.lock();
+        let batches = parts
+            .get(&part)
+            .into_iter()
+            .flat_map(|part| part.batches.values());
+        let over = batches
+            .filter(|batch| !batch.is_open() && batch.submission.received_ms + ttl_ms < now_ms);
+        over.map(|batch| Arc::clone(&batch.submission)).collect()
+    }
+
     /// Lists results that the store holds now.
     pub fn list(&self, part: u32, epoch: u64, listed: &[Finished]) {
         let mut parts = self.lock();
@@ -203,21 +221,6 @@
         })
     }
 
-    /// Returns how many items wait, by model.
-    pub fn waiting(&self) -> HashMap<ModelName, u32> {
-        let parts = self.lock();
-        let mut waiting: HashMap<ModelName, u32> = HashMap::new();
-        let batches = parts.values().flat_map(|part| part.batches.values());
-        for batch in batches.filter(|batch| batch.is_open()) {
-            let states = batch.items.iter();
-            let count = states.filter(|item| matches!(item.state, ItemState::Waiting { .. })).count();
-            if count > 0 {
-                *waiting.entry(batch.submission.model.clone()).or_default() += count as u32;
-            }
-        }
-        waiting
-    }
-
     fn notify(&self) {
         self.changed.notify_all();
         self.waker.wake();
--- a/crates/godwitspool-host/src/batch/order.rs
+++ b/crates/godwitspool-host/src/batch/order.rs
@@ -37,7 +37,10 @@
     let mut ranked: Vec<(u64, usize, Vec<usize>)> = groups(&submission.items)
         .into_values()
         .map(|items| {
-            let longest = items.iter().map(|item| predicted_tokens(submission, *item)).max();
+            let longest = items
+                .iter()
+                .map(|item| predicted_tokens(submission, *item))
+                .max();
             (longest.unwrap_or_default(), items[0], items)
         })
         .collect();
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -13,14 +13,20 @@
 use super::{Batch, BatchRecord, Book, Finished, ItemResult, Submission};
 use crate::{
     StoreBounds,
+    process::unix_ms,
     store::{Store, StoreError, Stored, Topic, Writer, read_all},
 };
 
 /// Longest wait for a new batch in one read: an answer that is lost delays a batch by so much.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
+const READ_WAIT: Duration = Duration::from_secs(1);
 /// Results that end within this time share an append; small beside the seconds in which a step's
 /// results are due, and it bounds the writes of a partition to 25 a second.
 const GROUP_DELAY: Duration = Duration::from_millis(40);
+/// Time that a batch is kept beyond the time for which it must stay readable, so that hosts whose
+/// clocks differ by seconds agree.
+const TTL_MARGIN: Duration = Duration::from_secs(30);
+/// Time between two looks at batches whose time is over.
+const EXPIRY_LOOK: Duration = Duration::from_secs(5);
 /// Pauses after a failed call to the store: first, and longest.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Stack of the partition's threads.
@@ -41,6 +47,8 @@
     part: u32,
     stopped: AtomicBool,
     store: Arc<dyn Store>,
+    /// How long a batch stays readable.
+    ttl: Duration,
 }
 
 impl std::fmt::Debug for Task {
@@ -53,7 +61,8 @@
 }
 
 impl Owner {
-    /// Begins to take a partition over, under an epoch that no other owner ever uses.
+    /// Begins to take a partition over, under an epoch that no other owner ever uses; `place` holds
+    /// both.
     ///
     /// # Errors
     ///
@@ -62,9 +71,10 @@
         store: Arc<dyn Store>,
         book: Arc<Book>,
         bounds: StoreBounds,
-        part: u32,
-        epoch: u64,
+        ttl: Duration,
+        place: (u32, u64),
     ) -> io::Result<Self> {
+        let (part, epoch) = place;
         let task = Arc::new(Task {
             book,
             bounds,
@@ -72,6 +82,7 @@
             part,
             stopped: AtomicBool::new(false),
             store,
+            ttl,
         });
         let own = Arc::clone(&task);
         thread::Builder::new()
@@ -111,7 +122,8 @@
                 epoch: self.epoch,
                 seq: 0,
             };
-            self.store.append(Topic::Results, self.part, &[], Some(writer))
+            self.store
+                .append(Topic::Results, self.part, &[], Some(writer))
         };
         if self.persist("fence", fence).is_none() {
             return;
@@ -260,10 +272,44 @@
         }
     }
 
+    /// Removes the records of batches whose time is over.
+    fn expire(&self, seq: &mut u64) -> Option<()> {
+        let ttl = self.ttl + TTL_MARGIN;
+        for submission in self.book.expired(self.part, unix_ms(), ttl) {
+            let (batch, results) = BatchRecord::of_removal(&submission, &self.bounds);
+            let writer = Writer {
+                epoch: self.epoch,
+                seq: *seq,
+            };
+            let append = || {
+                self.store
+                    .append(Topic::Results, self.part, &results, Some(writer))
+            };
+            self.persist("remove results", append)?;
+            *seq += 1;
+            let append = || self.store.append(Topic::Batches, self.part, &batch, None);
+            self.persist("remove batch", append)?;
+            log::info!(batch:% = submission.id, part = self.part; "batch removed, its time is over");
+            self.book.forget(self.part, &submission.id);
+        }
+        Some(())
+    }
+
     /// Appends results in groups, and lists them once the store holds them.
     fn write(&self, receiver: &Receiver<Finished>, mut positions: HashMap<String, u64>) {
         let mut seq = 1;
-        while let Ok(first) = receiver.recv() {
+        loop {
+            let first = match receiver.recv_timeout(EXPIRY_LOOK) {
+                Ok(first) => first,
+                Err(RecvTimeoutError::Timeout) if self.is_stopped() => return,
+                Err(RecvTimeoutError::Timeout) => {
+                    if self.expire(&mut seq).is_none() {
+                        return;
+                    }
+                    continue;
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
             let mut group = vec![first];
             let mut bytes = group[0].result.output.len();
             let due = Instant::now() + GROUP_DELAY;
@@ -289,7 +335,10 @@
                 epoch: self.epoch,
                 seq,
             };
-            let append = || self.store.append(Topic::Results, self.part, &records, Some(writer));
+            let append = || {
+                self.store
+                    .append(Topic::Results, self.part, &records, Some(writer))
+            };
             if self.persist("append results", append).is_none() {
                 return;
             }
@@ -346,6 +395,9 @@
     }
 }
 
+/// A submission and its results by position.
+pub type StoredBatch = (Submission, Vec<Arc<ItemResult>>);
+
 /// Reads a batch and its results from the store, for a host that reaches no owner of it.
 ///
 /// # Errors
@@ -355,7 +407,7 @@
     store: &dyn Store,
     part: u32,
     batch: &str,
-) -> Result<Option<(Submission, Vec<Arc<ItemResult>>)>, StoreError> {
+) -> Result<Option<StoredBatch>, StoreError> {
     let before = BatchRecord::before(batch);
     let belongs = |key: &str| BatchRecord::belongs(key, batch);
     let (records, _) = read_all(store, Topic::Batches, part, Some(&before), belongs)?;
@@ -384,5 +436,8 @@
     // its end.
     let whole = results.into_iter().enumerate();
     let whole = whole.take_while(|(index, (position, _))| *index as u64 == *position);
-    Ok(Some((submission, whole.map(|(_, (_, result))| result).collect())))
+    Ok(Some((
+        submission,
+        whole.map(|(_, (_, result))| result).collect(),
+    )))
 }
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -98,6 +98,19 @@
         Keyed::new(format!("{batch}/e"), [1])
     }
 
+    /// Returns the records that remove a submission and its end, and those that remove its results.
+    pub fn of_removal(submission: &Submission, bounds: &StoreBounds) -> (Vec<Keyed>, Vec<Keyed>) {
+        let id = &submission.id;
+        let stored = Self::of_submission(submission, bounds)
+            .into_iter()
+            .flatten();
+        let mut batch: Vec<Keyed> = stored.map(|record| Keyed::removed(record.key)).collect();
+        batch.push(Keyed::removed(Self::of_end(id).key));
+        let positions = 0..submission.items.len();
+        let results = positions.map(|position| Keyed::removed(format!("{id}/r{position:08}")));
+        (batch, results.collect())
+    }
+
     /// Returns the record of a result.
     pub fn of_result(batch: &str, position: u64, result: &ItemResult) -> Keyed {
         Keyed::new(format!("{batch}/r{position:08}"), encode(result))
@@ -110,7 +123,8 @@
 
     /// Tells whether a key belongs to a batch.
     pub fn belongs(key: &str, batch: &str) -> bool {
-        key.strip_prefix(batch).is_some_and(|rest| rest.starts_with('/'))
+        key.strip_prefix(batch)
+            .is_some_and(|rest| rest.starts_with('/'))
     }
 
     /// Reads a record.
@@ -129,7 +143,7 @@
         let Some(value) = value else {
             return Ok(Self::Removed { batch });
         };
-        let number = |digits: &str| digits.parse().map_err(|_| wrong("no number"));
+        let number = |digits: &str| digits.parse().ok().ok_or_else(|| wrong("no number"));
         match kind.split_at_checked(1) {
             Some(("b", digits)) => Ok(Self::Part {
                 batch,
@@ -137,7 +151,10 @@
                 bytes: value,
             }),
             Some(("c", "")) => {
-                let parts = value.try_into().map_err(|_| wrong("no count of parts"))?;
+                let parts = value
+                    .try_into()
+                    .ok()
+                    .ok_or_else(|| wrong("no count of parts"))?;
                 Ok(Self::Whole {
                     batch,
                     parts: u32::from_be_bytes(parts),
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -89,14 +89,14 @@
         }
     }
 
-    /// Tells the other hosts what runs and what waits here.
+    /// Tells the other hosts what runs here.
     fn report(&self) {
         let mut running: HashMap<TargetName, u32> = HashMap::new();
         for run in &self.runs {
             *running.entry(run.target.clone()).or_default() += 1;
         }
         let shared = &self.shared;
-        shared.reports.send(shared, shared.incarnation, running, shared.book.waiting());
+        shared.reports.send(shared, shared.incarnation, running);
     }
 
     fn wait(&self, timeout: Option<Duration>) -> io::Result<()> {
@@ -149,7 +149,9 @@
                     });
                 }
             }
-            dropped.into_iter().for_each(|finished| part.write(finished));
+            for finished in dropped {
+                part.write(finished);
+            }
         }
         drop(parts);
         self.runs.extend(started);
@@ -168,10 +170,12 @@
         let submission = Arc::clone(&batch.submission);
         let spec = &submission.items[index];
         let progress = &batch.items[index].progress;
-        let only = (submission.single_version && progress.last_event.is_some())
-            .then(|| progress.version)
-            .flatten();
-        let models = configuration.services.get(service).map(|service| &service.models[..]);
+        let resumed = submission.single_version && progress.last_event.is_some();
+        let only = progress.version.filter(|_| resumed);
+        let models = configuration
+            .services
+            .get(service)
+            .map(|service| &service.models[..]);
         let model = submission.model.clone();
         let mut fleet = shared.fleet();
         let dealt = fleet.deal(service, models.unwrap_or_default());
@@ -231,7 +235,9 @@
         }
         let mut going = Vec::with_capacity(self.runs.len());
         for mut run in std::mem::take(&mut self.runs) {
-            let part = parts.get_mut(&run.part).filter(|part| part.epoch == run.epoch);
+            let part = parts
+                .get_mut(&run.part)
+                .filter(|part| part.epoch == run.epoch);
             let batch = part.and_then(|part| part.batches.get_mut(&run.submission.id));
             let Some(batch) = batch.filter(|batch| !batch.ended) else {
                 shared.fleet().finish(&run.target, Outcome::Dropped, now);
@@ -244,7 +250,7 @@
                 }
                 Step::Ended(end) => end,
             };
-            let finished = run.end(&shared, batch, end, now);
+            let finished = run.end(&shared, batch, &end, now);
             if let (Some(finished), Some(part)) = (finished, parts.get_mut(&run.part)) {
                 part.write(finished);
             }
@@ -354,7 +360,14 @@
         let min_version = self.submission.min_version;
         let dealt = HashMap::new();
         let besides = Some(&self.target);
-        let other = fleet.place(&self.service, &self.model, min_version, &dealt, besides, now)?;
+        let other = fleet.place(
+            &self.service,
+            &self.model,
+            min_version,
+            &dealt,
+            besides,
+            now,
+        )?;
         let known = other.pace.zip(view.usual_ms);
         let faster = known.is_none_or(|(pace, usual)| pace < usual * FASTER_FACTOR);
         (faster && !self.submission.single_version).then_some(reason)
@@ -380,9 +393,14 @@
                 log::warn!(item:% = spec.id, target_name:% = self.target, number, expected; "event out of order");
                 return Err(RunFailure::Broken);
             }
-            let stale = progress.version.is_some_and(|version| version < self.submission.min_version);
+            let stale = progress
+                .version
+                .is_some_and(|version| version < self.submission.min_version);
             let mixed = self.submission.single_version
-                && progress.versions.last().is_some_and(|last| Some(*last) != progress.version);
+                && progress
+                    .versions
+                    .last()
+                    .is_some_and(|last| Some(*last) != progress.version);
             if stale || mixed {
                 log::warn!(item:% = spec.id, target_name:% = self.target, version:? = progress.version, min_version = self.submission.min_version; "run under a version that doesn't fit");
                 return Err(RunFailure::Unusable);
@@ -421,14 +439,16 @@
         &self,
         shared: &Shared,
         batch: &mut Batch,
-        end: RunEnd,
+        end: &RunEnd,
         now: Millis,
     ) -> Option<super::Finished> {
         let spec = &self.submission.items[self.item];
         let took_ms = (now - self.began).0;
-        match end {
+        match *end {
             RunEnd::Completed => {
-                shared.fleet().finish(&self.target, Outcome::Answered(took_ms as f64), now);
+                shared
+                    .fleet()
+                    .finish(&self.target, Outcome::Answered(took_ms as f64), now);
                 let (events, moves) = (self.pace.events, batch.items[self.item].moves);
                 let finished = batch.finish(self.item, true);
                 log::info!(
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -152,7 +152,11 @@
         }
     }
 
-    /// Returns the next item that may start now, and otherwise when the first one may.
+    /// Returns the next item that may start now.
+    ///
+    /// # Errors
+    ///
+    /// With the time at which the first one may, if none may now.
     pub fn next_item(&self, now: Millis) -> Result<usize, Option<Millis>> {
         if self.ended {
             return Err(None);
@@ -210,7 +214,11 @@
             result: ItemResult {
                 item: index as u32,
                 completed,
-                versions: if completed { progress.distinct_versions() } else { Vec::new() },
+                versions: if completed {
+                    progress.distinct_versions()
+                } else {
+                    Vec::new()
+                },
                 output: if completed { progress.text } else { Vec::new() },
             },
         }
--- a/crates/godwitspool-host/src/duty/loads.rs
+++ b/crates/godwitspool-host/src/duty/loads.rs
@@ -59,8 +59,11 @@
 }
 
 /// Returns when the next load may start, if some are in progress.
-pub fn next_load(loading: &HashMap<TargetName, Loading>, now: Millis) -> Option<Millis> {
-    let ends = loading.values().map(|load| load.since + LOAD_TIME);
+pub fn next_load<'a>(
+    loading: impl IntoIterator<Item = &'a Loading>,
+    now: Millis,
+) -> Option<Millis> {
+    let ends = loading.into_iter().map(|load| load.since + LOAD_TIME);
     ends.filter(|end| *end > now).min()
 }
 
@@ -74,7 +77,11 @@
 pub fn plan_loads(view: &LoadView<'_>) -> Vec<LoadOrder> {
     let now = view.now;
     let most = (view.targets.len() / TARGETS_PER_LOAD).max(LOADS_LEAST);
-    let busy = view.loading.values().filter(|load| now - load.since < LOAD_TIME).count();
+    let busy = view
+        .loading
+        .values()
+        .filter(|load| now - load.since < LOAD_TIME)
+        .count();
     let room = most.saturating_sub(busy);
     if room == 0 {
         return Vec::new();
@@ -120,9 +127,14 @@
     }
     wanted.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(b.2)));
     let mut taken = HashSet::new();
-    let orders = wanted.into_iter().filter(|(_, _, target, _)| taken.insert(*target));
+    let orders = wanted
+        .into_iter()
+        .filter(|(_, _, target, _)| taken.insert(*target));
     let orders = orders.filter_map(|(_, _, name, model)| {
-        let target = view.targets.iter().find(|target| target.entry.name == *name)?;
+        let target = view
+            .targets
+            .iter()
+            .find(|target| target.entry.name == *name)?;
         Some(LoadOrder {
             target: name.clone(),
             address: target.entry.address,
@@ -139,9 +151,8 @@
     fn expected(&self, target: &Target, model: &ModelName) -> u64 {
         let current = target.entry.models.get(model).copied().unwrap_or_default();
         let ordered = self.loading.get(&target.entry.name);
-        let ordered = ordered.filter(|load| {
-            load.model == *model && self.now - load.since < ORDER_TIMEOUT
-        });
+        let ordered =
+            ordered.filter(|load| load.model == *model && self.now - load.since < ORDER_TIMEOUT);
         ordered.map_or(current, |load| load.version.max(current))
     }
 
--- a/crates/godwitspool-host/src/http/connection.rs
+++ b/crates/godwitspool-host/src/http/connection.rs
@@ -48,7 +48,7 @@
     /// When the socket is broken already.
     pub fn accepted(socket: TcpStream) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        set_bounds(SockRef::from(&socket))?;
+        set_bounds(&SockRef::from(&socket))?;
         Ok(Self::new(socket))
     }
 
@@ -64,7 +64,7 @@
             Some(Protocol::TCP),
         )?;
         socket.set_nonblocking(true)?;
-        set_bounds(SockRef::from(&socket))?;
+        set_bounds(&SockRef::from(&socket))?;
         match socket.connect(&address.into()) {
             Ok(()) => {}
             Err(error) if error.raw_os_error() == Some(IN_PROGRESS) => {}
@@ -152,7 +152,7 @@
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
-fn set_bounds(socket: SockRef<'_>) -> io::Result<()> {
+fn set_bounds(socket: &SockRef<'_>) -> io::Result<()> {
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
--- a/crates/godwitspool-host/src/http/decode.rs
+++ b/crates/godwitspool-host/src/http/decode.rs
@@ -28,7 +28,7 @@
 pub fn decode_request(bytes: &[u8]) -> Result<Option<(Request, usize)>, DecodeError> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
     let mut head = httparse::Request::new(&mut fields);
-    match head.parse(bytes).map_err(|_| DecodeError::Head)? {
+    match head.parse(bytes).ok().ok_or(DecodeError::Head)? {
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(length) => {
             let request = Request {
@@ -50,7 +50,7 @@
 pub fn decode_response(bytes: &[u8]) -> Result<Option<(Response, usize)>, DecodeError> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
     let mut head = httparse::Response::new(&mut fields);
-    match head.parse(bytes).map_err(|_| DecodeError::Head)? {
+    match head.parse(bytes).ok().ok_or(DecodeError::Head)? {
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(length) => {
             let response = Response {
@@ -195,7 +195,9 @@
                     let bounded = input.len() <= CHUNK_LINE_MAX;
                     return bounded.then_some(None).ok_or(DecodeError::Framing);
                 };
-                let line = input[..end].strip_suffix(b"\r").ok_or(DecodeError::Framing)?;
+                let line = input[..end]
+                    .strip_suffix(b"\r")
+                    .ok_or(DecodeError::Framing)?;
                 *self = chunk.after_line(line)?;
                 Some(end + 1)
             }
@@ -212,13 +214,21 @@
             Self::Trailer => Self::Trailer,
             Self::Size => {
                 let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-                let digits = std::str::from_utf8(digits).map_err(|_| DecodeError::Framing)?;
+                let digits = std::str::from_utf8(digits)
+                    .ok()
+                    .ok_or(DecodeError::Framing)?;
                 let hex = digits.trim_end();
                 if hex.is_empty() || !hex.bytes().all(|byte| byte.is_ascii_hexdigit()) {
                     return Err(DecodeError::Framing);
                 }
-                let size = usize::from_str_radix(hex, 16).map_err(|_| DecodeError::Framing)?;
-                if size == 0 { Self::Trailer } else { Self::Data(size) }
+                let size = usize::from_str_radix(hex, 16)
+                    .ok()
+                    .ok_or(DecodeError::Framing)?;
+                if size == 0 {
+                    Self::Trailer
+                } else {
+                    Self::Data(size)
+                }
             }
             Self::Data(_) | Self::End => return Err(DecodeError::Framing),
         };
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -136,7 +136,8 @@
         loop {
             let received = self.connection.receive();
             let received = received.map_err(|source| self.broken(source))?;
-            self.decode().map_err(|source| CallError::Malformed { source })?;
+            self.decode()
+                .map_err(|source| CallError::Malformed { source })?;
             if self.decoder.as_ref().is_some_and(BodyDecoder::is_done) {
                 return Ok(Progress::Done);
             }
@@ -180,7 +181,9 @@
         while self.decoder.is_none() {
             let input = &mut self.connection.input;
             let Some((response, length)) = decode_response(input)? else {
-                return (input.len() <= HEAD_MAX).then_some(()).ok_or(DecodeError::Head);
+                return (input.len() <= HEAD_MAX)
+                    .then_some(())
+                    .ok_or(DecodeError::Head);
             };
             input.drain(..length);
             if response.status >= 200 {
@@ -243,7 +246,9 @@
 /// Returns the idle bound that a `Keep-Alive` field states.
 fn idle_bound(response: &Response) -> Option<Duration> {
     let field = response.headers.get("keep-alive")?;
-    let mut parameters = field.split(',').filter_map(|part| part.trim().split_once('='));
+    let mut parameters = field
+        .split(',')
+        .filter_map(|part| part.trim().split_once('='));
     let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
     seconds.parse().ok().map(Duration::from_secs)
 }
--- a/crates/godwitspool-host/src/http/message.rs
+++ b/crates/godwitspool-host/src/http/message.rs
@@ -27,7 +27,8 @@
 
     /// Removes every field of a name.
     pub fn remove(&mut self, name: &str) {
-        self.0.retain(|(field, _)| !field.eq_ignore_ascii_case(name));
+        self.0
+            .retain(|(field, _)| !field.eq_ignore_ascii_case(name));
     }
 
     /// Replaces every field of a name by one.
@@ -39,7 +40,10 @@
 
     /// Tells whether a comma-separated field lists a token.
     pub fn lists(&self, name: &str, token: &str) -> bool {
-        let fields = self.0.iter().filter(|(field, _)| field.eq_ignore_ascii_case(name));
+        let fields = self
+            .0
+            .iter()
+            .filter(|(field, _)| field.eq_ignore_ascii_case(name));
         let mut tokens = fields.flat_map(|(_, value)| value.split(','));
         tokens.any(|listed| listed.trim().eq_ignore_ascii_case(token))
     }
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -90,7 +90,9 @@
 
 impl std::fmt::Debug for Server {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Server").field("address", &self.address).finish_non_exhaustive()
+        f.debug_struct("Server")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
     }
 }
 
@@ -261,7 +263,7 @@
         }
         if !decoder.is_done() && request.headers.lists("expect", "100-continue") {
             let sent = send_all(connection, b"HTTP/1.1 100 Continue\r\n\r\n");
-            sent.map_err(|_| ReadError::Ended)?;
+            sent.ok().ok_or(ReadError::Ended)?;
         }
         loop {
             decoder.decode(&mut connection.input, &mut request.body)?;
@@ -290,10 +292,14 @@
         };
         let sockets = [(connection.as_fd(), readable), self.stop.socket()];
         let sockets = if idle { &sockets[..] } else { &sockets[..1] };
-        let ready = wait(sockets, Some(timeout)).map_err(|_| ReadError::Ended)?;
+        let ready = wait(sockets, Some(timeout)).ok().ok_or(ReadError::Ended)?;
         let stopped = ready.get(1).is_some_and(|stop| stop.read);
         if !ready[0].read {
-            return if stopped { Err(ReadError::Ended) } else { Ok(false) };
+            return if stopped {
+                Err(ReadError::Ended)
+            } else {
+                Ok(false)
+            };
         }
         match connection.receive() {
             Ok(Received::Bytes | Received::Nothing) => Ok(true),
--- a/crates/godwitspool-host/src/http/wait.rs
+++ b/crates/godwitspool-host/src/http/wait.rs
@@ -42,7 +42,12 @@
             tv_nsec: i64::from(left.subsec_nanos()),
         });
         match poll(&mut polled, left.as_ref()) {
-            Ok(_) => return Ok(polled.iter().map(|polled| ready(polled.revents())).collect()),
+            Ok(_) => {
+                return Ok(polled
+                    .iter()
+                    .map(|polled| ready(polled.revents()))
+                    .collect());
+            }
             Err(Errno::INTR) => {}
             Err(error) => return Err(error.into()),
         }
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -23,7 +23,7 @@
 /// When a caller may come back if this host knows no configuration yet, or the store is away.
 const AGAIN_STORE: Duration = Duration::from_millis(500);
 /// Bound on a call about a batch whose caller states none; callers wait 1.5 s longer than they allow.
-const CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Bound on a peer's answer beyond the time that it may wait itself.
 const PEER_SLACK: Duration = Duration::from_millis(600);
 /// Pause before an append whose outcome is unknown is repeated.
@@ -78,7 +78,11 @@
     let respond = |caller: &mut Caller, response: Response| {
         caller.respond(&response)?;
         let refused = matches!(response.status, 429 | 503);
-        Ok(if refused { Ended::Refused } else { Ended::Answered(response.status) })
+        Ok(if refused {
+            Ended::Refused
+        } else {
+            Ended::Answered(response.status)
+        })
     };
     let Some(configuration) = shared.configuration() else {
         return respond(caller, shared.dialect.refusal(AGAIN_STORE));
@@ -161,7 +165,7 @@
             configuration = configuration.version;
             "batch submitted"
         );
-        self.acknowledge(stored, 202)
+        self.acknowledge(&stored, 202)
     }
 
     /// Stores the end of a batch.
@@ -169,10 +173,10 @@
         let part = partition_of(batch, self.shared.settings.store.parts);
         let stored = self.store(part, &[vec![BatchRecord::of_end(batch)]]);
         log::info!(batch, part, stored:?; "end of a batch asked for");
-        self.acknowledge(stored, 200)
+        self.acknowledge(&stored, 200)
     }
 
-    fn acknowledge(&self, stored: Result<(), StoreError>, status: u16) -> Response {
+    fn acknowledge(&self, stored: &Result<(), StoreError>, status: u16) -> Response {
         match stored {
             Ok(()) => Response::new(status, Vec::new()),
             Err(StoreError::NotDone { .. }) => self.shared.dialect.refusal(AGAIN_STORE),
@@ -187,7 +191,10 @@
         let mut unknown = None;
         for records in calls {
             loop {
-                let append = self.shared.store.append(Topic::Batches, part, records, None);
+                let append = self
+                    .shared
+                    .store
+                    .append(Topic::Batches, part, records, None);
                 let Err(error) = append else {
                     break;
                 };
@@ -208,7 +215,9 @@
     fn read(&self, batch: &str, after: u64) -> Response {
         let shared = self.shared;
         let wait = self.call.wait.unwrap_or_default();
-        let found = shared.book.read(batch, self.workspace.as_ref(), after, wait);
+        let found = shared
+            .book
+            .read(batch, self.workspace.as_ref(), after, wait);
         let lookup = match found {
             Lookup::Found(page) => return shared.dialect.results(&page),
             other => other,
@@ -217,7 +226,7 @@
             return answer;
         }
         let total_wanted = |stored: &ResultPage| stored.total > 0;
-        self.from_store(batch, |submission, results| {
+        self.answer_stored(batch, |submission, results| {
             let page = page(submission, results, after);
             if total_wanted(&page) && (after as usize) <= results.len() {
                 return shared.dialect.results(&page);
@@ -236,7 +245,7 @@
         if let Some(answer) = self.ask_owner(batch, &lookup, Duration::ZERO) {
             return answer;
         }
-        self.from_store(batch, |submission, _| {
+        self.answer_stored(batch, |submission, _| {
             let mut items = submission.items.iter();
             match items.find(|spec| spec.id == item) {
                 Some(spec) => Response::new(200, spec.body.clone()),
@@ -272,7 +281,7 @@
     }
 
     /// Answers from the store. A host that asks on a caller's behalf does so itself.
-    fn from_store(
+    fn answer_stored(
         &self,
         batch: &str,
         answer: impl FnOnce(&Submission, &[Arc<crate::batch::ItemResult>]) -> Response,
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -67,7 +67,8 @@
     /// Returns the epoch while the duties are held for certain.
     fn epoch(&self) -> Option<u64> {
         let hold = *self.lock();
-        hold.filter(|hold| lease_clock() < hold.until).map(|hold| hold.epoch)
+        hold.filter(|hold| lease_clock() < hold.until)
+            .map(|hold| hold.epoch)
     }
 }
 
@@ -138,7 +139,7 @@
     fn pause(&self) -> Duration {
         let now = self.shared.clock.now();
         let loading = self.loading.lock().unwrap_or_else(PoisonError::into_inner);
-        let next = next_load(&loading, now).map(|next| (next - now).duration());
+        let next = next_load(loading.values(), now).map(|next| (next - now).duration());
         next.map_or(LOOK, |next| next.min(LOOK))
     }
 
@@ -208,7 +209,11 @@
                 let single = configuration.routes.iter().any(|route| {
                     route.single_version && route.split.iter().any(|split| split.service == *name)
                 });
-                let mode = if single { LoadMode::Wait } else { LoadMode::Continue };
+                let mode = if single {
+                    LoadMode::Wait
+                } else {
+                    LoadMode::Continue
+                };
                 let named: HashMap<_, _> = named
                     .iter()
                     .filter(|(model, _)| service.models.contains(model))
@@ -362,7 +367,10 @@
             epoch: term.epoch,
             seq: term.seq,
         };
-        let appended = self.shared.store.append(Topic::Duty, 0, &[record], Some(writer));
+        let appended = self
+            .shared
+            .store
+            .append(Topic::Duty, 0, &[record], Some(writer));
         if let Err(error) = appended {
             term.freezing = Some(report);
             return Err(error);
@@ -407,7 +415,8 @@
         }
         let late_ms = self.shared.settings.window_due.as_millis() as u64;
         let usage = &self.shared.usage;
-        term.counts.retain(|window, _| usage.end_ms(*window) + late_ms >= now);
+        term.counts
+            .retain(|window, _| usage.end_ms(*window) + late_ms >= now);
         Ok(())
     }
 }
@@ -434,7 +443,9 @@
             match shared.store.append(Topic::Usage, 0, &unsent, None) {
                 Ok(()) => unsent.clear(),
                 // Their keys tell repeated ones apart.
-                Err(error) => log::warn!(records = unsent.len(), error:%; "counts not appended yet"),
+                Err(error) => {
+                    log::warn!(records = unsent.len(), error:%; "counts not appended yet");
+                }
             }
         }
         if draining && unsent.is_empty() {
@@ -449,4 +460,3 @@
         thread::sleep(pause.min(Duration::from_secs(1)));
     }
 }
-
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -23,7 +23,7 @@
 /// out after two misses of a question a second.
 const STILL_CHOSEN: Duration = Duration::from_millis(2_500);
 /// Time kept back for the end of the process before it is killed.
-const END_RESERVE: Duration = Duration::from_millis(1_000);
+const END_RESERVE: Duration = Duration::from_secs(1);
 /// Time between two looks at what still runs during the drain.
 const LOOK: Duration = Duration::from_millis(50);
 /// Stack of the process's threads.
@@ -72,16 +72,20 @@
         })?;
         let desk = Arc::new(Desk::default());
         let own = Arc::clone(&desk);
-        spawn(&shared, "duties", move |shared| Holder::new(shared, own).run())?;
+        spawn(&shared, "duties", move |shared| {
+            Holder::new(shared, own).run();
+        })?;
         let leaving = vec![
-            spawn(&shared, "membership", move |shared| Membership::new(shared, desk).run())?,
+            spawn(&shared, "membership", move |shared| {
+                Membership::new(shared, desk).run();
+            })?,
             spawn(&shared, "usage", |shared| append_usage(&shared))?,
         ];
         Ok(Self {
+            shared,
             front,
-            leaving,
             others,
-            shared,
+            leaving,
         })
     }
 
@@ -135,7 +139,9 @@
         let configuration = bounds_of.configuration().filter(|_| bounded);
         configuration.map_or_else(Bounds::default, |configuration| configuration.bounds)
     };
-    Server::start(address, bounds, move |caller, request| handle(&own, caller, &request))
+    Server::start(address, bounds, move |caller, request| {
+        handle(&own, caller, &request)
+    })
 }
 
 fn spawn(
@@ -144,7 +150,9 @@
     run: impl FnOnce(Arc<Shared>) + Send + 'static,
 ) -> io::Result<JoinHandle<()>> {
     let own = Arc::clone(shared);
-    let thread = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
+    let thread = thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(STACK_BYTES);
     thread.spawn(move || run(own))
 }
 
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -1,17 +1,8 @@
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, thread, time::Duration};
 
 use godwitspool_types::Millis;
 
-use super::{
-    Shared,
-    duties::Desk,
-    shared::lease_clock,
-};
+use super::{Shared, duties::Desk, shared::lease_clock};
 use crate::{
     batch::Owner,
     store::{Assignment, Store, Topic},
@@ -19,7 +10,7 @@
 
 /// A member that has sent nothing for so long loses its partitions: short beside the seconds in
 /// which a batch's results are due, long beside the store's slow answers.
-const MEMBER_TTL: Duration = Duration::from_millis(2_000);
+const MEMBER_TTL: Duration = Duration::from_secs(2);
 /// Renewals within that time.
 const RENEWALS: u32 = 3;
 /// Bits of an epoch that are drawn at random, so that no two owners ever share one.
@@ -55,7 +46,11 @@
         let mut failing = false;
         while !self.shared.is_draining() {
             let sent = lease_clock();
-            match self.shared.store.join(&self.shared.member, self.generation, ttl) {
+            match self
+                .shared
+                .store
+                .join(&self.shared.member, self.generation, ttl)
+            {
                 Ok(assignment) => {
                     if failing {
                         log::info!(generation = assignment.generation; "membership renewed again");
@@ -92,7 +87,10 @@
             self.shared.peers.suspect();
         }
         let dealt = |topic| {
-            let parts = assignment.parts.iter().filter(move |(held, _)| *held == topic);
+            let parts = assignment
+                .parts
+                .iter()
+                .filter(move |(held, _)| *held == topic);
             parts.map(|(_, part)| *part)
         };
         if dealt(Topic::Duty).next().is_some() {
@@ -124,8 +122,8 @@
             Arc::clone(&self.shared.store) as Arc<dyn Store>,
             Arc::clone(&self.shared.book),
             self.shared.settings.store,
-            part,
-            epoch(generation),
+            self.shared.settings.batch_ttl,
+            (part, epoch(generation)),
         );
         match started {
             Ok(owner) => {
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -55,9 +55,13 @@
     pub fn holders(&self, shared: &Shared) -> Vec<SocketAddr> {
         self.refresh(shared);
         let known = self.lock();
-        let held = known.holdings.iter().filter_map(|holding| address(&holding.member));
-        let mut addresses: Vec<SocketAddr> =
-            held.filter(|address| *address != shared.settings.peer).collect();
+        let held = known
+            .holdings
+            .iter()
+            .filter_map(|holding| address(&holding.member));
+        let mut addresses: Vec<SocketAddr> = held
+            .filter(|address| *address != shared.settings.peer)
+            .collect();
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -12,15 +12,13 @@
 use super::peers::address;
 use crate::{
     http::{CallError, Exchange, Pool, Request, Response},
-    store::{
-        Assignment, Holding, Keyed, Page, READ_SLACK, Store, StoreError, Tail, Topic, Writer,
-    },
+    store::{Assignment, Holding, Keyed, Page, READ_SLACK, Store, StoreError, Tail, Topic, Writer},
 };
 
 /// Path under which a host makes calls to the store for another.
 pub const RELAY_PATH: &str = "/godwitspool/store";
 /// While the store turns this host away it is tried directly once in this time.
-const DIRECT_PERIOD: Duration = Duration::from_millis(1_000);
+const DIRECT_PERIOD: Duration = Duration::from_secs(1);
 /// Hosts that are asked for one call.
 const PEERS_ASKED: usize = 3;
 /// Bound on a host's answer beside the store's own time and the time that a read waits.
@@ -68,7 +66,11 @@
 impl Relay {
     /// Creates a relay that knows the seeds.
     pub fn new(direct: Arc<dyn Store>, seeds: &[SocketAddr], own: Vec<SocketAddr>) -> Self {
-        let peers = seeds.iter().copied().filter(|seed| !own.contains(seed)).collect();
+        let peers = seeds
+            .iter()
+            .copied()
+            .filter(|seed| !own.contains(seed))
+            .collect();
         Self {
             direct,
             own,
@@ -108,7 +110,9 @@
         let mut state = self.lock();
         let alone = state.peers.is_empty();
         let tried = state.away.get_mut(&place);
-        let due = tried.as_ref().is_none_or(|tried| tried.elapsed() >= DIRECT_PERIOD);
+        let due = tried
+            .as_ref()
+            .is_none_or(|tried| tried.elapsed() >= DIRECT_PERIOD);
         let direct = due || alone;
         if let Some(tried) = tried.filter(|_| direct) {
             *tried = Instant::now();
@@ -150,7 +154,8 @@
         let peers = self.lock().peers.clone();
         for peer in peers.into_iter().take(PEERS_ASKED) {
             let request = Request::new("POST", RELAY_PATH, body.clone());
-            let answer = Exchange::call(&self.pool, peer, &request, wait + READ_SLACK + RELAY_SLACK);
+            let answer =
+                Exchange::call(&self.pool, peer, &request, wait + READ_SLACK + RELAY_SLACK);
             let late = matches!(answer, Err(CallError::Late { .. }));
             let error = match answer {
                 Ok(answer) if answer.status == 200 => {
@@ -210,7 +215,9 @@
 
     /// Takes over the hosts that hold something; seeds stay known.
     fn learn(&self, holdings: &[Holding]) {
-        let members = holdings.iter().filter_map(|holding| address(&holding.member));
+        let members = holdings
+            .iter()
+            .filter_map(|holding| address(&holding.member));
         let mut state = self.lock();
         for member in members {
             if !self.own.contains(&member) && !state.peers.contains(&member) {
@@ -235,20 +242,20 @@
 /// Carries out a call.
 fn perform(store: &dyn Store, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
     match call {
-        StoreCall::Append(topic, part, records, writer) => {
-            store.append(*topic, *part, records, *writer).map(|()| StoreAnswer::Done)
-        }
+        StoreCall::Append(topic, part, records, writer) => store
+            .append(*topic, *part, records, *writer)
+            .map(|()| StoreAnswer::Done),
         StoreCall::Holdings => store.holdings().map(StoreAnswer::Holdings),
-        StoreCall::Join(member, generation, ttl) => {
-            store.join(member, *generation, *ttl).map(StoreAnswer::Assignment)
-        }
+        StoreCall::Join(member, generation, ttl) => store
+            .join(member, *generation, *ttl)
+            .map(StoreAnswer::Assignment),
         StoreCall::Leave(member) => store.leave(member).map(|()| StoreAnswer::Done),
-        StoreCall::Newest(topic, part, after) => {
-            store.newest(*topic, *part, after.as_deref()).map(StoreAnswer::Page)
-        }
-        StoreCall::Read(topic, part, from, wait) => {
-            store.read(*topic, *part, *from, *wait).map(StoreAnswer::Tail)
-        }
+        StoreCall::Newest(topic, part, after) => store
+            .newest(*topic, *part, after.as_deref())
+            .map(StoreAnswer::Page),
+        StoreCall::Read(topic, part, from, wait) => store
+            .read(*topic, *part, *from, *wait)
+            .map(StoreAnswer::Tail),
     }
 }
 
@@ -266,16 +273,11 @@
         records: &[Keyed],
         writer: Option<Writer>,
     ) -> Result<(), StoreError> {
-        self.call(&StoreCall::Append(topic, part, records.to_vec(), writer)).map(drop)
+        self.call(&StoreCall::Append(topic, part, records.to_vec(), writer))
+            .map(drop)
     }
 
-    fn read(
-        &self,
-        topic: Topic,
-        part: u32,
-        from: u64,
-        wait: Duration,
-    ) -> Result<Tail, StoreError> {
+    fn read(&self, topic: Topic, part: u32, from: u64, wait: Duration) -> Result<Tail, StoreError> {
         match self.call(&StoreCall::Read(topic, part, from, wait))? {
             StoreAnswer::Tail(tail) => Ok(tail),
             other => unexpected(&other),
@@ -289,12 +291,7 @@
         }
     }
 
-    fn join(
-        &self,
-        member: &str,
-        generation: u64,
-        ttl: Duration,
-    ) -> Result<Assignment, StoreError> {
+    fn join(&self, member: &str, generation: u64, ttl: Duration) -> Result<Assignment, StoreError> {
         match self.call(&StoreCall::Join(member.to_owned(), generation, ttl))? {
             StoreAnswer::Assignment(assignment) => Ok(assignment),
             other => unexpected(&other),
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -52,8 +52,6 @@
     pub number: u64,
     /// Runs by target.
     pub running: Vec<(TargetName, u32)>,
-    /// Items that wait, by model.
-    pub waiting: Vec<(ModelName, u32)>,
 }
 
 /// Sends and receives reports.
@@ -87,13 +85,7 @@
     }
 
     /// Tells the other hosts of the runs of this one, if that is due.
-    pub fn send(
-        &self,
-        shared: &Shared,
-        sender: u32,
-        running: HashMap<TargetName, u32>,
-        waiting: HashMap<ModelName, u32>,
-    ) {
+    pub fn send(&self, shared: &Shared, sender: u32, running: HashMap<TargetName, u32>) {
         let Some(socket) = &self.socket else {
             return;
         };
@@ -103,12 +95,10 @@
             sender,
             number: sent.number,
             running: running.into_iter().collect(),
-            waiting: waiting.into_iter().collect(),
         };
         report.running.sort();
-        report.waiting.sort();
         let age = now - sent.at;
-        let idle = report.running.is_empty() && report.waiting.is_empty();
+        let idle = report.running.is_empty();
         let unchanged = report == sent.report;
         if age < PERIOD_LEAST || (age < PERIOD && unchanged) || (idle && unchanged) {
             return;
@@ -120,33 +110,14 @@
             ..report.clone()
         };
         drop(sent);
-        self.broadcast(shared, socket, &Notice::Runs(report));
+        broadcast(shared, socket, &Notice::Runs(report));
     }
 
     /// Tells the other hosts of a load, so that they neither send to the target meanwhile nor wait
     /// for its entry afterwards.
     pub fn send_load(&self, shared: &Shared, load: LoadNotice) {
         if let Some(socket) = &self.socket {
-            self.broadcast(shared, socket, &Notice::Load(load));
-        }
-    }
-
-    fn broadcast(&self, shared: &Shared, socket: &UdpSocket, notice: &Notice) {
-        let bytes = match postcard::to_stdvec(notice) {
-            Ok(bytes) if bytes.len() <= DATAGRAM_BYTES => bytes,
-            Ok(bytes) => {
-                log::warn!(bytes = bytes.len(); "report between hosts is too large");
-                return;
-            }
-            Err(error) => {
-                log::error!(error:%; "report can't be encoded");
-                return;
-            }
-        };
-        for address in shared.peers.holders(shared) {
-            if let Err(error) = socket.send_to(&bytes, address) {
-                log::debug!(error:%, peer:% = address; "report not sent");
-            }
+            broadcast(shared, socket, &Notice::Load(load));
         }
     }
 
@@ -170,7 +141,11 @@
             match postcard::from_bytes::<Notice>(&bytes[..length]) {
                 Ok(Notice::Runs(report)) => shared.fleet().report(&report, now),
                 Ok(Notice::Load(load)) => {
-                    let LoadNotice { target, model, version } = &load;
+                    let LoadNotice {
+                        target,
+                        model,
+                        version,
+                    } = &load;
                     log::info!(target_name:% = target, model:%, version; "load begins");
                     shared.fleet().begin_load(target, model, *version, now);
                 }
@@ -179,3 +154,23 @@
         }
     }
 }
+
+/// Sends a notice to the other hosts that hold a partition.
+fn broadcast(shared: &Shared, socket: &UdpSocket, notice: &Notice) {
+    let bytes = match postcard::to_stdvec(notice) {
+        Ok(bytes) if bytes.len() <= DATAGRAM_BYTES => bytes,
+        Ok(bytes) => {
+            log::warn!(bytes = bytes.len(); "report between hosts is too large");
+            return;
+        }
+        Err(error) => {
+            log::error!(error:%; "report can't be encoded");
+            return;
+        }
+    };
+    for address in shared.peers.holders(shared) {
+        if let Err(error) = socket.send_to(&bytes, address) {
+            log::debug!(error:%, peer:% = address; "report not sent");
+        }
+    }
+}
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -110,7 +110,10 @@
 
         let metrics = Metrics::default();
         let answers = metrics.reasons("answers", "Requests by how they ended");
-        let own = [Some(settings.peer), settings.seed].into_iter().flatten().collect();
+        let own = [Some(settings.peer), settings.seed]
+            .into_iter()
+            .flatten()
+            .collect();
         let incarnation = rand::random::<u32>();
         let member = format!("{}#{incarnation:08x}", settings.peer);
         Ok(Self {
@@ -141,14 +144,19 @@
     /// Returns the configuration in force, if one is known.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         let configuration = self.configuration.read();
-        configuration.unwrap_or_else(PoisonError::into_inner).clone()
+        configuration
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Puts a configuration into force unless a newer one is.
     pub fn configure(&self, configuration: Configuration) -> bool {
         let current = self.configuration.write();
         let mut current = current.unwrap_or_else(PoisonError::into_inner);
-        if current.as_ref().is_some_and(|current| current.version >= configuration.version) {
+        if current
+            .as_ref()
+            .is_some_and(|current| current.version >= configuration.version)
+        {
             return false;
         }
         *current = Some(Arc::new(configuration));
@@ -162,7 +170,10 @@
 
     /// Returns the newest version of each model.
     pub fn named(&self) -> HashMap<ModelName, u64> {
-        self.named.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.named
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Takes over a model's newest version; older ones are left out.
@@ -176,14 +187,20 @@
 
     /// Tells the duties that named versions or targets have changed.
     pub fn announce(&self) {
-        *self.news_count.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        *self
+            .news_count
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) += 1;
         self.news.notify_all();
         self.book.waker.wake();
     }
 
     /// Waits for news, up to a time.
     pub fn await_news(&self, seen: &mut u64, timeout: Duration) {
-        let count = self.news_count.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = self
+            .news_count
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let unchanged = |count: &mut u64| *count == *seen;
         let waited = self.news.wait_timeout_while(count, timeout, unchanged);
         *seen = *waited.unwrap_or_else(PoisonError::into_inner).0;
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -77,7 +77,10 @@
 }
 
 fn mirrors(shared: &Shared) -> MutexGuard<'_, [Mirror; 2]> {
-    shared.mirrors.lock().unwrap_or_else(PoisonError::into_inner)
+    shared
+        .mirrors
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
 }
 
 fn index(topic: Topic) -> usize {
--- a/crates/godwitspool-host/src/process/usage.rs
+++ b/crates/godwitspool-host/src/process/usage.rs
@@ -58,7 +58,10 @@
             counts.sort();
             counts
         };
-        ended.into_iter().map(|(window, counts)| (window, sorted(counts))).collect()
+        ended
+            .into_iter()
+            .map(|(window, counts)| (window, sorted(counts)))
+            .collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, HashMap<Workspace, u64>>> {
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -16,7 +16,7 @@
 /// Time that an answer needs to reach the caller before its deadline.
 const DELIVERY: Duration = Duration::from_millis(15);
 /// Bound on a request whose route and caller state none.
-const TIMEOUT_UNSTATED: Duration = Duration::from_secs(60);
+const TIMEOUT_UNSTATED: Duration = Duration::from_mins(1);
 /// Share of the goal after which an idempotent request that got no answer is sent to a second
 /// target as well, so that the second still answers within the goal.
 const HEDGE_SHARE: f64 = 0.4;
@@ -85,8 +85,15 @@
     caller: &mut Caller,
 ) -> io::Result<Ended> {
     let arrived = Instant::now();
-    let bounds = [call.deadline.map(|left| left.saturating_sub(DELIVERY)), route.timeout];
-    let bound = bounds.into_iter().flatten().min().unwrap_or(TIMEOUT_UNSTATED);
+    let bounds = [
+        call.deadline.map(|left| left.saturating_sub(DELIVERY)),
+        route.timeout,
+    ];
+    let bound = bounds
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(TIMEOUT_UNSTATED);
     let Some(service) = route.service(rand::random()).cloned() else {
         caller.respond(&shared.dialect.refusal(AGAIN_NONE))?;
         return Ok(Ended::Refused);
@@ -183,7 +190,11 @@
     fn next_try(&mut self, repeatable: bool) -> bool {
         let most = self.route.attempts.max(1);
         loop {
-            let sent = self.tries.iter().filter(|attempt| attempt.exchange.was_sent()).count();
+            let sent = self
+                .tries
+                .iter()
+                .filter(|attempt| attempt.exchange.was_sent())
+                .count();
             let begun = self.begun + sent as u32;
             if begun > 0 && (!repeatable || begun >= most) {
                 return false;
@@ -235,7 +246,11 @@
     }
 
     fn note_begun(&mut self) {
-        let sent = self.tries.iter().filter(|attempt| attempt.exchange.was_sent()).count();
+        let sent = self
+            .tries
+            .iter()
+            .filter(|attempt| attempt.exchange.was_sent())
+            .count();
         if sent > 0 {
             self.begun_ms.get_or_insert_with(unix_ms);
         }
@@ -270,7 +285,10 @@
 
     fn take_answer(&mut self, attempt: Try) -> Option<Response> {
         let took = attempt.began.elapsed().as_secs_f64() * 1_000.0;
-        let reply = attempt.exchange.head().map(|head| self.shared.dialect.reply(head));
+        let reply = attempt
+            .exchange
+            .head()
+            .map(|head| self.shared.dialect.reply(head));
         let reply: Reply = reply.unwrap_or_default();
         if reply.id != self.call.id {
             log::warn!(request:? = self.call.id, target_name:% = attempt.target, answered:? = reply.id; "answer belongs to another request");
@@ -280,7 +298,14 @@
         }
         let status = attempt.exchange.head().map_or(0, |head| head.status);
         let refused = reply.not_run || status == 421;
-        self.settle(&attempt, if refused { Outcome::Refused } else { Outcome::Answered(took) });
+        self.settle(
+            &attempt,
+            if refused {
+                Outcome::Refused
+            } else {
+                Outcome::Answered(took)
+            },
+        );
         let (response, connection) = attempt.exchange.finish();
         if let Some(connection) = connection {
             self.shared.pool.put(attempt.address, connection);
@@ -388,7 +413,11 @@
             caller.respond(&Response::new(502, Vec::new()))?;
             return Ok(Ended::Failed(502));
         }
-        let again = if self.tried.is_empty() { AGAIN_NONE } else { AGAIN_FULL };
+        let again = if self.tried.is_empty() {
+            AGAIN_NONE
+        } else {
+            AGAIN_FULL
+        };
         caller.respond(&self.shared.dialect.refusal(again))?;
         Ok(Ended::Refused)
     }
--- a/crates/godwitspool-host/src/store.rs
+++ b/crates/godwitspool-host/src/store.rs
@@ -15,8 +15,6 @@
     Batches,
     /// Lease of the duties, frozen usage windows.
     Duty,
-    /// Hosts of the system and their addresses.
-    Hosts,
     /// The operators' configuration and the named versions of models.
     Operator,
     /// Results of batches; only the partition's owner appends.
@@ -172,8 +170,7 @@
     /// # Errors
     ///
     /// When they can't be read or are gone.
-    fn read(&self, topic: Topic, part: u32, from: u64, wait: Duration)
-    -> Result<Tail, StoreError>;
+    fn read(&self, topic: Topic, part: u32, from: u64, wait: Duration) -> Result<Tail, StoreError>;
 
     /// Reads the newest record of each key that follows `after`, up to a page.
     ///
@@ -187,8 +184,7 @@
     /// # Errors
     ///
     /// When the membership isn't known to be renewed.
-    fn join(&self, member: &str, generation: u64, ttl: Duration)
-    -> Result<Assignment, StoreError>;
+    fn join(&self, member: &str, generation: u64, ttl: Duration) -> Result<Assignment, StoreError>;
 
     /// Leaves the hosts' group.
     ///
@@ -226,7 +222,11 @@
         end = end.or(Some(page.end));
         let last = page.records.last().map(|stored| stored.record.key.clone());
         let whole = page.records.iter().all(|stored| wanted(&stored.record.key));
-        records.extend(page.records.into_iter().filter(|stored| wanted(&stored.record.key)));
+        records.extend(
+            page.records
+                .into_iter()
+                .filter(|stored| wanted(&stored.record.key)),
+        );
         if !page.more || last.is_none() || !whole {
             return Ok((records, end.unwrap_or_default()));
         }
--- a/crates/godwitspool-host/src/version/configuration.rs
+++ b/crates/godwitspool-host/src/version/configuration.rs
@@ -145,7 +145,10 @@
     /// assert_eq!(found.prefix, "/a/b/");
     /// ```
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let routes = self.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(host));
+        let routes = self
+            .routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host));
         let fitting = routes.filter(|route| path.starts_with(&route.prefix));
         fitting.max_by_key(|route| route.prefix.len())
     }
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -116,8 +116,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     targets: HashMap<TargetName, Target>,
-    /// Newest report of each other host, and items that wait there.
-    reports: HashMap<u32, (u64, Millis, u32)>,
+    /// Number and time of each other host's newest report.
+    reports: HashMap<u32, (u64, Millis)>,
 }
 
 impl Target {
@@ -134,7 +134,10 @@
 
     /// Returns the requests that run there, those of other hosts included.
     pub fn running_everywhere(&self, now: Millis) -> u32 {
-        let others = self.others.values().filter(|(_, at)| now - *at < REPORT_AGE);
+        let others = self
+            .others
+            .values()
+            .filter(|(_, at)| now - *at < REPORT_AGE);
         self.running + others.map(|(count, _)| count).sum::<u32>()
     }
 }
@@ -194,7 +197,9 @@
             .filter(|target| is_over(target))
             .map(|target| target.entry.name.clone())
             .collect();
-        gone.iter().for_each(|name| drop(self.targets.remove(name)));
+        for name in &gone {
+            self.targets.remove(name);
+        }
         gone
     }
 
@@ -260,7 +265,9 @@
         now: Millis,
     ) -> Option<&Target> {
         let usable = self.usable(service);
-        let fresh = usable.into_iter().filter(|target| !tried.contains(&target.entry.name));
+        let fresh = usable
+            .into_iter()
+            .filter(|target| !tried.contains(&target.entry.name));
         fresh.min_by(|a, b| {
             let rank = |target: &Target| {
                 let paused = target.paused_until > now;
@@ -282,13 +289,12 @@
 
     /// Takes over another host's report of its runs.
     pub fn report(&mut self, report: &RunReport, now: Millis) {
-        let newest = self.reports.get(&report.sender).map(|(number, _, _)| *number);
+        let newest = self.reports.get(&report.sender).map(|(number, _)| *number);
         if newest.is_some_and(|newest| newest > report.number) {
             return;
         }
-        let waiting = report.waiting.iter().map(|(_, count)| count).sum();
-        self.reports.retain(|_, (_, at, _)| now - *at < REPORT_MEMORY);
-        self.reports.insert(report.sender, (report.number, now, waiting));
+        self.reports.retain(|_, (_, at)| now - *at < REPORT_MEMORY);
+        self.reports.insert(report.sender, (report.number, now));
         for target in self.targets.values_mut() {
             target.others.remove(&report.sender);
         }
@@ -299,12 +305,6 @@
         }
     }
 
-    /// Returns how many items wait at other hosts.
-    pub fn waiting_elsewhere(&self, now: Millis) -> u32 {
-        let fresh = self.reports.values().filter(|(_, at, _)| now - *at < REPORT_AGE);
-        fresh.map(|(_, _, waiting)| waiting).sum()
-    }
-
     /// Takes over the time between two events of a stream.
     pub fn pace(&mut self, name: &TargetName, between_ms: f64, now: Millis) {
         if let Some(target) = self.targets.get_mut(name) {
@@ -344,13 +344,18 @@
                 && Some(&target.entry.name) != besides
                 && target.paused_until <= now
                 && target.running_everywhere(now) < target.entry.slots;
-            let pace = target.pace.filter(|(_, at)| now - *at < PACE_AGE).map(|(pace, _)| pace);
+            let pace = target
+                .pace
+                .filter(|(_, at)| now - *at < PACE_AGE)
+                .map(|(pace, _)| pace);
             fits.then_some((target, expected.then_some(version), pace))
         });
         let best = fitting.min_by_key(|(target, _, pace)| {
             let own = dealt.get(&target.entry.name) == Some(model);
             let load = target.running_everywhere(now) * 100 / target.entry.slots.max(1);
-            let slow = pace.zip(usual).is_some_and(|(pace, usual)| pace > usual * SLOW_FACTOR);
+            let slow = pace
+                .zip(usual)
+                .is_some_and(|(pace, usual)| pace > usual * SLOW_FACTOR);
             (slow, !own, load)
         });
         best.map(|(target, expected, pace)| Placement {
@@ -361,15 +366,13 @@
         })
     }
 
-    /// Returns how many places of a service's targets this host doesn't use.
-    pub fn free_places(&self, service: &ServiceName) -> u32 {
-        let places = |target: &Target| target.entry.slots.saturating_sub(target.running);
-        self.usable(service).into_iter().map(places).sum()
-    }
-
     /// Deals a service's targets to its models, each to one, as evenly as possible and so that a
     /// change of the targets moves few of the others.
-    pub fn deal(&self, service: &ServiceName, models: &[ModelName]) -> HashMap<TargetName, ModelName> {
+    pub fn deal(
+        &self,
+        service: &ServiceName,
+        models: &[ModelName],
+    ) -> HashMap<TargetName, ModelName> {
         let mut pairs: Vec<(u64, &TargetName, &ModelName)> = Vec::new();
         let usable = self.usable(service);
         for target in &usable {
@@ -381,22 +384,22 @@
         }
         pairs.sort_unstable();
         let share = usable.len() / models.len().max(1);
-        let mut spare = usable.len() % models.len().max(1);
-        let mut held: HashMap<&ModelName, usize> = HashMap::new();
+        let mut remainder = usable.len() % models.len().max(1);
+        let mut counts: HashMap<&ModelName, usize> = HashMap::new();
         let mut dealt: HashMap<TargetName, ModelName> = HashMap::new();
         let mut full: HashSet<&ModelName> = HashSet::new();
         for (_, target, model) in pairs {
             if dealt.contains_key(target) || full.contains(model) {
                 continue;
             }
-            let count = held.entry(model).or_default();
+            let count = counts.entry(model).or_default();
             if *count == share {
                 // One of the targets that don't divide evenly.
-                if spare == 0 {
+                if remainder == 0 {
                     full.insert(model);
                     continue;
                 }
-                spare -= 1;
+                remainder -= 1;
                 full.insert(model);
             }
             *count += 1;
--- a/crates/godwitspool-host/src/version/mirror.rs
+++ b/crates/godwitspool-host/src/version/mirror.rs
@@ -65,7 +65,10 @@
 
     /// Takes over all keys of the partition: keys that are known and not among them are gone.
     pub fn replace(&mut self, records: Vec<Stored>, end: u64) -> Vec<MirrorChange> {
-        let held: Vec<&str> = records.iter().map(|stored| stored.record.key.as_str()).collect();
+        let held: Vec<&str> = records
+            .iter()
+            .map(|stored| stored.record.key.as_str())
+            .collect();
         let gone: Vec<Stored> = self
             .records
             .iter()
--- /dev/null
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -0,0 +1,162 @@
+//! Log lines that never hold up the thread that writes them.
+
+use std::{
+    collections::HashMap,
+    fmt::Write as _,
+    io::{self, Write},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use log::{Level, LevelFilter, SetLoggerError};
+
+use crate::{LogFormat, logs::line};
+
+/// Lines that wait for the output; some 200 bytes each, so under a megabyte.
+const QUEUE_LINES: usize = 4_096;
+/// Lines of one kind in a second. A host starts and ends some dozen items a second at most.
+const KIND_LINES: u32 = 200;
+/// Warnings of one kind in a second: they tell of failures and are the last to go.
+const WARNING_LINES: u32 = 1_000;
+
+/// Counts lines by kind and second, and says which are left out.
+///
+/// ```
+/// use godwitspool_process::LineLimit;
+/// use log::Level;
+///
+/// let mut limit = LineLimit::default();
+/// let written = (0..10_000).filter(|_| limit.admit("item starts", Level::Info, 7)).count();
+/// assert!(written < 1_000);
+/// assert_eq!(limit.take_left_out(8), [("item starts".to_owned(), 10_000 - written as u32)]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct LineLimit {
+    second: u64,
+    counts: HashMap<String, u32>,
+    left_out: HashMap<String, u32>,
+}
+
+impl LineLimit {
+    /// Tells whether a line of a kind is written in a second.
+    pub fn admit(&mut self, kind: &str, level: Level, second: u64) -> bool {
+        if second != self.second {
+            self.second = second;
+            self.counts.clear();
+        }
+        let most = if level <= Level::Warn {
+            WARNING_LINES
+        } else {
+            KIND_LINES
+        };
+        let count = self.counts.entry(kind.to_owned()).or_default();
+        *count += 1;
+        let admitted = *count <= most;
+        if !admitted {
+            *self.left_out.entry(kind.to_owned()).or_default() += 1;
+        }
+        admitted
+    }
+
+    /// Takes the counts of lines that were left out before a second.
+    pub fn take_left_out(&mut self, second: u64) -> Vec<(String, u32)> {
+        if second <= self.second || self.left_out.is_empty() {
+            return Vec::new();
+        }
+        let mut left_out: Vec<_> = self.left_out.drain().collect();
+        left_out.sort();
+        left_out
+    }
+}
+
+/// Writes log lines of this process to standard output from now on, by a thread of their own. Lines
+/// that it can't keep up with are left out and counted.
+///
+/// # Errors
+///
+/// When a logger is set already or no thread can be started.
+pub fn install_queue(format: LogFormat) -> io::Result<()> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let lost = Arc::clone(&dropped);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver, &lost, io::stdout()))?;
+    let set: Result<(), SetLoggerError> = fern::Dispatch::new()
+        .level(LevelFilter::Info)
+        .chain(fern::Output::call(queue(format, sender, dropped)))
+        .apply();
+    set.map_err(io::Error::other)
+}
+
+fn queue(
+    format: LogFormat,
+    sender: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+) -> impl Fn(&log::Record<'_>) + Send + Sync {
+    let limit = Mutex::new(LineLimit::default());
+    move |record| {
+        let age = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let kind = record.args().as_str().unwrap_or(record.target());
+        let mut limit = limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let left_out = limit.take_left_out(age.as_secs());
+        let admitted = limit.admit(kind, record.level(), age.as_secs());
+        drop(limit);
+        for (kind, count) in left_out {
+            send(&sender, &dropped, left_out_line(age, &kind, count));
+        }
+        if admitted {
+            send(&sender, &dropped, line(format, age, record));
+        }
+    }
+}
+
+fn left_out_line(age: Duration, kind: &str, count: u32) -> String {
+    let (seconds, millis) = (age.as_secs(), age.subsec_millis());
+    format!(
+        "time={seconds}.{millis:03} level=warn message=\"lines left out\" kind={kind:?} count={count}"
+    )
+}
+
+fn send(sender: &SyncSender<String>, dropped: &AtomicU64, line: String) {
+    match sender.try_send(line) {
+        Ok(()) => {}
+        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+            dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Writes lines until their senders are gone, and how many were dropped since the line before.
+fn write_lines(receiver: &Receiver<String>, dropped: &AtomicU64, mut output: impl Write) {
+    while let Ok(first) = receiver.recv() {
+        let mut text = first;
+        text.push('\n');
+        // One write for what has gathered.
+        for line in receiver.try_iter().take(QUEUE_LINES) {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            // Writing to a string doesn't fail.
+            let _ = writeln!(text, "level=warn message=\"lines dropped\" count={lost}");
+        }
+        if output.write_all(text.as_bytes()).is_err() {
+            // Nobody reads the output; the lines have nowhere to go.
+            continue;
+        }
+        // A failed flush shows at the next write.
+        let _ = output.flush();
+    }
+}
+
+#[cfg(test)]
+mod tests;
