--- /dev/null
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -0,0 +1,238 @@
+//! Decisions over a batch's items: order, failures, places in the store.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    sync::{Arc, mpsc},
+    time::Duration,
+};
+
+use godwitspool_host::{
+    StoreBounds,
+    batch::{
+        Batch, BatchRecord, Book, Finished, ItemResult, ItemSpec, ItemState, Lookup, Move, Pace,
+        RunFailure, RunView, Submission, Verdict, decide_move, order_items, partition_of,
+    },
+    store::Stored,
+};
+use godwitspool_types::Millis;
+use rstest::rstest;
+
+/// Events of the items of a step, recorded from a calm day in the order of their ends, then dealt
+/// to groups of four in turn.
+const EVENTS: [u64; 68] = [
+    4, 5, 7, 12, 15, 7, 22, 15, 6, 32, 9, 21, 7, 30, 22, 7, 23, 14, 9, 7, 28, 28, 41, 18, 31, 21,
+    21, 7, 8, 32, 22, 9, 34, 41, 29, 26, 5, 13, 8, 12, 39, 12, 12, 40, 11, 19, 12, 22, 25, 45, 20,
+    38, 28, 21, 34, 28, 31, 63, 54, 41, 69, 66, 108, 119, 136, 176, 186, 152,
+];
+/// Groups of the step, and those that its trainer waits for (nine tenths).
+const GROUPS: usize = 17;
+const WANTED: u32 = 16;
+/// Places that have the step's version when it arrives: half of a model's targets.
+const PLACES: usize = 24;
+
+/// Returns the step, with hints that are off by up to half either way.
+fn step() -> Submission {
+    let items = EVENTS.iter().enumerate().map(|(index, events)| {
+        let off = [0.5, 0.8, 1.0, 1.3, 1.5][index * 7 % 5];
+        ItemSpec {
+            id: format!("i{index}"),
+            group: format!("g{}", index * 5 % GROUPS),
+            hint: Some((*events as f64 * off) as u64),
+            ..ItemSpec::default()
+        }
+    });
+    Submission {
+        wanted_groups: WANTED,
+        items: items.collect(),
+        ..Submission::default()
+    }
+}
+
+/// Runs items in an order on so many places; returns when the wanted number of groups is whole.
+fn wanted_at(submission: &Submission, order: &[usize]) -> u64 {
+    let mut places: BinaryHeap<Reverse<u64>> = (0..PLACES).map(|_| Reverse(0)).collect();
+    let mut ends = vec![0; submission.items.len()];
+    for item in order {
+        let Reverse(free) = places.pop().unwrap();
+        ends[*item] = free + EVENTS[*item];
+        places.push(Reverse(ends[*item]));
+    }
+    let groups = godwitspool_host::batch::groups(&submission.items);
+    let last = |items: Vec<usize>| items.into_iter().map(|item| ends[item]).max().unwrap();
+    let mut whole: Vec<u64> = groups.into_values().map(last).collect();
+    whole.sort_unstable();
+    whole[WANTED as usize - 1]
+}
+
+#[test]
+fn a_recorded_step_is_whole_sooner_than_in_the_order_of_arrival() {
+    let submission = step();
+    let arrival: Vec<usize> = (0..submission.items.len()).collect();
+    let shortest_first = {
+        let mut order = arrival.clone();
+        order.sort_by_key(|item| submission.items[*item].hint);
+        order
+    };
+    let ordered = wanted_at(&submission, &order_items(&submission));
+    let simple = wanted_at(&submission, &arrival).min(wanted_at(&submission, &shortest_first));
+    assert!(ordered < simple, "{ordered} events against {simple}");
+}
+
+#[test]
+fn every_item_is_ordered_once() {
+    let submission = step();
+    let mut order = order_items(&submission);
+    order.sort_unstable();
+    assert!(order.into_iter().eq(0..submission.items.len()));
+}
+
+#[test]
+fn a_run_on_a_slow_target_ends_sooner_for_its_move() {
+    // 60 events at 160 ms, while others take 40 ms; a move costs the reading of the tokens so far.
+    let (slow, usual, events, reading) = (160, 40, 60, 10);
+    let mut pace = Pace::default();
+    let mut at = 0;
+    let mut left = events;
+    while left > 0 {
+        at += slow;
+        left -= 1;
+        pace.push(1, Millis(slow));
+        let run = RunView {
+            begun: true,
+            silent: Millis(0),
+            pace,
+            usual_ms: Some(usual as f64),
+            moves: 0,
+        };
+        if decide_move(&run) == Some(Move::Slow) {
+            at += reading + left * usual;
+            left = 0;
+        }
+    }
+    assert!(
+        at < events * slow / 2,
+        "{at} ms against {} ms",
+        events * slow
+    );
+}
+
+#[rstest]
+#[case(RunView { begun: true, silent: Millis(300), pace: Pace { between_ms: 40.0, events: 9 }, usual_ms: Some(40.0), moves: 0 }, None)]
+#[case(RunView { begun: true, silent: Millis(900), pace: Pace { between_ms: 40.0, events: 9 }, usual_ms: Some(40.0), moves: 0 }, Some(Move::Silent))]
+#[case(RunView { begun: true, silent: Millis(900), pace: Pace { between_ms: 40.0, events: 9 }, usual_ms: Some(40.0), moves: 1 }, None)]
+#[case(RunView { begun: false, silent: Millis(900), pace: Pace::default(), usual_ms: Some(40.0), moves: 0 }, Some(Move::Queued))]
+#[case(RunView { begun: true, silent: Millis(9_000), pace: Pace::default(), usual_ms: None, moves: 9 }, None)]
+fn moves_follow_silence_queue_and_pace(#[case] run: RunView, #[case] expected: Option<Move>) {
+    assert_eq!(decide_move(&run), expected);
+}
+
+fn batch(items: usize, attempts: u32) -> Batch {
+    let spec = |index| ItemSpec {
+        id: format!("i{index}"),
+        ..ItemSpec::default()
+    };
+    let submission = Submission {
+        id: "b".to_owned(),
+        attempts,
+        items: (0..items).map(spec).collect(),
+        ..Submission::default()
+    };
+    Batch::new(Arc::new(submission), Vec::new())
+}
+
+#[test]
+fn only_failures_of_the_target_use_attempts_up() {
+    let mut batch = batch(1, 2);
+    for failure in [
+        RunFailure::Broken,
+        RunFailure::NotRun,
+        RunFailure::Moved,
+        RunFailure::Unusable,
+    ] {
+        for _ in 0..5 {
+            assert_eq!(batch.fail(0, failure, Millis(0)), Verdict::Retry);
+        }
+    }
+    assert_eq!(batch.fail(0, RunFailure::Failed, Millis(0)), Verdict::Retry);
+    assert_eq!(
+        batch.fail(0, RunFailure::Failed, Millis(0)),
+        Verdict::GiveUp
+    );
+    assert_eq!(batch.items[0].state, ItemState::Done);
+}
+
+#[test]
+fn what_was_generated_stays_unless_it_cant_be_used() {
+    let mut batch = batch(1, 3);
+    batch.items[0].progress.version = Some(4);
+    batch.items[0].progress.push(1, b"a");
+    batch.fail(0, RunFailure::Broken, Millis(0));
+    assert_eq!(batch.items[0].progress.last_event, Some(1));
+    batch.fail(0, RunFailure::Unusable, Millis(0));
+    assert_eq!(batch.items[0].progress.last_event, None);
+}
+
+#[rstest]
+#[case(1_000)]
+#[case(600)]
+fn a_submission_survives_its_records(#[case] record_bytes: usize) {
+    let bounds = StoreBounds {
+        record_bytes,
+        call_bytes: 2_000,
+        ..StoreBounds::default()
+    };
+    let mut submission = step();
+    submission.id = "b".to_owned();
+    let calls = BatchRecord::of_submission(&submission, &bounds);
+    let mut bytes = Vec::new();
+    let mut whole = None;
+    for (offset, record) in calls.into_iter().flatten().enumerate() {
+        assert!(record.value.as_ref().unwrap().len() <= record_bytes);
+        assert!(whole.is_none(), "the closing record comes last");
+        let offset = offset as u64;
+        match BatchRecord::read(Stored { offset, record }).unwrap() {
+            BatchRecord::Part { bytes: part, .. } => bytes.extend(part),
+            BatchRecord::Whole { parts, .. } => whole = Some(parts),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(whole.unwrap() > 1);
+    let read: Submission = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read, submission);
+}
+
+#[test]
+fn results_are_shown_only_once_they_are_listed_and_under_the_owners_epoch() {
+    let book = Book::new(4).unwrap();
+    let part = partition_of("b", 4);
+    let (sender, _receiver) = mpsc::channel();
+    book.open(part, 7, vec![batch(2, 1)], sender);
+    let finished = Finished {
+        batch: "b".to_owned(),
+        result: ItemResult {
+            item: 1,
+            completed: true,
+            output: b"x".to_vec(),
+            versions: vec![1],
+        },
+    };
+    let read = || match book.read("b", None, 0, Duration::ZERO) {
+        Lookup::Found(page) => page.results.len(),
+        other => panic!("{other:?}"),
+    };
+    book.list(part, 6, std::slice::from_ref(&finished));
+    assert_eq!(read(), 0, "an earlier owner's results aren't taken over");
+    book.list(part, 7, std::slice::from_ref(&finished));
+    assert_eq!(read(), 1);
+    book.close(part, 6);
+    assert_eq!(
+        read(),
+        1,
+        "a late close of an earlier owner changes nothing"
+    );
+    book.close(part, 7);
+    assert_eq!(book.read("b", None, 0, Duration::ZERO), Lookup::Elsewhere);
+}
--- /dev/null
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -0,0 +1,193 @@
+//! Choice of targets, by entries, own counts and what other hosts tell.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::HashMap;
+
+use godwitspool_host::{
+    process::RunReport,
+    version::{Fleet, LOAD_TIME, Outcome, TargetEntry},
+};
+use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
+
+fn entry(name: &str, version: u64) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::from(name),
+        service: ServiceName::from("engine"),
+        address: ([127, 0, 0, 1], 80).into(),
+        dc: Dc::from("north"),
+        slots: 4,
+        draining: false,
+        models: HashMap::from([(ModelName::from("m"), version)]),
+        born: 10,
+    }
+}
+
+fn fleet(entries: impl IntoIterator<Item = TargetEntry>) -> Fleet {
+    let mut fleet = Fleet::default();
+    for entry in entries {
+        fleet.apply(entry);
+    }
+    fleet
+}
+
+fn place(fleet: &Fleet, min_version: u64, now: u64) -> Option<String> {
+    let (service, model) = (ServiceName::from("engine"), ModelName::from("m"));
+    let dealt = fleet.deal(&service, std::slice::from_ref(&model));
+    let place = fleet.place(&service, &model, min_version, &dealt, None, Millis(now));
+    place.map(|place| place.target.to_string())
+}
+
+#[test]
+fn entries_of_an_earlier_start_are_left_out() {
+    let mut fleet = fleet([entry("a", 3)]);
+    let mut older = entry("a", 1);
+    older.born = 5;
+    assert!(!fleet.apply(older));
+    assert_eq!(place(&fleet, 3, 0).as_deref(), Some("a"));
+    let mut newer = entry("a", 1);
+    newer.born = 20;
+    assert!(fleet.apply(newer));
+    assert_eq!(
+        place(&fleet, 3, 0),
+        None,
+        "a restarted target has nothing of before"
+    );
+}
+
+#[test]
+fn a_late_entry_takes_no_version_back() {
+    let mut fleet = fleet([entry("a", 3)]);
+    fleet.apply(entry("a", 2));
+    assert_eq!(place(&fleet, 3, 0).as_deref(), Some("a"));
+}
+
+#[test]
+fn an_entry_that_vanished_while_the_store_was_away_gets_two_seconds() {
+    let mut fleet = fleet([entry("a", 1), entry("b", 1)]);
+    fleet.remove(&TargetName::from("a"), Millis(1_000), true);
+    fleet.remove(&TargetName::from("b"), Millis(1_000), false);
+    assert!(fleet.get(&TargetName::from("b")).is_none());
+    assert!(fleet.expire(Millis(2_999)).is_empty());
+    assert_eq!(fleet.expire(Millis(3_000)), [TargetName::from("a")]);
+    assert_eq!(place(&fleet, 1, 3_000), None);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    let mut leaving = entry("a", 1);
+    leaving.draining = true;
+    let fleet = fleet([leaving, entry("b", 1)]);
+    let service = ServiceName::from("engine");
+    let chosen = fleet
+        .choose(&service, &Dc::from("north"), &[], Millis(0))
+        .unwrap();
+    assert_eq!(chosen.entry.name.as_str(), "b");
+}
+
+#[test]
+fn a_failing_target_is_paused_ever_longer_and_then_tried_again() {
+    let mut fleet = fleet([entry("a", 1)]);
+    let name = TargetName::from("a");
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        fleet.start(&name);
+        fleet.finish(&name, Outcome::Failed, Millis(0));
+        pauses.push(fleet.get(&name).unwrap().paused_until);
+    }
+    assert!(pauses.is_sorted());
+    assert_eq!(place(&fleet, 1, 0), None);
+    let last = pauses.pop().unwrap();
+    assert_eq!(place(&fleet, 1, last.0).as_deref(), Some("a"));
+}
+
+#[test]
+fn runs_of_other_hosts_count_until_their_report_is_old() {
+    let mut fleet = fleet([entry("a", 1)]);
+    let report = RunReport {
+        sender: 7,
+        number: 2,
+        running: vec![(TargetName::from("a"), 4)],
+    };
+    fleet.report(&report, Millis(100));
+    assert_eq!(
+        place(&fleet, 1, 200),
+        None,
+        "every place is taken by another host"
+    );
+    let older = RunReport {
+        number: 1,
+        running: Vec::new(),
+        ..report
+    };
+    fleet.report(&older, Millis(150));
+    assert_eq!(
+        place(&fleet, 1, 200),
+        None,
+        "a datagram that overtook another changes nothing"
+    );
+    assert_eq!(
+        place(&fleet, 1, 700).as_deref(),
+        Some("a"),
+        "a silent host's runs are forgotten"
+    );
+}
+
+#[test]
+fn a_loading_target_serves_nothing_and_then_the_new_version() {
+    let mut fleet = fleet([entry("a", 1)]);
+    let (name, model) = (TargetName::from("a"), ModelName::from("m"));
+    fleet.begin_load(&name, &model, 2, Millis(0));
+    assert_eq!(place(&fleet, 1, 100), None);
+    let service = ServiceName::from("engine");
+    let place = fleet
+        .place(&service, &model, 2, &HashMap::new(), None, LOAD_TIME)
+        .unwrap();
+    assert_eq!(
+        place.expected,
+        Some(2),
+        "the version is named to the target, which checks it"
+    );
+    fleet.learn(&name, &model, 2);
+    let place = fleet
+        .place(&service, &model, 2, &HashMap::new(), None, LOAD_TIME)
+        .unwrap();
+    assert_eq!(place.expected, None);
+}
+
+#[test]
+fn slow_targets_come_last_and_are_tried_again() {
+    let mut fleet = fleet([entry("a", 1), entry("b", 1), entry("c", 1)]);
+    for (name, pace) in [("a", 160.0), ("b", 40.0), ("c", 41.0)] {
+        fleet.pace(&TargetName::from(name), pace, Millis(0));
+    }
+    for name in ["b", "c"] {
+        for _ in 0..3 {
+            fleet.start(&TargetName::from(name));
+        }
+    }
+    assert_ne!(place(&fleet, 1, 10).as_deref(), Some("a"));
+    assert_eq!(
+        place(&fleet, 1, 5_000).as_deref(),
+        Some("a"),
+        "its pace is forgotten"
+    );
+}
+
+#[test]
+fn targets_are_dealt_evenly_and_few_move_when_one_leaves() {
+    let models: Vec<ModelName> = ["x", "y", "z"].map(ModelName::from).to_vec();
+    let service = ServiceName::from("engine");
+    let names: Vec<String> = (0..11).map(|number| format!("t{number}")).collect();
+    let before = fleet(names.iter().map(|name| entry(name, 1))).deal(&service, &models);
+    let after = fleet(names[1..].iter().map(|name| entry(name, 1))).deal(&service, &models);
+    for model in &models {
+        let count = before.values().filter(|dealt| *dealt == model).count();
+        assert!((3..=4).contains(&count), "{model}: {count} of 11");
+    }
+    let moved = after
+        .iter()
+        .filter(|(name, model)| before.get(*name) != Some(*model))
+        .count();
+    assert!(moved <= 4, "{moved} of 10 moved");
+}
--- /dev/null
+++ b/crates/godwitspool-host/tests/loads.rs
@@ -0,0 +1,192 @@
+//! Loads of versions, replayed over the cadence of a deployment's trainers.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::HashMap;
+
+use godwitspool_host::{
+    dialect::{LoadMode, LoadOrder},
+    duty::{LoadView, Loading, plan_loads},
+    version::{Fleet, LOAD_TIME, TargetEntry},
+};
+use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
+
+/// Targets, models, and time between two versions of a model, as on the smaller deployment.
+const TARGETS: usize = 11;
+const MODELS: usize = 3;
+const PERIOD_MS: u64 = 4_000;
+/// Steps of the replay.
+const STEPS: u64 = 10;
+/// Time between two looks at what is due.
+const LOOK_MS: usize = 50;
+/// Loads that don't slow each other.
+const LOADS: usize = 2;
+
+fn model(number: usize) -> ModelName {
+    ModelName::from(format!("m{number}"))
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..TARGETS {
+        fleet.apply(TargetEntry {
+            name: TargetName::from(format!("t{number}")),
+            service: ServiceName::from("engine"),
+            address: ([127, 0, 0, 1], 80).into(),
+            dc: Dc::from("north"),
+            slots: 12,
+            draining: false,
+            models: (0..MODELS).map(|number| (model(number), 1)).collect(),
+            born: 1,
+        });
+    }
+    fleet
+}
+
+/// Replays the cadence under a policy; returns the least number of targets that could serve a step
+/// when it arrived, and the longest load in milliseconds.
+fn replay(policy: impl Fn(&LoadView<'_>) -> Vec<LoadOrder>) -> (usize, u64) {
+    let mut fleet = fleet();
+    let service = ServiceName::from("engine");
+    let models: Vec<ModelName> = (0..MODELS).map(model).collect();
+    let mut named: HashMap<ModelName, u64> =
+        models.iter().cloned().map(|model| (model, 1)).collect();
+    let mut loading: HashMap<TargetName, Loading> = HashMap::new();
+    let mut running: Vec<(TargetName, ModelName, u64, u64)> = Vec::new();
+    let (mut least, mut longest) = (TARGETS, 0);
+    for at in (0..STEPS * PERIOD_MS).step_by(LOOK_MS) {
+        let now = Millis(at);
+        running.retain(|(target, model, version, ends)| {
+            if *ends <= at {
+                fleet.learn(target, model, *version);
+            }
+            *ends > at
+        });
+        // Models get their versions a third of the period apart.
+        for (number, model) in models.iter().enumerate() {
+            let phase = number as u64 * PERIOD_MS / MODELS as u64;
+            if at >= PERIOD_MS && (at - phase) % PERIOD_MS < LOOK_MS as u64 {
+                let version = named.get_mut(model).unwrap();
+                *version += 1;
+                let needed = *version - 1;
+                let serves = |target: &&&godwitspool_host::version::Target| {
+                    target.entry.models[model] >= needed
+                };
+                least = least.min(fleet.usable(&service).iter().filter(serves).count());
+            }
+        }
+        let orders = policy(&LoadView {
+            targets: fleet.usable(&service),
+            dealt: &fleet.deal(&service, &models),
+            named: &named,
+            loading: &loading,
+            mode: LoadMode::Continue,
+            now,
+        });
+        for order in orders {
+            // Loads share what two of them get.
+            let slowed = (running.len() + 1).div_ceil(LOADS) as u64;
+            let ends = at + LOAD_TIME.0 * slowed;
+            let load = Loading {
+                model: order.model.clone(),
+                version: order.version,
+                since: now,
+            };
+            loading.insert(order.target.clone(), load);
+            longest = longest.max(ends - at);
+            running.push((order.target, order.model, order.version, ends));
+        }
+    }
+    (least, longest)
+}
+
+/// Orders every target that is behind at once.
+fn all_at_once(view: &LoadView<'_>) -> Vec<LoadOrder> {
+    let behind = view.targets.iter().filter_map(|target| {
+        let name = &target.entry.name;
+        let model = view.dealt.get(name)?;
+        let newest = view.named[model];
+        let ordered = view
+            .loading
+            .get(name)
+            .is_some_and(|load| load.version >= newest);
+        (target.entry.models[model] < newest && !ordered).then(|| LoadOrder {
+            target: name.clone(),
+            address: target.entry.address,
+            model: model.clone(),
+            version: newest,
+            mode: view.mode,
+        })
+    });
+    behind.collect()
+}
+
+#[test]
+fn each_step_finds_targets_with_its_version_and_few_load_at_once() {
+    let (least, longest) = replay(plan_loads);
+    assert!(least >= 1, "a step found no target with its version");
+    assert_eq!(longest, LOAD_TIME.0, "loads slowed each other");
+    let (_, simple) = replay(all_at_once);
+    assert!(longest < simple, "{longest} ms against {simple} ms");
+}
+
+#[test]
+fn a_model_that_nothing_serves_comes_first_and_borrows() {
+    let fleet = fleet();
+    let service = ServiceName::from("engine");
+    let models: Vec<ModelName> = (0..MODELS).map(model).collect();
+    let named = HashMap::from([(model(0), 2), (model(1), 9), (model(2), 2)]);
+    let dealt = fleet.deal(&service, &models);
+    let orders = plan_loads(&LoadView {
+        targets: fleet.usable(&service),
+        dealt: &dealt,
+        named: &named,
+        loading: &HashMap::new(),
+        mode: LoadMode::Continue,
+        now: Millis(10_000),
+    });
+    assert_eq!(orders.len(), LOADS);
+    assert!(
+        orders
+            .iter()
+            .all(|order| order.model == model(1) && order.version == 9)
+    );
+}
+
+#[test]
+fn a_target_that_isnt_reached_gets_no_order() {
+    use godwitspool_host::version::Outcome;
+
+    let mut fleet = fleet();
+    let service = ServiceName::from("engine");
+    let models: Vec<ModelName> = (0..MODELS).map(model).collect();
+    let lost = TargetName::from("t0");
+    for _ in 0..3 {
+        fleet.start(&lost);
+        fleet.finish(&lost, Outcome::Failed, Millis(0));
+    }
+    let named = models.iter().cloned().map(|model| (model, 2)).collect();
+    let dealt = fleet.deal(&service, &models);
+    let mut loading = HashMap::new();
+    for round in 0..20 {
+        let now = Millis(10_000 + round * 1_000);
+        let orders = plan_loads(&LoadView {
+            targets: fleet.usable(&service),
+            dealt: &dealt,
+            named: &named,
+            loading: &loading,
+            mode: LoadMode::Continue,
+            now,
+        });
+        for order in orders {
+            assert_ne!(order.target, lost);
+            fleet.learn(&order.target, &order.model, order.version);
+            let load = Loading {
+                model: order.model,
+                version: order.version,
+                since: now,
+            };
+            loading.insert(order.target, load);
+        }
+    }
+}
