Metrics of answers, runs, orders and the store; settings read again; why a request was not served

Cause: on-call engineers had one counter, no times, and no line with the targets tried; a settings file that changed without a signal went unread.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -446,6 +446,8 @@
         let took_ms = (now - self.began).0;
         match *end {
             RunEnd::Completed => {
+                shared.runs.count("completed");
+                shared.run_seconds.observe((now - self.began).seconds());
                 shared
                     .fleet()
                     .finish(&self.target, Outcome::Answered(took_ms as f64), now);
@@ -461,6 +463,7 @@
             }
             RunEnd::Failed(failure, outcome) => {
                 shared.fleet().finish(&self.target, outcome, now);
+                shared.runs.count(failure.as_str());
                 let verdict = batch.fail(self.item, failure, now);
                 log::info!(
                     batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -93,6 +93,20 @@
     Unusable,
 }
 
+impl RunFailure {
+    /// Returns the value as it stands in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Failed => "failed",
+            Self::Moved => "moved",
+            Self::NotRun => "not run",
+            Self::Rejected => "rejected",
+            Self::Unusable => "unusable",
+        }
+    }
+}
+
 /// What follows a failed run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -27,6 +27,13 @@
     pub kind: CallKind,
 }
 
+impl Call {
+    /// Returns the request's identifier as it stands in log lines.
+    pub fn request(&self) -> &str {
+        self.id.as_deref().unwrap_or("none")
+    }
+}
+
 /// The kinds of calls.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum CallKind {
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -48,8 +48,15 @@
         Err(_) => "caller gone",
     };
     shared.answers.count(reason);
+    shared.answer_seconds.observe(began.elapsed().as_secs_f64());
     if reason != "answered" || call.kind == CallKind::Routed {
-        log::info!(request:? = call.id, kind:? = call.kind, ended:?, took_ms; "request ended");
+        let configuration = shared
+            .configuration()
+            .map(|configuration| configuration.version);
+        log::info!(
+            request = call.request(), kind:? = call.kind, configuration:?, ended:?, took_ms;
+            "request ended"
+        );
     }
     match ended? {
         Ended::CallerLeft => Err(io::ErrorKind::ConnectionAborted.into()),
@@ -121,7 +128,7 @@
             respond(caller, desk.submit(&configuration, &submission))
         }
         Err(reason) => {
-            log::info!(request:? = call.id, reason:%; "submission can't be read");
+            log::info!(request = call.request(), reason:%; "submission can't be read");
             respond(caller, Response::new(400, reason))
         }
     }
@@ -198,7 +205,7 @@
                 let Err(error) = append else {
                     break;
                 };
-                log::info!(request:? = self.call.id, part, error:%; "append failed");
+                log::info!(request = self.call.request(), part, error:%; "append failed");
                 if !matches!(error, StoreError::NotDone { .. }) {
                     unknown = Some(error.clone());
                 }
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -255,6 +255,14 @@
             let ordered = answer.map(|answer| shared.dialect.ordered(&answer));
             let (target, model, version) = (&order.target, &order.model, order.version);
             log::info!(target_name:% = target, model:%, version, epoch, ordered:?; "load ordered");
+            shared.orders.count(match &ordered {
+                Ok(Ordered::Accepted) => "accepted",
+                Ok(Ordered::Holds) => "holds",
+                Ok(Ordered::Busy) => "busy",
+                Ok(Ordered::Fenced) => "fenced",
+                Ok(Ordered::Refused) => "refused",
+                Err(_) => "no answer",
+            });
             let mut loading = loading.lock().unwrap_or_else(PoisonError::into_inner);
             match ordered {
                 Ok(Ordered::Holds) => shared.fleet().learn(target, model, version),
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -104,6 +104,18 @@
         self.shared.is_ready()
     }
 
+    /// Takes over settings that may change while the process runs, which are the seeds. Returns
+    /// whether others have changed too: those hold from the next start.
+    pub fn reload(&self, settings: &Settings) -> bool {
+        self.shared.store.add_seeds(&settings.seeds);
+        let seeds = self.shared.settings.seeds.clone();
+        let unchanged = Settings {
+            seeds,
+            ..settings.clone()
+        };
+        unchanged != self.shared.settings
+    }
+
     /// Hands the partitions over, finishes what callers wait for, and returns once that is done or
     /// the time is up.
     pub fn drain(self) {
--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use godwitspool_process::{Histogram, Reasons};
 use serde::{Deserialize, Serialize};
 
 use super::peers::address;
@@ -45,9 +46,19 @@
     Tail(Tail),
 }
 
+/// What a relay counts.
+#[derive(Debug)]
+pub struct RelayMetrics {
+    /// Calls by way and outcome.
+    pub calls: Reasons,
+    /// Times of calls, those that wait for news left out.
+    pub seconds: Histogram,
+}
+
 /// The store, directly or through another host.
 #[derive(Debug)]
 pub struct Relay {
+    metrics: RelayMetrics,
     direct: Arc<dyn Store>,
     own: Vec<SocketAddr>,
     pool: Pool,
@@ -65,13 +76,19 @@
 
 impl Relay {
     /// Creates a relay that knows the seeds.
-    pub fn new(direct: Arc<dyn Store>, seeds: &[SocketAddr], own: Vec<SocketAddr>) -> Self {
+    pub fn new(
+        direct: Arc<dyn Store>,
+        seeds: &[SocketAddr],
+        own: Vec<SocketAddr>,
+        metrics: RelayMetrics,
+    ) -> Self {
         let peers = seeds
             .iter()
             .copied()
             .filter(|seed| !own.contains(seed))
             .collect();
         Self {
+            metrics,
             direct,
             own,
             pool: Pool::default(),
@@ -82,6 +99,16 @@
         }
     }
 
+    /// Takes over new seeds beside the hosts that are known.
+    pub fn add_seeds(&self, seeds: &[SocketAddr]) {
+        let mut state = self.lock();
+        for seed in seeds {
+            if !self.own.contains(seed) && !state.peers.contains(seed) {
+                state.peers.push(*seed);
+            }
+        }
+    }
+
     /// Carries out a call that another host sent.
     pub fn serve(&self, request: &Request) -> Response {
         let call = match postcard::from_bytes::<StoreCall>(&request.body) {
@@ -120,7 +147,17 @@
         drop(state);
         let mut failure = None;
         if direct {
-            match perform(self.direct.as_ref(), call) {
+            let began = Instant::now();
+            let answer = perform(self.direct.as_ref(), call);
+            if !matches!(call, StoreCall::Read(..)) {
+                self.metrics.seconds.observe(began.elapsed().as_secs_f64());
+            }
+            self.metrics.calls.count(if answer.is_ok() {
+                "direct"
+            } else {
+                "direct, failed"
+            });
+            match answer {
                 Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
                     if self.lock().away.insert(place, Instant::now()).is_none() {
                         log::warn!(place:?, error:%; "store lost, other hosts are asked");
@@ -135,7 +172,13 @@
                 }
             }
         }
-        self.ask(call, failure)
+        let answer = self.ask(call, failure);
+        self.metrics.calls.count(if answer.is_ok() {
+            "relayed"
+        } else {
+            "relayed, failed"
+        });
+        answer
     }
 
     /// Asks other hosts. The outcome is unknown if it is so at any of the tries.
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -8,11 +8,11 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use godwitspool_process::{Clock, Metrics, Reasons};
+use godwitspool_process::{Clock, Histogram, Metrics, Reasons};
 use godwitspool_types::{Millis, ModelName};
 use rustix::time::{ClockId, clock_gettime};
 
-use super::{Relay, UsageBook, peers::Peers, reports::Reports};
+use super::{Relay, UsageBook, peers::Peers, relay::RelayMetrics, reports::Reports};
 use crate::{
     Settings,
     batch::Book,
@@ -70,6 +70,14 @@
     pub metrics: Metrics,
     /// Requests by how they ended.
     pub answers: Reasons,
+    /// Times of requests.
+    pub answer_seconds: Histogram,
+    /// Runs of items by how they ended.
+    pub runs: Reasons,
+    /// Times of completed runs.
+    pub run_seconds: Histogram,
+    /// Orders to targets by what came of them.
+    pub orders: Reasons,
     /// Copies of the operators' and the targets' records.
     pub mirrors: Mutex<[Mirror; 2]>,
     configuration: RwLock<Option<Arc<Configuration>>>,
@@ -110,6 +118,12 @@
 
         let metrics = Metrics::default();
         let answers = metrics.reasons("answers", "Requests by how they ended");
+        let answer_seconds = metrics.seconds("answer_seconds", "Times from request to answer");
+        let runs = metrics.reasons("runs", "Runs of items by how they ended");
+        let run_seconds = metrics.seconds("run_seconds", "Times of completed runs");
+        let orders = metrics.reasons("orders", "Orders to targets by what came of them");
+        let calls = metrics.reasons("store_calls", "Calls to the store by way and outcome");
+        let call_seconds = metrics.seconds("store_seconds", "Times of calls to the store");
         let own = [Some(settings.peer), settings.seed]
             .into_iter()
             .flatten()
@@ -129,13 +143,25 @@
             reports: Reports::open(settings.peer),
             metrics,
             answers,
+            answer_seconds,
+            runs,
+            run_seconds,
+            orders,
             mirrors: Mutex::new([Mirror::new(Topic::Operator), Mirror::new(Topic::Targets)]),
             named: Mutex::default(),
             news: Condvar::new(),
             news_count: Mutex::default(),
             peers: Peers::default(),
             pool: Arc::default(),
-            store: Arc::new(Relay::new(edges.store, &settings.seeds, own)),
+            store: Arc::new(Relay::new(
+                edges.store,
+                &settings.seeds,
+                own,
+                RelayMetrics {
+                    calls,
+                    seconds: call_seconds,
+                },
+            )),
             usage: UsageBook::new(settings.window),
             settings,
         })
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -115,6 +115,18 @@
     };
     let ended = forward.run(caller);
     forward.drop_tries();
+    if !matches!(ended, Ok(Ended::Answered(200))) {
+        let left_ms = forward
+            .due
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64;
+        log::info!(
+            request = call.request(), route = route.name, service:% = forward.service,
+            tried:? = forward.tried, begun = forward.begun,
+            took_ms = forward.arrived.elapsed().as_millis() as u64, left_ms, ended:?;
+            "request not served"
+        );
+    }
     if let (Some(workspace), Some(begun)) = (workspace, forward.begun_ms) {
         shared.usage.count(workspace, begun);
     }
@@ -179,7 +191,7 @@
                 attempt.stalled = true;
                 going.push(attempt);
             } else {
-                log::info!(request:? = self.call.id, target_name:% = attempt.target; "target takes no connection");
+                log::info!(request = self.call.request(), target_name:% = attempt.target; "target takes no connection");
                 self.settle(&attempt, Outcome::Failed);
             }
         }
@@ -238,7 +250,7 @@
                     return true;
                 }
                 Err(error) => {
-                    log::info!(request:? = self.call.id, target_name:% = target, error:%; "cannot connect to a target");
+                    log::info!(request = self.call.request(), target_name:% = target, error:%; "cannot connect to a target");
                     self.shared.fleet().finish(&target, Outcome::Failed, now);
                 }
             }
@@ -269,7 +281,7 @@
                 Ok(Progress::Pending) => going.push(attempt),
                 Ok(Progress::Done) => answer = self.take_answer(attempt),
                 Err(error) => {
-                    log::info!(request:? = self.call.id, target_name:% = attempt.target, error:%; "try failed");
+                    log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "try failed");
                     if error.was_sent() {
                         self.begun += 1;
                         self.begun_ms.get_or_insert_with(unix_ms);
@@ -291,7 +303,7 @@
             .map(|head| self.shared.dialect.reply(head));
         let reply: Reply = reply.unwrap_or_default();
         if reply.id != self.call.id {
-            log::warn!(request:? = self.call.id, target_name:% = attempt.target, answered:? = reply.id; "answer belongs to another request");
+            log::warn!(request = self.call.request(), target_name:% = attempt.target, answered:? = reply.id; "answer belongs to another request");
             self.begun += 1;
             self.settle(&attempt, Outcome::Failed);
             return None;
@@ -311,7 +323,7 @@
             self.shared.pool.put(attempt.address, connection);
         }
         if refused {
-            log::info!(request:? = self.call.id, target_name:% = attempt.target, status; "target refused");
+            log::info!(request = self.call.request(), target_name:% = attempt.target, status; "target refused");
             return None;
         }
         self.begun += 1;
@@ -333,7 +345,7 @@
         let progress = attempt.exchange.advance();
         let Some(head) = attempt.exchange.head() else {
             if let Err(error) = progress {
-                log::info!(request:? = self.call.id, target_name:% = attempt.target, error:%; "try failed");
+                log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "try failed");
                 self.begun += u32::from(error.was_sent());
                 self.settle(&attempt, Outcome::Failed);
             } else {
@@ -383,7 +395,7 @@
                 Ok(Progress::Done) => return Ok(Ended::Answered(200)),
                 Ok(Progress::Pending) => {}
                 Err(error) => {
-                    log::info!(request:? = self.call.id, target_name:% = attempt.target, error:%; "stream broke off");
+                    log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "stream broke off");
                     return Ok(Ended::Failed(0));
                 }
             }
@@ -445,8 +457,6 @@
             };
             self.shared.fleet().finish(&attempt.target, outcome, now);
         }
-        let took_ms = self.arrived.elapsed().as_millis() as u64;
-        log::debug!(request:? = self.call.id, took_ms, tried = self.tried.len(); "request ends");
     }
 }
 
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -34,5 +34,6 @@
 pub use metrics::{Metrics, Reasons, Watched};
 pub use operator_http::{Operated, OperatorHttp, Readiness};
 pub use program::Program;
+pub use prometheus_client::metrics::histogram::Histogram;
 pub use settings::{EntrySettings, LogFormat, StewardSettings};
 pub use timer::{Tick, Timer};
