A second answer to an earlier request is passed over on its connection

Ruled out: mixing (identifiers are compared; no wrong body was passed on). Change: on a kept connection one answer that names another request is passed over, and the connection isn't kept. Where tokens aren't checked a new holder of the duties waits a lease.

--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -76,6 +76,7 @@
     output: Vec<u8>,
     response: Response,
     sent: usize,
+    skipped: bool,
 }
 
 impl Exchange {
@@ -91,6 +92,7 @@
             output: request.encode(),
             response: Response::default(),
             sent: 0,
+            skipped: false,
         }
     }
 
@@ -197,11 +199,26 @@
         }
     }
 
+    /// Passes over an answer that belongs to an earlier request of a kept connection; the own one
+    /// follows it. Returns whether there may be such a thing.
+    pub fn skip_answer(&mut self) -> bool {
+        let kept = self.connection.requests > 1;
+        let framed = !matches!(self.decoder, Some(BodyDecoder::UntilClose));
+        let skipped = kept && framed && !self.skipped;
+        if skipped {
+            self.skipped = true;
+            self.decoder = None;
+            self.response = Response::default();
+        }
+        skipped
+    }
+
     /// Returns the answer, and the connection if it can carry another request.
     pub fn finish(mut self) -> (Response, Option<Connection>) {
         let whole = self.decoder.as_ref().is_some_and(BodyDecoder::is_done)
             && self.sent == self.output.len()
             && self.connection.input.is_empty()
+            && !self.skipped
             && !self.response.headers.lists("connection", "close");
         self.connection.idle_since = Instant::now();
         self.connection.idle_bound = idle_bound(&self.response);
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -166,10 +166,13 @@
             }
         }
         // A host that held the duties before acts again only after the lease, so that turns never
-        // alternate within it.
-        let from = self.acted.map_or(Millis::ZERO, |acted| {
-            acted + Millis::from(self.shared.settings.lease)
-        });
+        // alternate within it. Where tokens aren't checked, an earlier holder's lease runs out first.
+        let lease = Millis::from(self.shared.settings.lease);
+        let from = if self.shared.settings.fenced {
+            self.acted.map_or(Millis::ZERO, |acted| acted + lease)
+        } else {
+            lease_clock() + lease
+        };
         log::info!(epoch, frozen = frozen.len(); "duties begun");
         Some(Term {
             epoch,
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -277,7 +277,16 @@
                 going.push(attempt);
                 continue;
             }
-            match attempt.exchange.advance() {
+            let mut progress = attempt.exchange.advance();
+            // A second answer to an earlier request may stand before the own one.
+            if matches!(progress, Ok(Progress::Done))
+                && !self.is_answered(&attempt)
+                && attempt.exchange.skip_answer()
+            {
+                log::warn!(request = self.call.request(), target_name:% = attempt.target; "answer to another request passed over");
+                progress = attempt.exchange.advance();
+            }
+            match progress {
                 Ok(Progress::Pending) => going.push(attempt),
                 Ok(Progress::Done) => answer = self.take_answer(attempt),
                 Err(error) => {
@@ -295,6 +304,12 @@
         answer
     }
 
+    /// Tells whether the answer of a try names this request.
+    fn is_answered(&self, attempt: &Try) -> bool {
+        let head = attempt.exchange.head();
+        head.is_some_and(|head| self.shared.dialect.reply(head).id == self.call.id)
+    }
+
     fn take_answer(&mut self, attempt: Try) -> Option<Response> {
         let took = attempt.began.elapsed().as_secs_f64() * 1_000.0;
         let reply = attempt
