Warnings have a count of their own; unsigned successes are failures; one name for one thing

A 2xx without the target's signature counts as a failed try. The calls about batches were called Desk as the duties are; now BatchCall. Measured: process and platform tests pass.

--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -99,13 +99,13 @@
         let Ok(workspace) = configuration.workspace(None, call.key.as_ref()) else {
             return respond(caller, status(401));
         };
-        let desk = Desk {
+        let batch_call = BatchCall {
             shared,
             call,
             request,
             workspace,
         };
-        return respond(caller, desk.answer());
+        return respond(caller, batch_call.answer());
     }
     let Some(route) = configuration.route(&call.host, request.path()) else {
         return respond(caller, status(404));
@@ -119,13 +119,13 @@
     let workspace = workspace.unwrap_or_default();
     match shared.dialect.submission(request, call, route, &workspace) {
         Ok(submission) => {
-            let desk = Desk {
+            let batch_call = BatchCall {
                 shared,
                 call,
                 request,
                 workspace: Some(workspace),
             };
-            respond(caller, desk.submit(&configuration, &submission))
+            respond(caller, batch_call.submit(&configuration, &submission))
         }
         Err(reason) => {
             log::info!(request = call.request(), reason:%; "submission can't be read");
@@ -135,14 +135,14 @@
 }
 
 /// Answers one call about a batch.
-struct Desk<'a> {
+struct BatchCall<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Call,
     request: &'a Request,
     workspace: Option<Workspace>,
 }
 
-impl Desk<'_> {
+impl BatchCall<'_> {
     fn answer(&self) -> Response {
         match &self.call.kind {
             CallKind::ReadBatch { batch, after } => self.read(batch, *after),
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -324,6 +324,12 @@
             return None;
         }
         let status = attempt.exchange.head().map_or(0, |head| head.status);
+        if (200..300).contains(&status) && !reply.signed {
+            log::warn!(request = self.call.request(), target_name:% = attempt.target, status; "answer isn't signed");
+            self.begun += 1;
+            self.settle(&attempt, Outcome::Failed);
+            return None;
+        }
         let refused = reply.not_run || status == 421;
         self.settle(
             &attempt,
--- a/crates/godwitspool-process/src/log_queue.rs
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -38,7 +38,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LineLimit {
     second: u64,
-    counts: HashMap<String, u32>,
+    /// Lines of this second by kind, warnings by themselves.
+    counts: HashMap<(String, bool), u32>,
     left_out: HashMap<String, u32>,
 }
 
@@ -54,7 +55,8 @@
         } else {
             KIND_LINES
         };
-        let count = self.counts.entry(kind.to_owned()).or_default();
+        let key = (kind.to_owned(), level <= Level::Warn);
+        let count = self.counts.entry(key).or_default();
         *count += 1;
         let admitted = *count <= most;
         if !admitted {
