A caller can't pass for a host

Cause: whether a request came from another host was read from a header field, so a caller that sent the field got 503 where others were answered from the owner or the store. Ruled out: stripping the field at the front; the listener already tells, so the field is gone. Conclusion: origin is decided by the address at which a request arrives.

--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -6,11 +6,7 @@
 
 use godwitspool_types::Workspace;
 
-use super::{
-    Shared,
-    peers::{self, PEER_FIELD},
-    relay::RELAY_PATH,
-};
+use super::{Shared, peers, relay::RELAY_PATH};
 use crate::{
     batch::{BatchRecord, Lookup, ResultPage, Submission, page, partition_of, read_stored},
     dialect::{Call, CallKind},
@@ -29,15 +25,45 @@
 /// Pause before an append whose outcome is unknown is repeated.
 const APPEND_PAUSE: Duration = Duration::from_millis(50);
 
-/// Answers a request, from a caller or from another host on a caller's behalf.
+/// Who sent a request: told by the address at which it arrived, never by what it says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Origin {
+    /// A caller.
+    Caller,
+    /// Another host on a caller's behalf; it reads the store itself if this one doesn't know.
+    Host,
+}
+
+/// Answers a caller's request.
 ///
 /// # Errors
 ///
 /// When the caller is gone.
 pub fn serve(shared: &Arc<Shared>, caller: &mut Caller, request: &Request) -> io::Result<()> {
+    serve_from(shared, caller, request, Origin::Caller)
+}
+
+/// Answers a request of another host.
+///
+/// # Errors
+///
+/// When the host is gone.
+pub fn serve_peer(shared: &Arc<Shared>, caller: &mut Caller, request: &Request) -> io::Result<()> {
+    if request.path() == RELAY_PATH {
+        return caller.respond(&shared.store.serve(request));
+    }
+    serve_from(shared, caller, request, Origin::Host)
+}
+
+fn serve_from(
+    shared: &Arc<Shared>,
+    caller: &mut Caller,
+    request: &Request,
+    origin: Origin,
+) -> io::Result<()> {
     let began = Instant::now();
     let call = shared.dialect.call(request);
-    let ended = answer(shared, caller, request, &call);
+    let ended = answer(shared, caller, request, &call, origin);
     let took_ms = began.elapsed().as_millis() as u64;
     let reason = match &ended {
         Ok(Ended::Answered(status)) if *status < 400 => "answered",
@@ -64,23 +90,12 @@
     }
 }
 
-/// Answers a request of another host.
-///
-/// # Errors
-///
-/// When the host is gone.
-pub fn serve_peer(shared: &Arc<Shared>, caller: &mut Caller, request: &Request) -> io::Result<()> {
-    if request.path() == RELAY_PATH {
-        return caller.respond(&shared.store.serve(request));
-    }
-    serve(shared, caller, request)
-}
-
 fn answer(
     shared: &Arc<Shared>,
     caller: &mut Caller,
     request: &Request,
     call: &Call,
+    origin: Origin,
 ) -> io::Result<Ended> {
     let respond = |caller: &mut Caller, response: Response| {
         caller.respond(&response)?;
@@ -102,6 +117,7 @@
         let batch_call = BatchCall {
             shared,
             call,
+            origin,
             request,
             workspace,
         };
@@ -122,6 +138,7 @@
             let batch_call = BatchCall {
                 shared,
                 call,
+                origin,
                 request,
                 workspace: Some(workspace),
             };
@@ -138,6 +155,7 @@
 struct BatchCall<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Call,
+    origin: Origin,
     request: &'a Request,
     workspace: Option<Workspace>,
 }
@@ -156,10 +174,6 @@
         Instant::now() + self.call.deadline.unwrap_or(CALL_TIMEOUT).min(CALL_TIMEOUT)
     }
 
-    fn is_peer(&self) -> bool {
-        self.request.headers.get(PEER_FIELD).is_some()
-    }
-
     /// Stores a batch and accepts it.
     fn submit(&self, configuration: &Configuration, submission: &Submission) -> Response {
         let parts = self.shared.settings.store.parts;
@@ -263,7 +277,7 @@
 
     /// Passes the call on to the owner of the batch's partition; `None` if it doesn't know.
     fn ask_owner<T>(&self, batch: &str, lookup: &Lookup<T>, wait: Duration) -> Option<Response> {
-        if self.is_peer() || !matches!(lookup, Lookup::Elsewhere) {
+        if self.origin == Origin::Host || !matches!(lookup, Lookup::Elsewhere) {
             return None;
         }
         let shared = self.shared;
@@ -293,7 +307,7 @@
         batch: &str,
         answer: impl FnOnce(&Submission, &[Arc<crate::batch::ItemResult>]) -> Response,
     ) -> Response {
-        if self.is_peer() {
+        if self.origin == Origin::Host {
             return self.shared.dialect.refusal(AGAIN_STORE);
         }
         let part = partition_of(batch, self.shared.settings.store.parts);
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -16,8 +16,6 @@
 const AGE_MAX: Millis = Millis(5_000);
 /// Least time between two such questions, so that a failing peer doesn't multiply calls.
 const AGE_MIN: Millis = Millis(250);
-/// Marks requests between hosts.
-pub const PEER_FIELD: &str = "Godwitspool-Peer";
 
 /// Other hosts, and which of them owns what.
 #[derive(Debug, Default)]
@@ -110,6 +108,5 @@
 ) -> Result<Response, CallError> {
     let mut request = request.clone();
     request.headers.remove_hop_by_hop();
-    request.headers.set(PEER_FIELD, "1");
     Exchange::call(&shared.pool, address, &request, timeout)
 }
