Remove accessors that nothing uses; other listeners stop at the end of a drain

Cause: Mirror::topic, Book::counts, Host::front, peer and is_ready had no caller left; public items hide from the linter. After: one kind of Mirror, created by Default.

--- a/crates/godwitspool-host/src/batch/book.rs
+++ b/crates/godwitspool-host/src/batch/book.rs
@@ -7,7 +7,7 @@
 
 use godwitspool_types::Workspace;
 
-use super::{Batch, Finished, ItemResult, ItemState, ResultPage, Submission, partition_of};
+use super::{Batch, Finished, ItemResult, ResultPage, Submission, partition_of};
 use crate::http::Waker;
 
 /// Bytes of results in one answer; the interface allows a megabyte.
@@ -208,19 +208,6 @@
         }
     }
 
-    /// Returns how many items run and how many wait.
-    pub fn counts(&self) -> (usize, usize) {
-        let parts = self.lock();
-        let batches = parts.values().flat_map(|part| part.batches.values());
-        let open = batches.filter(|batch| !batch.ended);
-        let states = open.flat_map(|batch| batch.items.iter().map(|item| item.state));
-        states.fold((0, 0), |(running, waiting), state| match state {
-            ItemState::Running => (running + 1, waiting),
-            ItemState::Waiting { .. } => (running, waiting + 1),
-            ItemState::Done => (running, waiting),
-        })
-    }
-
     fn notify(&self) {
         self.changed.notify_all();
         self.waker.wake();
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -89,21 +89,6 @@
         })
     }
 
-    /// Returns the address of the callers' listener.
-    pub fn front(&self) -> SocketAddr {
-        self.front.address()
-    }
-
-    /// Returns the address at which other hosts connect.
-    pub fn peer(&self) -> SocketAddr {
-        self.others[2].address()
-    }
-
-    /// Tells whether callers can be served.
-    pub fn is_ready(&self) -> bool {
-        self.shared.is_ready()
-    }
-
     /// Takes over settings that may change while the process runs, which are the seeds. Returns
     /// whether others have changed too: those hold from the next start.
     pub fn reload(&self, settings: &Settings) -> bool {
@@ -135,6 +120,9 @@
         while !self.leaving.iter().all(JoinHandle::is_finished) && began.elapsed() < grace {
             thread::sleep(LOOK);
         }
+        for server in &self.others {
+            server.stop();
+        }
         let took_ms = began.elapsed().as_millis() as u64;
         log::info!(busy = self.front.busy(), took_ms; "host ends");
     }
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -114,8 +114,6 @@
     ///
     /// When no pipe can be opened.
     pub fn new(settings: Settings, edges: Edges) -> io::Result<Self> {
-        use crate::store::Topic;
-
         let metrics = Metrics::default();
         let answers = metrics.reasons("answers", "Requests by how they ended");
         let answer_seconds = metrics.seconds("answer_seconds", "Times from request to answer");
@@ -147,7 +145,7 @@
             runs,
             run_seconds,
             orders,
-            mirrors: Mutex::new([Mirror::new(Topic::Operator), Mirror::new(Topic::Targets)]),
+            mirrors: Mutex::default(),
             named: Mutex::default(),
             news: Condvar::new(),
             news_count: Mutex::default(),
--- a/crates/godwitspool-host/src/version/mirror.rs
+++ b/crates/godwitspool-host/src/version/mirror.rs
@@ -5,9 +5,8 @@
 use crate::store::{Keyed, Store, StoreError, Stored, Tail, Topic, read_all};
 
 /// A copy of a keyed partition, kept current by reading its tail. Only moves forward.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Mirror {
-    topic: Topic,
     records: BTreeMap<String, (u64, Option<Vec<u8>>)>,
     /// Offset behind the last record read; `None` until the keys were read once.
     next: Option<u64>,
@@ -27,21 +26,6 @@
 }
 
 impl Mirror {
-    /// Creates an empty copy of partition 0 of a topic.
-    pub fn new(topic: Topic) -> Self {
-        Self {
-            topic,
-            records: BTreeMap::new(),
-            next: None,
-            confirmed: None,
-        }
-    }
-
-    /// Returns the topic.
-    pub fn topic(&self) -> Topic {
-        self.topic
-    }
-
     /// Returns what a wait for news needs: the offset to read from, or `None` when the keys are to
     /// be read anew.
     pub fn next(&self) -> Option<u64> {
--- a/crates/godwitspool-host/tests/mirror.rs
+++ b/crates/godwitspool-host/tests/mirror.rs
@@ -1,7 +1,7 @@
 //! Copies of the store's keyed partitions.
 
 use godwitspool_host::{
-    store::{Keyed, Stored, Tail, Topic},
+    store::{Keyed, Stored, Tail},
     version::{Fetched, Mirror},
 };
 use godwitspool_types::Millis;
@@ -23,7 +23,7 @@
 
 #[test]
 fn a_copy_only_moves_forward() {
-    let mut mirror = Mirror::new(Topic::Operator);
+    let mut mirror = Mirror::default();
     assert_eq!(mirror.next(), None);
     let all = Fetched::All {
         records: vec![stored(4, "config", Some("new"))],
@@ -43,7 +43,7 @@
 
 #[test]
 fn keys_that_vanished_with_the_history_are_removed_and_may_come_back() {
-    let mut mirror = Mirror::new(Topic::Targets);
+    let mut mirror = Mirror::default();
     let first = Fetched::All {
         records: vec![stored(1, "a", Some("1")), stored(2, "b", Some("1"))],
         end: 3,
