--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -33,6 +33,8 @@
     WrongId,
     /// It sends a second answer behind the first.
     Extra,
+    /// Its answer bears no signature.
+    Unsigned,
     /// It answers under this version of the model.
     Version(u64),
 }
@@ -207,8 +209,10 @@
             self.options.name,
             String::from_utf8_lossy(&request.body)
         );
-        let answer = Response::new(200, body).with("Request-Id", &id);
-        let answer = answer.with("Server-Stamp", "stamp");
+        let mut answer = Response::new(200, body).with("Request-Id", &id);
+        if fault != TargetFault::Unsigned {
+            answer = answer.with("Server-Stamp", "stamp");
+        }
         caller.respond(&answer)?;
         if fault == TargetFault::Extra {
             caller.respond(&answer)?;
