Log lines: partition, attempts that were sent, models in order

Cause: a line about a partition had two fields named part (module and partition); 'begun' of a request whose only attempt still ran said 0 though the target had got it; the models of a target stood in a random order, so the same fact read differently on each host. Ruled out: renaming the module's field, which the older daemons write too. After: partition=N, begun counts attempts whose request had left, models sorted.

--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -110,7 +110,7 @@
 
     fn stop(&self, reason: &str) {
         if !self.stopped.swap(true, Ordering::SeqCst) {
-            log::info!(part = self.part, epoch = self.epoch, reason; "partition closed");
+            log::info!(partition = self.part, epoch = self.epoch, reason; "partition closed");
         }
         self.book.close(self.part, self.epoch);
     }
@@ -140,7 +140,7 @@
         let (sender, receiver) = mpsc::channel();
         let (part, epoch) = (self.part, self.epoch);
         let took_ms = began.elapsed().as_millis() as u64;
-        log::info!(part, epoch, batches = batches.len(), took_ms; "partition opened");
+        log::info!(partition = part, epoch, batches = batches.len(), took_ms; "partition opened");
         self.open(batches, sender);
         let own = Arc::clone(&self);
         let spawned = thread::Builder::new()
@@ -148,7 +148,7 @@
             .stack_size(STACK_BYTES)
             .spawn(move || own.write(&receiver, positions));
         if let Err(error) = spawned {
-            log::error!(error:%, part; "no thread for a partition's results");
+            log::error!(error:%, partition = part; "no thread for a partition's results");
             self.stop("no thread");
             return;
         }
@@ -188,17 +188,17 @@
             match call() {
                 Ok(value) => {
                     if failed {
-                        log::info!(part = self.part, what; "store answers again");
+                        log::info!(partition = self.part, what; "store answers again");
                     }
                     return Some(value);
                 }
                 Err(error @ StoreError::Fenced { .. }) => {
-                    log::warn!(part = self.part, epoch = self.epoch, what, error:%; "partition lost");
+                    log::warn!(partition = self.part, epoch = self.epoch, what, error:%; "partition lost");
                     self.stop("fenced");
                 }
                 Err(error) => {
                     if !failed {
-                        log::warn!(part = self.part, what, error:%; "store call failed, repeated");
+                        log::warn!(partition = self.part, what, error:%; "store call failed, repeated");
                     }
                     failed = true;
                     thread::sleep(pause);
@@ -227,7 +227,7 @@
                     results.insert(position, Arc::new(result));
                 }
                 Ok(_) => {}
-                Err(error) => log::warn!(part = self.part, error:%; "result record left out"),
+                Err(error) => log::warn!(partition = self.part, error:%; "result record left out"),
             }
         }
         let mut positions = HashMap::new();
@@ -259,12 +259,12 @@
                     let (batch, items) = (submission.id.clone(), submission.items.len());
                     let (step, model) = (submission.step, submission.model.clone());
                     if self.book.accept(self.part, Arc::new(submission)) {
-                        log::info!(batch:%, items, step, model:%, part = self.part; "batch taken over");
+                        log::info!(batch:%, items, step, model:%, partition = self.part; "batch taken over");
                     }
                 }
                 Change::Ended(batch) => {
                     if self.book.end(self.part, &batch) {
-                        log::info!(batch:%, part = self.part; "batch ended");
+                        log::info!(batch:%, partition = self.part; "batch ended");
                     }
                 }
                 Change::Removed(batch) => self.book.forget(self.part, &batch),
@@ -289,7 +289,7 @@
             *seq += 1;
             let append = || self.store.append(Topic::Batches, self.part, &batch, None);
             self.persist("remove batch", append)?;
-            log::info!(batch:% = submission.id, part = self.part; "batch removed, its time is over");
+            log::info!(batch:% = submission.id, partition = self.part; "batch removed, its time is over");
             self.book.forget(self.part, &submission.id);
         }
         Some(())
@@ -374,12 +374,14 @@
                 }
                 Ok(BatchRecord::Whole { batch, parts }) => match self.join(&batch, parts) {
                     Ok(submission) => changes.push(Change::Accepted(submission)),
-                    Err(reason) => log::warn!(part, batch:%, reason:%; "batch left out"),
+                    Err(reason) => {
+                        log::warn!(partition = part, batch:%, reason:%; "batch left out");
+                    }
                 },
                 Ok(BatchRecord::End { batch }) => changes.push(Change::Ended(batch)),
                 Ok(BatchRecord::Removed { batch }) => changes.push(Change::Removed(batch)),
                 Ok(BatchRecord::Result { .. }) => {}
-                Err(error) => log::warn!(part, error:%; "batch record left out"),
+                Err(error) => log::warn!(partition = part, error:%; "batch record left out"),
             }
         }
         changes
@@ -429,7 +431,7 @@
                 results.insert(position, Arc::new(result));
             }
             Ok(_) => {}
-            Err(error) => log::warn!(part, batch, error:%; "result record left out"),
+            Err(error) => log::warn!(partition = part, batch, error:%; "result record left out"),
         }
     }
     // Positions are appended in their order, so a read that overlaps an append has no gap before
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -182,7 +182,7 @@
         let stored = self.store(part, &calls);
         log::info!(
             batch:% = submission.id, step = submission.step, model:% = submission.model,
-            items = submission.items.len(), min_version = submission.min_version, part, stored:?,
+            items = submission.items.len(), min_version = submission.min_version, partition = part, stored:?,
             configuration = configuration.version;
             "batch submitted"
         );
@@ -193,7 +193,7 @@
     fn end(&self, batch: &str) -> Response {
         let part = partition_of(batch, self.shared.settings.store.parts);
         let stored = self.store(part, &[vec![BatchRecord::of_end(batch)]]);
-        log::info!(batch, part, stored:?; "end of a batch asked for");
+        log::info!(batch, partition = part, stored:?; "end of a batch asked for");
         self.acknowledge(&stored, 200)
     }
 
@@ -219,7 +219,7 @@
                 let Err(error) = append else {
                     break;
                 };
-                log::info!(request = self.call.request(), part, error:%; "append failed");
+                log::info!(request = self.call.request(), partition = part, error:%; "append failed");
                 if !matches!(error, StoreError::NotDone { .. }) {
                     unknown = Some(error.clone());
                 }
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -129,7 +129,7 @@
             Ok(owner) => {
                 self.owners.insert(part, Held { owner, generation });
             }
-            Err(error) => log::error!(error:%, part; "no thread for a partition"),
+            Err(error) => log::error!(error:%, partition = part; "no thread for a partition"),
         }
     }
 }
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -1,10 +1,11 @@
 use std::{
+    collections::{BTreeMap, HashMap},
     sync::{Arc, MutexGuard, PoisonError},
     thread,
     time::Duration,
 };
 
-use godwitspool_types::{Millis, TargetName};
+use godwitspool_types::{Millis, ModelName, TargetName};
 
 use super::Shared;
 use crate::{
@@ -137,7 +138,7 @@
             let mut fleet = shared.fleet();
             let known = fleet.get(&name);
             let news = known.is_none_or(|known| known.entry != entry || known.lapsed.is_some());
-            let (draining, models) = (entry.draining, entry.models.clone());
+            let (draining, models) = (entry.draining, sorted(&entry.models));
             let (service, address, born) = (entry.service.clone(), entry.address, entry.born);
             // An unchanged entry counts too: it may have lapsed and come back.
             if fleet.apply(entry) {
@@ -161,3 +162,11 @@
         log::info!(target_name:% = target; "target gone, its entry hasn't come back");
     }
 }
+
+/// Returns versions in the order of their models, so that every host writes the same line.
+fn sorted(models: &HashMap<ModelName, u64>) -> BTreeMap<ModelName, u64> {
+    models
+        .iter()
+        .map(|(model, version)| (model.clone(), *version))
+        .collect()
+}
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -468,6 +468,7 @@
     fn drop_tries(&mut self) {
         let now: Millis = self.shared.clock.now();
         for attempt in self.tries.drain(..) {
+            self.begun += u32::from(attempt.exchange.was_sent());
             let slow = attempt.stalled || attempt.began.elapsed() > HEDGE_DELAY;
             let outcome = if slow && !attempt.exchange.was_sent() {
                 Outcome::Failed
