godwitspool explain ID FILE: a story from hosts' log lines

Ruled out: correcting clocks by requests between hosts (they leave no line); versions, configurations and loads reach every host within milliseconds and already have one. A quarter's rank in place of the middle: a host that is cut off hears late, never early. Before: none. Conclusion: works on plain files and on a collector's prefixed lines.

--- a/crates/godwitspool-cli/src/command.rs
+++ b/crates/godwitspool-cli/src/command.rs
@@ -19,6 +19,8 @@
   key withdraw DIGEST         withdraws a key by its digest, for good
   status                      what is in force: leases, orders, windows; and each daemon's state
   explain SUBJECT             what daemons know of a request, target or sample
+  explain ID FILE...          what hosts' log lines tell of a request, batch, item, target, epoch
+                              or usage window, in order, clocks put right
   usage                       usage windows: open, sealed, frozen, reported
   quarantine list             requests that are kept off all targets
   quarantine lift FINGERPRINT lets requests of a fingerprint run again
@@ -52,6 +54,10 @@
         subject: String,
         daemons: Vec<SocketAddr>,
     },
+    ExplainLines {
+        subject: String,
+        files: Vec<PathBuf>,
+    },
     Help,
     KeyIssue {
         workspace: Workspace,
@@ -145,6 +151,10 @@
                 subject: (*subject).to_owned(),
                 daemons: self.daemons()?,
             },
+            ["explain", subject, files @ ..] => Command::ExplainLines {
+                subject: (*subject).to_owned(),
+                files: files.iter().map(PathBuf::from).collect(),
+            },
             ["key", "issue", workspace] => Command::KeyIssue {
                 workspace: Workspace::from(*workspace),
                 log: self.log()?,
--- a/crates/godwitspool-cli/src/error.rs
+++ b/crates/godwitspool-cli/src/error.rs
@@ -1,6 +1,6 @@
 //! Why a command was not carried out.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, path::PathBuf};
 
 use godwitspool_connection::http::PlatformError;
 use godwitspool_process::{Findings, log_reader::CatchUpError};
@@ -21,6 +21,10 @@
     Folder { findings: Findings },
     #[snafu(display("{source}"), context(false))]
     InForce { source: CatchUpError },
+    #[snafu(display("{}: {source}", path.display()))]
+    Lines { path: PathBuf, source: io::Error },
+    #[snafu(display("no line names {name:?}"))]
+    NoLine { name: String },
     #[snafu(display("{what} lost: {why}"))]
     Lost { what: &'static str, why: String },
     #[snafu(display("{what} was appended and not seen in the log within {seconds} s"))]
--- a/crates/godwitspool-cli/src/lib.rs
+++ b/crates/godwitspool-cli/src/lib.rs
@@ -17,6 +17,7 @@
 mod log;
 mod publish;
 mod report;
+mod story;
 
 use std::{ffi::OsString, io::Write};
 
@@ -45,6 +46,7 @@
         Command::Check { folder } => publish::check(&folder, out),
         Command::Drain { daemons } => daemons::drain(&daemons, out),
         Command::Explain { subject, daemons } => daemons::explain(&subject, &daemons, out),
+        Command::ExplainLines { subject, files } => story::explain(&subject, &files, out),
         Command::Help => Ok(writeln!(out, "{HELP}")?),
         Command::KeyIssue { workspace, log } => log::issue_key(&workspace, &log, out),
         Command::KeyWithdraw { digest, log } => log::withdraw_key(digest, &log, out),
--- /dev/null
+++ b/crates/godwitspool-cli/src/story/log_line.rs
@@ -0,0 +1,109 @@
+//! A line of a host's log.
+
+use std::sync::Arc;
+
+/// A line of a host's log.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct LogLine {
+    /// The host that wrote it.
+    pub host: Arc<str>,
+    /// Its time by that host's clock, in seconds from 1970.
+    pub time: f64,
+    /// What it says.
+    pub message: String,
+    /// What it is about.
+    pub fields: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Reads a line; a collector's prefix may stand before it, whose last word is the host's name.
+    /// Returns nothing if there is no line of a host in it.
+    pub(crate) fn read(text: &str, host: &Arc<str>) -> Option<Self> {
+        let start = text.find("time=")?;
+        let prefix = text[..start].split_whitespace().next_back();
+        let mut pairs = pairs(&text[start..]).into_iter();
+        let (_, time) = pairs.next()?;
+        let time = time.parse().ok()?;
+        let mut fields: Vec<(String, String)> = pairs.collect();
+        let message = fields.iter().position(|(key, _)| key == "message")?;
+        let (_, message) = fields.remove(message);
+        fields.retain(|(key, _)| !matches!(key.as_str(), "level" | "part"));
+        let mut line = Self {
+            host: prefix.map_or_else(|| Arc::clone(host), Arc::from),
+            time,
+            message,
+            fields,
+        };
+        if let Some(name) = line.field("host") {
+            line.host = Arc::from(name);
+        }
+        Some(line)
+    }
+
+    /// Returns the value of a field.
+    pub(crate) fn field(&self, key: &str) -> Option<&str> {
+        let mut fields = self.fields.iter();
+        let (_, value) = fields.find(|(known, _)| known == key)?;
+        Some(value)
+    }
+
+    /// Tells whether a field holds this identifier, alone or in a list.
+    pub(crate) fn names(&self, id: &str) -> bool {
+        let words = |value: &str| {
+            let mut words = value.split(|c: char| !c.is_alphanumeric() && !"-_.".contains(c));
+            words.any(|word| word == id)
+        };
+        self.fields
+            .iter()
+            .any(|(_, value)| value == id || (value.len() > id.len() && words(value)))
+    }
+
+    /// Returns the fields as they stand in the log.
+    pub(crate) fn details(&self) -> String {
+        let texts = self.fields.iter().map(|(key, value)| {
+            if value.contains(char::is_whitespace) {
+                format!("{key}={value:?}")
+            } else {
+                format!("{key}={value}")
+            }
+        });
+        texts.collect::<Vec<_>>().join(" ")
+    }
+}
+
+/// Splits `key=value` pairs; values with spaces are quoted.
+fn pairs(text: &str) -> Vec<(String, String)> {
+    let mut pairs = Vec::new();
+    let mut rest = text.trim_end();
+    while let Some((key, behind)) = rest.split_once('=') {
+        let (value, length) = behind.strip_prefix('"').map_or_else(
+            || {
+                let length = behind.find(' ').unwrap_or(behind.len());
+                (behind[..length].to_owned(), length)
+            },
+            unquote,
+        );
+        pairs.push((key.trim_start().to_owned(), value));
+        rest = &behind[length..];
+    }
+    pairs
+}
+
+/// Reads up to the closing quote; returns the value and its length in the text, quotes included.
+fn unquote(quoted: &str) -> (String, usize) {
+    let mut value = String::new();
+    let mut chars = quoted.char_indices();
+    while let Some((at, c)) = chars.next() {
+        match c {
+            '"' => return (value, at + 2),
+            '\\' => match chars.next() {
+                Some((_, 'n')) => value.push('\n'),
+                Some((_, other)) => value.push(other),
+                None => break,
+            },
+            other => value.push(other),
+        }
+    }
+    // The line was cut off within the value.
+    (value, quoted.len() + 1)
+}
