--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -30,7 +30,7 @@
 pub use daemon::{DaemonCommand, Termination};
 pub use findings::Findings;
 pub use http_listener::HttpListener;
-pub use log_queue::{LineLimit, install_queue};
+pub use log_queue::{LineLimit, LogQueue, install_queue};
 pub use metrics::{Metrics, Reasons, Watched};
 pub use operator_http::{Operated, OperatorHttp, Readiness};
 pub use program::Program;
--- a/crates/godwitspool-process/src/log_queue.rs
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     fmt::Write as _,
     io::{self, Write},
+    iter,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -24,6 +25,12 @@
 /// Warnings of one kind in a second: they tell of failures and are the last to go.
 const WARNING_LINES: u32 = 1_000;
 
+/// Lines gather for so long before they are written: a write and the wake-up before it cost as much
+/// as ten lines. A process that is killed loses as much of its log.
+const GATHER: Duration = Duration::from_millis(50);
+/// Bound on the last write of a process that ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Counts lines by kind and second, and says which are left out.
 ///
 /// ```
@@ -82,23 +89,53 @@
 /// # Errors
 ///
 /// When a logger is set already or no thread can be started.
-pub fn install_queue(format: LogFormat) -> io::Result<()> {
+pub fn install_queue(format: LogFormat) -> io::Result<LogQueue> {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let lost = Arc::clone(&dropped);
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&receiver, &lost, io::stdout()))?;
+        .spawn(move || {
+            write_lines(&receiver, &lost, io::stdout(), || thread::sleep(GATHER));
+        })?;
+    let queue = LogQueue {
+        sender: sender.clone(),
+    };
     let set: Result<(), SetLoggerError> = fern::Dispatch::new()
         .level(LevelFilter::Info)
-        .chain(fern::Output::call(queue(format, sender, dropped)))
+        .chain(fern::Output::call(write_to(format, sender, dropped)))
         .apply();
-    set.map_err(io::Error::other)
+    set.map_err(io::Error::other)?;
+    Ok(queue)
+}
+
+/// What waits for the output.
+enum Entry {
+    Line(String),
+    /// Everything before it is to be written, then this channel closed.
+    Flush(SyncSender<()>),
+}
+
+/// The queue of lines that wait for the output. Dropped, it waits a short time until they are
+/// written.
+#[derive(Debug)]
+pub struct LogQueue {
+    sender: SyncSender<Entry>,
 }
 
-fn queue(
+impl Drop for LogQueue {
+    fn drop(&mut self) {
+        let (done, written) = sync_channel(0);
+        // With a full queue nobody reads the output.
+        if self.sender.try_send(Entry::Flush(done)).is_ok() {
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+fn write_to(
     format: LogFormat,
-    sender: SyncSender<String>,
+    sender: SyncSender<Entry>,
     dropped: Arc<AtomicU64>,
 ) -> impl Fn(&log::Record<'_>) + Send + Sync {
     let limit = Mutex::new(LineLimit::default());
@@ -127,8 +164,8 @@
     )
 }
 
-fn send(sender: &SyncSender<String>, dropped: &AtomicU64, line: String) {
-    match sender.try_send(line) {
+fn send(sender: &SyncSender<Entry>, dropped: &AtomicU64, line: String) {
+    match sender.try_send(Entry::Line(line)) {
         Ok(()) => {}
         Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
             dropped.fetch_add(1, Ordering::Relaxed);
@@ -137,14 +174,27 @@
 }
 
 /// Writes lines until their senders are gone, and how many were dropped since the line before.
-fn write_lines(receiver: &Receiver<String>, dropped: &AtomicU64, mut output: impl Write) {
+/// `gather` waits for lines that can share the first one's write.
+fn write_lines(
+    receiver: &Receiver<Entry>,
+    dropped: &AtomicU64,
+    mut output: impl Write,
+    gather: impl Fn(),
+) {
     while let Ok(first) = receiver.recv() {
-        let mut text = first;
-        text.push('\n');
-        // One write for what has gathered.
-        for line in receiver.try_iter().take(QUEUE_LINES) {
-            text.push_str(&line);
-            text.push('\n');
+        let mut text = String::new();
+        let mut flushed = Vec::new();
+        if matches!(first, Entry::Line(_)) {
+            gather();
+        }
+        for entry in iter::once(first).chain(receiver.try_iter().take(QUEUE_LINES)) {
+            match entry {
+                Entry::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                Entry::Flush(done) => flushed.push(done),
+            }
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -157,6 +207,7 @@
         }
         // A failed flush shows at the next write.
         let _ = output.flush();
+        drop(flushed);
     }
 }
 
