--- a/crates/godwitspool-process/src/log_queue.rs
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -25,9 +25,6 @@
 /// Warnings of one kind in a second: they tell of failures and are the last to go.
 const WARNING_LINES: u32 = 1_000;
 
-/// Lines gather for so long before they are written: a write and the wake-up before it cost as much
-/// as ten lines. A process that is killed loses as much of its log.
-const GATHER: Duration = Duration::from_millis(50);
 /// Bound on the last write of a process that ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -96,7 +93,7 @@
     thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || {
-            write_lines(&receiver, &lost, io::stdout(), || thread::sleep(GATHER));
+            write_lines(&receiver, &lost, io::stdout());
         })?;
     let queue = LogQueue {
         sender: sender.clone(),
@@ -174,19 +171,10 @@
 }
 
 /// Writes lines until their senders are gone, and how many were dropped since the line before.
-/// `gather` waits for lines that can share the first one's write.
-fn write_lines(
-    receiver: &Receiver<Entry>,
-    dropped: &AtomicU64,
-    mut output: impl Write,
-    gather: impl Fn(),
-) {
+fn write_lines(receiver: &Receiver<Entry>, dropped: &AtomicU64, mut output: impl Write) {
     while let Ok(first) = receiver.recv() {
         let mut text = String::new();
         let mut flushed = Vec::new();
-        if matches!(first, Entry::Line(_)) {
-            gather();
-        }
         for entry in iter::once(first).chain(receiver.try_iter().take(QUEUE_LINES)) {
             match entry {
                 Entry::Line(line) => {
