What items have generated is saved and handed over with their partition

Cause: an item's text lived in its owner only, and results that waited for the store were dropped when a partition was given up; each change of owner began items of up to 7.4 s from the start. Ruled out: appending under the owner's epoch (a lost answer would hold results back; the beginning of a text is valid whoever wrote it); text carried over to a later batch (its versions hardly ever fit the later batch's oldest). Change: an owner that gives a partition up stops its runs, saves them, writes the waiting results and renews at once, so that the store deals the partition on; running items are saved each second; an owner hears from reports between hosts of a higher epoch and stops, so no item goes on at two targets.

--- a/crates/godwitspool-host/src/batch/book.rs
+++ b/crates/godwitspool-host/src/batch/book.rs
@@ -7,8 +7,8 @@
 
 use godwitspool_types::Workspace;
 
-use super::{Batch, Finished, ItemResult, ResultPage, Submission, partition_of};
-use crate::http::Waker;
+use super::{Batch, BatchRecord, Finished, ItemResult, ResultPage, Submission, partition_of};
+use crate::{StoreBounds, http::Waker, store::Keyed};
 
 /// Bytes of results in one answer; the interface allows a megabyte.
 const PAGE_BYTES: usize = 900 * 1024;
@@ -19,6 +19,8 @@
     parts: Mutex<BTreeMap<u32, Part>>,
     changed: Condvar,
     count: u32,
+    /// Highest epoch known of each partition, of this host's or another's ownership.
+    epochs: Mutex<BTreeMap<u32, u64>>,
     /// Wakes the runner when there may be something to start or to stop.
     pub waker: Waker,
 }
@@ -43,6 +45,40 @@
     }
 }
 
+impl Part {
+    /// Returns records of what items have generated beyond what was saved of them.
+    fn unsaved(&mut self, events: u64, bounds: &StoreBounds) -> Vec<Keyed> {
+        let mut records = Vec::new();
+        for batch in self.batches.values_mut().filter(|batch| batch.is_open()) {
+            let id = &batch.submission.id;
+            for (index, item) in batch.items.iter_mut().enumerate() {
+                if item.is_unsaved(events) {
+                    let record = BatchRecord::of_progress(id, index as u32, &item.progress, bounds);
+                    // The record may reach the store even if the call fails.
+                    item.saved = item.progress.last_event;
+                    records.extend(record);
+                }
+            }
+        }
+        records
+    }
+
+    /// Returns records that remove what was saved of items of batches that are over.
+    fn take_obsolete(&mut self) -> Vec<Keyed> {
+        let mut records = Vec::new();
+        for batch in self.batches.values_mut().filter(|batch| !batch.is_open()) {
+            let id = &batch.submission.id;
+            for (index, item) in batch.items.iter_mut().enumerate() {
+                if item.saved.take().is_some() {
+                    let key = BatchRecord::progress_key(id, index as u32);
+                    records.push(Keyed::removed(key));
+                }
+            }
+        }
+        records
+    }
+}
+
 /// What a host knows of a batch.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Lookup<T> {
@@ -65,6 +101,7 @@
             parts: Mutex::new(BTreeMap::new()),
             changed: Condvar::new(),
             count: parts,
+            epochs: Mutex::default(),
             waker: Waker::new()?,
         })
     }
@@ -99,6 +136,60 @@
         self.notify();
     }
 
+    /// Returns the owned partitions with their epochs.
+    pub fn owned(&self) -> Vec<(u32, u64)> {
+        let parts = self.lock();
+        parts
+            .iter()
+            .map(|(part, owned)| (*part, owned.epoch))
+            .collect()
+    }
+
+    /// Takes over that another host owns a partition under an epoch. If that is higher than this
+    /// host's, its runs end at once: the other one goes on with them.
+    pub fn yield_to(&self, part: u32, epoch: u64) {
+        let mut epochs = self.epochs.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = epochs.entry(part).or_default();
+        *known = epoch.max(*known);
+        drop(epochs);
+        let mut parts = self.lock();
+        if parts.get(&part).is_some_and(|part| part.epoch < epoch) {
+            log::warn!(partition = part, epoch; "another host owns the partition");
+            parts.remove(&part);
+            drop(parts);
+            self.notify();
+        }
+    }
+
+    /// Tells whether another host is known to own a partition under a higher epoch.
+    pub fn is_yielded(&self, part: u32, epoch: u64) -> bool {
+        let epochs = self.epochs.lock().unwrap_or_else(PoisonError::into_inner);
+        epochs.get(&part).is_some_and(|known| *known > epoch)
+    }
+
+    /// Gives up a partition that is owned under an epoch and returns what of its items the store
+    /// doesn't hold yet. Results that wait for the store are still written.
+    pub fn take_unsaved(&self, part: u32, epoch: u64, bounds: &StoreBounds) -> Vec<Keyed> {
+        let mut parts = self.lock();
+        let owned = parts.get(&part).is_some_and(|part| part.epoch == epoch);
+        let taken = owned.then(|| parts.remove(&part)).flatten();
+        drop(parts);
+        self.notify();
+        taken.map_or_else(Vec::new, |mut part| part.unsaved(1, bounds))
+    }
+
+    /// Returns, for each partition, what the items that run have generated since they were saved
+    /// last, if it is `events` or more; and the keys of what batches that have ended saved.
+    pub fn unsaved(&self, events: u64, bounds: &StoreBounds) -> Vec<(u32, Vec<Keyed>)> {
+        let mut parts = self.lock();
+        let unsaved = parts.iter_mut().map(|(number, part)| {
+            let mut records = part.unsaved(events, bounds);
+            records.extend(part.take_obsolete());
+            (*number, records)
+        });
+        unsaved.filter(|(_, records)| !records.is_empty()).collect()
+    }
+
     /// Takes over a batch that was accepted. Returns whether it is new.
     pub fn accept(&self, part: u32, submission: Arc<Submission>) -> bool {
         let mut parts = self.lock();
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Batch, BatchRecord, Book, Finished, ItemResult, Submission};
+use super::{Batch, BatchRecord, Book, Finished, ItemResult, Progress, Submission, save_progress};
 use crate::{
     StoreBounds,
     process::unix_ms,
@@ -29,6 +29,11 @@
 const EXPIRY_LOOK: Duration = Duration::from_secs(5);
 /// Pauses after a failed call to the store: first, and longest.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+/// Longest time in which a partition that is given up writes the results that wait: a few calls to
+/// the store.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two looks whether they are written.
+const HAND_OVER_LOOK: Duration = Duration::from_millis(5);
 /// Stack of the partition's threads.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -47,6 +52,8 @@
     part: u32,
     stopped: AtomicBool,
     store: Arc<dyn Store>,
+    /// Whether a thread writes results.
+    writing: AtomicBool,
     /// How long a batch stays readable.
     ttl: Duration,
 }
@@ -83,6 +90,7 @@
             stopped: AtomicBool::new(false),
             store,
             ttl,
+            writing: AtomicBool::new(false),
         });
         let own = Arc::clone(&task);
         thread::Builder::new()
@@ -97,15 +105,17 @@
         self.task.is_stopped()
     }
 
-    /// Gives the partition up.
-    pub fn stop(&self) {
-        self.task.stop("given up");
+    /// Gives the partition up, so that its next owner goes on where this one stops: runs end, what
+    /// they have generated is saved, and results that wait are written. Takes a few calls to the
+    /// store at most.
+    pub fn hand_over(&self) {
+        self.task.hand_over();
     }
 }
 
 impl Task {
     fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+        self.stopped.load(Ordering::SeqCst) || self.book.is_yielded(self.part, self.epoch)
     }
 
     fn stop(&self, reason: &str) {
@@ -115,6 +125,23 @@
         self.book.close(self.part, self.epoch);
     }
 
+    fn hand_over(&self) {
+        let began = Instant::now();
+        let progress = self.book.take_unsaved(self.part, self.epoch, &self.bounds);
+        let items = progress.len();
+        let saved = save_progress(self.store.as_ref(), self.part, progress, &self.bounds);
+        while self.writing.load(Ordering::SeqCst) && began.elapsed() < HAND_OVER_TIMEOUT {
+            thread::sleep(HAND_OVER_LOOK);
+        }
+        let took_ms = began.elapsed().as_millis() as u64;
+        log::info!(
+            partition = self.part, epoch = self.epoch, items, saved, took_ms,
+            written = !self.writing.load(Ordering::SeqCst);
+            "partition handed over"
+        );
+        self.stop("given up");
+    }
+
     fn run(self: Arc<Self>) {
         let began = Instant::now();
         let fence = || {
@@ -143,10 +170,14 @@
         log::info!(partition = part, epoch, batches = batches.len(), took_ms; "partition opened");
         self.open(batches, sender);
         let own = Arc::clone(&self);
+        self.writing.store(true, Ordering::SeqCst);
         let spawned = thread::Builder::new()
             .name("results".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || own.write(&receiver, positions));
+            .spawn(move || {
+                own.write(&receiver, positions);
+                own.writing.store(false, Ordering::SeqCst);
+            });
         if let Err(error) = spawned {
             log::error!(error:%, partition = part; "no thread for a partition's results");
             self.stop("no thread");
@@ -216,6 +247,7 @@
         assembly: &mut Assembly,
     ) -> (Vec<Batch>, HashMap<String, u64>) {
         let mut listed: HashMap<String, BTreeMap<u64, Arc<ItemResult>>> = HashMap::new();
+        let mut begun: HashMap<String, Vec<(u32, Progress)>> = HashMap::new();
         for stored in results {
             match BatchRecord::read(stored) {
                 Ok(BatchRecord::Result {
@@ -226,6 +258,11 @@
                     let results = listed.entry(batch).or_default();
                     results.insert(position, Arc::new(result));
                 }
+                Ok(BatchRecord::Progress {
+                    batch,
+                    item,
+                    progress,
+                }) => begun.entry(batch).or_default().push((item, progress)),
                 Ok(_) => {}
                 Err(error) => log::warn!(partition = self.part, error:%; "result record left out"),
             }
@@ -239,7 +276,11 @@
                     let results: Vec<_> = results.into_values().collect();
                     positions.insert(submission.id.clone(), results.len() as u64);
                     let id = submission.id.clone();
-                    batches.insert(id, Batch::new(Arc::new(submission), results));
+                    let mut batch = Batch::new(Arc::new(submission), results);
+                    for (item, progress) in begun.remove(&id).unwrap_or_default() {
+                        batch.resume(item, progress);
+                    }
+                    batches.insert(id, batch);
                 }
                 Change::Ended(batch) => {
                     if let Some(batch) = batches.get_mut(&batch) {
@@ -380,7 +421,7 @@
                 },
                 Ok(BatchRecord::End { batch }) => changes.push(Change::Ended(batch)),
                 Ok(BatchRecord::Removed { batch }) => changes.push(Change::Removed(batch)),
-                Ok(BatchRecord::Result { .. }) => {}
+                Ok(BatchRecord::Progress { .. } | BatchRecord::Result { .. }) => {}
                 Err(error) => log::warn!(partition = part, error:%; "batch record left out"),
             }
         }
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -3,7 +3,7 @@
 use rapidhash::v3::rapidhash_v3;
 use snafu::Snafu;
 
-use super::{ItemResult, Submission};
+use super::{ItemResult, Progress, Submission};
 use crate::{
     StoreBounds,
     store::{Keyed, Stored},
@@ -41,6 +41,15 @@
         /// The batch.
         batch: String,
     },
+    /// What has been generated of an item that hasn't ended.
+    Progress {
+        /// The batch.
+        batch: String,
+        /// The item's index.
+        item: u32,
+        /// What was generated.
+        progress: Progress,
+    },
     /// A result in its position.
     Result {
         /// The batch.
@@ -77,20 +86,7 @@
             .collect();
         let parts = records.len() as u32;
         records.push(Keyed::new(format!("{id}/c"), parts.to_be_bytes()));
-        let mut calls: Vec<Vec<Keyed>> = vec![Vec::new()];
-        let mut used = 0;
-        for record in records {
-            let length = record.value.as_ref().map_or(0, Vec::len) + RECORD_OVERHEAD;
-            if used + length > bounds.call_bytes {
-                calls.push(Vec::new());
-                used = 0;
-            }
-            used += length;
-            if let Some(call) = calls.last_mut() {
-                call.push(record);
-            }
-        }
-        calls
+        split_calls(records, bounds)
     }
 
     /// Returns the record that ends a batch.
@@ -116,6 +112,23 @@
         Keyed::new(format!("{batch}/r{position:08}"), encode(result))
     }
 
+    /// Returns the record of what an item has generated so far; `None` if it is too large for one.
+    pub fn of_progress(
+        batch: &str,
+        item: u32,
+        progress: &Progress,
+        bounds: &StoreBounds,
+    ) -> Option<Keyed> {
+        let value = encode(progress);
+        let fits = value.len() + RECORD_OVERHEAD <= bounds.record_bytes;
+        fits.then(|| Keyed::new(Self::progress_key(batch, item), value))
+    }
+
+    /// Returns the key of what an item has generated.
+    pub fn progress_key(batch: &str, item: u32) -> String {
+        format!("{batch}/p{item:08}")
+    }
+
     /// Returns the smallest key behind which all keys of a batch follow.
     pub fn before(batch: &str) -> String {
         format!("{batch}/")
@@ -143,7 +156,7 @@
         let Some(value) = value else {
             return Ok(Self::Removed { batch });
         };
-        let number = |digits: &str| digits.parse().ok().ok_or_else(|| wrong("no number"));
+        let number = |digits: &str| digits.parse::<u64>().ok().ok_or_else(|| wrong("no number"));
         match kind.split_at_checked(1) {
             Some(("b", digits)) => Ok(Self::Part {
                 batch,
@@ -161,6 +174,12 @@
                 })
             }
             Some(("e", "")) => Ok(Self::End { batch }),
+            Some(("p", digits)) => Ok(Self::Progress {
+                batch,
+                item: number(digits)? as u32,
+                progress: postcard::from_bytes(&value)
+                    .map_err(|error| wrong(&error.to_string()))?,
+            }),
             Some(("r", digits)) => Ok(Self::Result {
                 batch,
                 position: number(digits)?,
@@ -171,6 +190,24 @@
     }
 }
 
+/// Deals records to as many appends as the bound on one asks for.
+pub fn split_calls(records: Vec<Keyed>, bounds: &StoreBounds) -> Vec<Vec<Keyed>> {
+    let mut calls: Vec<Vec<Keyed>> = vec![Vec::new()];
+    let mut used = 0;
+    for record in records {
+        let length = record.value.as_ref().map_or(0, Vec::len) + RECORD_OVERHEAD;
+        if used + length > bounds.call_bytes {
+            calls.push(Vec::new());
+            used = 0;
+        }
+        used += length;
+        if let Some(call) = calls.last_mut() {
+            call.push(record);
+        }
+    }
+    calls
+}
+
 /// Encodes a value of the project's own. Such values are plain data, whose encoding doesn't fail.
 fn encode(value: &impl serde::Serialize) -> Vec<u8> {
     postcard::to_stdvec(value).unwrap_or_else(|error| {
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use godwitspool_types::Millis;
+use serde::{Deserialize, Serialize};
 
 use super::{ItemResult, Submission, order_items};
 
@@ -11,7 +12,7 @@
 const REJECTIONS_MAX: u32 = 1;
 
 /// What an item has generated so far.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
     /// Data of the events, one a line.
     pub text: Vec<u8>,
@@ -74,6 +75,16 @@
     pub moves: u32,
     /// What was generated so far.
     pub progress: Progress,
+    /// Number of the last event that a record of the store holds, or may hold.
+    pub saved: Option<u64>,
+}
+
+impl Item {
+    /// Tells whether so many events more than the store holds were generated.
+    pub fn is_unsaved(&self, events: u64) -> bool {
+        let known = self.progress.last_event.unwrap_or_default();
+        self.state != ItemState::Done && known >= self.saved.unwrap_or_default() + events
+    }
 }
 
 /// How a run ended without the whole output.
@@ -150,6 +161,7 @@
             rejections: 0,
             moves: 0,
             progress: Progress::default(),
+            saved: None,
         };
         let mut items = vec![waiting; submission.items.len()];
         for result in &results {
@@ -166,6 +178,17 @@
         }
     }
 
+    /// Takes over what an earlier owner has saved of an item.
+    pub fn resume(&mut self, item: u32, progress: Progress) {
+        let item = self.items.get_mut(item as usize);
+        if let Some(item) = item.filter(|item| item.progress.last_event.is_none()) {
+            item.saved = progress.last_event;
+            if item.state != ItemState::Done {
+                item.progress = progress;
+            }
+        }
+    }
+
     /// Returns the next item that may start now.
     ///
     /// # Errors
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     Settings,
-    batch::Runner,
+    batch::{Runner, save_running},
     http::{Bounds, Caller, Request, Response, Server},
     store::Topic,
 };
@@ -70,6 +70,7 @@
                 log::error!(error:%; "runner ended");
             }
         })?;
+        spawn(&shared, "progress", |shared| save_running(&shared))?;
         let desk = Arc::new(Desk::default());
         let own = Arc::clone(&desk);
         spawn(&shared, "duties", move |shared| {
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -45,6 +45,7 @@
         let ttl = MEMBER_TTL.max(self.shared.settings.store.member_ttl);
         let mut failing = false;
         while !self.shared.is_draining() {
+            let mut given_up = false;
             let sent = lease_clock();
             match self
                 .shared
@@ -56,7 +57,7 @@
                         log::info!(generation = assignment.generation; "membership renewed again");
                     }
                     failing = false;
-                    self.take(&assignment, sent + Millis::from(ttl));
+                    given_up = self.take(&assignment, sent + Millis::from(ttl));
                     // Other hosts must be known before the store turns this one away.
                     self.shared.peers.refresh(&self.shared);
                 }
@@ -67,19 +68,21 @@
                     failing = true;
                 }
             }
-            thread::sleep(ttl / RENEWALS);
+            // The store deals what was given up to others at the next renewal.
+            if !given_up {
+                thread::sleep(ttl / RENEWALS);
+            }
         }
         self.desk.release();
-        for held in self.owners.values() {
-            held.owner.stop();
-        }
+        hand_over(self.owners.values());
         match self.shared.store.leave(&self.shared.member) {
             Ok(()) => log::info!("left the hosts' group"),
             Err(error) => log::warn!(error:%; "leaving the hosts' group not confirmed"),
         }
     }
 
-    fn take(&mut self, assignment: &Assignment, until: Millis) {
+    /// Takes over what the store has dealt; tells whether partitions were given up.
+    fn take(&mut self, assignment: &Assignment, until: Millis) -> bool {
         let changed = assignment.generation != self.generation;
         self.generation = assignment.generation;
         if changed {
@@ -99,22 +102,22 @@
             self.desk.release();
         }
         let parts: Vec<u32> = dealt(Topic::Results).collect();
-        self.owners.retain(|part, held| {
-            let kept = parts.contains(part);
-            if !kept {
-                held.owner.stop();
-            }
-            kept
-        });
+        let (kept, lost): (HashMap<u32, Held>, HashMap<u32, Held>) =
+            std::mem::take(&mut self.owners)
+                .into_iter()
+                .partition(|(part, _)| parts.contains(part));
+        self.owners = kept;
+        hand_over(lost.values());
         for part in parts {
             let held = self.owners.get(&part);
-            let lost = held.is_some_and(|held| {
+            let fenced = held.is_some_and(|held| {
                 held.owner.is_lost() && held.generation != assignment.generation
             });
-            if held.is_none() || lost {
+            if held.is_none() || fenced {
                 self.own(part, assignment.generation);
             }
         }
+        !lost.is_empty()
     }
 
     fn own(&mut self, part: u32, generation: u64) {
@@ -134,6 +137,15 @@
     }
 }
 
+/// Gives partitions up, all at once: each takes a few calls to the store.
+fn hand_over<'a>(held: impl Iterator<Item = &'a Held>) {
+    thread::scope(|scope| {
+        for held in held {
+            scope.spawn(|| held.owner.hand_over());
+        }
+    });
+}
+
 /// Returns an epoch that is higher than those of earlier generations and unlike any other.
 fn epoch(generation: u64) -> u64 {
     let random = rand::random::<u64>() & ((1 << EPOCH_RANDOM_BITS) - 1);
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -52,6 +52,8 @@
     pub number: u64,
     /// Runs by target.
     pub running: Vec<(TargetName, u32)>,
+    /// Owned partitions with their epochs: an earlier owner that hasn't heard yet stops its runs.
+    pub owned: Vec<(u32, u64)>,
 }
 
 /// Sends and receives reports.
@@ -95,6 +97,7 @@
             sender,
             number: sent.number,
             running: running.into_iter().collect(),
+            owned: shared.book.owned(),
         };
         report.running.sort();
         let age = now - sent.at;
@@ -139,7 +142,12 @@
             };
             let now = shared.clock.now();
             match postcard::from_bytes::<Notice>(&bytes[..length]) {
-                Ok(Notice::Runs(report)) => shared.fleet().report(&report, now),
+                Ok(Notice::Runs(report)) => {
+                    for (part, epoch) in &report.owned {
+                        shared.book.yield_to(*part, *epoch);
+                    }
+                    shared.fleet().report(&report, now);
+                }
                 Ok(Notice::Load(load)) => {
                     let LoadNotice {
                         target,
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -13,7 +13,7 @@
     StoreBounds,
     batch::{
         Batch, BatchRecord, Book, Finished, ItemResult, ItemSpec, ItemState, Lookup, Move, Pace,
-        RunFailure, RunView, Submission, Verdict, decide_move, order_items, partition_of,
+        Progress, RunFailure, RunView, Submission, Verdict, decide_move, order_items, partition_of,
     },
     store::Stored,
 };
@@ -236,3 +236,106 @@
     book.close(part, 7);
     assert_eq!(book.read("b", None, 0, Duration::ZERO), Lookup::Elsewhere);
 }
+
+/// Returns what an item has generated after so many events.
+fn progress(events: u64) -> Progress {
+    let mut progress = Progress {
+        version: Some(3),
+        ..Progress::default()
+    };
+    for number in 1..=events {
+        progress.push(number, format!("e{number}").as_bytes());
+    }
+    progress
+}
+
+#[test]
+fn an_earlier_owner_yields_to_a_higher_epoch_and_to_no_lower_one() {
+    let book = Book::new(4).unwrap();
+    let part = partition_of("b", 4);
+    let (sender, _receiver) = mpsc::channel();
+    book.open(part, 7, vec![batch(2, 1)], sender);
+    book.yield_to(part, 6);
+    assert_eq!(book.owned(), [(part, 7)]);
+    book.yield_to(part, 8);
+    assert_eq!(book.owned(), []);
+    assert!(book.is_yielded(part, 7));
+    assert!(!book.is_yielded(part, 9));
+}
+
+#[test]
+fn only_news_of_running_items_is_saved_and_removed_with_its_batch() {
+    let bounds = StoreBounds::default();
+    let book = Book::new(4).unwrap();
+    let part = partition_of("b", 4);
+    let (sender, _receiver) = mpsc::channel();
+    book.open(part, 7, vec![batch(2, 1)], sender);
+    let advance = |events| {
+        let mut parts = book.lock();
+        let batch = parts.get_mut(&part).unwrap().batches.get_mut("b").unwrap();
+        batch.items[0].progress = progress(events);
+    };
+    let keys = || {
+        let unsaved = book.unsaved(20, &bounds);
+        let records = unsaved.into_iter().flat_map(|(_, records)| records);
+        records
+            .map(|record| (record.key, record.value.is_some()))
+            .collect::<Vec<_>>()
+    };
+    advance(19);
+    assert_eq!(keys(), [], "too little to be worth a record");
+    advance(30);
+    assert_eq!(keys(), [("b/p00000000".to_owned(), true)]);
+    advance(35);
+    assert_eq!(keys(), [], "saved not long ago");
+    book.end(part, "b");
+    assert_eq!(keys(), [("b/p00000000".to_owned(), false)]);
+    assert_eq!(keys(), [], "removed once");
+}
+
+#[test]
+fn a_partition_that_is_given_up_leaves_everything_that_was_generated() {
+    let bounds = StoreBounds::default();
+    let book = Book::new(4).unwrap();
+    let part = partition_of("b", 4);
+    let (sender, receiver) = mpsc::channel();
+    let mut given = batch(2, 1);
+    given.items[1].progress = progress(3);
+    book.open(part, 7, vec![given], sender);
+    let records = book.take_unsaved(part, 7, &bounds);
+    assert_eq!(book.owned(), []);
+    assert!(
+        receiver.recv().is_err(),
+        "the writer ends once it is through"
+    );
+    let offset = 0;
+    let read: Vec<BatchRecord> = records
+        .into_iter()
+        .map(|record| BatchRecord::read(Stored { offset, record }).unwrap())
+        .collect();
+    let [
+        BatchRecord::Progress {
+            item: 1,
+            progress: saved,
+            ..
+        },
+    ] = &read[..]
+    else {
+        panic!("{read:?}");
+    };
+    let mut next = batch(2, 1);
+    next.resume(1, saved.clone());
+    assert_eq!(next.items[1].progress, progress(3));
+    next.resume(1, progress(9));
+    assert_eq!(next.items[1].progress, progress(3), "the first one holds");
+}
+
+#[test]
+fn progress_that_no_record_holds_is_left_out() {
+    let bounds = StoreBounds {
+        record_bytes: 300,
+        ..StoreBounds::default()
+    };
+    assert!(BatchRecord::of_progress("b", 0, &progress(2), &bounds).is_some());
+    assert!(BatchRecord::of_progress("b", 0, &progress(100), &bounds).is_none());
+}
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -108,6 +108,7 @@
         sender: 7,
         number: 2,
         running: vec![(TargetName::from("a"), 4)],
+        owned: Vec::new(),
     };
     fleet.report(&report, Millis(100));
     assert_eq!(
