A host ends only once every connection that was accepted is closed

Cause: a drain ended when no request was being handled; a request whose bytes had arrived but weren't read whole (its thread had not run yet) wasn't counted, so the process ended 3 ms after it had passed it on. Ruled out: a longer pause (any fixed one races in the same way). Change: connections count from accept to close, and those that came about before the stop are still accepted and served. Before: the new test waits in vain for a request to count.

--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -81,7 +81,10 @@
 
 struct Shared {
     bounds: Box<ReadBounds>,
-    busy: AtomicUsize,
+    /// Whether connections are still accepted.
+    accepting: AtomicBool,
+    /// Connections that aren't closed yet.
+    open: AtomicUsize,
     draining: AtomicBool,
     handle: Box<Handle>,
     /// Readable from the moment on at which idle connections are to be closed.
@@ -112,7 +115,8 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             bounds: Box::new(bounds),
-            busy: AtomicUsize::new(0),
+            accepting: AtomicBool::new(true),
+            open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             handle: Box::new(handle),
             stop: Waker::new()?,
@@ -120,7 +124,10 @@
         let own = Arc::clone(&shared);
         thread::Builder::new()
             .name("accept".to_owned())
-            .spawn(move || own.accept(&listener))?;
+            .spawn(move || {
+                own.accept(&listener);
+                own.accepting.store(false, Ordering::SeqCst);
+            })?;
         Ok(Self { address, shared })
     }
 
@@ -129,9 +136,16 @@
         self.address
     }
 
-    /// Returns how many requests are being handled.
-    pub fn busy(&self) -> usize {
-        self.shared.busy.load(Ordering::SeqCst)
+    /// Returns how many connections are open.
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether the server has stopped and closed its last connection. A request may have
+    /// arrived on any open one, read or not.
+    pub fn is_ended(&self) -> bool {
+        // In this order: what was accepted last is counted before accepting ends.
+        !self.shared.accepting.load(Ordering::SeqCst) && self.open() == 0
     }
 
     /// Lets answers close their connections; new connections are still accepted.
@@ -147,21 +161,22 @@
 }
 
 impl Shared {
-    fn accept(self: Arc<Self>, listener: &TcpListener) {
+    fn accept(self: &Arc<Self>, listener: &TcpListener) {
         let readable = Interest {
             read: true,
             ..Interest::default()
         };
         loop {
             let sockets = [(listener.as_fd(), readable), self.stop.socket()];
-            match wait(&sockets, None).as_deref() {
-                Ok([_, stop]) if stop.read => return,
-                Ok(_) => {}
+            let stopped = match wait(&sockets, None).as_deref() {
+                Ok(ready) => ready.get(1).is_some_and(|stop| stop.read),
                 Err(error) => {
                     log::warn!(error:%; "waiting for connections failed");
                     thread::sleep(ACCEPT_PAUSE);
+                    false
                 }
-            }
+            };
+            // Callers whose connections came about before the stop are served too.
             loop {
                 match listener.accept() {
                     Ok((socket, peer)) => self.serve(socket, peer),
@@ -173,6 +188,9 @@
                     }
                 }
             }
+            if stopped {
+                return;
+            }
         }
     }
 
@@ -185,11 +203,16 @@
                 return;
             }
         };
+        self.open.fetch_add(1, Ordering::SeqCst);
         let spawned = thread::Builder::new()
             .name("caller".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || own.run(connection));
+            .spawn(move || {
+                own.run(connection);
+                own.open.fetch_sub(1, Ordering::SeqCst);
+            });
         if let Err(error) = spawned {
+            self.open.fetch_sub(1, Ordering::SeqCst);
             log::warn!(error:%, peer:%; "no thread for a connection");
         }
     }
@@ -212,11 +235,9 @@
                     return;
                 }
             };
-            self.busy.fetch_add(1, Ordering::SeqCst);
             caller.close = self.draining.load(Ordering::SeqCst)
                 || request.headers.lists("connection", "close");
             let handled = (self.handle)(&mut caller, request);
-            self.busy.fetch_sub(1, Ordering::SeqCst);
             if let Err(error) = handled {
                 log::debug!(error:%; "answer not delivered");
                 return;
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -107,7 +107,7 @@
     pub fn drain(self) {
         let began = Instant::now();
         let grace = self.shared.settings.grace.saturating_sub(END_RESERVE);
-        log::info!(busy = self.front.busy(); "host drains");
+        log::info!(connections = self.front.open(); "host drains");
         self.shared.drain();
         self.front.drain();
         let still = STILL_CHOSEN.min(grace / 2);
@@ -115,7 +115,7 @@
             thread::sleep(LOOK);
         }
         self.front.stop();
-        while self.front.busy() > 0 && began.elapsed() < grace {
+        while !self.front.is_ended() && began.elapsed() < grace {
             thread::sleep(LOOK);
         }
         while !self.leaving.iter().all(JoinHandle::is_finished) && began.elapsed() < grace {
@@ -125,7 +125,7 @@
             server.stop();
         }
         let took_ms = began.elapsed().as_millis() as u64;
-        log::info!(busy = self.front.busy(), took_ms; "host ends");
+        log::info!(connections = self.front.open(), took_ms; "host ends");
     }
 }
 
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -1,12 +1,23 @@
-//! Decoding of HTTP/1.1: framing that arrives in pieces, and framing that is wrong.
+//! HTTP/1.1: framing that arrives in pieces or is wrong, and the end of a server.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
 use godwitspool_host::http::{
-    BodyDecoder, Chunk, DecodeError, Headers, Request, Response, decode_request, decode_response,
+    BodyDecoder, Bounds, Caller, Chunk, DecodeError, Headers, Request, Response, Server,
+    decode_request, decode_response,
 };
 use rstest::rstest;
 
+/// Bound on whatever a test waits for; only a failure takes as long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 fn headers(fields: &[(&str, &str)]) -> Headers {
     let fields = fields.iter();
     Headers(
@@ -89,3 +100,59 @@
     request.headers.remove_hop_by_hop();
     assert_eq!(request.headers, headers(&[("X-Kept", "2")]));
 }
+
+/// Starts a server that answers everything with 200.
+fn start_server() -> Server {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = |caller: &mut Caller, _| caller.respond(&Response::new(200, "done"));
+    Server::start(any, Bounds::default, answer).unwrap()
+}
+
+fn await_ended(server: &Server) {
+    let due = Instant::now() + PATIENCE;
+    while !server.is_ended() {
+        assert!(Instant::now() < due, "{} connections stay", server.open());
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_server_has_not_ended_while_a_request_may_have_arrived() {
+    let server = start_server();
+    let mut caller = TcpStream::connect(server.address()).unwrap();
+    caller.write_all(b"POST /a HTTP/1.1\r\n").unwrap();
+    // Long enough that the bytes so far are read.
+    thread::sleep(Duration::from_millis(100));
+    server.stop();
+    assert!(!server.is_ended(), "half of a request is here");
+    caller
+        .write_all(b"Host: x\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    await_ended(&server);
+}
+
+#[test]
+fn a_connection_that_came_about_before_the_stop_is_served() {
+    for _ in 0..50 {
+        let server = start_server();
+        let mut caller = TcpStream::connect(server.address()).unwrap();
+        let request = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+        caller.write_all(request).unwrap();
+        server.stop();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        await_ended(&server);
+    }
+}
+
+#[test]
+fn idle_connections_do_not_hold_a_stopped_server() {
+    let server = start_server();
+    let _idle = TcpStream::connect(server.address()).unwrap();
+    server.stop();
+    await_ended(&server);
+}
