Log lines are written at once while the output takes them

Change: a caller's thread asks whether the output takes a short line and writes it; a thread and the queue remain for a pipe that is full, and keep the order. Tests: at once, full pipe, order behind a full pipe, dropped lines told, flush.

--- a/crates/godwitspool-process/src/log_queue.rs
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -5,16 +5,21 @@
     fmt::Write as _,
     io::{self, Write},
     iter,
+    os::fd::AsFd,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+        mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use log::{Level, LevelFilter, SetLoggerError};
+use rustix::{
+    event::{PollFd, PollFlags, Timespec, poll},
+    stdio::stdout,
+};
 
 use crate::{LogFormat, logs::line};
 
@@ -25,6 +30,8 @@
 /// Warnings of one kind in a second: they tell of failures and are the last to go.
 const WARNING_LINES: u32 = 1_000;
 
+/// Lines shorter than this fit into a pipe that takes anything at all (POSIX, `PIPE_BUF`).
+const DIRECT_BYTES: usize = 4_096;
 /// Bound on the last write of a process that ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -80,32 +87,84 @@
     }
 }
 
-/// Writes log lines of this process to standard output from now on, by a thread of their own. Lines
-/// that it can't keep up with are left out and counted.
+/// Writes log lines of this process to standard output from now on. A line goes there at once while
+/// the output takes it, since waking a thread costs more than the write; otherwise it waits in a
+/// queue. Lines that the queue can't hold are left out and counted.
 ///
 /// # Errors
 ///
 /// When a logger is set already or no thread can be started.
 pub fn install_queue(format: LogFormat) -> io::Result<LogQueue> {
-    let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let lost = Arc::clone(&dropped);
+    let (lines, receiver) = Lines::new(stdout());
+    let (lost, waiting) = (Arc::clone(&lines.dropped), Arc::clone(&lines.waiting));
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || {
-            write_lines(&receiver, &lost, io::stdout());
-        })?;
+        .spawn(move || write_lines(&receiver, &lost, &waiting, io::stdout()))?;
     let queue = LogQueue {
-        sender: sender.clone(),
+        sender: lines.sender.clone(),
     };
     let set: Result<(), SetLoggerError> = fern::Dispatch::new()
         .level(LevelFilter::Info)
-        .chain(fern::Output::call(write_to(format, sender, dropped)))
+        .chain(fern::Output::call(write_to(format, lines)))
         .apply();
     set.map_err(io::Error::other)?;
     Ok(queue)
 }
 
+/// Where lines go.
+struct Lines<O> {
+    /// Lines that neither the output nor the queue took.
+    dropped: Arc<AtomicU64>,
+    output: Mutex<O>,
+    sender: SyncSender<Entry>,
+    /// Lines in the queue; while there are any, others don't overtake them.
+    waiting: Arc<AtomicU64>,
+}
+
+impl<O: AsFd> Lines<O> {
+    fn new(output: O) -> (Self, Receiver<Entry>) {
+        let (sender, receiver) = sync_channel(QUEUE_LINES);
+        let lines = Self {
+            dropped: Arc::default(),
+            output: Mutex::new(output),
+            sender,
+            waiting: Arc::default(),
+        };
+        (lines, receiver)
+    }
+
+    /// Writes a line or has it wait; never blocks.
+    fn send(&self, line: String) {
+        let output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
+        let overtakes = self.waiting.load(Ordering::SeqCst) > 0;
+        let untold = self.dropped.load(Ordering::SeqCst) > 0;
+        if !overtakes && !untold && line.len() < DIRECT_BYTES && is_writable(&*output) {
+            let text = line + "\n";
+            let written = rustix::io::write(&*output, text.as_bytes());
+            if written != Ok(text.len()) {
+                self.dropped.fetch_add(1, Ordering::SeqCst);
+            }
+            return;
+        }
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        if self.sender.try_send(Entry::Line(line)).is_err() {
+            self.waiting.fetch_sub(1, Ordering::SeqCst);
+            self.dropped.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+/// Tells whether the output takes a short line without blocking.
+fn is_writable(output: &impl AsFd) -> bool {
+    let mut polled = [PollFd::new(output, PollFlags::OUT)];
+    let at_once = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    let ready = poll(&mut polled, Some(&at_once));
+    ready.is_ok() && polled[0].revents().contains(PollFlags::OUT)
+}
+
 /// What waits for the output.
 enum Entry {
     Line(String),
@@ -130,10 +189,9 @@
     }
 }
 
-fn write_to(
+fn write_to<O: AsFd + Send>(
     format: LogFormat,
-    sender: SyncSender<Entry>,
-    dropped: Arc<AtomicU64>,
+    lines: Lines<O>,
 ) -> impl Fn(&log::Record<'_>) + Send + Sync {
     let limit = Mutex::new(LineLimit::default());
     move |record| {
@@ -146,10 +204,10 @@
         let admitted = limit.admit(kind, record.level(), age.as_secs());
         drop(limit);
         for (kind, count) in left_out {
-            send(&sender, &dropped, left_out_line(age, &kind, count));
+            lines.send(left_out_line(age, &kind, count));
         }
         if admitted {
-            send(&sender, &dropped, line(format, age, record));
+            lines.send(line(format, age, record));
         }
     }
 }
@@ -161,40 +219,38 @@
     )
 }
 
-fn send(sender: &SyncSender<Entry>, dropped: &AtomicU64, line: String) {
-    match sender.try_send(Entry::Line(line)) {
-        Ok(()) => {}
-        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-            dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-}
-
 /// Writes lines until their senders are gone, and how many were dropped since the line before.
-fn write_lines(receiver: &Receiver<Entry>, dropped: &AtomicU64, mut output: impl Write) {
+fn write_lines(
+    receiver: &Receiver<Entry>,
+    dropped: &AtomicU64,
+    waiting: &AtomicU64,
+    mut output: impl Write,
+) {
     while let Ok(first) = receiver.recv() {
         let mut text = String::new();
         let mut flushed = Vec::new();
+        let mut taken = 0;
         for entry in iter::once(first).chain(receiver.try_iter().take(QUEUE_LINES)) {
             match entry {
                 Entry::Line(line) => {
+                    taken += 1;
                     text.push_str(&line);
                     text.push('\n');
                 }
                 Entry::Flush(done) => flushed.push(done),
             }
         }
-        let lost = dropped.swap(0, Ordering::Relaxed);
+        let lost = dropped.swap(0, Ordering::SeqCst);
         if lost > 0 {
             // Writing to a string doesn't fail.
             let _ = writeln!(text, "level=warn message=\"lines dropped\" count={lost}");
         }
-        if output.write_all(text.as_bytes()).is_err() {
-            // Nobody reads the output; the lines have nowhere to go.
-            continue;
+        // If nobody reads the output the lines have nowhere to go; a failed flush shows at the next
+        // write.
+        if output.write_all(text.as_bytes()).is_ok() {
+            let _ = output.flush();
         }
-        // A failed flush shows at the next write.
-        let _ = output.flush();
+        waiting.fetch_sub(taken, Ordering::SeqCst);
         drop(flushed);
     }
 }
--- a/crates/godwitspool-process/src/log_queue/tests.rs
+++ b/crates/godwitspool-process/src/log_queue/tests.rs
@@ -1,39 +1,70 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::sync::mpsc;
+use std::{os::fd::OwnedFd, sync::mpsc::TryRecvError};
 
-use super::*;
+use rustix::pipe::pipe;
 
-/// An output that nobody reads: each write waits for a permit that never comes.
-struct Stuck(mpsc::Receiver<()>);
+use super::*;
 
-impl Write for Stuck {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let _ = self.0.recv();
-        Ok(bytes.len())
+/// Fills a pipe until it takes nothing more.
+fn fill(pipe: &OwnedFd) {
+    while is_writable(pipe) {
+        rustix::io::write(pipe, &[b'\n'; DIRECT_BYTES]).unwrap();
     }
+}
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
+/// Reads what stands in a pipe until `end` ends it.
+fn read_to(pipe: &OwnedFd, end: &str) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(end.as_bytes()) {
+        let mut bytes = [0; 4_096];
+        let count = rustix::io::read(pipe, &mut bytes).unwrap();
+        text.extend_from_slice(&bytes[..count]);
     }
+    String::from_utf8(text).unwrap()
+}
+
+#[test]
+fn a_line_is_written_at_once_while_the_output_takes_it() {
+    let (reader, writer) = pipe().unwrap();
+    let (lines, receiver) = Lines::new(writer);
+    lines.send("line".to_owned());
+    assert_eq!(read_to(&reader, "\n"), "line\n");
+    assert!(receiver.try_recv().is_err(), "nothing waits");
 }
 
 #[test]
 fn a_full_pipe_drops_lines_and_holds_nobody_up() {
-    let (permit, permits) = mpsc::channel();
-    let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let lost = Arc::clone(&dropped);
-    let writer = thread::spawn(move || write_lines(&receiver, &lost, Stuck(permits)));
+    let (_reader, writer) = pipe().unwrap();
+    fill(&writer);
+    let (lines, _receiver) = Lines::new(writer);
     for number in 0..3 * QUEUE_LINES {
-        send(&sender, &dropped, format!("line {number}"));
+        lines.send(format!("line {number}"));
     }
-    // The writer holds one line and what it took of the queue, and the queue holds as many again.
-    let held = 2 * QUEUE_LINES + 1;
-    assert!(dropped.load(Ordering::Relaxed) >= (3 * QUEUE_LINES - held) as u64);
-    drop(permit);
-    drop(sender);
-    assert!(writer.join().is_ok());
+    let dropped = lines.dropped.load(Ordering::SeqCst);
+    assert_eq!(dropped, 2 * QUEUE_LINES as u64, "the queue holds the rest");
+}
+
+#[test]
+fn lines_that_waited_keep_their_order() {
+    let (reader, writer) = pipe().unwrap();
+    fill(&writer);
+    let output = writer.try_clone().unwrap();
+    let (lines, receiver) = Lines::new(writer);
+    lines.send("first".to_owned());
+    let (dropped, waiting) = (Arc::clone(&lines.dropped), Arc::clone(&lines.waiting));
+    let thread = thread::spawn(move || {
+        write_lines(&receiver, &dropped, &waiting, std::fs::File::from(output));
+    });
+    lines.send("second".to_owned());
+    assert!(read_to(&reader, "second\n").ends_with("first\nsecond\n"));
+    while lines.waiting.load(Ordering::SeqCst) > 0 {
+        thread::yield_now();
+    }
+    lines.send("third".to_owned());
+    assert_eq!(read_to(&reader, "third\n"), "third\n");
+    drop(lines);
+    assert!(thread.join().is_ok());
 }
 
 #[test]
@@ -49,46 +80,31 @@
 
 #[test]
 fn dropped_lines_are_told() {
-    let (sender, receiver) = sync_channel(4);
-    let dropped = AtomicU64::new(7);
-    send(&sender, &dropped, "line".to_owned());
-    drop(sender);
+    let (_reader, writer) = pipe().unwrap();
+    let (lines, receiver) = Lines::new(writer);
+    lines.dropped.store(7, Ordering::SeqCst);
+    lines.send("line".to_owned());
+    let (dropped, waiting) = (Arc::clone(&lines.dropped), Arc::clone(&lines.waiting));
+    drop(lines);
     let mut output = Vec::new();
-    write_lines(&receiver, &dropped, &mut output);
+    write_lines(&receiver, &dropped, &waiting, &mut output);
     let text = String::from_utf8_lossy(&output).into_owned();
     assert_eq!(text, "line\nlevel=warn message=\"lines dropped\" count=7\n");
 }
 
-/// An output that keeps its writes apart.
-#[derive(Clone, Default)]
-struct Writes(Arc<Mutex<Vec<String>>>);
-
-impl Write for Writes {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let text = String::from_utf8_lossy(bytes).into_owned();
-        self.0.lock().unwrap().push(text);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 #[test]
-fn what_waits_is_written_before_the_process_ends() {
-    let (sender, receiver) = sync_channel(16);
-    let seen = Writes::default();
-    let output = seen.clone();
-    let writer = thread::spawn(move || {
-        write_lines(&receiver, &AtomicU64::new(0), output);
-    });
-    let queue = LogQueue {
-        sender: sender.clone(),
-    };
-    send(&sender, &AtomicU64::new(0), "last".to_owned());
-    drop(queue);
-    assert_eq!(seen.0.lock().unwrap().concat(), "last\n");
-    drop(sender);
-    assert!(writer.join().is_ok());
+fn a_flush_ends_once_what_waited_is_written() {
+    let (_reader, writer) = pipe().unwrap();
+    fill(&writer);
+    let (lines, receiver) = Lines::new(writer);
+    lines.send("last".to_owned());
+    let (done, written) = sync_channel(0);
+    assert!(lines.sender.try_send(Entry::Flush(done)).is_ok());
+    assert_eq!(written.try_recv(), Err(TryRecvError::Empty));
+    let (dropped, waiting) = (Arc::clone(&lines.dropped), Arc::clone(&lines.waiting));
+    drop(lines);
+    let mut output = Vec::new();
+    write_lines(&receiver, &dropped, &waiting, &mut output);
+    assert_eq!(output, b"last\n");
+    assert_eq!(written.try_recv(), Err(TryRecvError::Disconnected));
 }
