An item that crashes its targets is held back

Cause: a run that broke before its first event was tried again after 100 ms, without bound; an item that crashes whatever runs it would lose a target ten times a second. Ruled out: giving it up (a result may be given up only after failures that the target reports); telling hosts of it (one host at a time runs an item). Change: after three broken runs in a row that generated nothing the pause is 4.5 s, doubled each time; any event ends it.

--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -8,6 +8,13 @@
 /// Pause before an item is tried again after its target failed it; a target that refuses for lack
 /// of room pauses itself.
 const RETRY_PAUSE: Millis = Millis(100);
+/// Broken runs in a row without an event after which an item may be what crashes its targets.
+const FRUITLESS_MAX: u32 = 3;
+/// Pause of such an item, doubled with each further run, so that few targets are lost to it in the
+/// seconds in which its batch is wanted.
+const SUSPECT_PAUSE: Millis = Millis(4_500);
+/// Doublings after which the pause stays.
+const DOUBLINGS_MAX: u32 = 6;
 /// Rejections of an item after which it is given up: one says that it can never be done.
 const REJECTIONS_MAX: u32 = 1;
 
@@ -71,12 +78,16 @@
     pub failures: u32,
     /// Runs that the target rejected for good.
     pub rejections: u32,
+    /// Broken runs in a row that generated nothing.
+    pub fruitless: u32,
     /// Runs that were moved to another target.
     pub moves: u32,
     /// What was generated so far.
     pub progress: Progress,
     /// Number of the last event that a record of the store holds, or may hold.
     pub saved: Option<u64>,
+    /// Number of the last event when a run broke last.
+    broke_after: Option<u64>,
 }
 
 impl Item {
@@ -85,6 +96,17 @@
         let known = self.progress.last_event.unwrap_or_default();
         self.state != ItemState::Done && known >= self.saved.unwrap_or_default() + events
     }
+
+    /// Counts a broken run.
+    fn note_break(&mut self) {
+        let last = self.progress.last_event;
+        self.fruitless = if last == self.broke_after {
+            self.fruitless + 1
+        } else {
+            0
+        };
+        self.broke_after = last;
+    }
 }
 
 /// How a run ended without the whole output.
@@ -158,10 +180,12 @@
                 not_before: Millis::ZERO,
             },
             failures: 0,
+            fruitless: 0,
             rejections: 0,
             moves: 0,
             progress: Progress::default(),
             saved: None,
+            broke_after: None,
         };
         let mut items = vec![waiting; submission.items.len()];
         for result in &results {
@@ -225,7 +249,8 @@
             RunFailure::Rejected => item.rejections += 1,
             RunFailure::Unusable => item.progress = Progress::default(),
             RunFailure::Moved => item.moves += 1,
-            RunFailure::Broken | RunFailure::NotRun => {}
+            RunFailure::Broken => item.note_break(),
+            RunFailure::NotRun => {}
         }
         if item.failures >= attempts || item.rejections >= REJECTIONS_MAX {
             item.state = ItemState::Done;
@@ -233,6 +258,10 @@
         }
         let pause = match failure {
             RunFailure::Moved | RunFailure::NotRun => Millis::ZERO,
+            RunFailure::Broken if item.fruitless >= FRUITLESS_MAX => {
+                let doublings = (item.fruitless - FRUITLESS_MAX).min(DOUBLINGS_MAX);
+                Millis(SUSPECT_PAUSE.0 << doublings)
+            }
             _ => RETRY_PAUSE,
         };
         item.state = ItemState::Waiting {
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -237,6 +237,37 @@
     assert_eq!(book.read("b", None, 0, Duration::ZERO), Lookup::Elsewhere);
 }
 
+/// Load pattern: an item crashes each target that begins to run it, so each run breaks before its
+/// first event, and a target is lost for seconds. An item that is tried again at once would lose
+/// a target every tenth of a second.
+#[test]
+fn an_item_that_crashes_its_targets_is_held_back() {
+    let mut suspect = batch(1, 2);
+    let mut now = Millis(0);
+    let mut runs = 0;
+    while now < Millis(12_000) {
+        match suspect.next_item(now) {
+            Ok(item) => {
+                runs += 1;
+                assert_eq!(suspect.fail(item, RunFailure::Broken, now), Verdict::Retry);
+            }
+            Err(next) => now = next.unwrap(),
+        }
+    }
+    // The first three in quick succession, then at 4.7 s.
+    assert!(runs <= 5, "{runs} targets lost in the time of a step");
+}
+
+#[test]
+fn an_item_whose_runs_get_on_is_not_held_back() {
+    let mut item = batch(1, 2);
+    for round in 1..20 {
+        item.items[0].progress = progress(round);
+        item.fail(0, RunFailure::Broken, Millis(0));
+        assert_eq!(item.next_item(Millis(100)), Ok(0));
+    }
+}
+
 /// Returns what an item has generated after so many events.
 fn progress(events: u64) -> Progress {
     let mut progress = Progress {
