Results larger than a record are split

Cause: a result above the store's bound on a record would be refused at each repeat, and with it every later result of its partition. Ruled out: giving such an item up (a result may be given up only for reasons the interface names); one record a part of the output (an append is all or nothing, so the parts go in one). Change: parts of a result, put together by Listed, which now serves both the owner and hosts that read the store for a caller; removal covers every part. Conclusion: tests of the split, of the removal and of a read that overlaps an append.

--- a/crates/godwitspool-host/src/batch/book.rs
+++ b/crates/godwitspool-host/src/batch/book.rs
@@ -7,7 +7,9 @@
 
 use godwitspool_types::Workspace;
 
-use super::{Batch, BatchRecord, Finished, ItemResult, ResultPage, Submission, partition_of};
+use super::{
+    Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, partition_of,
+};
 use crate::{StoreBounds, http::Waker, store::Keyed};
 
 /// Bytes of results in one answer; the interface allows a megabyte.
@@ -227,9 +229,9 @@
         }
     }
 
-    /// Returns the batches of a partition whose time is over: submitted longer ago than `ttl`, and
-    /// ended or with every result listed.
-    pub fn expired(&self, part: u32, now_ms: u64, ttl: Duration) -> Vec<Arc<Submission>> {
+    /// Returns the batches of a partition whose time is over, with their results: submitted longer
+    /// ago than `ttl`, and ended or with every result listed.
+    pub fn expired(&self, part: u32, now_ms: u64, ttl: Duration) -> Vec<StoredBatch> {
         let ttl_ms = ttl.as_millis() as u64;
         let parts = self.lock();
         let batches = parts
@@ -238,7 +240,8 @@
             .flat_map(|part| part.batches.values());
         let over = batches
             .filter(|batch| !batch.is_open() && batch.submission.received_ms + ttl_ms < now_ms);
-        over.map(|batch| Arc::clone(&batch.submission)).collect()
+        over.map(|batch| (Arc::clone(&batch.submission), batch.results.clone()))
+            .collect()
     }
 
     /// Lists results that the store holds now.
--- /dev/null
+++ b/crates/godwitspool-host/src/batch/listed.rs
@@ -0,0 +1,92 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use super::{BatchRecord, ItemResult, Progress};
+use crate::store::Stored;
+
+/// Results and progress of batches, put together from a partition's records.
+#[derive(Debug, Default)]
+pub struct Listed {
+    progress: HashMap<String, Vec<(u32, Progress)>>,
+    results: HashMap<String, BTreeMap<u64, Arc<ItemResult>>>,
+    parts: HashMap<(String, u64), BTreeMap<u32, Vec<u8>>>,
+}
+
+impl Listed {
+    /// Puts records together; unreadable ones are left out.
+    pub fn read(part: u32, records: Vec<Stored>) -> Self {
+        let mut listed = Self::default();
+        for stored in records {
+            let added = BatchRecord::read(stored)
+                .map_err(|error| error.to_string())
+                .and_then(|record| listed.add(record));
+            if let Err(reason) = added {
+                log::warn!(partition = part, reason:%; "result record left out");
+            }
+        }
+        listed
+    }
+
+    fn add(&mut self, record: BatchRecord) -> Result<(), String> {
+        match record {
+            BatchRecord::Progress {
+                batch,
+                item,
+                progress,
+            } => {
+                let known = self.progress.entry(batch).or_default();
+                known.push((item, progress));
+            }
+            BatchRecord::Result {
+                batch,
+                position,
+                result,
+            } => self.put(batch, position, result),
+            BatchRecord::ResultPart {
+                batch,
+                position,
+                index,
+                parts,
+                bytes,
+            } => {
+                let place = (batch, position);
+                let known = self.parts.entry(place.clone()).or_default();
+                known.insert(index, bytes);
+                if known.len() == parts as usize {
+                    let known = self.parts.remove(&place).unwrap_or_default();
+                    let bytes: Vec<u8> = known.into_values().flatten().collect();
+                    let result = postcard::from_bytes(&bytes);
+                    let result = result
+                        .map_err(|error| format!("result {position} of {}: {error}", place.0))?;
+                    self.put(place.0, position, result);
+                }
+            }
+            BatchRecord::End { .. }
+            | BatchRecord::Part { .. }
+            | BatchRecord::Removed { .. }
+            | BatchRecord::Whole { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, batch: String, position: u64, result: ItemResult) {
+        let results = self.results.entry(batch).or_default();
+        results.insert(position, Arc::new(result));
+    }
+
+    /// Takes a batch's results out, in their positions up to the first that isn't there: a read that
+    /// overlaps an append may lack its last ones.
+    pub fn take_results(&mut self, batch: &str) -> Vec<Arc<ItemResult>> {
+        let results = self.results.remove(batch).unwrap_or_default();
+        let whole = results.into_iter().enumerate();
+        let whole = whole.take_while(|(index, (position, _))| *index as u64 == *position);
+        whole.map(|(_, (_, result))| result).collect()
+    }
+
+    /// Takes out what was saved of a batch's items.
+    pub fn take_progress(&mut self, batch: &str) -> Vec<(u32, Progress)> {
+        self.progress.remove(batch).unwrap_or_default()
+    }
+}
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! under its epoch before the result is shown.
 
 mod book;
+mod listed;
 mod order;
 mod owner;
 mod pace;
@@ -14,8 +15,9 @@
 mod state;
 
 pub use book::{Book, Lookup, Part, page};
+pub use listed::Listed;
 pub use order::{order_items, predicted_tokens};
-pub use owner::{Owner, read_stored};
+pub use owner::{Owner, StoredBatch, read_stored};
 pub use pace::{Move, Pace, RunView, decide_move, usual_pace};
 pub use progress::{save_progress, save_running};
 pub use record::{BatchRecord, partition_of};
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -10,7 +10,9 @@
     time::{Duration, Instant},
 };
 
-use super::{Batch, BatchRecord, Book, Finished, ItemResult, Progress, Submission, save_progress};
+use super::{
+    Batch, BatchRecord, Book, Finished, ItemResult, Submission, listed::Listed, save_progress,
+};
 use crate::{
     StoreBounds,
     process::unix_ms,
@@ -246,38 +248,17 @@
         records: Vec<Stored>,
         assembly: &mut Assembly,
     ) -> (Vec<Batch>, HashMap<String, u64>) {
-        let mut listed: HashMap<String, BTreeMap<u64, Arc<ItemResult>>> = HashMap::new();
-        let mut begun: HashMap<String, Vec<(u32, Progress)>> = HashMap::new();
-        for stored in results {
-            match BatchRecord::read(stored) {
-                Ok(BatchRecord::Result {
-                    batch,
-                    position,
-                    result,
-                }) => {
-                    let results = listed.entry(batch).or_default();
-                    results.insert(position, Arc::new(result));
-                }
-                Ok(BatchRecord::Progress {
-                    batch,
-                    item,
-                    progress,
-                }) => begun.entry(batch).or_default().push((item, progress)),
-                Ok(_) => {}
-                Err(error) => log::warn!(partition = self.part, error:%; "result record left out"),
-            }
-        }
+        let mut listed = Listed::read(self.part, results);
         let mut positions = HashMap::new();
         let mut batches = BTreeMap::new();
         for change in assembly.read(self.part, records) {
             match change {
                 Change::Accepted(submission) => {
-                    let results = listed.remove(&submission.id).unwrap_or_default();
-                    let results: Vec<_> = results.into_values().collect();
+                    let results = listed.take_results(&submission.id);
                     positions.insert(submission.id.clone(), results.len() as u64);
                     let id = submission.id.clone();
                     let mut batch = Batch::new(Arc::new(submission), results);
-                    for (item, progress) in begun.remove(&id).unwrap_or_default() {
+                    for (item, progress) in listed.take_progress(&id) {
                         batch.resume(item, progress);
                     }
                     batches.insert(id, batch);
@@ -316,8 +297,8 @@
     /// Removes the records of batches whose time is over.
     fn expire(&self, seq: &mut u64) -> Option<()> {
         let ttl = self.ttl + TTL_MARGIN;
-        for submission in self.book.expired(self.part, unix_ms(), ttl) {
-            let (batch, results) = BatchRecord::of_removal(&submission, &self.bounds);
+        for (submission, results) in self.book.expired(self.part, unix_ms(), ttl) {
+            let (batch, results) = BatchRecord::of_removal(&submission, &results, &self.bounds);
             let writer = Writer {
                 epoch: self.epoch,
                 seq: *seq,
@@ -366,10 +347,10 @@
             }
             let records: Vec<_> = group
                 .iter()
-                .map(|Finished { batch, result }| {
+                .flat_map(|Finished { batch, result }| {
                     let position = positions.entry(batch.clone()).or_default();
                     *position += 1;
-                    BatchRecord::of_result(batch, *position - 1, result)
+                    BatchRecord::of_result(batch, *position - 1, result, &self.bounds)
                 })
                 .collect();
             let writer = Writer {
@@ -421,7 +402,11 @@
                 },
                 Ok(BatchRecord::End { batch }) => changes.push(Change::Ended(batch)),
                 Ok(BatchRecord::Removed { batch }) => changes.push(Change::Removed(batch)),
-                Ok(BatchRecord::Progress { .. } | BatchRecord::Result { .. }) => {}
+                Ok(
+                    BatchRecord::Progress { .. }
+                    | BatchRecord::Result { .. }
+                    | BatchRecord::ResultPart { .. },
+                ) => {}
                 Err(error) => log::warn!(partition = part, error:%; "batch record left out"),
             }
         }
@@ -439,7 +424,7 @@
 }
 
 /// A submission and its results by position.
-pub type StoredBatch = (Submission, Vec<Arc<ItemResult>>);
+pub type StoredBatch = (Arc<Submission>, Vec<Arc<ItemResult>>);
 
 /// Reads a batch and its results from the store, for a host that reaches no owner of it.
 ///
@@ -463,24 +448,6 @@
         return Ok(None);
     };
     let (records, _) = read_all(store, Topic::Results, part, Some(&before), belongs)?;
-    let mut results = BTreeMap::new();
-    for stored in records {
-        match BatchRecord::read(stored) {
-            Ok(BatchRecord::Result {
-                position, result, ..
-            }) => {
-                results.insert(position, Arc::new(result));
-            }
-            Ok(_) => {}
-            Err(error) => log::warn!(partition = part, batch, error:%; "result record left out"),
-        }
-    }
-    // Positions are appended in their order, so a read that overlaps an append has no gap before
-    // its end.
-    let whole = results.into_iter().enumerate();
-    let whole = whole.take_while(|(index, (position, _))| *index as u64 == *position);
-    Ok(Some((
-        submission,
-        whole.map(|(_, (_, result))| result).collect(),
-    )))
+    let results = Listed::read(part, records).take_results(batch);
+    Ok(Some((Arc::new(submission), results)))
 }
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -1,5 +1,7 @@
 //! Records of batches and results in the store.
 
+use std::sync::Arc;
+
 use rapidhash::v3::rapidhash_v3;
 use snafu::Snafu;
 
@@ -59,6 +61,19 @@
         /// The result.
         result: ItemResult,
     },
+    /// Part of a result that is larger than a record.
+    ResultPart {
+        /// The batch.
+        batch: String,
+        /// The position.
+        position: u64,
+        /// Number of the part.
+        index: u32,
+        /// How many parts there are.
+        parts: u32,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
     /// A key of a batch was removed.
     Removed {
         /// The batch.
@@ -95,21 +110,44 @@
     }
 
     /// Returns the records that remove a submission and its end, and those that remove its results.
-    pub fn of_removal(submission: &Submission, bounds: &StoreBounds) -> (Vec<Keyed>, Vec<Keyed>) {
+    pub fn of_removal(
+        submission: &Submission,
+        results: &[Arc<ItemResult>],
+        bounds: &StoreBounds,
+    ) -> (Vec<Keyed>, Vec<Keyed>) {
         let id = &submission.id;
         let stored = Self::of_submission(submission, bounds)
             .into_iter()
             .flatten();
         let mut batch: Vec<Keyed> = stored.map(|record| Keyed::removed(record.key)).collect();
         batch.push(Keyed::removed(Self::of_end(id).key));
-        let positions = 0..submission.items.len();
-        let results = positions.map(|position| Keyed::removed(format!("{id}/r{position:08}")));
-        (batch, results.collect())
+        let listed = results.iter().enumerate();
+        let listed = listed
+            .flat_map(|(position, result)| Self::of_result(id, position as u64, result, bounds));
+        let results = listed.map(|record| Keyed::removed(record.key)).collect();
+        (batch, results)
     }
 
-    /// Returns the record of a result.
-    pub fn of_result(batch: &str, position: u64, result: &ItemResult) -> Keyed {
-        Keyed::new(format!("{batch}/r{position:08}"), encode(result))
+    /// Returns the records of a result, which are appended together.
+    pub fn of_result(
+        batch: &str,
+        position: u64,
+        result: &ItemResult,
+        bounds: &StoreBounds,
+    ) -> Vec<Keyed> {
+        let bytes = encode(result);
+        let size = bounds.record_bytes.saturating_sub(RECORD_OVERHEAD).max(1);
+        if bytes.len() <= size {
+            return vec![Keyed::new(format!("{batch}/r{position:08}"), bytes)];
+        }
+        let parts = bytes.len().div_ceil(size) as u32;
+        let chunks = bytes.chunks(size).enumerate();
+        chunks
+            .map(|(index, chunk)| {
+                let value = [&parts.to_be_bytes()[..], chunk].concat();
+                Keyed::new(format!("{batch}/q{position:08}.{index:05}"), value)
+            })
+            .collect()
     }
 
     /// Returns the record of what an item has generated so far; `None` if it is too large for one.
@@ -180,6 +218,19 @@
                 progress: postcard::from_bytes(&value)
                     .map_err(|error| wrong(&error.to_string()))?,
             }),
+            Some(("q", place)) => {
+                let (position, index) = place.split_once('.').ok_or_else(|| wrong("no part"))?;
+                let (parts, bytes) = value
+                    .split_first_chunk()
+                    .ok_or_else(|| wrong("no count of parts"))?;
+                Ok(Self::ResultPart {
+                    position: number(position)?,
+                    index: number(index)? as u32,
+                    parts: u32::from_be_bytes(*parts),
+                    bytes: bytes.to_vec(),
+                    batch,
+                })
+            }
             Some(("r", digits)) => Ok(Self::Result {
                 batch,
                 position: number(digits)?,
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -12,10 +12,11 @@
 use godwitspool_host::{
     StoreBounds,
     batch::{
-        Batch, BatchRecord, Book, Finished, ItemResult, ItemSpec, ItemState, Lookup, Move, Pace,
-        Progress, RunFailure, RunView, Submission, Verdict, decide_move, order_items, partition_of,
+        Batch, BatchRecord, Book, Finished, ItemResult, ItemSpec, ItemState, Listed, Lookup, Move,
+        Pace, Progress, RunFailure, RunView, Submission, Verdict, decide_move, order_items,
+        partition_of,
     },
-    store::Stored,
+    store::{Keyed, Stored},
 };
 use godwitspool_types::Millis;
 use rstest::rstest;
@@ -370,3 +371,76 @@
     assert!(BatchRecord::of_progress("b", 0, &progress(2), &bounds).is_some());
     assert!(BatchRecord::of_progress("b", 0, &progress(100), &bounds).is_none());
 }
+
+/// Returns a result whose output has so many bytes.
+fn result(item: u32, bytes: usize) -> ItemResult {
+    ItemResult {
+        item,
+        completed: true,
+        output: (0..bytes).map(|index| index as u8).collect(),
+        versions: vec![3],
+    }
+}
+
+/// Numbers records as the store does.
+fn stored(records: impl IntoIterator<Item = Keyed>) -> Vec<Stored> {
+    let records = records.into_iter().enumerate();
+    records
+        .map(|(offset, record)| Stored {
+            offset: offset as u64,
+            record,
+        })
+        .collect()
+}
+
+#[test]
+fn results_larger_than_a_record_are_split_and_read_whole() {
+    let bounds = StoreBounds {
+        record_bytes: 1_000,
+        ..StoreBounds::default()
+    };
+    let results = [result(4, 100), result(2, 5_000), result(0, 744)];
+    let mut records: Vec<Keyed> = Vec::new();
+    for (position, result) in results.iter().enumerate() {
+        records.extend(BatchRecord::of_result(
+            "b",
+            position as u64,
+            result,
+            &bounds,
+        ));
+    }
+    assert!(records.len() > results.len());
+    for record in &records {
+        assert!(record.value.as_ref().unwrap().len() <= bounds.record_bytes);
+    }
+    let keys: Vec<String> = records.iter().map(|record| record.key.clone()).collect();
+    let read = Listed::read(0, stored(records)).take_results("b");
+    let read: Vec<&ItemResult> = read.iter().map(Arc::as_ref).collect();
+    assert_eq!(read, results.iter().collect::<Vec<_>>());
+
+    let shared: Vec<Arc<ItemResult>> = results.into_iter().map(Arc::new).collect();
+    let submission = Submission {
+        id: "b".to_owned(),
+        ..Submission::default()
+    };
+    let (_, removed) = BatchRecord::of_removal(&submission, &shared, &bounds);
+    assert!(removed.iter().all(|record| record.value.is_none()));
+    let removed: Vec<String> = removed.into_iter().map(|record| record.key).collect();
+    assert_eq!(removed, keys, "every part is removed");
+}
+
+#[test]
+fn a_read_that_overlaps_an_append_shows_whole_results_up_to_the_first_gap() {
+    let bounds = StoreBounds {
+        record_bytes: 1_000,
+        ..StoreBounds::default()
+    };
+    let mut records = BatchRecord::of_result("b", 0, &result(7, 10), &bounds);
+    let mut large = BatchRecord::of_result("b", 1, &result(3, 5_000), &bounds);
+    large.pop();
+    records.extend(large);
+    records.extend(BatchRecord::of_result("b", 2, &result(1, 10), &bounds));
+    let read = Listed::read(0, stored(records)).take_results("b");
+    let items: Vec<u32> = read.iter().map(|result| result.item).collect();
+    assert_eq!(items, [7]);
+}
