Mends of the read-through: reports, waits, tests of what hosts tell each other

Cause, by the read of the whole change: each loop of the runner looked a version up for every batch and built a report that was not due; names in lists were split in two places; facts of clocks were told apart by a count of fields; three mechanisms had no test that fails without them. Conclusion: no bound or check changed.

--- a/crates/godwitspool-cli/src/story.rs
+++ b/crates/godwitspool-cli/src/story.rs
@@ -13,7 +13,7 @@
 };
 
 use host_clocks::HostClocks;
-use log_line::LogLine;
+use log_line::{LogLine, names_in};
 use snafu::ResultExt;
 
 use crate::error::{CliError, LinesSnafu};
@@ -65,7 +65,8 @@
     others: usize,
 }
 
-/// Prints a subject's story in the order of time, the hosts' clocks put right.
+/// Prints a subject's story in the order of time, the hosts' clocks put right. Reads the files three
+/// times (clocks, subject, context), so that memory holds the story only.
 ///
 /// # Errors
 ///
@@ -121,8 +122,7 @@
             match key.as_str() {
                 // Targets that a request was sent to.
                 "tried" => {
-                    let names = value.split(|c: char| !c.is_alphanumeric() && !"-_.".contains(c));
-                    for name in names.filter(|name| !name.is_empty()) {
+                    for name in names_in(value) {
                         self.put("target_name", name);
                     }
                 }
--- a/crates/godwitspool-cli/src/story/host_clocks.rs
+++ b/crates/godwitspool-cli/src/story/host_clocks.rs
@@ -74,12 +74,12 @@
 
 /// Returns what identifies a fact that is told to every host within milliseconds.
 fn shared_fact(line: &LogLine) -> Option<String> {
-    let fields: &[&str] = match line.message.as_str() {
-        "configuration in force" => &["version"],
-        "version named" => &["model", "version"],
-        "load begins" | "load ordered" => &["target_name", "model", "version"],
+    let (kind, fields): (&str, &[&str]) = match line.message.as_str() {
+        "configuration in force" => ("configuration", &["version"]),
+        "version named" => ("version", &["model", "version"]),
+        "load begins" | "load ordered" => ("load", &["target_name", "model", "version"]),
         _ => return None,
     };
     let values: Option<Vec<&str>> = fields.iter().map(|key| line.field(key)).collect();
-    Some(format!("{} {}", fields.len(), values?.join(" ")))
+    Some(format!("{kind} {}", values?.join(" ")))
 }
--- a/crates/godwitspool-cli/src/story/log_line.rs
+++ b/crates/godwitspool-cli/src/story/log_line.rs
@@ -49,13 +49,9 @@
 
     /// Tells whether a field holds this identifier, alone or in a list.
     pub(crate) fn names(&self, id: &str) -> bool {
-        let words = |value: &str| {
-            let mut words = value.split(|c: char| !c.is_alphanumeric() && !"-_.".contains(c));
-            words.any(|word| word == id)
-        };
         self.fields
             .iter()
-            .any(|(_, value)| value == id || (value.len() > id.len() && words(value)))
+            .any(|(_, value)| value == id || names_in(value).any(|name| name == id))
     }
 
     /// Returns the fields as they stand in the log.
@@ -71,6 +67,12 @@
     }
 }
 
+/// Returns the names in a value that may be a list.
+pub(crate) fn names_in(value: &str) -> impl Iterator<Item = &str> {
+    let names = value.split(|c: char| !c.is_alphanumeric() && !"-_.".contains(c));
+    names.filter(|name| !name.is_empty())
+}
+
 /// Splits `key=value` pairs; values with spaces are quoted.
 fn pairs(text: &str) -> Vec<(String, String)> {
     let mut pairs = Vec::new();
--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -2,7 +2,10 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -79,6 +82,8 @@
 type Decide = Box<dyn Fn(&Request) -> TargetFault + Send>;
 
 struct Shared {
+    /// Streams whose caller left before their end.
+    cut: AtomicUsize,
     options: TargetOptions,
     fault: Mutex<Option<Decide>>,
     seen: Mutex<Vec<Request>>,
@@ -102,6 +107,7 @@
     /// When no port can be bound.
     pub fn start(options: TargetOptions) -> io::Result<Self> {
         let shared = Arc::new(Shared {
+            cut: AtomicUsize::new(0),
             fault: Mutex::default(),
             models: Mutex::new(options.models.iter().cloned().collect()),
             options,
@@ -144,6 +150,11 @@
         lock(&self.shared.seen).clone()
     }
 
+    /// Returns how many streams were cut by their caller.
+    pub fn cut(&self) -> usize {
+        self.shared.cut.load(Ordering::SeqCst)
+    }
+
     /// Returns the orders that it got.
     pub fn orders(&self) -> Vec<Value> {
         lock(&self.shared.orders).clone()
@@ -247,7 +258,11 @@
                 caller.close = true;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            caller.chunk(format!("id: {number}\ndata: e{number}\n\n").as_bytes())?;
+            let event = format!("id: {number}\ndata: e{number}\n\n");
+            if let Err(error) = caller.chunk(event.as_bytes()) {
+                self.cut.fetch_add(1, Ordering::SeqCst);
+                return Err(error);
+            }
             thread::sleep(self.options.gap);
         }
         caller.end()
--- a/crates/godwitspool-host/src/batch/book.rs
+++ b/crates/godwitspool-host/src/batch/book.rs
@@ -147,8 +147,8 @@
             .collect()
     }
 
-    /// Takes over that another host owns a partition under an epoch. If that is higher than this
-    /// host's, its runs end at once: the other one goes on with them.
+    /// Records that another host owns a partition under an epoch. A lower epoch of this host ends at
+    /// once with its runs: the other host goes on with the items.
     pub fn yield_to(&self, part: u32, epoch: u64) {
         let mut epochs = self.epochs.lock().unwrap_or_else(PoisonError::into_inner);
         let known = epochs.entry(part).or_default();
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -119,9 +119,6 @@
         for (number, part) in &mut *parts {
             let mut dropped = Vec::new();
             for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
-                // The batch tells of its oldest version even while the store tells nothing.
-                let (model, oldest) = (&batch.submission.model, batch.submission.min_version);
-                self.shared.hear_version(model, oldest, "a batch");
                 loop {
                     let item = match batch.next_item(now) {
                         Ok(item) => item,
@@ -130,7 +127,7 @@
                             break;
                         }
                     };
-                    let submission = &batch.submission;
+                    let submission = Arc::clone(&batch.submission);
                     let Some(route) = configuration.route(&submission.host, &submission.prefix)
                     else {
                         log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up, its route is gone");
@@ -142,6 +139,9 @@
                     };
                     let Some(run) = self.start(&configuration, &service, batch, item, now) else {
                         waiting = true;
+                        // The store may not have told yet that this version is named.
+                        let (model, oldest) = (&submission.model, submission.min_version);
+                        self.shared.hear_version(model, oldest, "a batch");
                         break;
                     };
                     batch.items[item].state = super::ItemState::Running;
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -10,8 +10,9 @@
 const RETRY_PAUSE: Millis = Millis(100);
 /// Broken runs in a row without an event after which an item may be what crashes its targets.
 const FRUITLESS_MAX: u32 = 3;
-/// Pause of such an item, doubled with each further run, so that few targets are lost to it in the
-/// seconds in which its batch is wanted.
+/// Pause of such an item, doubled with each further run. Below the 5 s without a run after which the
+/// platform's rules count an item as forgotten, and long beside the second that a target takes to
+/// come back.
 const SUSPECT_PAUSE: Millis = Millis(4_500);
 /// Doublings after which the pause stays.
 const DOUBLINGS_MAX: u32 = 6;
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -95,6 +95,10 @@
         };
         let now = shared.clock.now();
         let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let age = now - sent.at;
+        if age < PERIOD_LEAST {
+            return;
+        }
         let mut report = RunReport {
             sender,
             number: sent.number,
@@ -104,10 +108,9 @@
         };
         report.running.sort();
         report.named.sort();
-        let age = now - sent.at;
         let idle = report.running.is_empty();
         let unchanged = report == sent.report;
-        if age < PERIOD_LEAST || (age < PERIOD && unchanged) || (idle && unchanged) {
+        if unchanged && (idle || age < PERIOD) {
             return;
         }
         sent.at = now;
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -209,7 +209,8 @@
         newer
     }
 
-    /// Takes over that a version exists, as something else than the operators' records tells.
+    /// Records a version of which a batch or another host tells, before the operators' record of it
+    /// has arrived.
     pub fn hear_version(&self, model: &ModelName, version: u64, source: &str) {
         if self.name_version(model, version) {
             log::info!(model:%, version, source; "version heard of");
--- a/crates/godwitspool-process/src/log_queue.rs
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -32,7 +32,7 @@
 
 /// Lines shorter than this fit into a pipe that takes anything at all (POSIX, `PIPE_BUF`).
 const DIRECT_BYTES: usize = 4_096;
-/// Bound on the last write of a process that ends.
+/// Bound on the last write of a process that ends: half of the second that a drain keeps back.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Counts lines by kind and second, and says which are left out.
