Tests take addresses that the system gives to nobody else

Ruled out: a port that an earlier run left in use (the failed bind was of the port just released). Change: one free_address for both copies, from ports below the system's range, another one each time; a port in use is passed over. Conclusion: the gap between answer and use stays, but nobody is given the port in it.

--- a/crates/godwitspool-entry/tests/trainer_system/mod.rs
+++ b/crates/godwitspool-entry/tests/trainer_system/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     thread,
     time::{Duration, Instant},
 };
@@ -13,8 +13,8 @@
 };
 use godwitspool_entry::Entry;
 use godwitspool_fakes::{
-    ClassOptions, EngineOptions, Platform, PlatformOptions, TargetKind, answer_tokens, prompt_hash,
-    token,
+    ClassOptions, EngineOptions, Platform, PlatformOptions, TargetKind, answer_tokens,
+    free_address, prompt_hash, token,
 };
 use godwitspool_process::{EntrySettings, StewardSettings};
 use godwitspool_steward::Steward;
@@ -112,7 +112,7 @@
 
     pub fn add(&mut self, host: usize) {
         let name = format!("h{host}");
-        let peers = free_address();
+        let peers = free_address().unwrap();
         let settings = StewardSettings::default()
             .with_host(name.as_str(), "north")
             .with_entry(peers)
@@ -225,12 +225,6 @@
     }
 }
 
-/// Returns an address that nobody uses now.
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 pub fn agent() -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
--- a/crates/godwitspool-steward/tests/paused.rs
+++ b/crates/godwitspool-steward/tests/paused.rs
@@ -7,14 +7,14 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
     time::Duration,
 };
 
-use godwitspool_fakes::Platform;
+use godwitspool_fakes::{Platform, free_address};
 use godwitspool_types::{HostName, Offset};
 use support::{check_orders, configuration, host_entry, orders, publish, start_platform, wait_for};
 
@@ -29,7 +29,7 @@
 
 impl Process {
     fn start(platform: &Platform, host: &str) -> Self {
-        let (steward, operators) = (free_address(), free_address());
+        let (steward, operators) = (free_address().unwrap(), free_address().unwrap());
         let name = format!("godwitspool-steward-{}-{host}.yaml", std::process::id());
         let settings = std::env::temp_dir().join(name);
         let text = format!(
@@ -67,11 +67,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Returns who gave the last order.
 fn last_host(platform: &Platform) -> HostName {
     orders(platform).last().unwrap().host.clone()
