Host: one order of locks, checked while tests run

Cause: the thread of a load order locked the orders in progress and then the fleet, while the duties lock the fleet and then the orders. Ruled out: the lease (it was renewed all the while) and the store (other hosts reached it). Change: the order's thread takes the orders last and alone. All locks of five crates come from godwitspool-sync, which panics on a cycle in builds with debug assertions. Before: answered_orders_never_block_the_duties fails, 'Found cycle in mutex dependency graph' in the thread 'order'. After: it passes; all 813 tests and doc examples passed (known red ones included), no other cycle printed. Conclusion: no other cycle in what the tests run.

--- a/crates/godwitspool-connection/src/peer/link.rs
+++ b/crates/godwitspool-connection/src/peer/link.rs
@@ -6,13 +6,14 @@
     marker::PhantomData,
     net::{Shutdown, SocketAddr, TcpStream},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, PoisonError,
         atomic::{AtomicU64, Ordering},
         mpsc::{self, RecvTimeoutError, Sender},
     },
     thread,
 };
 
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{Millis, Ran};
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
--- a/crates/godwitspool-connection/src/peer/pool.rs
+++ b/crates/godwitspool-connection/src/peer/pool.rs
@@ -2,10 +2,12 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
 };
 
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
+
 type Job = Box<dyn FnOnce() + Send>;
 
 /// Runs jobs on at most a fixed number of threads.
--- a/crates/godwitspool-connection/src/peer/server.rs
+++ b/crates/godwitspool-connection/src/peer/server.rs
@@ -5,13 +5,14 @@
     fmt, io,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{self, JoinHandle},
     time::Duration,
 };
 
+use godwitspool_sync::Mutex;
 use godwitspool_types::Millis;
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::SockRef;
@@ -200,7 +201,7 @@
 }
 
 impl Shared {
-    fn open(&self) -> std::sync::MutexGuard<'_, HashMap<u64, TcpStream>> {
+    fn open(&self) -> godwitspool_sync::MutexGuard<'_, HashMap<u64, TcpStream>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/godwitspool-connection/src/target_client.rs
+++ b/crates/godwitspool-connection/src/target_client.rs
@@ -2,9 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, PoisonError},
 };
 
+use godwitspool_sync::Mutex;
 use godwitspool_types::Millis;
 use serde::{Serialize, de::DeserializeOwned};
 use ureq::{
--- a/crates/godwitspool-entry/src/connection/peers.rs
+++ b/crates/godwitspool-entry/src/connection/peers.rs
@@ -3,13 +3,14 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, PoisonError},
 };
 
 use godwitspool_connection::{
     messages::{EntryAnswer, EntryRequest},
     peer::{Link, LinkBounds},
 };
+use godwitspool_sync::Mutex;
 
 use crate::{process::shared::Shared, request, rollout};
 
--- a/crates/godwitspool-entry/src/process/billing.rs
+++ b/crates/godwitspool-entry/src/process/billing.rs
@@ -6,7 +6,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -16,6 +16,7 @@
     peer::{Link, LinkBounds},
 };
 use godwitspool_request::Caller;
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::{Millis, RequestId};
 
 use crate::process::shared::Shared;
--- a/crates/godwitspool-entry/src/process/serving.rs
+++ b/crates/godwitspool-entry/src/process/serving.rs
@@ -1,12 +1,13 @@
 //! State of the path for callers' interactive requests.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, PoisonError};
 
 use godwitspool_connection::messages::{
     EntryAnswer, EntryRequest, ServingAnswer, ServingRequest, View,
 };
 use godwitspool_process::{Clock, CounterByReason, EntrySettings, Metrics};
 use godwitspool_request::homes;
+use godwitspool_sync::RwLock;
 use godwitspool_types::{HostName, Millis, RequestId};
 
 use crate::{
--- a/crates/godwitspool-entry/src/process/shared.rs
+++ b/crates/godwitspool-entry/src/process/shared.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
@@ -12,6 +12,7 @@
 use godwitspool_connection::{TargetClient, messages::View};
 use godwitspool_process::EntrySettings;
 use godwitspool_request::TargetId;
+use godwitspool_sync::{Mutex, RwLock};
 use godwitspool_types::TargetName;
 
 use crate::{
--- a/crates/godwitspool-entry/src/request/authorize.rs
+++ b/crates/godwitspool-entry/src/request/authorize.rs
@@ -3,13 +3,14 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
 };
 
 use godwitspool_connection::messages::View;
 use godwitspool_request::{Caller, KeyTable, Reason};
+use godwitspool_sync::{Mutex, RwLock};
 use godwitspool_types::{Key, KeyDigest, Millis, RequestId, ServiceName};
 use tiny_http::Request;
 
@@ -102,7 +103,7 @@
         state.clone()
     }
 
-    fn open_requests(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, OpenRequest>> {
+    fn open_requests(&self) -> godwitspool_sync::MutexGuard<'_, HashMap<RequestId, OpenRequest>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/godwitspool-entry/src/request/dispatch.rs
+++ b/crates/godwitspool-entry/src/request/dispatch.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        PoisonError,
         mpsc::{self, Sender},
     },
 };
@@ -18,6 +18,7 @@
     Need, Reason, Refusal, RetryBudget, RetryDecision, RetryReason, TargetFacts, TargetId, Targets,
     Ticket, Wait,
 };
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{ClassName, Dc, Millis, RequestId, ServiceName, TargetName, Workspace};
 
 use crate::{
--- a/crates/godwitspool-entry/src/request/idempotency.rs
+++ b/crates/godwitspool-entry/src/request/idempotency.rs
@@ -1,6 +1,6 @@
 //! Requests with an idempotency key. The two home hosts of a key keep its state.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, PoisonError};
 
 use godwitspool_connection::messages::{
     ClaimReply, KeyFate, KeyItem, KeyName, ServingAnswer, ServingRequest,
@@ -8,6 +8,7 @@
 use godwitspool_request::{
     ClaimAnswer, Fate, HandoverItem, IdempotencyKey, KeyHome, KeyLoss, KeyRecord, Reason,
 };
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{HostName, Millis, Workspace};
 
 use crate::process::{serving, shared::Shared};
--- a/crates/godwitspool-entry/src/request/journal.rs
+++ b/crates/godwitspool-entry/src/request/journal.rs
@@ -2,9 +2,10 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    sync::{Mutex, PoisonError},
+    sync::PoisonError,
 };
 
+use godwitspool_sync::Mutex;
 use godwitspool_types::{Millis, RequestId, TargetName};
 use serde::Serialize;
 
--- a/crates/godwitspool-entry/src/request/quota.rs
+++ b/crates/godwitspool-entry/src/request/quota.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
 };
 
 use godwitspool_connection::messages::{LimitPart, ServingAnswer, ServingRequest};
 use godwitspool_request::{
     Grant, LimitDemand, LimitHome, LimitUsage, Limits, Refusal, stable_hash,
 };
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{HostName, Millis, Workspace};
 
 use crate::process::{serving, shared::Shared};
--- a/crates/godwitspool-entry/src/request/suspicion.rs
+++ b/crates/godwitspool-entry/src/request/suspicion.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
 };
 
@@ -12,6 +12,7 @@
     Blame, CrashRecord, Reason, Refusal, SuspectAction, SuspectEvent, SuspectList, SuspectStatus,
     Suspects, TargetId, split_blame,
 };
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{HostName, Millis, TargetName};
 
 use crate::process::{serving, shared::Shared};
--- a/crates/godwitspool-entry/src/rollout/dispatch.rs
+++ b/crates/godwitspool-entry/src/rollout/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, atomic::AtomicBool},
+    sync::{Arc, atomic::AtomicBool},
     thread,
     time::Duration,
 };
@@ -13,6 +13,7 @@
 };
 use godwitspool_request::{TrainingShare, stable_hash};
 use godwitspool_rollout::{Freshness, SampleId, ScoreEvent, TrainerDemand};
+use godwitspool_sync::Mutex;
 use godwitspool_types::{HostName, Millis, ServiceName, TargetName, TrainerName};
 
 use super::{
--- a/crates/godwitspool-entry/src/rollout/outbox.rs
+++ b/crates/godwitspool-entry/src/rollout/outbox.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, PoisonError,
         mpsc::{self, Receiver, Sender},
     },
     thread,
@@ -11,6 +11,7 @@
 };
 
 use godwitspool_connection::messages::{EntryRequest, RolloutRequest};
+use godwitspool_sync::Mutex;
 use godwitspool_types::HostName;
 
 use crate::process::shared::Shared;
--- a/crates/godwitspool-entry/src/rollout/rollouts.rs
+++ b/crates/godwitspool-entry/src/rollout/rollouts.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     sync::{
-        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        Arc, PoisonError,
         atomic::Ordering,
         mpsc::{self, Sender},
     },
@@ -19,6 +19,7 @@
     AcknowledgedBatch, Answer, Refusal, Request, Sample, SampleId, Scoring, Shares, StepAction,
     StepEvent, StepNumber, StepRules, StragglerRules, Stragglers, TrainerSteps,
 };
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::{
     HostName, Millis, RequestId, ServiceName, TargetName, TrainerName, WeightVersion,
 };
--- a/crates/godwitspool-entry/src/rollout/running.rs
+++ b/crates/godwitspool-entry/src/rollout/running.rs
@@ -1,9 +1,10 @@
 //! Samples to generate, and the streams that generate them.
 
-use std::sync::{Mutex, MutexGuard, PoisonError, atomic::AtomicBool};
+use std::sync::{PoisonError, atomic::AtomicBool};
 
 use godwitspool_connection::engine::KvHandle;
 use godwitspool_rollout::{GroupSpec, Sample, SampleId};
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{Millis, TargetName};
 
 /// A sample to generate, with the tokens that it already has.
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -1,10 +1,11 @@
 use std::{
     collections::{BTreeMap, btree_map::Entry},
     io,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc::Sender},
+    sync::{Arc, PoisonError, mpsc::Sender},
     time::{Duration, Instant},
 };
 
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::Workspace;
 
 use super::{
--- a/crates/godwitspool-host/src/http/pool.rs
+++ b/crates/godwitspool-host/src/http/pool.rs
@@ -1,9 +1,6 @@
-use std::{
-    collections::HashMap,
-    io,
-    net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
-};
+use std::{collections::HashMap, io, net::SocketAddr, sync::PoisonError};
+
+use godwitspool_sync::{Mutex, MutexGuard};
 
 use super::Connection;
 
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -1,10 +1,11 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
     time::Duration,
 };
 
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{Millis, TargetName, Workspace};
 
 use super::{
@@ -281,8 +282,7 @@
                 Ok(Ordered::Refused) => "refused",
                 Err(_) => "no answer",
             });
-            let mut loading = loading.lock().unwrap_or_else(PoisonError::into_inner);
-            match ordered {
+            match &ordered {
                 Ok(Ordered::Holds) => shared.fleet().observe_version(target, model, version),
                 Ok(Ordered::Accepted) => {
                     shared.fleet().begin_load(target, model, version, shared.clock.now());
@@ -293,22 +293,26 @@
                     };
                     shared.reports.send_load(&shared, notice);
                 }
-                // No load is known to have started. The target is ordered again once it is due.
-                Ok(Ordered::Busy | Ordered::Fenced | Ordered::Refused) => {
-                    if let Some(load) = loading.get_mut(target) {
-                        load.version = 0;
-                    }
+                Err(error) if !error.was_sent() => {
+                    let now = shared.clock.now();
+                    let mut fleet = shared.fleet();
+                    fleet.start(target);
+                    fleet.finish(target, Outcome::Failed, now);
                 }
-                Err(error) => {
+                Ok(Ordered::Busy | Ordered::Fenced | Ordered::Refused) | Err(_) => {}
+            }
+            // Locked last and alone: the duties lock it while they hold the fleet.
+            let mut loading = loading.lock().unwrap_or_else(PoisonError::into_inner);
+            match ordered {
+                Ok(Ordered::Accepted | Ordered::Holds) => {}
+                Err(error) if !error.was_sent() => {
+                    loading.remove(target);
+                }
+                // No load is known to have started. The target is ordered again once it is due.
+                Ok(Ordered::Busy | Ordered::Fenced | Ordered::Refused) | Err(_) => {
                     if let Some(load) = loading.get_mut(target) {
                         load.version = 0;
                     }
-                    if !error.was_sent() {
-                        loading.remove(target);
-                        let now = shared.clock.now();
-                        shared.fleet().start(target);
-                        shared.fleet().finish(target, Outcome::Failed, now);
-                    }
                 }
             }
         });
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use godwitspool_process::ExitOnPanic;
+
 use super::{
     Adapters, Shared, calls,
     duties::{DutyLease, DutyRunner, append_usage},
@@ -157,7 +159,10 @@
     let thread = thread::Builder::new()
         .name(name.to_owned())
         .stack_size(STACK_BYTES);
-    thread.spawn(move || run(thread_shared))
+    thread.spawn(move || {
+        let _guard = ExitOnPanic::default();
+        run(thread_shared);
+    })
 }
 
 fn answer_ready(shared: &Arc<Shared>, caller: &mut Caller, _: &Request) -> io::Result<()> {
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -1,9 +1,6 @@
-use std::{
-    net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::PoisonError, time::Duration};
 
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::Millis;
 
 use super::Shared;
--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -3,12 +3,13 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
 use godwitspool_process::{CounterByReason, Histogram};
+use godwitspool_sync::{Mutex, MutexGuard};
 use serde::{Deserialize, Serialize};
 
 use super::peers::address;
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -5,10 +5,11 @@
     collections::HashMap,
     io,
     net::UdpSocket,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
 };
 
+use godwitspool_sync::Mutex;
 use godwitspool_types::{Millis, ModelName, TargetName};
 use serde::{Deserialize, Serialize};
 
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -2,13 +2,14 @@
     collections::HashMap,
     fmt, io,
     sync::{
-        Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock,
+        Arc, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use godwitspool_process::{Clock, CounterByReason, Histogram, Metrics};
+use godwitspool_sync::{Condvar, Mutex, MutexGuard, RwLock};
 use godwitspool_types::{Millis, ModelName};
 use rustix::time::{ClockId, clock_gettime};
 
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -1,10 +1,11 @@
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Arc, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     thread,
     time::Duration,
 };
 
+use godwitspool_sync::MutexGuard;
 use godwitspool_types::{Millis, ModelName, TargetName};
 
 use super::Shared;
--- a/crates/godwitspool-host/src/process/usage.rs
+++ b/crates/godwitspool-host/src/process/usage.rs
@@ -1,9 +1,10 @@
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::PoisonError,
     time::Duration,
 };
 
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::Workspace;
 
 /// Number of this host's requests by window and workspace, until they are taken for the store.
--- a/crates/godwitspool-process/src/http_listener.rs
+++ b/crates/godwitspool-process/src/http_listener.rs
@@ -4,13 +4,14 @@
     fmt, io,
     net::{Shutdown, SocketAddr, TcpListener},
     sync::{
-        Arc, Mutex, OnceLock, PoisonError,
+        Arc, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
+use godwitspool_sync::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use tiny_http::{Request, Server};
 
--- a/crates/godwitspool-process/src/log_queue.rs
+++ b/crates/godwitspool-process/src/log_queue.rs
@@ -7,7 +7,7 @@
     iter,
     os::fd::AsFd,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, PoisonError,
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
@@ -15,6 +15,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use godwitspool_sync::Mutex;
 use log::{Level, LevelFilter, SetLoggerError};
 use rustix::{
     event::{PollFd, PollFlags, Timespec, poll},
--- a/crates/godwitspool-process/src/log_reader/source.rs
+++ b/crates/godwitspool-process/src/log_reader/source.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, PoisonError},
 };
 
 use godwitspool_connection::{
@@ -12,6 +12,7 @@
     peer::{Link, LinkBounds},
     platform::{LogPage, LogRecord},
 };
+use godwitspool_sync::Mutex;
 use godwitspool_types::{Millis, Offset};
 use godwitspool_version::{Fold, Record, RecordBody, SnapshotParts};
 
--- a/crates/godwitspool-process/src/log_reader/thread.rs
+++ b/crates/godwitspool-process/src/log_reader/thread.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt, io,
     sync::{
-        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        Arc, PoisonError,
         atomic::{AtomicBool, Ordering},
         mpsc::Sender,
     },
@@ -12,6 +12,7 @@
 };
 
 use godwitspool_connection::{http::PlatformApi, messages::StewardAnswer};
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::{Dc, HostName, Millis, Offset};
 
 use super::{
--- a/crates/godwitspool-process/src/membership/gossip.rs
+++ b/crates/godwitspool-process/src/membership/gossip.rs
@@ -4,7 +4,7 @@
     fmt, io,
     net::{SocketAddr, UdpSocket},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
         mpsc::Sender,
     },
@@ -13,6 +13,7 @@
 };
 
 use godwitspool_connection::{messages::Member, platform::HostEntry};
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::Dc;
 
 use super::{
--- a/crates/godwitspool-process/src/metrics.rs
+++ b/crates/godwitspool-process/src/metrics.rs
@@ -1,10 +1,8 @@
 //! Metrics of a process, in the OpenMetrics text format.
 
-use std::{
-    fmt,
-    sync::{Mutex, MutexGuard, PoisonError},
-};
+use std::{fmt, sync::PoisonError};
 
+use godwitspool_sync::{Mutex, MutexGuard};
 use prometheus_client::{
     collector::Collector,
     encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric, text::encode},
--- a/crates/godwitspool-process/src/timer.rs
+++ b/crates/godwitspool-process/src/timer.rs
@@ -4,10 +4,11 @@
     cmp::Reverse,
     collections::BinaryHeap,
     fmt, io,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc::Sender},
+    sync::{Arc, PoisonError, mpsc::Sender},
     thread::{self, JoinHandle},
 };
 
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::Millis;
 
 use crate::Clock;
--- a/crates/godwitspool-steward/src/process/outbox.rs
+++ b/crates/godwitspool-steward/src/process/outbox.rs
@@ -2,11 +2,12 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, mpsc::Receiver},
+    sync::{Arc, mpsc::Receiver},
 };
 
 use godwitspool_connection::http::PlatformApi;
 use godwitspool_process::Tick;
+use godwitspool_sync::Mutex;
 use godwitspool_version::{AppendBudget, AppendCounts, Record, Stream};
 
 use crate::process::shared::{Shared, lock};
--- a/crates/godwitspool-steward/src/process/shared.rs
+++ b/crates/godwitspool-steward/src/process/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
 };
 
 use godwitspool_connection::{
@@ -14,6 +14,7 @@
 use godwitspool_process::{
     Clock, CounterByReason, Metrics, StewardSettings, log_reader::LogReader, membership::Gossip,
 };
+use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{HostName, Millis, Offset};
 use godwitspool_version::{HeldUsage, Record, RecordBody};
 
--- a/crates/godwitspool-steward/src/version/current_view.rs
+++ b/crates/godwitspool-steward/src/version/current_view.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -10,6 +10,7 @@
     messages::{Member, View},
     platform::{TargetEntry, TargetState},
 };
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::TargetName;
 use godwitspool_version::{Fold, TargetAction};
 
--- a/crates/godwitspool-steward/src/version/leases.rs
+++ b/crates/godwitspool-steward/src/version/leases.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, mpsc::Receiver},
+    sync::{Arc, mpsc::Receiver},
 };
 
 use godwitspool_process::{
@@ -10,6 +10,7 @@
     log_reader::{Applied, LogEvent, Replica},
     membership::GossipEvent,
 };
+use godwitspool_sync::Mutex;
 use godwitspool_types::{Millis, Term};
 use godwitspool_version::{
     Change, HostLife, Lease, LeaseAction, LeaseCandidate, LeaseEvent, LeaseKind, LeaseRules,
