Version: a waiting lease record gives way to a newer one

Cause: while answers of the log are lost, each lease adds a renewal every interval, and the budget appends them in the order in which they were made. Change: AppendBudget keeps one waiting record a lease and holder, the newest, in the place of the first.

--- a/crates/godwitspool-version/src/append_budget.rs
+++ b/crates/godwitspool-version/src/append_budget.rs
@@ -166,11 +166,22 @@
 
     /// Queues a record. Returns false if the record is refused, because too many records of its
     /// stream are waiting or the stream has no limits.
+    ///
+    /// A lease record takes the place of a waiting one of the same lease and holder: only the
+    /// newest can still extend or end the term.
     pub fn offer(&mut self, record: Record) -> bool {
         let stream = Stream::of(&record.body);
         let Some(queue) = self.streams.get_mut(&stream) else {
             return false;
         };
+        if let Some(superseded) = queue
+            .waiting
+            .iter_mut()
+            .find(|old| supersedes(&record, old))
+        {
+            *superseded = record;
+            return true;
+        }
         if queue.waiting.len() >= queue.limits.max_queued {
             queue.counts.refused += 1;
             return false;
@@ -204,6 +215,16 @@
     }
 }
 
+/// Returns whether a lease record makes a waiting one of the same lease and holder needless.
+fn supersedes(new: &Record, waiting: &Record) -> bool {
+    match (&new.body, &waiting.body) {
+        (RecordBody::Lease(new), RecordBody::Lease(waiting)) => {
+            new.lease == waiting.lease && new.holder == waiting.holder
+        }
+        _ => false,
+    }
+}
+
 impl StreamQueue {
     fn refill(&mut self, now: Millis) {
         let elapsed = now - self.refilled_at;
--- a/crates/godwitspool-version/tests/append_budget.rs
+++ b/crates/godwitspool-version/tests/append_budget.rs
@@ -1,6 +1,6 @@
 //! Tests the append budget and the conditions under which snapshots are written.
 
-use godwitspool_types::{Millis, Offset};
+use godwitspool_types::{Incarnation, Millis, Offset, Term};
 use godwitspool_version::{
     AppendBudget, HostLife, LeaseKind, LeaseRecord, LeaseStep, Record, RecordBody, SnapshotCadence,
     SnapshotPosition, Stream, StreamLimits,
@@ -50,6 +50,36 @@
     assert_eq!(budget.take_batch(Millis(0))[0], claim);
 }
 
+/// Renewals that wait while the budget is used up are all older than the term when they are read
+/// back, so a holder that appends them in order never may act again.
+#[test]
+fn only_the_newest_waiting_record_of_a_lease_is_appended() {
+    let mut budget = AppendBudget::new([(Stream::Lease, LIMITS)]);
+    let record = |lease, incarnation, step| {
+        let mut holder = HostLife::default();
+        holder.incarnation = Incarnation(incarnation);
+        Record::new(RecordBody::Lease(LeaseRecord {
+            step,
+            lease,
+            holder,
+        }))
+    };
+    let renewal = || record(LeaseKind::Orders, 1, LeaseStep::Renew(Term(7)));
+    for _ in 0..LIMITS.burst {
+        assert!(budget.offer(record(LeaseKind::Usage, 2, LeaseStep::Renew(Term(9)))));
+        assert_eq!(budget.take_batch(Millis(0)).len(), 1);
+    }
+    for _ in 0..45 {
+        assert!(budget.offer(renewal()));
+    }
+    let newest = renewal();
+    assert!(budget.offer(newest.clone()));
+    let other = record(LeaseKind::Usage, 1, LeaseStep::Renew(Term(8)));
+    assert!(budget.offer(other.clone()));
+    assert_eq!(budget.counts()[&Stream::Lease].waiting, 2);
+    assert_eq!(budget.take_batch(Millis(2_000)), [newest, other]);
+}
+
 #[test]
 fn a_full_queue_refuses_and_counts() {
     let mut budget = AppendBudget::new([(Stream::Configuration, LIMITS)]);
