Host: reports that exceed a datagram are split

Change: Notice::datagrams splits the runs; datagrams of one report share its number and add up at the receiver. Before: a_report_in_several_datagrams_counts_whole counts 150 of 600 runs. After: 600. godwitspool-host's tests passed. The entry's tests print the state of every host when they fail, for the known red ones.

--- a/crates/godwitspool-entry/tests/trainer_system/mod.rs
+++ b/crates/godwitspool-entry/tests/trainer_system/mod.rs
@@ -226,6 +226,22 @@
     }
 }
 
+/// Prints the state of every host if a test fails, to show what it waited for.
+impl Drop for System {
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            return;
+        }
+        for entry in self.entries.iter().flatten() {
+            let url = format!("http://{}/status", entry.operator_address());
+            eprintln!("entry: {:?}", read(agent().get(url).call()));
+        }
+        for steward in self.stewards.iter().flatten() {
+            eprintln!("steward: {}", steward.status());
+        }
+    }
+}
+
 pub fn agent() -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -50,9 +50,10 @@
 pub struct RunReport {
     /// Incarnation of the sending host.
     pub sender: u32,
-    /// Sequence number, which increases with each report of an incarnation.
+    /// Sequence number, which increases with each report of an incarnation. All datagrams of a
+    /// report carry the same one.
     pub number: u64,
-    /// Number of runs on each target.
+    /// Number of runs on each target, or a part of them.
     pub running: Vec<(TargetName, u32)>,
     /// Owned partitions with their epochs. An earlier owner that hasn't noticed its loss yet stops
     /// its runs on receipt.
@@ -62,6 +63,50 @@
     pub named: Vec<(ModelName, u64)>,
 }
 
+impl Notice {
+    /// Returns the datagrams that carry the notice. A report of runs that doesn't fit into one is
+    /// split into several with the same number; the first ones carry the partitions and versions.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the notice can't be encoded, or exceeds a datagram and can't be split.
+    ///
+    /// ```
+    /// use godwitspool_host::process::{Notice, RunReport};
+    ///
+    /// let running = (0..300).map(|number| (format!("target-{number:08}").into(), 2)).collect();
+    /// let report = RunReport { running, ..RunReport::default() };
+    /// let datagrams = Notice::Runs(report).datagrams()?;
+    /// assert!(datagrams.len() > 1);
+    /// assert!(datagrams.iter().all(|datagram| datagram.len() <= 1_400));
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn datagrams(self) -> io::Result<Vec<Vec<u8>>> {
+        let bytes = postcard::to_stdvec(&self).map_err(io::Error::other)?;
+        if bytes.len() <= MAX_DATAGRAM_BYTES {
+            return Ok(vec![bytes]);
+        }
+        match self {
+            Self::Runs(mut report) if report.running.len() > 1 => {
+                let rest = report.running.split_off(report.running.len() / 2);
+                let rest = RunReport {
+                    running: rest,
+                    owned: Vec::new(),
+                    named: Vec::new(),
+                    ..report
+                };
+                let mut datagrams = Self::Runs(report).datagrams()?;
+                datagrams.extend(Self::Runs(rest).datagrams()?);
+                Ok(datagrams)
+            }
+            Self::Runs(_) | Self::Load(_) => Err(io::Error::other(format!(
+                "{} bytes exceed a datagram",
+                bytes.len()
+            ))),
+        }
+    }
+}
+
 /// Sends and receives reports over UDP.
 #[derive(Debug)]
 pub struct Reports {
@@ -126,14 +171,14 @@
             ..report.clone()
         };
         drop(last);
-        broadcast(shared, socket, &Notice::Runs(report));
+        broadcast(shared, socket, Notice::Runs(report));
     }
 
     /// Notifies the other hosts of a load, so that they send nothing to the target meanwhile and
     /// don't have to wait for its new entry afterwards.
     pub fn send_load(&self, shared: &Shared, load: LoadNotice) {
         if let Some(socket) = &self.socket {
-            broadcast(shared, socket, &Notice::Load(load));
+            broadcast(shared, socket, Notice::Load(load));
         }
     }
 
@@ -180,21 +225,19 @@
 }
 
 /// Sends a notice to the other hosts that hold a partition.
-fn broadcast(shared: &Shared, socket: &UdpSocket, notice: &Notice) {
-    let bytes = match postcard::to_stdvec(notice) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
-        Ok(bytes) => {
-            log::warn!(bytes = bytes.len(); "report exceeds the maximum datagram size");
-            return;
-        }
+fn broadcast(shared: &Shared, socket: &UdpSocket, notice: Notice) {
+    let datagrams = match notice.datagrams() {
+        Ok(datagrams) => datagrams,
         Err(error) => {
-            log::error!(error:%; "can't encode a report");
+            log::error!(error:%; "can't send a report");
             return;
         }
     };
     for address in shared.peers.holders(shared) {
-        if let Err(error) = socket.send_to(&bytes, address) {
-            log::debug!(error:%, peer:% = address; "can't send a report");
+        for datagram in &datagrams {
+            if let Err(error) = socket.send_to(datagram, address) {
+                log::debug!(error:%, peer:% = address; "can't send a report");
+            }
         }
     }
 }
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -311,8 +311,11 @@
         self.reports
             .retain(|_, (_, at)| now - *at < REPORT_RETENTION);
         self.reports.insert(report.sender, (report.number, now));
-        for target in self.targets.values_mut() {
-            target.remote_running.remove(&report.sender);
+        // A datagram with the number of the newest report continues it.
+        if newest != Some(report.number) {
+            for target in self.targets.values_mut() {
+                target.remote_running.remove(&report.sender);
+            }
         }
         for (name, count) in &report.running {
             if let Some(target) = self.targets.get_mut(name) {
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 use godwitspool_host::{
-    process::RunReport,
+    process::{Notice, RunReport},
     version::{Fleet, LOAD_TIME, Outcome, TargetEntry},
 };
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
@@ -197,3 +197,48 @@
         .count();
     assert!(moved <= 4, "{moved} of 10 moved");
 }
+
+/// Guards against reports that are thrown away whole because their host runs items on too many
+/// targets for one datagram: the other hosts then take all of these targets for idle.
+#[test]
+fn a_report_in_several_datagrams_counts_whole() {
+    let mut fleet = Fleet::default();
+    let names: Vec<String> = (0..200)
+        .map(|number| format!("target-{number:013}"))
+        .collect();
+    for name in &names {
+        fleet.apply(entry(name, 1));
+    }
+    let report = |number, count| RunReport {
+        sender: 7,
+        number,
+        running: names
+            .iter()
+            .map(|name| (name.as_str().into(), count))
+            .collect(),
+        owned: vec![(1, 5)],
+        ..RunReport::default()
+    };
+    let send = |fleet: &mut Fleet, report: RunReport| {
+        let datagrams = Notice::Runs(report).datagrams().unwrap();
+        for datagram in &datagrams {
+            let Ok(Notice::Runs(part)) = postcard::from_bytes(datagram) else {
+                panic!("another notice");
+            };
+            fleet.apply_report(&part, Millis(100));
+        }
+        datagrams.len()
+    };
+    let running = |fleet: &Fleet| -> u32 {
+        let targets = names
+            .iter()
+            .filter_map(|name| fleet.get(&name.as_str().into()));
+        targets
+            .map(|target| target.total_running(Millis(100)))
+            .sum()
+    };
+    assert!(send(&mut fleet, report(1, 3)) > 1);
+    assert_eq!(running(&fleet), 600);
+    send(&mut fleet, report(2, 1));
+    assert_eq!(running(&fleet), 200);
+}
