Host: a worker that stands still gives up what it holds

Cause: the membership's thread renewed the lease of the duties and the partitions whether or not the threads behind them still worked. Change: Activity counts a worker's steps, StallDetector measures how long they stand still. Before: duties_whose_thread_stands_still_go_to_another_host fails, also with the check taken out of the renewal. After: it passes in 4.8 s; the tests of godwitspool-host and -platform passed.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -101,7 +101,8 @@
     fn wait(&self, timeout: Option<Duration>) -> io::Result<()> {
         let mut sockets = vec![self.shared.owned_batches.waker.socket()];
         sockets.extend(self.runs.iter().map(|run| run.exchange.socket()));
-        wait(&sockets, timeout)?;
+        let activity = &self.shared.runner_activity;
+        activity.wait(|| wait(&sockets, timeout))?;
         self.shared.owned_batches.waker.clear();
         Ok(())
     }
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -124,7 +124,11 @@
         let mut term: Option<Term> = None;
         let mut seen = 0;
         while !self.shared.is_draining() {
-            self.shared.wait_for_change(&mut seen, self.poll_timeout());
+            let timeout = self.poll_timeout();
+            let shared = &self.shared;
+            shared
+                .duties_activity
+                .wait(|| shared.wait_for_change(&mut seen, timeout));
             let Some(epoch) = self.duty_lease.epoch() else {
                 continue;
             };
@@ -158,8 +162,10 @@
     fn begin_term(&self, epoch: u64) -> Option<Term> {
         let store = self.shared.store.as_ref();
         let writer = Writer { epoch, seq: 0 };
-        let begun = store.append(Topic::Duty, 0, &[], Some(writer));
-        let read = begun.and_then(|()| read_all(store, Topic::Duty, 0, None, |_| true));
+        let read = self.shared.duties_activity.wait(|| {
+            let begun = store.append(Topic::Duty, 0, &[], Some(writer));
+            begun.and_then(|()| read_all(store, Topic::Duty, 0, None, |_| true))
+        });
         let records = match read {
             Ok((records, _)) => records,
             Err(error) => {
@@ -371,7 +377,10 @@
             }
             term.attempted_ms.insert(report.window, now);
             self.last_action = Some(lease_clock());
-            let reported = shared.duties.report(&report, &self.fence(term.epoch));
+            let fence = self.fence(term.epoch);
+            let reported = shared
+                .duties_activity
+                .wait(|| shared.duties.report(&report, &fence));
             let total: u64 = report.counts.iter().map(|(_, count)| count).sum();
             match reported {
                 Ok(()) => {
@@ -403,10 +412,10 @@
             epoch: term.epoch,
             seq: term.seq,
         };
-        let appended = self
-            .shared
-            .store
-            .append(Topic::Duty, 0, &[record], Some(writer));
+        let shared = &self.shared;
+        let appended = shared
+            .duties_activity
+            .wait(|| shared.store.append(Topic::Duty, 0, &[record], Some(writer)));
         if let Err(error) = appended {
             term.unconfirmed = Some(report);
             return Err(error);
@@ -422,7 +431,11 @@
     fn read_usage(&self, term: &mut Term, now: u64) -> Result<(), StoreError> {
         let store = self.shared.store.as_ref();
         loop {
-            let tail = match store.read(Topic::Usage, 0, term.usage_offset, Duration::ZERO) {
+            let read = self
+                .shared
+                .duties_activity
+                .wait(|| store.read(Topic::Usage, 0, term.usage_offset, Duration::ZERO));
+            let tail = match read {
                 Err(StoreError::Gone { first }) if first > term.usage_offset => {
                     term.usage_offset = first;
                     continue;
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -1,8 +1,8 @@
-use std::{collections::HashMap, sync::Arc, thread, time::Duration};
+use std::{collections::HashMap, process, sync::Arc, thread, time::Duration};
 
 use godwitspool_types::Millis;
 
-use super::{Shared, duties::DutyLease, shared::lease_clock};
+use super::{Activity, Shared, StallDetector, duties::DutyLease, shared::lease_clock};
 use crate::{
     batch::Owner,
     store::{Assignment, Store, Topic},
@@ -13,6 +13,11 @@
 const MEMBER_TTL: Duration = Duration::from_secs(2);
 /// Number of renewals attempted within the TTL.
 const RENEWALS_PER_TTL: u32 = 3;
+/// The process ends once a worker has stood still for this multiple of the lease. A blocked thread
+/// doesn't come loose, and callers and partitions are better served by a process that is restarted.
+const EXIT_FACTOR: u64 = 3;
+/// Exit status of a process that ends because a worker stands still.
+const STALLED_STATUS: i32 = 102;
 /// Number of random low bits in an epoch, so that two owners don't share one.
 const EPOCH_RANDOM_BITS: u32 = 16;
 
@@ -22,6 +27,8 @@
     duty_lease: Arc<DutyLease>,
     owners: HashMap<u32, HeldPartition>,
     generation: u64,
+    duties: StallDetector,
+    runner: StallDetector,
 }
 
 /// A partition that the store has assigned to this host.
@@ -36,8 +43,10 @@
     pub fn new(shared: Arc<Shared>, duty_lease: Arc<DutyLease>) -> Self {
         Self {
             duty_lease,
+            duties: StallDetector::default(),
             generation: 0,
             owners: HashMap::new(),
+            runner: StallDetector::default(),
             shared,
         }
     }
@@ -46,8 +55,17 @@
     /// the group.
     pub fn run(mut self) {
         let ttl = MEMBER_TTL.max(self.shared.settings.store.member_ttl);
-        let mut failing = false;
+        let (mut failing, mut out) = (false, false);
         while !self.shared.is_draining() {
+            let stalled = self.is_stalled();
+            if stalled && !out {
+                self.withdraw();
+            }
+            out = stalled;
+            if out {
+                thread::sleep(ttl / RENEWALS_PER_TTL);
+                continue;
+            }
             let mut released = false;
             let sent = lease_clock();
             match self
@@ -86,6 +104,47 @@
         }
     }
 
+    /// Returns whether a worker behind the duties or the partitions has stood still for longer than
+    /// the lease. Ends the process if it has done so for several leases.
+    fn is_stalled(&mut self) -> bool {
+        let now = self.shared.clock.now();
+        let lease = Millis::from(self.shared.settings.lease);
+        let observe = |worker: &'static str, detector: &mut StallDetector, activity: &Activity| {
+            let before = *detector;
+            let stalled = detector.observe(activity.step(), now);
+            if stalled >= lease && !before.is_stalled(lease) {
+                self.shared.stalls.count(worker);
+                log::error!(worker, stalled_ms = stalled.0; "worker stands still");
+            }
+            if stalled.0 >= lease.0 * EXIT_FACTOR {
+                log::error!(worker, stalled_ms = stalled.0; "process exits: a worker stands still");
+                process::exit(STALLED_STATUS);
+            }
+            stalled >= lease
+        };
+        let duties = observe("duties", &mut self.duties, &self.shared.duties_activity);
+        let runner = observe("runner", &mut self.runner, &self.shared.runner_activity);
+        self.shared.set_stalled(duties || runner);
+        duties || runner
+    }
+
+    /// Gives up the duties and the partitions without waiting for the worker that stands still.
+    fn withdraw(&mut self) {
+        self.duty_lease.release();
+        match self.shared.store.leave(&self.shared.member) {
+            Ok(()) => log::info!("left the hosts' group"),
+            Err(error) => log::warn!(error:%; "leaving the hosts' group not confirmed"),
+        }
+        // The next owners fence these off. Closing them takes locks that the worker may hold.
+        let owners = std::mem::take(&mut self.owners);
+        let closing = thread::Builder::new()
+            .name("hand-over".to_owned())
+            .spawn(move || hand_over(owners.values()));
+        if let Err(error) = closing {
+            log::error!(error:%; "can't start a thread for a hand-over");
+        }
+    }
+
     /// Applies the store's assignment. Returns whether partitions were released.
     fn apply_assignment(&mut self, assignment: &Assignment, until: Millis) -> bool {
         let changed = assignment.generation != self.generation;
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Process-wide state and threads: the shared state, listeners, replication from the store, group
 //! membership, duties, and communication with other hosts.
 
+mod activity;
 mod calls;
 mod duties;
 mod host;
@@ -12,6 +13,7 @@
 mod tails;
 mod usage;
 
+pub use activity::{Activity, StallDetector};
 pub use host::Host;
 pub use relay::Relay;
 pub use reports::{LoadNotice, Notice, RunReport};
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,7 +13,7 @@
 use godwitspool_types::{Millis, ModelName};
 use rustix::time::{ClockId, clock_gettime};
 
-use super::{Relay, UsageCounts, peers::Peers, relay::RelayMetrics, reports::Reports};
+use super::{Activity, Relay, UsageCounts, peers::Peers, relay::RelayMetrics, reports::Reports};
 use crate::{
     Settings,
     batch::BatchRegistry,
@@ -79,6 +79,12 @@
     pub run_seconds: Histogram,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
+    /// Number of times that a worker was found standing still, by worker.
+    pub stalls: CounterByReason,
+    /// Activity of the thread that performs the duties.
+    pub duties_activity: Activity,
+    /// Activity of the thread that runs batches.
+    pub runner_activity: Activity,
     /// Local copies of the operators' records and of the targets' entries, in this order.
     pub mirrors: Mutex<[Mirror; 2]>,
     configuration: RwLock<Option<Arc<Configuration>>>,
@@ -89,6 +95,8 @@
     /// Number of changes so far.
     change_count: Mutex<u64>,
     draining: AtomicBool,
+    /// Whether a worker stands still, so that this host can't be relied on.
+    stalled: AtomicBool,
 }
 
 impl fmt::Debug for dyn Dialect {
@@ -139,6 +147,10 @@
             configuration: RwLock::default(),
             dialect: adapters.dialect,
             draining: AtomicBool::new(false),
+            stalled: AtomicBool::new(false),
+            stalls: metrics.counter_by_reason("stalls", "Workers found standing still, by worker"),
+            duties_activity: Activity::default(),
+            runner_activity: Activity::default(),
             duties: adapters.duties,
             fleet: Mutex::default(),
             incarnation,
@@ -257,13 +269,19 @@
         self.notify_change();
     }
 
+    /// Sets whether a worker stands still. Such a host reports that it isn't ready.
+    pub fn set_stalled(&self, stalled: bool) {
+        self.stalled.store(stalled, Ordering::SeqCst);
+    }
+
     /// Returns whether callers can be served: both mirrors have been read, a configuration is
-    /// known, and the process isn't draining.
+    /// known, no worker stands still, and the process isn't draining.
     pub fn is_ready(&self) -> bool {
         let mirrors = self.mirrors.lock().unwrap_or_else(PoisonError::into_inner);
         let known = mirrors.iter().all(|mirror| mirror.confirmed.is_some());
         drop(mirrors);
-        known && !self.is_draining() && self.configuration().is_some()
+        let working = !self.stalled.load(Ordering::SeqCst);
+        known && working && !self.is_draining() && self.configuration().is_some()
     }
 }
 
