Host: reward calls score the outputs of items

Change: the call is part of the item's specification, its complete output and its score part of what the store keeps, as extensions that earlier builds pass over. The runner makes the calls: after the last event, half of a target's slots at most, nearly complete groups first, repeated with jitter; 500 counts, anything else doesn't; dropped with the batch or the partition. A submission whose call is malformed gets 400, one without a route 503.

--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -211,7 +211,7 @@
             TargetFault::Slow(ms) => thread::sleep(Duration::from_millis(ms)),
             TargetFault::Fail(status) => {
                 let answer = Response::new(status, "failed").with("Request-Id", &id);
-                return caller.respond(&answer.with("Server-Stamp", "stamp"));
+                return caller.respond(&answer.with("Server-Stamp", format!("stamp-{id}")));
             }
             _ => {}
         }
@@ -225,7 +225,7 @@
         );
         let mut answer = Response::new(200, body).with("Request-Id", &id);
         if fault != TargetFault::Unsigned {
-            answer = answer.with("Server-Stamp", "stamp");
+            answer = answer.with("Server-Stamp", format!("stamp-{id}"));
         }
         caller.respond(&answer)?;
         if fault == TargetFault::Extra {
@@ -249,7 +249,7 @@
         let head = Response::new(200, Vec::new())
             .with("Content-Type", "text/event-stream")
             .with("Request-Id", id)
-            .with("Server-Stamp", "stamp")
+            .with("Server-Stamp", format!("stamp-{id}"))
             .with("Weight-Versions", version);
         caller.begin(&head)?;
         let last = request
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -11,9 +11,11 @@
 mod progress;
 mod record;
 mod registry;
+mod reward;
 mod runner;
 mod state;
 mod stored_results;
+mod wire;
 
 pub use order::{order_items, predicted_tokens};
 pub use owner::{Owner, StoredBatch, read_stored};
@@ -21,6 +23,7 @@
 pub use progress::{save_progress, save_running};
 pub use record::{BatchRecord, partition_of};
 pub use registry::{BatchRegistry, Lookup, OwnedPartition, page};
+pub use reward::{RewardOutcome, call_backoff};
 pub use runner::Runner;
 pub use state::{Batch, Finished, Item, ItemProgress, ItemState, RunFailure, Verdict};
 pub use stored_results::StoredResults;
@@ -81,6 +84,22 @@
     pub hint: Option<u64>,
     /// Tokens of the prompt plus the maximum number of generated tokens.
     pub tokens: u64,
+    /// The call that scores the output, if the item has one. Stored as an extension.
+    #[serde(skip)]
+    pub scorer: Option<ScoreCall>,
+}
+
+/// A reward call: the request that scores an item's complete output.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ScoreCall {
+    /// Identifier of the request.
+    pub id: String,
+    /// Value of the `Host` field, which selects the route together with the path.
+    pub host: String,
+    /// Path of the request.
+    pub path: String,
+    /// Body of the request.
+    pub body: Vec<u8>,
 }
 
 /// The result of an item.
@@ -94,6 +113,10 @@
     pub output: Vec<u8>,
     /// Versions of the model that generated the output, in ascending order.
     pub versions: Vec<u64>,
+    /// Signature of the successful response to the reward call; `None` if the item has no call or
+    /// was given up. Stored as an extension.
+    #[serde(skip)]
+    pub score: Option<String>,
 }
 
 /// A page of a batch's results.
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, save_progress,
-    stored_results::StoredResults,
+    stored_results::StoredResults, wire,
 };
 use crate::{
     StoreBounds,
@@ -425,7 +425,7 @@
             return Err(format!("got {} of {count} chunks", chunks.len()));
         }
         let bytes: Vec<u8> = chunks.into_values().flatten().collect();
-        postcard::from_bytes(&bytes).map_err(|error| error.to_string())
+        wire::decode_submission(&bytes)
     }
 }
 
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -5,7 +5,7 @@
 use rapidhash::v3::rapidhash_v3;
 use snafu::Snafu;
 
-use super::{ItemProgress, ItemResult, Submission};
+use super::{ItemProgress, ItemResult, Submission, wire};
 use crate::{
     StoreBounds,
     store::{Record, StoredRecord},
@@ -93,7 +93,7 @@
     /// Returns the appends that store a submission, in order. The last record of the last append is
     /// the [`Self::Commit`].
     pub fn of_submission(submission: &Submission, bounds: &StoreBounds) -> Vec<Vec<Record>> {
-        let bytes = encode(submission);
+        let bytes = wire::encode_submission(submission);
         let size = bounds
             .record_bytes
             .saturating_sub(RECORD_OVERHEAD_BYTES)
@@ -141,7 +141,7 @@
         result: &ItemResult,
         bounds: &StoreBounds,
     ) -> Vec<Record> {
-        let bytes = encode(result);
+        let bytes = wire::encode_result(result);
         let size = bounds
             .record_bytes
             .saturating_sub(RECORD_OVERHEAD_BYTES)
@@ -166,7 +166,7 @@
         progress: &ItemProgress,
         bounds: &StoreBounds,
     ) -> Option<Record> {
-        let value = encode(progress);
+        let value = wire::encode_progress(progress);
         let fits = value.len() + RECORD_OVERHEAD_BYTES <= bounds.record_bytes;
         fits.then(|| Record::new(Self::progress_key(batch, item), value))
     }
@@ -231,8 +231,7 @@
             Some(("p", digits)) => Ok(Self::Progress {
                 batch,
                 item: number(digits)? as u32,
-                progress: postcard::from_bytes(&value)
-                    .map_err(|error| wrong(&error.to_string()))?,
+                progress: wire::decode_progress(&value).map_err(|error| wrong(&error))?,
             }),
             Some(("q", place)) => {
                 let (position, index) = place
@@ -252,7 +251,7 @@
             Some(("r", digits)) => Ok(Self::Result {
                 batch,
                 position: number(digits)?,
-                result: postcard::from_bytes(&value).map_err(|error| wrong(&error.to_string()))?,
+                result: wire::decode_result(&value).map_err(|error| wrong(&error))?,
             }),
             _ => Err(wrong("unknown kind of key")),
         }
@@ -276,11 +275,3 @@
     }
     calls
 }
-
-/// Encodes a batch's data. Such values are plain data, so encoding them doesn't fail.
-fn encode(value: &impl serde::Serialize) -> Vec<u8> {
-    postcard::to_stdvec(value).unwrap_or_else(|error| {
-        log::error!(error:%; "can't encode a record value");
-        Vec::new()
-    })
-}
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -62,6 +62,7 @@
                     // Marked before the append, since the record may reach the store even if the
                     // call fails.
                     item.saved_event = item.progress.last_event;
+                    item.saved_complete = item.progress.complete;
                     records.extend(record);
                 }
             }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -2,7 +2,9 @@
 
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
-use super::{Batch, Move, Pace, RunFailure, RunView, Submission, Verdict, decide_move};
+use super::{
+    Batch, Move, Pace, RunFailure, RunView, Submission, Verdict, decide_move, reward::RewardCall,
+};
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress, wait},
@@ -28,6 +30,8 @@
 pub struct Runner {
     shared: Arc<Shared>,
     runs: Vec<Run>,
+    /// Reward calls in progress.
+    calls: Vec<RewardCall>,
     /// Time of the last check for stalled and slow runs.
     last_check: Millis,
 }
@@ -70,6 +74,7 @@
             shared,
             last_check: Millis::ZERO,
             runs: Vec::new(),
+            calls: Vec::new(),
         }
     }
 
@@ -80,19 +85,22 @@
     /// Fails if polling the sockets fails.
     pub fn run(mut self) -> io::Result<()> {
         loop {
-            let waiting = self.start_items();
+            let waiting = self.start_calls() | self.start_items();
             self.report();
-            let timeout = (waiting || !self.runs.is_empty()).then(|| CHECK_INTERVAL.duration());
+            let active = !self.runs.is_empty() || !self.calls.is_empty();
+            let timeout = (waiting || active).then(|| CHECK_INTERVAL.duration());
             self.wait(timeout)?;
             self.advance();
+            self.advance_calls();
         }
     }
 
-    /// Reports the number of runs per target to the other hosts.
+    /// Reports the number of runs and reward calls per target to the other hosts.
     fn report(&self) {
         let mut running: HashMap<TargetName, u32> = HashMap::new();
-        for run in &self.runs {
-            *running.entry(run.target.clone()).or_default() += 1;
+        let runs = self.runs.iter().map(|run| &run.target);
+        for target in runs.chain(self.calls.iter().map(|call| &call.target)) {
+            *running.entry(target.clone()).or_default() += 1;
         }
         let shared = &self.shared;
         shared.reports.send(shared, shared.incarnation, running);
@@ -101,12 +109,74 @@
     fn wait(&self, timeout: Option<Duration>) -> io::Result<()> {
         let mut sockets = vec![self.shared.owned_batches.waker.socket()];
         sockets.extend(self.runs.iter().map(|run| run.exchange.socket()));
+        sockets.extend(self.calls.iter().map(|call| call.exchange().socket()));
         let activity = &self.shared.runner_activity;
         activity.wait(|| wait(&sockets, timeout))?;
         self.shared.owned_batches.waker.clear();
         Ok(())
     }
 
+    /// Starts the reward calls that may start now; returns whether any is left waiting.
+    fn start_calls(&mut self) -> bool {
+        let shared = Arc::clone(&self.shared);
+        let Some(configuration) = shared.configuration() else {
+            return false;
+        };
+        let now = shared.clock.now();
+        let mut waiting = false;
+        let mut parts = shared.owned_batches.lock();
+        for (number, part) in &mut *parts {
+            let ownership = (*number, part.epoch);
+            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+                let (calls, others) = batch.next_calls(now);
+                waiting |= others;
+                for item in calls {
+                    let started =
+                        RewardCall::start(&shared, &configuration, batch, item, ownership);
+                    let Some(call) = started else {
+                        waiting = true;
+                        break;
+                    };
+                    batch.items[item].state = super::ItemState::Running;
+                    self.calls.push(call);
+                }
+            }
+        }
+        waiting
+    }
+
+    /// Serves the sockets of all reward calls, and drops the calls whose batch has ended or whose
+    /// partition this host no longer owns.
+    fn advance_calls(&mut self) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        let now = shared.clock.now();
+        let mut parts = shared.owned_batches.lock();
+        let mut active = Vec::with_capacity(self.calls.len());
+        for mut call in std::mem::take(&mut self.calls) {
+            let (number, epoch) = call.ownership;
+            let part = parts.get_mut(&number).filter(|part| part.epoch == epoch);
+            let batch = part.and_then(|part| part.batches.get_mut(&call.submission.id));
+            let Some(batch) = batch.filter(|batch| !batch.ended) else {
+                call.drop_call(&shared, now);
+                continue;
+            };
+            let Some(outcome) = call.step(&shared, now) else {
+                active.push(call);
+                continue;
+            };
+            let finished = call.end(&shared, batch, outcome, now);
+            if let (Some(finished), Some(part)) = (finished, parts.get_mut(&number)) {
+                part.send_result(finished);
+            }
+            call.release(&shared);
+        }
+        drop(parts);
+        self.calls = active;
+    }
+
     /// Starts the items that may start now; returns whether any item is left waiting.
     fn start_items(&mut self) -> bool {
         let Some(configuration) = self.shared.configuration() else {
@@ -467,6 +537,15 @@
                     .fleet()
                     .finish(&self.target, Outcome::Answered(took_ms as f64), now);
                 let (events, moves) = (self.pace.events, batch.items[self.item].moves);
+                if spec.scorer.is_some() {
+                    batch.complete_text(self.item, now);
+                    log::info!(
+                        batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
+                        took_ms, events, moves, between_ms = self.pace.interval_ms;
+                        "output complete, reward call due"
+                    );
+                    return None;
+                }
                 let finished = batch.finish(self.item, true);
                 log::info!(
                     batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -3,7 +3,7 @@
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::{ItemResult, Submission, order_items};
+use super::{ItemResult, RewardOutcome, Submission, groups, order_items};
 
 /// Delay before an item is retried after a run failed. Refused items are not delayed, since the
 /// refusing target is paused itself.
@@ -32,6 +32,10 @@
     pub versions: Vec<u64>,
     /// Version of the model that generates the next events, if known.
     pub version: Option<u64>,
+    /// Whether the output is complete, so that only its reward call is missing. Stored as an
+    /// extension.
+    #[serde(skip)]
+    pub complete: bool,
 }
 
 impl ItemProgress {
@@ -89,6 +93,14 @@
     pub progress: ItemProgress,
     /// Number of the last event that the store holds, or may hold; `None` if nothing was saved.
     pub saved_event: Option<u64>,
+    /// Whether the store holds, or may hold, that the output is complete.
+    pub saved_complete: bool,
+    /// When the output was complete at this host.
+    pub complete_since: Option<Millis>,
+    /// Number of reward calls that a target answered as failed.
+    pub call_failures: u32,
+    /// Number of reward calls in a row without a valid response.
+    pub call_tries: u32,
     /// Number of the last event at the time of the previous broken run.
     break_event: Option<u64>,
 }
@@ -97,7 +109,14 @@
     /// Returns whether the item is unfinished and has at least `events` events that are not saved.
     pub fn has_unsaved(&self, events: u64) -> bool {
         let known = self.progress.last_event.unwrap_or_default();
-        self.state != ItemState::Done && known >= self.saved_event.unwrap_or_default() + events
+        let completed = self.progress.complete && !self.saved_complete;
+        self.state != ItemState::Done
+            && (completed || known >= self.saved_event.unwrap_or_default() + events)
+    }
+
+    /// Returns whether the item's output is complete and its reward call may start.
+    fn awaits_call(&self) -> bool {
+        self.progress.complete && matches!(self.state, ItemState::Waiting { .. })
     }
 
     /// Counts consecutive broken runs without a new event.
@@ -175,6 +194,8 @@
     pub ended: bool,
     /// Indexes of the items in the order in which they start.
     order: Vec<usize>,
+    /// Number of each item's group.
+    group_numbers: Vec<usize>,
 }
 
 impl Batch {
@@ -190,6 +211,10 @@
             moves: 0,
             progress: ItemProgress::default(),
             saved_event: None,
+            saved_complete: false,
+            complete_since: None,
+            call_failures: 0,
+            call_tries: 0,
             break_event: None,
         };
         let mut items = vec![waiting; submission.items.len()];
@@ -198,8 +223,15 @@
                 item.state = ItemState::Done;
             }
         }
+        let mut group_numbers = vec![0; submission.items.len()];
+        for (number, items) in groups(&submission.items).into_values().enumerate() {
+            for item in items {
+                group_numbers[item] = number;
+            }
+        }
         Self {
             order: order_items(&submission),
+            group_numbers,
             submission,
             items,
             results,
@@ -213,12 +245,74 @@
         let item = self.items.get_mut(item as usize);
         if let Some(item) = item.filter(|item| item.progress.last_event.is_none()) {
             item.saved_event = progress.last_event;
+            item.saved_complete = progress.complete;
             if item.state != ItemState::Done {
                 item.progress = progress;
             }
         }
     }
 
+    /// Returns the items whose reward call may start now, and whether others wait for theirs. Items
+    /// of groups with the fewest unfinished items come first: a trainer can use only whole groups.
+    pub fn next_calls(&self, now: Millis) -> (Vec<usize>, bool) {
+        let waiting = |index: &usize| self.items[*index].awaits_call();
+        let mut calls: Vec<usize> = self.order.iter().copied().filter(waiting).collect();
+        if self.ended || calls.is_empty() {
+            return (Vec::new(), false);
+        }
+        let mut unfinished = vec![0_usize; self.items.len()];
+        for (index, item) in self.items.iter().enumerate() {
+            unfinished[self.group_numbers[index]] += usize::from(item.state != ItemState::Done);
+        }
+        let count = calls.len();
+        calls.retain(|index| {
+            matches!(self.items[*index].state, ItemState::Waiting { not_before } if not_before <= now)
+        });
+        calls.sort_by_key(|index| unfinished[self.group_numbers[*index]]);
+        let others = calls.len() < count;
+        (calls, others)
+    }
+
+    /// Records that the output of an item is complete; its reward call follows.
+    pub fn complete_text(&mut self, index: usize, now: Millis) {
+        let item = &mut self.items[index];
+        item.progress.complete = true;
+        item.complete_since = Some(now);
+        item.state = ItemState::Waiting { not_before: now };
+    }
+
+    /// Records how an item's reward call ended; returns the item's result once it has one. `attempts`
+    /// is the number of failed calls after which the item is given up, and `draw` a random number in
+    /// `0.0..1.0` that spreads the next call.
+    pub fn end_call(
+        &mut self,
+        index: usize,
+        outcome: RewardOutcome,
+        attempts: u32,
+        now: Millis,
+        draw: f64,
+    ) -> Option<Finished> {
+        let item = &mut self.items[index];
+        match outcome {
+            RewardOutcome::Scored(score) => {
+                let mut finished = self.finish(index, true);
+                finished.result.score = Some(score);
+                return Some(finished);
+            }
+            RewardOutcome::Failed => item.call_failures += 1,
+            RewardOutcome::NotRun | RewardOutcome::Broken => {}
+        }
+        if item.call_failures >= attempts.max(1) {
+            return Some(self.finish(index, false));
+        }
+        let pause = super::call_backoff(item.call_tries, draw);
+        item.call_tries += 1;
+        item.state = ItemState::Waiting {
+            not_before: now + pause,
+        };
+        None
+    }
+
     /// Returns the next item that may start now.
     ///
     /// # Errors
@@ -231,6 +325,9 @@
         }
         let mut soonest: Option<Millis> = None;
         for index in &self.order {
+            if self.items[*index].progress.complete {
+                continue;
+            }
             match self.items[*index].state {
                 ItemState::Waiting { not_before } if not_before <= now => return Ok(*index),
                 ItemState::Waiting { not_before } => {
@@ -288,6 +385,7 @@
             result: ItemResult {
                 item: index as u32,
                 completed,
+                score: None,
                 versions: if completed {
                     progress.distinct_versions()
                 } else {
--- a/crates/godwitspool-host/src/batch/stored_results.rs
+++ b/crates/godwitspool-host/src/batch/stored_results.rs
@@ -3,7 +3,7 @@
     sync::Arc,
 };
 
-use super::{BatchRecord, ItemProgress, ItemResult};
+use super::{BatchRecord, ItemProgress, ItemResult, wire};
 use crate::store::StoredRecord;
 
 /// Results and partial output of batches, assembled from the records of a partition.
@@ -57,7 +57,7 @@
                 if chunks.len() == chunk_count as usize {
                     let chunks = self.chunks.remove(&key).unwrap_or_default();
                     let bytes: Vec<u8> = chunks.into_values().flatten().collect();
-                    let result = postcard::from_bytes(&bytes);
+                    let result = wire::decode_result(&bytes);
                     let result = result
                         .map_err(|error| format!("result {position} of {}: {error}", key.0))?;
                     self.put(key.0, position, result);
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -6,7 +6,7 @@
 use godwitspool_types::{Key, ModelName, ServiceName, TargetName, Workspace};
 
 use crate::{
-    batch::{ItemSpec, ResultPage, Submission},
+    batch::{ItemSpec, ResultPage, ScoreCall, Submission},
     http::{Request, Response},
     version::{Configuration, Route, TargetEntry},
 };
@@ -84,8 +84,8 @@
     pub id: Option<String>,
     /// Whether the target states that it has not run the request.
     pub not_run: bool,
-    /// Whether the response carries the target's signature.
-    pub signed: bool,
+    /// The target's signature over the response, if it carries one.
+    pub signature: Option<String>,
     /// Version of the model that served the request.
     pub version: Option<u64>,
 }
@@ -169,6 +169,9 @@
         context: &ForwardContext<'_>,
     ) -> Request;
 
+    /// Returns the request of a reward call. It carries no key and no workspace.
+    fn score_request(&self, call: &ScoreCall, context: &ForwardContext<'_>) -> Request;
+
     /// Reads the header fields of a target's response.
     fn reply(&self, response: &Response) -> Reply;
 
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -163,6 +163,17 @@
     workspace: Option<Workspace>,
 }
 
+/// Returns why the reward calls of a submission can't be served. A newer configuration may have
+/// what is missing, so this isn't the caller's error.
+fn check_scorers(configuration: &Configuration, submission: &Submission) -> Option<String> {
+    submission.items.iter().find_map(|item| {
+        let call = item.scorer.as_ref()?;
+        let path = call.path.split('?').next().unwrap_or_default();
+        let unknown = configuration.route(&call.host, path).is_none();
+        unknown.then(|| format!("item {}: no route for its reward call", item.id))
+    })
+}
+
 impl BatchCall<'_> {
     fn answer(&self) -> Response {
         match &self.call.kind {
@@ -179,6 +190,10 @@
 
     /// Stores a batch and acknowledges it with 202.
     fn submit(&self, configuration: &Configuration, submission: &Submission) -> Response {
+        if let Some(reason) = check_scorers(configuration, submission) {
+            log::info!(batch:% = submission.id, configuration = configuration.version, reason; "batch refused");
+            return self.shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE);
+        }
         let parts = self.shared.settings.store.parts;
         let calls = BatchRecord::of_submission(submission, &self.shared.settings.store);
         let part = partition_of(&submission.id, parts);
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -77,6 +77,10 @@
     pub runs: CounterByReason,
     /// Durations of completed runs in seconds.
     pub run_seconds: Histogram,
+    /// Number of reward calls by outcome.
+    pub calls: CounterByReason,
+    /// Times from an item's complete output to its score in seconds.
+    pub score_seconds: Histogram,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -131,7 +135,10 @@
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let orders = metrics.counter_by_reason("orders", "Orders to targets by what came of them");
-        let calls =
+        let calls = metrics.counter_by_reason("reward_calls", "Reward calls by how they ended");
+        let score_seconds =
+            metrics.seconds_histogram("score_seconds", "Times from a complete output to its score");
+        let store_calls =
             metrics.counter_by_reason("store_calls", "Calls to the store by way and outcome");
         let call_seconds =
             metrics.seconds_histogram("store_seconds", "Times of calls to the store");
@@ -161,6 +168,8 @@
             answer_seconds,
             runs,
             run_seconds,
+            calls,
+            score_seconds,
             orders,
             mirrors: Mutex::default(),
             versions: Mutex::default(),
@@ -173,7 +182,7 @@
                 &settings.seeds,
                 own_addresses,
                 RelayMetrics {
-                    calls,
+                    calls: store_calls,
                     seconds: call_seconds,
                 },
             )),
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -346,7 +346,7 @@
             return None;
         }
         let status = attempt.exchange.head().map_or(0, |head| head.status);
-        if (200..300).contains(&status) && !reply.signed {
+        if (200..300).contains(&status) && reply.signature.is_none() {
             log::warn!(request = self.call.request(), target_name:% = attempt.target, status; "successful response without a signature");
             self.started += 1;
             self.record_outcome(&attempt, Outcome::Failed);
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -388,6 +388,26 @@
         })
     }
 
+    /// Chooses the target for a reward call: the least loaded one that isn't paused and has less than
+    /// half of its slots in use, targets of the own data centre first.
+    ///
+    /// Load pattern: the outputs of a step become complete at the same time, and interactive callers
+    /// use the same targets. The half that stays free serves them without a queue.
+    pub fn place_call(
+        &self,
+        service: &ServiceName,
+        dc: &Dc,
+        now: Millis,
+    ) -> Option<(TargetName, SocketAddr)> {
+        let usable = self.usable(service).into_iter();
+        let free = usable.filter(|target| {
+            let limit = (target.entry.slots / 2).max(1);
+            target.paused_until <= now && target.total_running(now) < limit
+        });
+        let best = free.min_by_key(|target| (target.total_running(now), target.entry.dc != *dc));
+        best.map(|target| (target.entry.name.clone(), target.entry.address))
+    }
+
     /// Assigns each target of a service to one of its models, as evenly as possible. Rendezvous
     /// hashing keeps most assignments when a target joins or leaves.
     pub fn assign_models(
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -223,6 +223,7 @@
             completed: true,
             output: b"x".to_vec(),
             versions: vec![1],
+            ..ItemResult::default()
         },
     };
     let read = || match registry.read("b", None, 0, Duration::ZERO) {
@@ -391,6 +392,7 @@
         completed: true,
         output: (0..bytes).map(|index| index as u8).collect(),
         versions: vec![3],
+        ..ItemResult::default()
     }
 }
 
--- a/crates/godwitspool-version/tests/append_budget.rs
+++ b/crates/godwitspool-version/tests/append_budget.rs
@@ -56,8 +56,10 @@
 fn only_the_newest_waiting_record_of_a_lease_is_appended() {
     let mut budget = AppendBudget::new([(Stream::Lease, LIMITS)]);
     let record = |lease, incarnation, step| {
-        let mut holder = HostLife::default();
-        holder.incarnation = Incarnation(incarnation);
+        let holder = HostLife {
+            incarnation: Incarnation(incarnation),
+            ..HostLife::default()
+        };
         Record::new(RecordBody::Lease(LeaseRecord {
             step,
             lease,
