Host: a lease that ran out isn't extended under its old epoch

Cause: DutyLease::renew kept the epoch of a lease as long as it wasn't released, also after it had run out. Change: duty::Lease decides it, apart from input and output: only a valid lease is extended. Before: a_holder_that_was_frozen_comes_back_under_a_higher_fence fails, no further window is reported in 30 s. After: it passes.

--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     dialect::{DutyError, Fence, LoadMode, LoadOrder, Ordered, WindowReport},
-    duty::{LoadView, Loading, next_load, plan_loads},
+    duty::{Lease, LoadView, Loading, next_load, plan_loads},
     http::Exchange,
     store::{Record, Store, StoreError, Topic, Writer, read_all},
     version::Outcome,
@@ -36,41 +36,35 @@
 
 /// This host's lease on the duties, which one host at a time performs.
 #[derive(Debug, Default)]
-pub struct DutyLease(Mutex<Option<HeldLease>>);
-
-#[derive(Clone, Copy, Debug)]
-struct HeldLease {
-    epoch: u64,
-    until: Millis,
-}
+pub struct DutyLease(Mutex<Option<Lease>>);
 
 impl DutyLease {
-    fn lock(&self) -> MutexGuard<'_, Option<HeldLease>> {
+    fn lock(&self) -> MutexGuard<'_, Option<Lease>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Acquires the lease, or extends it. An extended lease keeps its epoch.
+    /// Acquires the lease, or extends it if it is still valid.
     pub fn renew(&self, epoch: u64, until: Millis) {
-        let mut hold = self.lock();
-        let epoch = hold.map_or(epoch, |hold| hold.epoch);
-        if hold.is_none() {
-            log::info!(epoch; "duties taken over");
+        let mut held = self.lock();
+        let renewed = Lease::renew(*held, epoch, until, lease_clock());
+        if held.is_none_or(|held| held.epoch != renewed.epoch) {
+            log::info!(epoch = renewed.epoch, expired = held.map(|held| held.epoch); "duties taken over");
         }
-        *hold = Some(HeldLease { epoch, until });
+        *held = Some(renewed);
     }
 
     /// Releases the lease if it is held.
     pub fn release(&self) {
-        if let Some(hold) = self.lock().take() {
-            log::info!(epoch = hold.epoch; "duties given up");
+        if let Some(held) = self.lock().take() {
+            log::info!(epoch = held.epoch; "duties given up");
         }
     }
 
     /// Returns the epoch of the lease, or `None` if it isn't held or may have expired.
     fn epoch(&self) -> Option<u64> {
-        let hold = *self.lock();
-        hold.filter(|hold| lease_clock() < hold.until)
-            .map(|hold| hold.epoch)
+        let held = *self.lock();
+        held.filter(|held| held.is_valid(lease_clock()))
+            .map(|held| held.epoch)
     }
 }
 
