Host: an abandoned request resets its connection

Cause: an exchange that was given up closed its connection normally. Bytes that a cut holds up are then still delivered once it heals. Change: Connection resets itself when it is dropped while a request is unanswered. Before: an_abandoned_request_resets_its_connection fails, the peer reads a normal end. After: it passes.

--- a/crates/godwitspool-host/src/http/connection.rs
+++ b/crates/godwitspool-host/src/http/connection.rs
@@ -28,6 +28,21 @@
     pub keep_alive_timeout: Option<Duration>,
     /// Number of requests started on this connection.
     pub requests: u64,
+    /// Whether a request was begun whose response isn't complete. The connection is reset if it is
+    /// dropped in this state.
+    pub in_exchange: bool,
+}
+
+/// Resets the connection if its request was abandoned. After a normal close, bytes that a cut holds
+/// up would still arrive once it heals, seconds after the caller has given the request up.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.in_exchange
+            && let Err(error) = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!(error:%; "can't reset an abandoned connection");
+        }
+    }
 }
 
 /// Result of a read.
@@ -82,6 +97,7 @@
             idle_since: Instant::now(),
             keep_alive_timeout: None,
             requests: 0,
+            in_exchange: false,
         }
     }
 
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -85,6 +85,7 @@
     pub fn new(mut connection: Connection, request: &Request) -> Self {
         let connecting = connection.requests == 0;
         connection.requests += 1;
+        connection.in_exchange = true;
         Self {
             connection,
             connecting,
@@ -217,7 +218,9 @@
 
     /// Returns the response, and the connection if it can carry another request.
     pub fn finish(mut self) -> (Response, Option<Connection>) {
-        let reusable = self.decoder.as_ref().is_some_and(BodyDecoder::is_done)
+        let done = self.decoder.as_ref().is_some_and(BodyDecoder::is_done);
+        self.connection.in_exchange = !done;
+        let reusable = done
             && self.sent == self.output.len()
             && self.connection.input.is_empty()
             && !self.skipped
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -3,15 +3,15 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use godwitspool_host::http::{
-    BodyDecoder, Bounds, Caller, ChunkState, DecodeError, Headers, Request, Response, Server,
-    decode_request, decode_response,
+    BodyDecoder, Bounds, Caller, ChunkState, DecodeError, Exchange, Headers, Pool, Request,
+    Response, Server, decode_request, decode_response,
 };
 use rstest::rstest;
 
@@ -163,3 +163,40 @@
     server.stop();
     await_ended(&server);
 }
+
+/// Guards against an order that is given up and still carried out: bytes that a cut holds up arrive
+/// after a normal close, but not after a reset.
+#[test]
+fn an_abandoned_request_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let request = Request::new("POST", "/api/order", b"order".to_vec());
+    let timeout = Duration::from_millis(100);
+    let called = Exchange::call(&Pool::default(), address, &request, timeout);
+    assert!(called.unwrap_err().was_sent());
+    let (mut peer, _) = listener.accept().unwrap();
+    peer.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let ended = peer.read_to_end(&mut Vec::new());
+    assert_eq!(ended.unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
+#[test]
+fn an_answered_request_leaves_its_connection_open() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut peer, _) = listener.accept().unwrap();
+        peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            .unwrap();
+        peer.read_to_end(&mut Vec::new())
+    });
+    let pool = Pool::default();
+    let request = Request::new("GET", "/x", Vec::new());
+    let answer = Exchange::call(&pool, address, &request, WAIT_TIMEOUT).unwrap();
+    assert_eq!(answer.status, 200);
+    drop(pool);
+    assert!(
+        server.join().unwrap().is_ok(),
+        "an idle connection is closed normally"
+    );
+}
