Host: the age of the targets' entries stands in log and metrics

Each choice of a target now observes the age of the newest read of the entries: the histogram entry_age_seconds, and entries_ms in the lines 'item starts' and 'request not served'. The age counts from when that read began, by the clock that counts suspensions. No decision changes.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -108,6 +108,7 @@
         let timeout = timeout.min(CALL_TIMEOUT);
         let mut fleet = shared.fleet();
         let (target, address) = fleet.place_call(&service, &shared.settings.dc, now)?;
+        shared.observe_entry_age(&fleet);
         fleet.start(&target);
         drop(fleet);
         let context = ForwardContext {
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -261,6 +261,7 @@
             now,
         )?;
         let (name, address) = (place.target, place.address);
+        let entries_ms = shared.observe_entry_age(&fleet);
         let context = ForwardContext {
             target: &name,
             workspace: Some(&submission.workspace),
@@ -282,7 +283,7 @@
         drop(fleet);
         log::info!(
             batch:% = submission.id, item:% = spec.id, target_name:% = name,
-            resume_after:? = progress.last_event, failures = batch.items[index].failures;
+            resume_after:? = progress.last_event, failures = batch.items[index].failures, entries_ms;
             "item starts"
         );
         Some(Run {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -81,6 +81,8 @@
     pub calls: CounterByReason,
     /// Times from an item's complete output to its score in seconds.
     pub score_seconds: Histogram,
+    /// Ages of the targets' entries at the time that a target was chosen, in seconds.
+    pub entry_age: Histogram,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -138,6 +140,10 @@
         let calls = metrics.counter_by_reason("reward_calls", "Reward calls by how they ended");
         let score_seconds =
             metrics.seconds_histogram("score_seconds", "Times from a complete output to its score");
+        let entry_age = metrics.seconds_histogram(
+            "entry_age_seconds",
+            "Ages of the targets' entries when a target was chosen",
+        );
         let store_calls =
             metrics.counter_by_reason("store_calls", "Calls to the store by way and outcome");
         let call_seconds =
@@ -170,6 +176,7 @@
             run_seconds,
             calls,
             score_seconds,
+            entry_age,
             orders,
             mirrors: Mutex::default(),
             versions: Mutex::default(),
@@ -219,6 +226,14 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Observes the age of the targets' entries by which a target was chosen, and returns it in
+    /// milliseconds.
+    pub fn observe_entry_age(&self, fleet: &Fleet) -> Option<u64> {
+        let age = fleet.freshness.age(lease_clock())?;
+        self.entry_age.observe(age.seconds());
+        Some(age.0)
+    }
+
     /// Returns the newest known version of each model.
     pub fn newest_versions(&self) -> HashMap<ModelName, u64> {
         self.versions
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -8,7 +8,7 @@
 use godwitspool_sync::MutexGuard;
 use godwitspool_types::{Millis, ModelName, TargetName};
 
-use super::Shared;
+use super::{Shared, shared::lease_clock};
 use crate::{
     dialect::OperatorRecord,
     store::{READ_SLACK, Topic},
@@ -53,6 +53,7 @@
     let wait = read_wait(shared.settings.apply_timeout);
     loop {
         let next = mirrors(shared)[index(topic)].next();
+        let began = lease_clock();
         let fetched = Mirror::fetch(shared.store.as_ref(), topic, next, wait);
         let now = shared.clock.now();
         match fetched {
@@ -65,6 +66,7 @@
                 let lapsing = last_failure.is_some_and(|failed| now - failed < LAPSE_WINDOW);
                 apply(shared, topic, changes, lapsing);
                 if topic == Topic::Targets {
+                    shared.fleet().freshness.confirm(began);
                     expire(shared, now);
                     thread::sleep(TARGETS_READ_INTERVAL);
                 }
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -62,6 +62,8 @@
     started: u32,
     /// Unix time at which a target may first have started to process it; decides the usage window.
     started_ms: Option<u64>,
+    /// Age of the targets' entries at the last choice, in milliseconds.
+    entries_ms: Option<u64>,
     /// A server error from a target, returned to the caller if no later attempt succeeds.
     fallback: Option<Response>,
 }
@@ -118,6 +120,7 @@
         tried: Vec::new(),
         started: 0,
         started_ms: None,
+        entries_ms: None,
         fallback: None,
     };
     let ended = forward.run(caller);
@@ -129,7 +132,7 @@
             .as_millis() as u64;
         log::info!(
             request = call.request(), route = route.name, service:% = forward.service,
-            tried:? = forward.tried, begun = forward.started,
+            tried:? = forward.tried, begun = forward.started, entries_ms = forward.entries_ms,
             took_ms = forward.arrived.elapsed().as_millis() as u64, left_ms, ended:?;
             "request not served"
         );
@@ -238,6 +241,7 @@
                 return false;
             };
             self.tried.push(target.clone());
+            self.entries_ms = self.shared.observe_entry_age(&fleet);
             fleet.start(&target);
             drop(fleet);
             let context = ForwardContext {
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -6,6 +6,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
+use super::Freshness;
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -126,6 +127,8 @@
     targets: HashMap<TargetName, Target>,
     /// Number and time of each other host's newest report.
     reports: HashMap<u32, (u64, Millis)>,
+    /// How current the entries are.
+    pub freshness: Freshness,
 }
 
 impl Target {
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -3,10 +3,12 @@
 
 mod configuration;
 mod fleet;
+mod freshness;
 mod mirror;
 
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
+pub use freshness::Freshness;
 pub use mirror::{Fetched, Mirror, MirrorChange};
