Host: an entry removed after an outage is a notice again, not a lapse

What callers saw: requests reached targets more than drain_ms after these had left the list (DRAIN). Cause: each removed entry that was read within 4 s of the end of a failed read counted as expired in an outage, and its target was kept for 2 s more, counted from when the removal was read. The age of that evidence wasn't bounded by the outage: a target that left 3 s after the store's return was used until 2 s and a read behind its notice. Class: old evidence stretches a new fact. Change: Lapse decides, apart from input and output. Removals count as lapses until 2 s after the first read that succeeded, and at most 3 s after the last failed one began; the target is kept until then and no longer. Evidence: a_target_whose_entry_is_removed_after_an_outage_gets_no_late_request fails before ('a request reached the target 2041 ms after its notice') and passes after. The test of two seconds in tests/fleet.rs now gives the end of the time, which Lapse's tests derive from the outage as strictly as before.

--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -12,7 +12,7 @@
 use crate::{
     dialect::OperatorRecord,
     store::{READ_SLACK, Topic},
-    version::{Mirror, MirrorChange},
+    version::{Lapse, Mirror, MirrorChange},
 };
 
 /// Minimum time that one read waits for new records, however short the apply timeout is.
@@ -25,9 +25,6 @@
 const TARGETS_READ_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Entries removed within this time after a failed read may have expired only because the store was
-/// unreachable.
-const LAPSE_WINDOW: Millis = Millis(4_000);
 
 /// Returns how long one read waits for new records. The wait is short enough that a configuration
 /// is in force within the apply timeout even if the response that carried it is lost and the read
@@ -48,12 +45,12 @@
 
 /// Follows the operators' records or the targets' entries until the process exits.
 pub fn follow(shared: &Arc<Shared>, topic: Topic) {
-    let mut last_failure: Option<Millis> = None;
+    let mut lapse = Lapse::default();
     let mut unreachable = false;
     let wait = read_wait(shared.settings.apply_timeout);
     loop {
         let next = mirrors(shared)[index(topic)].next();
-        let began = lease_clock();
+        let (began, lease_began) = (shared.clock.now(), lease_clock());
         let fetched = Mirror::fetch(shared.store.as_ref(), topic, next, wait);
         let now = shared.clock.now();
         match fetched {
@@ -63,10 +60,10 @@
                     unreachable = false;
                 }
                 let changes = mirrors(shared)[index(topic)].update(fetched, now);
-                let lapsing = last_failure.is_some_and(|failed| now - failed < LAPSE_WINDOW);
-                apply(shared, topic, changes, lapsing);
+                lapse.succeed(now);
+                apply(shared, topic, changes, lapse.keep_until(now));
                 if topic == Topic::Targets {
-                    shared.fleet().freshness.confirm(began);
+                    shared.fleet().freshness.confirm(lease_began);
                     expire(shared, now);
                     thread::sleep(TARGETS_READ_INTERVAL);
                 }
@@ -76,7 +73,7 @@
                     log::warn!(topic:?, error:%; "can't read from the store");
                     unreachable = true;
                 }
-                last_failure = Some(now);
+                lapse.fail(began);
                 thread::sleep(RETRY_DELAY);
             }
         }
@@ -94,13 +91,13 @@
     usize::from(topic == Topic::Targets)
 }
 
-fn apply(shared: &Shared, topic: Topic, changes: Vec<MirrorChange>, lapsing: bool) {
+fn apply(shared: &Shared, topic: Topic, changes: Vec<MirrorChange>, keep_until: Option<Millis>) {
     if changes.is_empty() {
         return;
     }
     for change in changes {
         match topic {
-            Topic::Targets => apply_target(shared, &change, lapsing),
+            Topic::Targets => apply_target(shared, &change, keep_until),
             _ => apply_operator(shared, &change),
         }
     }
@@ -131,12 +128,12 @@
     }
 }
 
-fn apply_target(shared: &Shared, change: &MirrorChange, lapsing: bool) {
-    let now = shared.clock.now();
+fn apply_target(shared: &Shared, change: &MirrorChange, keep_until: Option<Millis>) {
     let name = TargetName::from(change.key.as_str());
     let Some(value) = &change.value else {
+        let lapsing = keep_until.is_some();
         log::info!(target_name:% = name, lapsing, offset = change.offset; "target's entry removed");
-        shared.fleet().remove(&name, now, lapsing);
+        shared.fleet().remove(&name, keep_until);
         return;
     };
     match shared.dialect.target_entry(&change.key, value) {
@@ -144,7 +141,7 @@
             let mut fleet = shared.fleet();
             let known = fleet.get(&name);
             let is_changed =
-                known.is_none_or(|known| known.entry != entry || known.lapsed.is_some());
+                known.is_none_or(|known| known.entry != entry || known.kept_until.is_some());
             let (draining, models) = (entry.draining, sorted(&entry.models));
             let (service, address, born) = (entry.service.clone(), entry.address, entry.born);
             // An unchanged entry is applied too, because it may have lapsed before.
@@ -159,7 +156,7 @@
         }
         Err(reason) => {
             log::warn!(target_name:% = name, offset = change.offset, reason:%; "target's entry is invalid, ignored");
-            shared.fleet().remove(&name, now, false);
+            shared.fleet().remove(&name, None);
         }
     }
 }
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -39,9 +39,6 @@
 const SLOW_FACTOR: f64 = 1.6;
 /// Weight of the newest interval between events in a target's pace.
 const PACE_SMOOTHING: f64 = 0.2;
-/// How long a removed target is kept if the store was unavailable just before: entries that expired
-/// during the outage are written again within two seconds.
-const LAPSE_GRACE: Millis = Millis(2_000);
 
 /// The entry with which a target registers itself in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -101,9 +98,9 @@
     pub pace: Option<(f64, Millis)>,
     /// Last load that the target has begun: model, version and time.
     pub loading: Option<(ModelName, u64, Millis)>,
-    /// When its entry vanished, if the entry may have expired only because the store was
-    /// unavailable.
-    pub lapsed: Option<Millis>,
+    /// Until when it is kept although its entry was removed: the entry may have expired only because
+    /// the store was unavailable.
+    pub kept_until: Option<Millis>,
 }
 
 /// The target that was chosen for an item.
@@ -169,7 +166,7 @@
                     *newest = (*newest).max(*version);
                 }
                 target.entry = entry;
-                target.lapsed = None;
+                target.kept_until = None;
                 true
             }
             _ => {
@@ -181,7 +178,7 @@
                     latency_ms: INITIAL_LATENCY_MS,
                     pace: None,
                     loading: None,
-                    lapsed: None,
+                    kept_until: None,
                     entry,
                 };
                 self.targets.insert(target.entry.name.clone(), target);
@@ -190,12 +187,13 @@
         }
     }
 
-    /// Removes a target. If the store was unavailable, the entry may have expired only because of
-    /// that, and the target is kept until [`Self::expire`] removes it, unless it is draining.
-    pub fn remove(&mut self, name: &TargetName, now: Millis, store_unavailable: bool) {
+    /// Removes a target whose entry was removed. If the entry may have expired only because the store
+    /// was unavailable, the target is kept until `keep_until`, when [`Self::expire`] removes it, unless
+    /// it is draining.
+    pub fn remove(&mut self, name: &TargetName, keep_until: Option<Millis>) {
         match self.targets.get_mut(name) {
-            Some(target) if store_unavailable && !target.entry.draining => {
-                target.lapsed.get_or_insert(now);
+            Some(target) if keep_until.is_some() && !target.entry.draining => {
+                target.kept_until = target.kept_until.or(keep_until);
             }
             _ => {
                 self.targets.remove(name);
@@ -203,10 +201,9 @@
         }
     }
 
-    /// Removes the targets whose entries have not come back within two seconds, and returns their
-    /// names.
+    /// Removes the targets whose entries have not come back in time, and returns their names.
     pub fn expire(&mut self, now: Millis) -> Vec<TargetName> {
-        let is_expired = |target: &Target| target.lapsed.is_some_and(|at| now >= at + LAPSE_GRACE);
+        let is_expired = |target: &Target| target.kept_until.is_some_and(|until| now >= until);
         let gone: Vec<TargetName> = self
             .targets
             .values()
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod fleet;
 mod freshness;
+mod lapse;
 mod mirror;
 
 pub use configuration::{
@@ -11,4 +12,5 @@
 };
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use freshness::Freshness;
+pub use lapse::Lapse;
 pub use mirror::{Fetched, Mirror, MirrorChange};
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -65,8 +65,8 @@
 #[test]
 fn a_target_is_kept_for_two_seconds_if_its_entry_vanished_in_an_outage() {
     let mut fleet = fleet([entry("a", 1), entry("b", 1)]);
-    fleet.remove(&TargetName::from("a"), Millis(1_000), true);
-    fleet.remove(&TargetName::from("b"), Millis(1_000), false);
+    fleet.remove(&TargetName::from("a"), Some(Millis(3_000)));
+    fleet.remove(&TargetName::from("b"), None);
     assert!(fleet.get(&TargetName::from("b")).is_none());
     assert!(fleet.expire(Millis(2_999)).is_empty());
     assert_eq!(fleet.expire(Millis(3_000)), [TargetName::from("a")]);
