Host: no target is chosen by entries of unknown age

What callers saw: requests reached targets more than drain_ms after these had said that they leave (DRAIN). Cause: a choice took the targets' entries as they were, however old. A read of them waited 0.8 s, was given up 0.7 s later, then up to three hosts were asked for up to 1 s each; nothing looked at what that made of the entries' age. Class: a decision on cached state without a bound on its age. Change: Freshness, a pure module, says what a choice rests on. Entries count up to three quarters of drain_ms after the read that brought them began, by the clock that counts suspensions. Older ones are used only while an attempt to read newer ones has failed as recently: an outage of the store doesn't stop the service, and evidence of an outage ages like the entries. Otherwise nothing is chosen: items wait, requests wait up to 0.3 s for the read that is under way and are refused after that. All three choices (requests, items, reward calls) are behind it. Reads of entries wait 0.3 s, don't wait while they fail, go to the store itself at least each 0.3 s, and ask another host for 0.5 s at most. Left: a host that reaches neither the store nor another host serves on by entries of any age while its reads fail.

--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -10,9 +10,10 @@
 
 use godwitspool_process::{CounterByReason, Histogram};
 use godwitspool_sync::{Mutex, MutexGuard};
+use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::peers::address;
+use super::{peers::address, shared::lease_clock};
 use crate::{
     http::{CallError, Exchange, Pool, Request, Response},
     store::{
@@ -24,10 +25,14 @@
 pub const RELAY_PATH: &str = "/godwitspool/store";
 /// Interval at which the store is called directly while it is unreachable.
 const DIRECT_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// The same for reads of the targets' entries, which age meanwhile.
+const ENTRIES_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of hosts tried for one call.
 const MAX_PEERS_PER_CALL: usize = 3;
 /// Time allowed for a host's response in addition to the store's own timeout.
 const RELAY_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
+/// Time allowed for a host's response to a read, which doesn't wait for records.
+const RELAYED_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a relayed read without records. Relayed reads don't wait for new records, so that a
 /// host that can't reach the store either is detected quickly.
 const EMPTY_READ_DELAY: Duration = Duration::from_millis(200);
@@ -78,6 +83,8 @@
     /// When the store was last called directly, for each partition that is unreachable there. The
     /// key `None` stands for the hosts' group.
     unreachable: HashMap<Option<(Topic, u32)>, Instant>,
+    /// When the newest attempt that failed began, by the lease clock, for each partition.
+    failures: HashMap<Option<(Topic, u32)>, Millis>,
     /// Other hosts in the order in which they are tried. A host that reached the store moves to the
     /// front, a host that didn't moves to the back.
     peers: Vec<SocketAddr>,
@@ -102,8 +109,8 @@
             own_addresses,
             pool: Pool::default(),
             state: Mutex::new(State {
-                unreachable: HashMap::new(),
                 peers,
+                ..State::default()
             }),
         }
     }
@@ -137,6 +144,12 @@
         }
     }
 
+    /// Returns when the newest attempt to call the store about a partition that failed began, by the
+    /// lease clock, whether it was made directly or through another host.
+    pub fn last_failure(&self, topic: Topic, part: u32) -> Option<Millis> {
+        self.lock().failures.get(&Some((topic, part))).copied()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -150,7 +163,7 @@
         let last_direct = state.unreachable.get_mut(&place);
         let due = last_direct
             .as_ref()
-            .is_none_or(|last_direct| last_direct.elapsed() >= DIRECT_RETRY_INTERVAL);
+            .is_none_or(|last_direct| last_direct.elapsed() >= retry_interval(place));
         let direct = due || no_peers;
         if let Some(last_direct) = last_direct.filter(|_| direct) {
             *last_direct = Instant::now();
@@ -158,7 +171,7 @@
         drop(state);
         let mut failure = None;
         if direct {
-            let began = Instant::now();
+            let (began, lease_began) = (Instant::now(), lease_clock());
             let answer = execute(self.direct.as_ref(), call);
             if !matches!(call, StoreCall::Read(..)) {
                 self.metrics.seconds.observe(began.elapsed().as_secs_f64());
@@ -170,12 +183,11 @@
             });
             match answer {
                 Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
-                    if self
-                        .lock()
-                        .unreachable
-                        .insert(place, Instant::now())
-                        .is_none()
-                    {
+                    let mut state = self.lock();
+                    state.failures.insert(place, lease_began);
+                    let was_reachable = state.unreachable.insert(place, Instant::now()).is_none();
+                    drop(state);
+                    if was_reachable {
                         log::warn!(place:?, error:%; "store lost, other hosts are asked");
                     }
                     failure = Some(error);
@@ -216,15 +228,15 @@
         let body = postcard::to_stdvec(&relayed).map_err(|error| StoreError::NotDone {
             reason: error.to_string(),
         })?;
+        let timeout = match call {
+            StoreCall::Read(..) => RELAYED_READ_TIMEOUT,
+            _ => READ_SLACK + RELAY_TIMEOUT_MARGIN,
+        };
         let peers = self.lock().peers.clone();
         for peer in peers.into_iter().take(MAX_PEERS_PER_CALL) {
             let request = Request::new("POST", RELAY_PATH, body.clone());
-            let answer = Exchange::call(
-                &self.pool,
-                peer,
-                &request,
-                READ_SLACK + RELAY_TIMEOUT_MARGIN,
-            );
+            let began = lease_clock();
+            let answer = Exchange::call(&self.pool, peer, &request, timeout);
             let timed_out = matches!(answer, Err(CallError::Late { .. }));
             let error = match answer {
                 Ok(answer) if answer.status == 200 => {
@@ -251,6 +263,7 @@
                     reason: format!("{peer}: {error}"),
                 },
             };
+            self.lock().failures.insert(call.partition(), began);
             self.move_to_back(peer);
             let replaceable = matches!(failure, None | Some(StoreError::NotDone { .. }));
             if replaceable {
@@ -308,6 +321,14 @@
     }
 }
 
+/// Returns the interval at which the store is called directly while it is unreachable.
+fn retry_interval(place: Option<(Topic, u32)>) -> Duration {
+    match place {
+        Some((Topic::Targets, _)) => ENTRIES_RETRY_INTERVAL,
+        _ => DIRECT_RETRY_INTERVAL,
+    }
+}
+
 /// Executes a call on a store.
 fn execute(store: &dyn Store, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
     match call {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -19,10 +19,14 @@
     batch::BatchRegistry,
     dialect::{Dialect, Duties},
     http::Pool,
-    store::Store,
+    store::{Store, Topic},
     version::{Configuration, Fleet, Mirror},
 };
 
+/// Fraction of the time for which a leaving target serves on up to which its entry may be old when it
+/// is chosen.
+const ENTRY_AGE_FRACTION: f64 = 0.75;
+
 /// Implementations of the interfaces to the platform.
 #[derive(Clone)]
 pub struct Adapters {
@@ -165,7 +169,7 @@
             duties_activity: Activity::default(),
             runner_activity: Activity::default(),
             duties: adapters.duties,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(Fleet::new(max_entry_age(settings.drain).into())),
             incarnation,
             member,
             reports: Reports::open(settings.peer),
@@ -221,15 +225,18 @@
         true
     }
 
-    /// Locks and returns the known targets.
+    /// Locks and returns the known targets, with the age of their entries as of now.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+        let failed = self.store.last_failure(Topic::Targets, 0);
+        let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        fleet.freshness.advance(lease_clock(), failed);
+        fleet
     }
 
     /// Observes the age of the targets' entries by which a target was chosen, and returns it in
     /// milliseconds.
     pub fn observe_entry_age(&self, fleet: &Fleet) -> Option<u64> {
-        let age = fleet.freshness.age(lease_clock())?;
+        let age = fleet.freshness.age()?;
         self.entry_age.observe(age.seconds());
         Some(age.0)
     }
@@ -309,6 +316,12 @@
     }
 }
 
+/// Returns the maximum age of entries by which a target is chosen. The rest of the time for which a
+/// leaving target serves on is for connecting and sending.
+fn max_entry_age(drain: Duration) -> Duration {
+    drain.mul_f64(ENTRY_AGE_FRACTION)
+}
+
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -23,6 +23,8 @@
 /// the number of calls, and stays well below the time after which a leaving target must not be
 /// used.
 const TARGETS_READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Maximum time that one read of the targets' entries waits for new records.
+const TARGETS_READ_WAIT: Duration = Duration::from_millis(300);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -47,8 +49,17 @@
 pub fn follow(shared: &Arc<Shared>, topic: Topic) {
     let mut lapse = Lapse::default();
     let mut unreachable = false;
-    let wait = read_wait(shared.settings.apply_timeout);
+    let usual_wait = match topic {
+        Topic::Targets => TARGETS_READ_WAIT,
+        _ => read_wait(shared.settings.apply_timeout),
+    };
     loop {
+        // While reads fail, one that waits would only take longer to fail.
+        let wait = if unreachable && topic == Topic::Targets {
+            Duration::ZERO
+        } else {
+            usual_wait
+        };
         let next = mirrors(shared)[index(topic)].next();
         let (began, lease_began) = (shared.clock.now(), lease_clock());
         let fetched = Mirror::fetch(shared.store.as_ref(), topic, next, wait);
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -10,13 +10,18 @@
     dialect::{Call, ForwardContext, Reply},
     http::{Caller, Exchange, Progress, Request, Response, wait},
     process::{Shared, unix_ms},
-    version::{Outcome, Route, RouteKind},
+    version::{Basis, Outcome, Route, RouteKind},
 };
 
 /// Part of the time until the caller's deadline that is reserved for delivering the response.
 const DELIVERY_RESERVE: Duration = Duration::from_millis(15);
 /// Timeout of a request if neither its route nor its caller sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
+/// Maximum time that a request waits for newer entries of targets, if the known ones are too old to
+/// choose by.
+const MAX_ENTRY_WAIT: Duration = Duration::from_millis(300);
+/// Interval at which it looks for them.
+const ENTRY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Fraction of the route's latency goal after which an idempotent request without a response is
 /// hedged, so that the second target can still respond within the goal.
 const HEDGE_GOAL_FRACTION: f64 = 0.4;
@@ -146,8 +151,16 @@
 impl Forward<'_> {
     fn run(&mut self, caller: &mut Caller) -> io::Result<Ended> {
         let repeatable = self.route.kind == RouteKind::Idempotent;
+        let wait_until = self.due.min(self.arrived + MAX_ENTRY_WAIT);
         loop {
             if self.in_flight.is_empty() && !self.start_attempt(repeatable) {
+                let stale = self.shared.fleet().freshness.basis() == Basis::Stale;
+                if stale && Instant::now() < wait_until {
+                    if wait(&[caller.socket()], Some(ENTRY_POLL_INTERVAL))?[0].hangup {
+                        return Ok(Ended::CallerLeft);
+                    }
+                    continue;
+                }
                 return self.respond_unserved(caller);
             }
             // The response may have arrived while the request was being sent.
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -25,6 +25,9 @@
     pub grace: Duration,
     /// Maximum time from the acknowledgement of a configuration until it is in force.
     pub apply_timeout: Duration,
+    /// Time for which a target serves on after the store has acknowledged that it leaves. No request
+    /// may reach it later.
+    pub drain: Duration,
     /// Lease duration of duties: a host that holds the duties again waits this long after its last
     /// action. Without fencing, every new holder waits this long.
     pub lease: Duration,
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -6,7 +6,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::Freshness;
+use super::{Basis, Freshness};
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -154,6 +154,14 @@
 }
 
 impl Fleet {
+    /// Creates an empty fleet, with the maximum age of the entries by which a target is chosen.
+    pub fn new(max_entry_age: Millis) -> Self {
+        Self {
+            freshness: Freshness::new(max_entry_age),
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates a target from its entry. Returns false if the entry is from an earlier start
     /// of the target and was ignored.
     pub fn apply(&mut self, entry: TargetEntry) -> bool {
@@ -270,7 +278,7 @@
 
     /// Chooses the target for a request: the one with the lowest expected latency, given its
     /// smoothed latency and its load. Targets in other data centres count as 1.5 times slower.
-    /// Paused targets come last, and targets in `tried` are left out.
+    /// Paused targets come last, and targets in `tried` are left out. None is chosen by stale entries.
     pub fn choose(
         &self,
         service: &ServiceName,
@@ -278,6 +286,9 @@
         tried: &[TargetName],
         now: Millis,
     ) -> Option<&Target> {
+        if self.freshness.basis() == Basis::Stale {
+            return None;
+        }
         let usable = self.usable(service);
         let candidates = usable
             .into_iter()
@@ -345,7 +356,8 @@
 
     /// Chooses the target for an item of a batch, other than `excluded`: it must have a fitting
     /// version and a free slot, and must not be paused. Targets that aren't slow are preferred,
-    /// then targets that are assigned to the model; among equals the least loaded one is chosen.
+    /// then targets that are assigned to the model; among equals the least loaded one is chosen. None
+    /// is chosen by stale entries.
     ///
     /// Load pattern: a step submits some sixty items at the same time. Items for which there is no
     /// free slot wait at this host, where their order can still change, instead of in a target's
@@ -359,6 +371,9 @@
         excluded: Option<&TargetName>,
         now: Millis,
     ) -> Option<Placement> {
+        if self.freshness.basis() == Basis::Stale {
+            return None;
+        }
         let median = self.median_pace(service, now);
         let fitting = self.usable(service).into_iter().filter_map(|target| {
             let (version, expected) = target.version(model, now)?;
@@ -389,7 +404,7 @@
     }
 
     /// Chooses the target for a reward call: the least loaded one that isn't paused and has less than
-    /// half of its slots in use, targets of the own data centre first.
+    /// half of its slots in use, targets of the own data centre first. None is chosen by stale entries.
     ///
     /// Load pattern: the outputs of a step become complete at the same time, and interactive callers
     /// use the same targets. The half that stays free serves them without a queue.
@@ -399,6 +414,9 @@
         dc: &Dc,
         now: Millis,
     ) -> Option<(TargetName, SocketAddr)> {
+        if self.freshness.basis() == Basis::Stale {
+            return None;
+        }
         let usable = self.usable(service).into_iter();
         let free = usable.filter(|target| {
             let limit = (target.entry.slots / 2).max(1);
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -242,3 +242,32 @@
     send(&mut fleet, report(2, 1));
     assert_eq!(running(&fleet), 200);
 }
+
+/// Reads of the entries hang while targets are replaced: by old entries, a request would go to a target
+/// that has left.
+#[test]
+fn no_target_is_chosen_by_entries_that_may_be_too_old() {
+    let mut fleet = Fleet::new(Millis(1_500));
+    fleet.apply(entry("a", 1));
+    let chosen = |fleet: &Fleet| {
+        let (service, dc) = (ServiceName::from("engine"), Dc::from("north"));
+        let request = fleet.choose(&service, &dc, &[], Millis(9_000)).is_some();
+        let item = place(fleet, 1, 9_000).is_some();
+        let call = fleet.place_call(&service, &dc, Millis(9_000)).is_some();
+        assert!(
+            request == item && item == call,
+            "all choices follow one rule"
+        );
+        item
+    };
+    assert!(!chosen(&fleet), "before the first read");
+    fleet.freshness.confirm(Millis(1_000));
+    fleet.freshness.advance(Millis(2_500), None);
+    assert!(chosen(&fleet), "by current entries");
+    fleet.freshness.advance(Millis(2_501), None);
+    assert!(!chosen(&fleet), "while a read hangs, or after a suspension");
+    fleet.freshness.advance(Millis(4_000), Some(Millis(2_500)));
+    assert!(chosen(&fleet), "while the store is known to be unreachable");
+    fleet.freshness.advance(Millis(4_001), None);
+    assert!(!chosen(&fleet), "a failed read ages as well");
+}
