Host: a read that hangs is repeated on a new connection before other hosts are asked

Cause: silent connections are found by a read that began up to 0.4 s later; it failed 1.0 s after that, another host was asked for 0.5 s, and the store only 0.2 s behind that, 2.1 s in all. The store had answered on new connections all the while. Whether the test passed depended on when in the cycle the connections fell silent. Change: a long poll without an answer is repeated at once without waiting; its connection and the idle ones are closed by then. Reads of the operators' records don't wait while they fail either.

--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -171,33 +171,19 @@
         drop(state);
         let mut failure = None;
         if direct {
-            let (began, lease_began) = (Instant::now(), lease_clock());
-            let answer = execute(self.direct.as_ref(), call);
-            if !matches!(call, StoreCall::Read(..)) {
-                self.metrics.seconds.observe(began.elapsed().as_secs_f64());
+            let mut answer = self.call_directly(call);
+            // A long poll may hang with its connection, or miss records while others see them.
+            if let (StoreCall::Read(topic, part, from, wait), Err(StoreError::Unknown { .. })) =
+                (call, &answer)
+                && !wait.is_zero()
+            {
+                answer = self.call_directly(&StoreCall::Read(*topic, *part, *from, Duration::ZERO));
             }
-            self.metrics.calls.count(if answer.is_ok() {
-                "direct"
-            } else {
-                "direct, failed"
-            });
             match answer {
                 Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
-                    let mut state = self.lock();
-                    state.failures.insert(place, lease_began);
-                    let was_reachable = state.unreachable.insert(place, Instant::now()).is_none();
-                    drop(state);
-                    if was_reachable {
-                        log::warn!(place:?, error:%; "store lost, other hosts are asked");
-                    }
                     failure = Some(error);
                 }
-                answer => {
-                    if self.lock().unreachable.remove(&place).is_some() {
-                        log::info!(place:?; "store regained");
-                    }
-                    return answer;
-                }
+                answer => return answer,
             }
         }
         let answer = self.call_peers(call, failure);
@@ -212,6 +198,37 @@
         answer
     }
 
+    /// Calls the store directly, and records whether it was reached.
+    fn call_directly(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+        let place = call.partition();
+        let (began, lease_began) = (Instant::now(), lease_clock());
+        let answer = execute(self.direct.as_ref(), call);
+        if !matches!(call, StoreCall::Read(..)) {
+            self.metrics.seconds.observe(began.elapsed().as_secs_f64());
+        }
+        self.metrics.calls.count(if answer.is_ok() {
+            "direct"
+        } else {
+            "direct, failed"
+        });
+        let mut state = self.lock();
+        if let Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) = &answer {
+            state.failures.insert(place, lease_began);
+            let was_reachable = state.unreachable.insert(place, Instant::now()).is_none();
+            drop(state);
+            if was_reachable {
+                log::warn!(place:?, error:%; "store lost, other hosts are asked");
+            }
+        } else {
+            let was_unreachable = state.unreachable.remove(&place).is_some();
+            drop(state);
+            if was_unreachable {
+                log::info!(place:?; "store regained");
+            }
+        }
+        answer
+    }
+
     /// Calls the store through other hosts, one after the other. If any attempt has an unknown
     /// outcome, so has the call.
     fn call_peers(
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -55,7 +55,7 @@
     };
     loop {
         // While reads fail, one that waits would only take longer to fail.
-        let wait = if unreachable && topic == Topic::Targets {
+        let wait = if unreachable {
             Duration::ZERO
         } else {
             usual_wait
