Host: placed items don't wait for the list of hosts

What callers saw: a target was chosen by current entries, and the item reached it up to 1.1 s later (with other hosts to ask, up to 3.7 s), by when the target may have left (DRAIN). No token of any running item was read meanwhile. Cause: the thread that runs items reports its runs to the other hosts between choosing targets and sending; the report refreshed the list of these hosts if it was stale, in the same thread. Class: a blocking call between a decision and its effect. Change: the report goes to the hosts as last listed. The membership's thread refreshes the list behind each renewal, as before.

--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -49,9 +49,9 @@
         (address != shared.settings.peer).then_some(address)
     }
 
-    /// Returns the addresses of all other hosts that hold at least one partition.
+    /// Returns the addresses of all other hosts that hold at least one partition, as last listed. Never
+    /// blocks: the membership's renewal refreshes the list.
     pub fn holders(&self, shared: &Shared) -> Vec<SocketAddr> {
-        self.refresh(shared);
         let cache = self.lock();
         let held = cache
             .holdings
