Host: a request is sent within 0.3 s of the choice of its target, or not to that target

What callers saw: DRAIN, by another path. The choice rests on current entries, but a host that is suspended, or a thread that stands still, between the choice and the first byte sends it by a choice of any age. Cause: nothing bounded the time from choice to send; connecting was bounded by a clock that stops while the host is suspended, and checked after the attempt to send. Class: a decision acted on later than its evidence holds. Change: an exchange can have a time, by the clock that counts suspensions, after which it doesn't send its first byte. Requests, items and reward calls have 0.3 s, which with three quarters of drain_ms stays below drain_ms from 1.2 s on. Such a request counts as not run. Test: a_request_whose_choice_has_aged_is_not_sent; the function is new, so it can't be run on the code before. The test of abandoned requests names DRAIN as well.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -13,8 +13,9 @@
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress},
+    lease_clock,
     process::Shared,
-    version::{Configuration, Outcome},
+    version::{CHOICE_LIFETIME, Configuration, Outcome},
 };
 
 /// Time budget of a call if its route sets no shorter one. It is several times the time that a
@@ -128,7 +129,8 @@
                 address,
                 attempts: route.attempts.max(submission.attempts),
                 began: now,
-                exchange: Exchange::new(connection, &request),
+                exchange: Exchange::new(connection, &request)
+                    .begin_by(lease_clock() + CHOICE_LIFETIME),
                 timeout,
             }),
             Err(error) => {
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -8,8 +8,9 @@
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress, wait},
+    lease_clock,
     process::Shared,
-    version::{Configuration, Outcome},
+    version::{CHOICE_LIFETIME, Configuration, Outcome},
 };
 
 /// Idle timeout of a run whose response has begun. A target stops sending for about a second while
@@ -293,7 +294,7 @@
             model,
             target: name,
             address,
-            exchange: Exchange::new(connection, &request),
+            exchange: Exchange::new(connection, &request).begin_by(lease_clock() + CHOICE_LIFETIME),
             buffer: Vec::new(),
             began: now,
             last_data: now,
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -5,12 +5,14 @@
     time::{Duration, Instant},
 };
 
+use godwitspool_types::Millis;
 use snafu::Snafu;
 
 use super::{
     BodyDecoder, Connection, DecodeError, Interest, Pool, Received, Request, Response,
     decode_response, wait,
 };
+use crate::lease_clock;
 
 /// Maximum size of a response head. A larger head is treated as malformed.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -77,6 +79,8 @@
     response: Response,
     sent: usize,
     skipped: bool,
+    /// Time, by the lease clock, after which nothing is sent if nothing was before.
+    begin_by: Option<Millis>,
 }
 
 impl Exchange {
@@ -95,9 +99,18 @@
             response: Response::default(),
             sent: 0,
             skipped: false,
+            begin_by: None,
         }
     }
 
+    /// Returns the exchange with a time, by the lease clock, after which it fails instead of sending
+    /// its first byte. It bounds the age of the decision to send the request.
+    #[must_use]
+    pub fn begin_by(mut self, deadline: Millis) -> Self {
+        self.begin_by = Some(deadline);
+        self
+    }
+
     /// Returns the socket and the events to poll for.
     pub fn socket(&self) -> (BorrowedFd<'_>, Interest) {
         let interest = Interest {
@@ -157,6 +170,10 @@
     }
 
     fn send(&mut self) -> Result<(), CallError> {
+        if self.sent == 0 && self.begin_by.is_some_and(|due| lease_clock() > due) {
+            let source = io::ErrorKind::TimedOut.into();
+            return Err(CallError::Connect { source });
+        }
         while self.sent < self.output.len() && self.decoder.is_none() {
             match self.connection.send(&self.output[self.sent..]) {
                 Ok(0) => break,
--- a/crates/godwitspool-host/src/lib.rs
+++ b/crates/godwitspool-host/src/lib.rs
@@ -11,10 +11,12 @@
 pub mod dialect;
 pub mod duty;
 pub mod http;
+mod lease_clock;
 pub mod process;
 pub mod request;
 mod settings;
 pub mod store;
 pub mod version;
 
+pub use lease_clock::lease_clock;
 pub use settings::{Settings, StoreBounds};
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -8,14 +8,12 @@
 use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::{Millis, TargetName, Workspace};
 
-use super::{
-    LoadNotice, Shared,
-    shared::{lease_clock, unix_ms},
-};
+use super::{LoadNotice, Shared, shared::unix_ms};
 use crate::{
     dialect::{DutyError, Fence, LoadMode, LoadOrder, Ordered, WindowReport},
     duty::{Lease, LoadView, Loading, next_load, plan_loads},
     http::Exchange,
+    lease_clock,
     store::{Record, Store, StoreError, Topic, Writer, read_all},
     version::Outcome,
 };
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -2,9 +2,10 @@
 
 use godwitspool_types::Millis;
 
-use super::{Activity, Shared, StallDetector, duties::DutyLease, shared::lease_clock};
+use super::{Activity, Shared, StallDetector, duties::DutyLease};
 use crate::{
     batch::Owner,
+    lease_clock,
     store::{Assignment, Store, Topic},
 };
 
--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -13,9 +13,10 @@
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::{peers::address, shared::lease_clock};
+use super::peers::address;
 use crate::{
     http::{CallError, Exchange, Pool, Request, Response},
+    lease_clock,
     store::{
         Assignment, Holding, Page, READ_SLACK, Record, Store, StoreError, Tail, Topic, Writer,
     },
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -10,8 +10,7 @@
 
 use godwitspool_process::{Clock, CounterByReason, Histogram, Metrics};
 use godwitspool_sync::{Condvar, Mutex, MutexGuard, RwLock};
-use godwitspool_types::{Millis, ModelName};
-use rustix::time::{ClockId, clock_gettime};
+use godwitspool_types::ModelName;
 
 use super::{Activity, Relay, UsageCounts, peers::Peers, relay::RelayMetrics, reports::Reports};
 use crate::{
@@ -19,6 +18,7 @@
     batch::BatchRegistry,
     dialect::{Dialect, Duties},
     http::Pool,
+    lease_clock,
     store::{Store, Topic},
     version::{Configuration, Fleet, Mirror},
 };
@@ -327,10 +327,3 @@
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
     age.unwrap_or_default().as_millis() as u64
 }
-
-/// Returns the time since boot, including the time the machine was suspended. Leases are measured
-/// by this clock.
-pub fn lease_clock() -> Millis {
-    let time = clock_gettime(ClockId::Boottime);
-    Millis(time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000)
-}
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -8,9 +8,10 @@
 use godwitspool_sync::MutexGuard;
 use godwitspool_types::{Millis, ModelName, TargetName};
 
-use super::{Shared, shared::lease_clock};
+use super::Shared;
 use crate::{
     dialect::OperatorRecord,
+    lease_clock,
     store::{READ_SLACK, Topic},
     version::{Lapse, Mirror, MirrorChange},
 };
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -9,8 +9,9 @@
 use crate::{
     dialect::{Call, ForwardContext, Reply},
     http::{Caller, Exchange, Progress, Request, Response, wait},
+    lease_clock,
     process::{Shared, unix_ms},
-    version::{Basis, Outcome, Route, RouteKind},
+    version::{Basis, CHOICE_LIFETIME, Outcome, Route, RouteKind},
 };
 
 /// Part of the time until the caller's deadline that is reserved for delivering the response.
@@ -267,7 +268,8 @@
             let request = self.shared.dialect.forward_request(self.request, &context);
             match self.shared.pool.connect(address) {
                 Ok(connection) => {
-                    let mut exchange = Exchange::new(connection, &request);
+                    let mut exchange = Exchange::new(connection, &request)
+                        .begin_by(lease_clock() + CHOICE_LIFETIME);
                     // On a pooled connection this sends the request immediately.
                     let failed = exchange.advance().is_err();
                     if failed && !exchange.was_sent() {
--- a/crates/godwitspool-host/src/version/freshness.rs
+++ b/crates/godwitspool-host/src/version/freshness.rs
@@ -1,5 +1,8 @@
 use godwitspool_types::Millis;
 
+/// Time within which a request must be sent to the target that was chosen for it.
+pub const CHOICE_LIFETIME: Millis = Millis(300);
+
 /// How current the copy of the targets' entries is. Times are by the lease clock, which counts the
 /// time that the host was suspended.
 ///
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -11,6 +11,6 @@
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
-pub use freshness::{Basis, Freshness};
+pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
 pub use mirror::{Fetched, Mirror, MirrorChange};
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -9,9 +9,12 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_host::http::{
-    BodyDecoder, Bounds, Caller, ChunkState, DecodeError, Exchange, Headers, Pool, Request,
-    Response, Server, decode_request, decode_response,
+use godwitspool_host::{
+    http::{
+        BodyDecoder, Bounds, CallError, Caller, ChunkState, DecodeError, Exchange, Headers, Pool,
+        Request, Response, Server, decode_request, decode_response,
+    },
+    lease_clock,
 };
 use rstest::rstest;
 
@@ -164,8 +167,9 @@
     await_ended(&server);
 }
 
-/// Guards against an order that is given up and still carried out: bytes that a cut holds up arrive
-/// after a normal close, but not after a reset.
+/// Guards against an order that is given up and still carried out, and against DRAIN, a request that
+/// reaches a target after it has left: bytes that a cut holds up arrive after a normal close, but not
+/// after a reset.
 #[test]
 fn an_abandoned_request_resets_its_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -180,6 +184,26 @@
     assert_eq!(ended.unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
 
+/// Guards against DRAIN: a thread or host that stood still between the choice of a target and the first
+/// byte sends a request to a target that has left.
+#[test]
+fn a_request_whose_choice_has_aged_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let request = Request::new("POST", "/x", b"body".to_vec());
+    let connection = Pool::default().connect(address).unwrap();
+    let mut exchange = Exchange::new(connection, &request).begin_by(lease_clock());
+    let (mut peer, _) = listener.accept().unwrap();
+    thread::sleep(Duration::from_millis(5));
+    assert!(matches!(exchange.advance(), Err(CallError::Connect { .. })));
+    assert!(!exchange.was_sent());
+    drop(exchange);
+    peer.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let mut received = Vec::new();
+    let _reset_or_closed = peer.read_to_end(&mut received);
+    assert!(received.is_empty(), "nothing reaches the target");
+}
+
 #[test]
 fn an_answered_request_leaves_its_connection_open() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
