Host: limits that targets name hold for all hosts together

Cause: no code read the header. Class: backpressure of one target from many senders, which none of them can keep alone. Change: responses of targets are read for a limit. One host, the home of a limited target, gives out a permit for each request to it (Limiter, a pure token bucket); a second one stands in at half the rate while the home can't be reached, so that both together stay below one and a half times the limit. A bucket starts empty, so a home that is replaced repeats no burst. Requests, hedges, items and reward calls need permits; for items and calls a thread fetches them for as many as wait. Requests for which all targets are at their limit are refused at once, to come back when the first limit leaves room. The end of a limit reaches the home, and the others as they ask.

--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use godwitspool_host::http::{Bounds, Caller, Request, Response, Server};
@@ -88,6 +88,10 @@
     options: TargetOptions,
     fault: Mutex<Option<FaultFn>>,
     executed: Mutex<Vec<Request>>,
+    /// Times at which requests arrived, with those that were refused and without orders.
+    arrivals: Mutex<Vec<Instant>>,
+    /// Limit in requests a second that responses name.
+    limit: Mutex<Option<f64>>,
     orders: Mutex<Vec<Value>>,
     /// Weight versions by model.
     models: Mutex<HashMap<String, u64>>,
@@ -115,6 +119,8 @@
             options,
             orders: Mutex::default(),
             executed: Mutex::default(),
+            arrivals: Mutex::default(),
+            limit: Mutex::default(),
         });
         let own = Arc::clone(&shared);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -147,6 +153,17 @@
         *lock(&self.shared.fault) = Some(Box::new(decide));
     }
 
+    /// Sets the limit in requests a second that responses name, or none. Responses to requests beyond it
+    /// are as usual.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        *lock(&self.shared.limit) = limit;
+    }
+
+    /// Returns the times at which requests arrived, with those that were refused and without orders.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// Returns the requests that the target ran. Refused requests and those for another instance are
     /// not included.
     pub fn executed(&self) -> Vec<Request> {
@@ -184,6 +201,12 @@
         if request.path() == "/api/order" {
             return self.order(caller, request);
         }
+        lock(&self.arrivals).push(Instant::now());
+        let limit = *lock(&self.limit);
+        let named = |answer: Response| match limit {
+            Some(limit) => answer.with("Server-Limit", limit),
+            None => answer,
+        };
         let expected = request.headers.get("Expect-Instance");
         if expected.is_some_and(|expected| expected != self.options.name) {
             let answer = Response::new(421, Vec::new()).with("Request-Id", &id);
@@ -194,7 +217,7 @@
             .map(|decide| decide(request))
             .unwrap_or_default();
         if fault == TargetFault::Refuse {
-            let answer = Response::new(503, Vec::new()).with("Request-Id", &id);
+            let answer = named(Response::new(503, Vec::new())).with("Request-Id", &id);
             return caller.respond(&answer.with("Not-Run", "1"));
         }
         lock(&self.executed).push(request.clone());
@@ -210,20 +233,20 @@
             }
             TargetFault::Slow(ms) => thread::sleep(Duration::from_millis(ms)),
             TargetFault::Fail(status) => {
-                let answer = Response::new(status, "failed").with("Request-Id", &id);
+                let answer = named(Response::new(status, "failed")).with("Request-Id", &id);
                 return caller.respond(&answer.with("Server-Stamp", format!("stamp-{id}")));
             }
             _ => {}
         }
         if self.options.events > 0 {
-            return self.stream(caller, request, &id, fault);
+            return self.stream(caller, request, &id, fault, limit);
         }
         let body = format!(
             "{}:{}",
             self.options.name,
             String::from_utf8_lossy(&request.body)
         );
-        let mut answer = Response::new(200, body).with("Request-Id", &id);
+        let mut answer = named(Response::new(200, body)).with("Request-Id", &id);
         if fault != TargetFault::Unsigned {
             answer = answer.with("Server-Stamp", format!("stamp-{id}"));
         }
@@ -240,17 +263,21 @@
         request: &Request,
         id: &str,
         fault: TargetFault,
+        limit: Option<f64>,
     ) -> io::Result<()> {
         let model = request.headers.get("Model").unwrap_or_default();
         let version = match fault {
             TargetFault::Version(version) => version,
             _ => lock(&self.models).get(model).copied().unwrap_or(1),
         };
-        let head = Response::new(200, Vec::new())
+        let mut head = Response::new(200, Vec::new())
             .with("Content-Type", "text/event-stream")
             .with("Request-Id", id)
             .with("Server-Stamp", format!("stamp-{id}"))
             .with("Weight-Versions", version);
+        if let Some(limit) = limit {
+            head = head.with("Server-Limit", limit);
+        }
         caller.begin(&head)?;
         let last = request
             .headers
--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -108,7 +108,15 @@
         let timeout = route.timeout.map_or(CALL_TIMEOUT, Millis::from);
         let timeout = timeout.min(CALL_TIMEOUT);
         let mut fleet = shared.fleet();
-        let (target, address) = fleet.place_call(&service, &shared.settings.dc, now)?;
+        let placed = fleet.place_call(&service, &shared.settings.dc, now);
+        let Some((target, address)) = placed.filter(|(target, _)| fleet.take_permit(target, now))
+        else {
+            let waiting = batch.next_calls(now).0.len();
+            let lacking = fleet.lacking_for_call(&service, waiting, now);
+            drop(fleet);
+            shared.permits.want(lacking);
+            return None;
+        };
         shared.observe_entry_age(&fleet);
         fleet.start(&target);
         drop(fleet);
@@ -186,6 +194,7 @@
             return RewardOutcome::Broken;
         };
         let reply = shared.dialect.reply(head);
+        shared.permits.observe(shared, &self.target, reply.limit);
         if !self.is_own_response(shared) {
             return RewardOutcome::Broken;
         }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -253,14 +253,15 @@
         let model = submission.model.clone();
         let mut fleet = shared.fleet();
         let assigned = fleet.assign_models(service, models.unwrap_or_default());
-        let place = fleet.place(
-            service,
-            &model,
-            submission.min_version,
-            &assigned,
-            None,
-            now,
-        )?;
+        let oldest = submission.min_version;
+        let placed = fleet.place(service, &model, oldest, &assigned, None, now);
+        let Some(place) = placed.filter(|place| fleet.take_permit(&place.target, now)) else {
+            let waiting = batch.waiting_items();
+            let lacking = fleet.lacking_for_item(service, &model, oldest, waiting, now);
+            drop(fleet);
+            shared.permits.want(lacking);
+            return None;
+        };
         let (name, address) = (place.target, place.address);
         let entries_ms = shared.observe_entry_age(&fleet);
         let context = ForwardContext {
@@ -353,6 +354,7 @@
             self.head_read = true;
             self.last_data = now;
             let reply = shared.dialect.reply(head);
+            shared.permits.observe(shared, &self.target, reply.limit);
             let spec = &self.submission.items[self.item];
             if reply.id.as_deref() != Some(&spec.id) {
                 log::warn!(item:% = spec.id, target_name:% = self.target, answered:? = reply.id; "response belongs to another request");
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -339,6 +339,16 @@
         Err(soonest)
     }
 
+    /// Returns the number of items that wait for a target.
+    pub fn waiting_items(&self) -> usize {
+        let items = self.items.iter();
+        items
+            .filter(|item| {
+                !item.progress.complete && matches!(item.state, ItemState::Waiting { .. })
+            })
+            .count()
+    }
+
     /// Returns whether the batch was not ended and some item has no stored result. Batches that are
     /// not open are closed.
     pub fn is_open(&self) -> bool {
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -78,10 +78,12 @@
 }
 
 /// Header fields of a target's response that the host evaluates.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// Identifier of the request to which the response belongs.
     pub id: Option<String>,
+    /// Requests a second that the target takes from all hosts together; `None` if it names no limit.
+    pub limit: Option<f64>,
     /// Whether the target states that it has not run the request.
     pub not_run: bool,
     /// The target's signature over the response, if it carries one.
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -6,7 +6,7 @@
 
 use godwitspool_types::Workspace;
 
-use super::{Shared, peers, relay::RELAY_PATH};
+use super::{Shared, peers, permits::PERMIT_PATH, relay::RELAY_PATH};
 use crate::{
     batch::{BatchRecord, Lookup, ResultPage, Submission, page, partition_of, read_stored},
     dialect::{Call, CallKind},
@@ -55,6 +55,9 @@
     if request.path() == RELAY_PATH {
         return caller.respond(&shared.store.serve(request));
     }
+    if request.path() == PERMIT_PATH {
+        return caller.respond(&shared.permits.serve(shared, request));
+    }
     serve_from(shared, caller, request, Origin::Host)
 }
 
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -69,6 +69,7 @@
             spawn(&shared, "tail", move |shared| tails::follow(&shared, topic))?;
         }
         spawn(&shared, "reports", |shared| shared.reports.receive(&shared))?;
+        spawn(&shared, "permits", |shared| shared.permits.fetch(&shared))?;
         spawn(&shared, "runner", |shared| {
             if let Err(error) = Runner::new(shared).run() {
                 log::error!(error:%; "batch runner failed");
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod host;
 mod membership;
 mod peers;
+mod permits;
 mod relay;
 mod reports;
 mod shared;
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -2,6 +2,7 @@
 
 use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::Millis;
+use rapidhash::v3::rapidhash_v3;
 
 use super::Shared;
 use crate::{
@@ -65,6 +66,25 @@
         addresses
     }
 
+    /// Returns the addresses of the hosts that limit the requests to a target, this one included: its
+    /// home first, then the one that stands in. All hosts that know the same list agree on them.
+    pub fn homes(&self, shared: &Shared, target: &str) -> Vec<SocketAddr> {
+        let mut homes = self.holders(shared);
+        let own = shared.settings.peer;
+        let cache = self.lock();
+        if cache
+            .holdings
+            .iter()
+            .any(|held| address(&held.member) == Some(own))
+        {
+            homes.push(own);
+        }
+        drop(cache);
+        let weight = |home: &SocketAddr| rapidhash_v3(format!("{target}@{home}").as_bytes());
+        homes.sort_by_cached_key(|home| std::cmp::Reverse(weight(home)));
+        homes
+    }
+
     /// Refreshes the list if it is too old or marked as stale.
     pub fn refresh(&self, shared: &Shared) {
         let now = shared.clock.now();
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -12,7 +12,10 @@
 use godwitspool_sync::{Condvar, Mutex, MutexGuard, RwLock};
 use godwitspool_types::ModelName;
 
-use super::{Activity, Relay, UsageCounts, peers::Peers, relay::RelayMetrics, reports::Reports};
+use super::{
+    Activity, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
+    reports::Reports,
+};
 use crate::{
     Settings,
     batch::BatchRegistry,
@@ -65,6 +68,8 @@
     pub usage: UsageCounts,
     /// Other hosts and the partitions they hold.
     pub peers: Peers,
+    /// Permits for requests to targets that have named a limit.
+    pub permits: Permits,
     /// Reports of runs, sent to and received from other hosts.
     pub reports: Reports,
     /// Random number that distinguishes this start of the process from others of the same host.
@@ -141,6 +146,8 @@
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let orders = metrics.counter_by_reason("orders", "Orders to targets by what came of them");
+        let permit_answers =
+            metrics.counter_by_reason("permits", "Permits for limited targets by outcome");
         let calls = metrics.counter_by_reason("reward_calls", "Reward calls by how they ended");
         let score_seconds =
             metrics.seconds_histogram("score_seconds", "Times from a complete output to its score");
@@ -187,6 +194,7 @@
             changed: Condvar::new(),
             change_count: Mutex::default(),
             peers: Peers::default(),
+            permits: Permits::new(permit_answers),
             pool: Arc::default(),
             store: Arc::new(Relay::new(
                 adapters.store,
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -254,6 +254,11 @@
             else {
                 return false;
             };
+            if !fleet.take_permit(&target, now) {
+                drop(fleet);
+                self.shared.permits.acquire(self.shared, &target);
+                continue;
+            }
             self.tried.push(target.clone());
             self.entries_ms = self.shared.observe_entry_age(&fleet);
             fleet.start(&target);
@@ -358,6 +363,8 @@
             .head()
             .map(|head| self.shared.dialect.reply(head));
         let reply: Reply = reply.unwrap_or_default();
+        let permits = &self.shared.permits;
+        permits.observe(self.shared, &attempt.target, reply.limit);
         if reply.id != self.call.id {
             log::warn!(request = self.call.request(), target_name:% = attempt.target, answered:? = reply.id; "response belongs to another request");
             self.started += 1;
@@ -425,6 +432,8 @@
             caller.respond(&answer)?;
             return Ok(Some(Ended::Answered(answer.status)));
         }
+        let permits = &self.shared.permits;
+        permits.observe(self.shared, &attempt.target, reply.limit);
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
         let head = without_hop_by_hop(head.clone());
@@ -490,10 +499,12 @@
             caller.respond(&Response::new(502, Vec::new()))?;
             return Ok(Ended::Failed(502));
         }
-        let retry_after = if self.tried.is_empty() {
-            RETRY_AFTER_NO_TARGET
-        } else {
-            RETRY_AFTER_FULL
+        let now = self.shared.clock.now();
+        let limited = self.shared.fleet().opens_in(&self.service, now);
+        let retry_after = match limited {
+            _ if !self.tried.is_empty() => RETRY_AFTER_FULL,
+            Some(opens_in) => opens_in.duration().max(RETRY_AFTER_FULL),
+            None => RETRY_AFTER_NO_TARGET,
         };
         caller.respond(&self.shared.dialect.refusal(retry_after))?;
         Ok(Ended::Refused)
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -6,7 +6,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Basis, Freshness};
+use super::{Basis, Freshness, Limited};
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -98,6 +98,8 @@
     pub pace: Option<(f64, Millis)>,
     /// Last load that the target has begun: model, version and time.
     pub loading: Option<(ModelName, u64, Millis)>,
+    /// The limit that it has named to this host, if its newest response named one.
+    pub limited: Option<Limited>,
     /// Until when it is kept although its entry was removed: the entry may have expired only because
     /// the store was unavailable.
     pub kept_until: Option<Millis>,
@@ -143,6 +145,31 @@
         }
     }
 
+    /// Returns whether an item may run at the target, apart from a limit that it has named.
+    fn fits_item(&self, model: &ModelName, min_version: u64, now: Millis) -> bool {
+        let version = self.version(model, now).map(|(version, _)| version);
+        version.is_some_and(|version| version >= min_version)
+            && self.paused_until <= now
+            && self.total_running(now) < self.entry.slots
+    }
+
+    /// Returns whether a reward call may run at the target, apart from a limit that it has named.
+    fn fits_call(&self, now: Millis) -> bool {
+        let slots = (self.entry.slots / 2).max(1);
+        self.paused_until <= now && self.total_running(now) < slots
+    }
+
+    /// Returns whether only a permit is missing, which may be asked for now.
+    fn lacks_permit(&self, now: Millis) -> bool {
+        self.limited
+            .is_some_and(|limited| !limited.has_permit(now) && limited.is_open(now))
+    }
+
+    /// Returns whether a request may be sent to the target as far as its limit is concerned.
+    fn has_permit(&self, now: Millis) -> bool {
+        self.limited.is_none_or(|limited| limited.has_permit(now))
+    }
+
     /// Returns the number of requests that run at the target, including those of other hosts.
     pub fn total_running(&self, now: Millis) -> u32 {
         let others = self
@@ -186,6 +213,7 @@
                     latency_ms: INITIAL_LATENCY_MS,
                     pace: None,
                     loading: None,
+                    limited: None,
                     kept_until: None,
                     entry,
                 };
@@ -246,6 +274,14 @@
         }
     }
 
+    /// Takes a permit for a request from the stock if the target has named a limit. Returns false if
+    /// there is none: the request must not be sent.
+    #[must_use]
+    pub fn take_permit(&mut self, name: &TargetName, now: Millis) -> bool {
+        self.limited(name)
+            .is_none_or(|limited| limited.take_permit(now))
+    }
+
     /// Records how a request ended, and pauses the target if it failed, refused or stalled.
     pub fn finish(&mut self, name: &TargetName, outcome: Outcome, now: Millis) {
         let Some(target) = self.targets.get_mut(name) else {
@@ -276,9 +312,39 @@
         }
     }
 
+    /// Records the limit that a target's response names. Returns whether that is news: a first limit,
+    /// another one, or the end of one.
+    pub fn observe_limit(&mut self, name: &TargetName, limit: Option<f64>, now: Millis) -> bool {
+        let Some(target) = self.targets.get_mut(name) else {
+            return false;
+        };
+        let known = target.limited.map(|limited| limited.limit);
+        match (&mut target.limited, limit) {
+            (Some(limited), Some(limit)) => {
+                limited.limit = limit;
+                limited.named_at = now;
+            }
+            (limited, limit) => *limited = limit.map(|limit| Limited::new(limit, now)),
+        }
+        known != limit
+    }
+
+    /// Returns the state of a target that has named a limit.
+    pub fn limited(&mut self, name: &TargetName) -> Option<&mut Limited> {
+        self.targets.get_mut(name)?.limited.as_mut()
+    }
+
+    /// Ends the limit of a target that has ended it in a response to another host.
+    pub fn end_limit(&mut self, name: &TargetName) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.limited = None;
+        }
+    }
+
     /// Chooses the target for a request: the one with the lowest expected latency, given its
     /// smoothed latency and its load. Targets in other data centres count as 1.5 times slower.
-    /// Paused targets come last, and targets in `tried` are left out. None is chosen by stale entries.
+    /// Paused targets come last. Targets in `tried` are left out, and so are those whose limit leaves
+    /// no room; a target with a limit needs a permit before the request is sent. None is chosen by stale entries.
     pub fn choose(
         &self,
         service: &ServiceName,
@@ -292,7 +358,8 @@
         let usable = self.usable(service);
         let candidates = usable
             .into_iter()
-            .filter(|target| !tried.contains(&target.entry.name));
+            .filter(|target| !tried.contains(&target.entry.name))
+            .filter(|target| target.limited.is_none_or(|limited| limited.is_open(now)));
         candidates.min_by(|a, b| {
             let rank = |target: &Target| {
                 let paused = target.paused_until > now;
@@ -377,10 +444,9 @@
         let median = self.median_pace(service, now);
         let fitting = self.usable(service).into_iter().filter_map(|target| {
             let (version, expected) = target.version(model, now)?;
-            let fits = version >= min_version
-                && Some(&target.entry.name) != excluded
-                && target.paused_until <= now
-                && target.total_running(now) < target.entry.slots;
+            let fits = target.fits_item(model, min_version, now)
+                && target.has_permit(now)
+                && Some(&target.entry.name) != excluded;
             let pace = target
                 .pace
                 .filter(|(_, at)| now - *at < MAX_PACE_AGE)
@@ -418,14 +484,59 @@
             return None;
         }
         let usable = self.usable(service).into_iter();
-        let free = usable.filter(|target| {
-            let limit = (target.entry.slots / 2).max(1);
-            target.paused_until <= now && target.total_running(now) < limit
-        });
+        let free = usable.filter(|target| target.fits_call(now) && target.has_permit(now));
         let best = free.min_by_key(|target| (target.total_running(now), target.entry.dc != *dc));
         best.map(|target| (target.entry.name.clone(), target.entry.address))
     }
 
+    /// Returns the time until the first limit of a service's targets leaves room again; `None` if no
+    /// target has named a limit.
+    pub fn opens_in(&self, service: &ServiceName, now: Millis) -> Option<Millis> {
+        let usable = self.usable(service).into_iter();
+        usable
+            .filter_map(|target| target.limited.map(|limited| limited.opens_in(now)))
+            .min()
+    }
+
+    /// Returns the least loaded targets, at most `count`, at which an item could run if there were a
+    /// permit, which may be asked for.
+    pub fn lacking_for_item(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        min_version: u64,
+        count: usize,
+        now: Millis,
+    ) -> Vec<TargetName> {
+        let fits = |target: &Target| target.fits_item(model, min_version, now);
+        self.lacking(service, fits, count, now)
+    }
+
+    /// Returns the least loaded targets, at most `count`, at which a reward call could run if there
+    /// were a permit, which may be asked for.
+    pub fn lacking_for_call(
+        &self,
+        service: &ServiceName,
+        count: usize,
+        now: Millis,
+    ) -> Vec<TargetName> {
+        self.lacking(service, |target| target.fits_call(now), count, now)
+    }
+
+    fn lacking(
+        &self,
+        service: &ServiceName,
+        fits: impl Fn(&Target) -> bool,
+        count: usize,
+        now: Millis,
+    ) -> Vec<TargetName> {
+        let mut lacking = self.usable(service);
+        lacking.retain(|target| target.lacks_permit(now) && fits(target));
+        lacking.sort_by_key(|target| target.total_running(now));
+        let names = lacking.iter().map(|target| target.entry.name.clone());
+        names.take(count).collect()
+    }
+
     /// Assigns each target of a service to one of its models, as evenly as possible. Rendezvous
     /// hashing keeps most assignments when a target joins or leaves.
     pub fn assign_models(
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod freshness;
 mod lapse;
+mod limit;
 mod mirror;
 
 pub use configuration::{
@@ -13,4 +14,5 @@
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
+pub use limit::{Limited, Limiter, Permit};
 pub use mirror::{Fetched, Mirror, MirrorChange};
