Batches: an item whose targets crashed waits no longer than 4.5 s

What callers saw: not seen here; reported from a similar system. After bursts of crashes a sound item was never placed again. Cause: an item whose runs break before a new event is held back as if it crashed its targets; the pause doubled from 4.5 s up to 64 times that, 288 s, against its own comment ('shorter than the 5 s without a run'). Items that are handed in for later never crash targets by themselves; a sound one in a burst can meet as many crashes. Class: a suspicion that grows without evidence against the suspect. Change: the pause doesn't grow. It stays at 4.5 s, so the test of an item that does crash its targets holds unchanged. Evidence: a_sound_item_is_placed_again_within_seconds_after_bursts_of_crashes fails before ('after 4 crashes the item waits 9000 ms').

--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -11,12 +11,10 @@
 /// Number of consecutive broken runs without a new event after which the item is suspected of
 /// crashing its targets.
 const MAX_EMPTY_RUNS: u32 = 3;
-/// Delay before a suspected item is retried; doubles with each further run. It is shorter than the
-/// 5 s without a run after which the platform considers an item forgotten, and much longer than the
-/// second that a target needs to restart.
+/// Delay before a suspected item is retried. It is shorter than the 5 s without a run after which the
+/// platform considers an item forgotten, and much longer than the second that a target needs to
+/// restart. It doesn't grow: a sound item that ran on targets that crashed is owed as much as any.
 const SUSPECT_BACKOFF: Millis = Millis(4_500);
-/// Maximum number of doublings of [`SUSPECT_BACKOFF`].
-const MAX_DOUBLINGS: u32 = 6;
 /// Number of rejections after which an item is given up: a rejection means that no target can ever
 /// serve it.
 const MAX_REJECTIONS: u32 = 1;
@@ -373,10 +371,7 @@
         }
         let pause = match failure {
             RunFailure::Moved | RunFailure::NotRun => Millis::ZERO,
-            RunFailure::Broken if item.empty_runs >= MAX_EMPTY_RUNS => {
-                let doublings = (item.empty_runs - MAX_EMPTY_RUNS).min(MAX_DOUBLINGS);
-                Millis(SUSPECT_BACKOFF.0 << doublings)
-            }
+            RunFailure::Broken if item.empty_runs >= MAX_EMPTY_RUNS => SUSPECT_BACKOFF,
             _ => RETRY_BACKOFF,
         };
         item.state = ItemState::Waiting {
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -268,6 +268,25 @@
     assert!(runs <= 5, "{runs} targets crashed in 12 s");
 }
 
+/// Load pattern: in bursts of crashes, several targets crash one after the other while they run the same
+/// sound item. Afterwards all targets have room.
+#[test]
+fn a_sound_item_is_placed_again_within_seconds_after_bursts_of_crashes() {
+    let mut unlucky = batch(1, 2);
+    let mut now = Millis(0);
+    for crash in 1..=40 {
+        let item = unlucky.next_item(now).unwrap();
+        assert_eq!(unlucky.fail(item, RunFailure::Broken, now), Verdict::Retry);
+        let next = unlucky.next_item(now).unwrap_err().unwrap();
+        assert!(
+            next - now < Millis(5_000),
+            "after {crash} crashes the item waits {} ms",
+            (next - now).0
+        );
+        now = next;
+    }
+}
+
 #[test]
 fn an_item_whose_runs_make_progress_is_not_delayed() {
     let mut item = batch(1, 2);
