Steward: entries see no members until the list of hosts names one

Cause: the steward's view was available before it had read a list of hosts; until then the only member was the host itself, so its entry took itself for a trainer's only host, kept the step without a replica and acknowledged it. Class: an empty list taken for knowledge. Change: the view holds no members until the platform's list has named a host, and an entry without members is no trainer's home; it answers that the steps move.

--- a/crates/godwitspool-entry/src/rollout/ranking.rs
+++ b/crates/godwitspool-entry/src/rollout/ranking.rs
@@ -5,12 +5,17 @@
 use godwitspool_types::{Dc, HostName, TrainerName};
 
 /// Ranks the hosts that aren't leaving. The first is the home, in the trainer's data centre if that
-/// has a host; the second is the replica, in another data centre if there is one.
+/// has a host; the second is the replica, in another data centre if there is one. Returns no host until
+/// the hosts are known, and this one if all are leaving.
 pub(crate) fn rank(view: &View, trainer: &TrainerName, dc: &Dc, own: &HostName) -> Vec<HostName> {
     let stays = |member: &&Member| !member.leaving;
     let members: Vec<&Member> = view.members.iter().filter(stays).collect();
     if members.is_empty() {
-        return vec![own.clone()];
+        return if view.members.is_empty() {
+            Vec::new()
+        } else {
+            vec![own.clone()]
+        };
     }
     let is_local = |member: &&&Member| dc.as_str().is_empty() || member.dc == *dc;
     let names = |members: Vec<&&Member>| {
--- a/crates/godwitspool-entry/tests/rollouts.rs
+++ b/crates/godwitspool-entry/tests/rollouts.rs
@@ -13,9 +13,12 @@
 };
 
 use godwitspool_connection::platform::{TargetEntry, TargetState};
+use godwitspool_entry::Entry;
 use godwitspool_fakes::{Engine, EngineEvent, Scorer, SwapFault};
 use serde_json::{Value, json};
-use trainer_system::{System, agent, check, configuration, hash_of, number, read, wait_until};
+use trainer_system::{
+    System, agent, check, configuration, hash_of, number, read, submission, wait_until,
+};
 
 #[test]
 fn a_step_comes_whole_through_any_entry() {
@@ -84,6 +87,24 @@
     }
 }
 
+/// Guards against a step that is lost with its only host: a host that has not read the list of hosts yet
+/// takes itself for the only one, keeps a step without a replica, and is killed.
+#[test]
+fn a_host_that_knows_no_other_accepts_no_step() {
+    let mut system = System::start(1, 2, "");
+    let listed = system.hosts.clone();
+    system.platform.set_hosts(Vec::new());
+    // The list follows after its lag.
+    thread::sleep(Duration::from_millis(300));
+    system.add(1);
+    wait_until(|| system.entries.iter().flatten().all(Entry::ready));
+    for _ in 0..2 {
+        let (status, body) = system.post(1, "1/groups", &submission(1));
+        assert_ne!(status, 200, "{body}");
+    }
+    system.platform.set_hosts(listed);
+}
+
 #[test]
 fn a_log_outage_holds_up_no_step() {
     let system = System::start(2, 2, "");
--- a/crates/godwitspool-entry/tests/trainer_system/mod.rs
+++ b/crates/godwitspool-entry/tests/trainer_system/mod.rs
@@ -192,13 +192,7 @@
     /// Submits a step until it is accepted.
     #[track_caller]
     pub fn submit(&self, at: usize, step: u64) {
-        let groups: Vec<_> = (0..GROUPS)
-            .map(|group| {
-                json!({ "group": group, "samples": SAMPLES, "max_tokens": MAX_TOKENS,
-                    "messages": [{ "role": "user", "content": prompt(step, group) }] })
-            })
-            .collect();
-        let body = json!({ "groups": groups, "total": GROUPS });
+        let body = submission(step);
         wait_until(|| self.post(at, &format!("{step}/groups"), &body).0 == 200);
     }
 
@@ -274,6 +268,17 @@
     }
 }
 
+/// Returns the body that submits a step.
+pub fn submission(step: u64) -> Value {
+    let groups: Vec<_> = (0..GROUPS)
+        .map(|group| {
+            json!({ "group": group, "samples": SAMPLES, "max_tokens": MAX_TOKENS,
+                "messages": [{ "role": "user", "content": prompt(step, group) }] })
+        })
+        .collect();
+    json!({ "groups": groups, "total": GROUPS })
+}
+
 pub fn prompt(step: u64, group: u32) -> String {
     format!("step {step}, group {group}")
 }
--- a/crates/godwitspool-steward/src/version/current_view.rs
+++ b/crates/godwitspool-steward/src/version/current_view.rs
@@ -27,6 +27,8 @@
     confirmed: Option<Instant>,
     /// Targets as the platform lists them, before those in `stopping` are marked.
     listed: Vec<TargetEntry>,
+    /// Whether the platform's list has named a host so far.
+    hosts_listed: bool,
     /// Targets that an open order is to stop.
     stopping: BTreeSet<TargetName>,
     view: View,
@@ -52,9 +54,20 @@
         self.update(|inner| inner.listed = targets);
     }
 
-    /// Sets the members that entries see.
+    /// Sets the members that entries see. They see none until the platform's list has named a host: a
+    /// host that knows no other would take itself for the only one, and keep the steps of trainers
+    /// without a replica.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
-        self.update(|inner| inner.view.members = members);
+        self.update(|inner| {
+            if inner.hosts_listed {
+                inner.view.members = members;
+            }
+        });
+    }
+
+    /// Records that the platform's list has named a host.
+    pub(crate) fn set_hosts_listed(&self) {
+        self.lock().hosts_listed = true;
     }
 
     /// Returns the targets as the view shows them.
--- a/crates/godwitspool-steward/src/version/lists.rs
+++ b/crates/godwitspool-steward/src/version/lists.rs
@@ -25,7 +25,12 @@
             Err(error) => log::warn!("can't read the list of targets: {error}"),
         }
         match shared.platform.hosts() {
-            Ok(list) => shared.gossip.set_host_list(list.hosts),
+            Ok(list) => {
+                if !list.hosts.is_empty() {
+                    shared.current_view.set_hosts_listed();
+                }
+                shared.gossip.set_host_list(list.hosts);
+            }
             Err(error) => log::warn!("can't read the list of hosts: {error}"),
         }
         shared.current_view.set_members(shared.gossip.members());
