Host: a new term of the duties begins above the host's last one

Cause: the holder's lease ran out in the outage, and the duties were dealt to it again in the same generation of the group. The new term's epoch is the generation and random bits, so in half of the cases it was lower than the host's own last one. Class: a fencing token that goes down. Change: the epoch of a new term is above the last one that the host held. A term that the store fences ends, and the next renewal begins another one, in place of keeping the refused epoch. Evidence: a_holder_whose_lease_ran_out_begins_terms_that_the_store_accepts fails before ('timed out waiting until another window is reported') and passes after; Lease's doc test has the lower epoch.

--- a/crates/godwitspool-host/src/duty/lease.rs
+++ b/crates/godwitspool-host/src/duty/lease.rs
@@ -11,11 +11,13 @@
 
 impl Lease {
     /// Returns the lease after the store has dealt the duties to this host until `until`. A lease
-    /// that is still valid is extended and keeps its epoch. After an expired one a new term begins
-    /// under `epoch`, since another host may have held the duties meanwhile.
+    /// that is still valid is extended and keeps its epoch. After an expired one a new term begins,
+    /// since another host may have held the duties meanwhile. Its epoch is at least `epoch` and above
+    /// that of the expired term, which the store would otherwise fence.
     ///
-    /// Load pattern: a host is cut off for longer than its lease, another host takes over, and the
-    /// duties are dealt to the first one again once it is back.
+    /// Load pattern: a host is cut off for longer than its lease, or the store is away for all, and the
+    /// duties are dealt to the host again, after another one has held them or in the same generation
+    /// of the group.
     ///
     /// ```
     /// use godwitspool_host::duty::Lease;
@@ -26,13 +28,21 @@
     /// assert_eq!((extended.epoch, extended.until), (12, Millis(2_700)));
     /// let later = Lease::renew(Some(extended), 17, Millis(9_000), Millis(7_000));
     /// assert_eq!(later.epoch, 17);
+    /// let again = Lease::renew(Some(later), 16, Millis(15_000), Millis(13_000));
+    /// assert_eq!(again.epoch, 18);
     /// ```
     pub fn renew(held: Option<Self>, epoch: u64, until: Millis, now: Millis) -> Self {
-        let held = held.filter(|held| held.is_valid(now));
-        Self {
-            epoch: held.map_or(epoch, |held| held.epoch),
-            until,
-        }
+        let epoch = match held {
+            Some(held) if held.is_valid(now) => held.epoch,
+            Some(held) => epoch.max(held.epoch + 1),
+            None => epoch,
+        };
+        Self { epoch, until }
+    }
+
+    /// Ends the term. The next renewal begins another one.
+    pub fn expire(&mut self) {
+        self.until = Millis::ZERO;
     }
 
     /// Returns whether the lease is valid.
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Ends the term of an epoch that the store has fenced. If the duties are still dealt to this host,
+    /// the next renewal begins a term under a higher epoch.
+    fn expire(&self, epoch: u64) {
+        let mut held = self.lock();
+        if let Some(lease) = held.as_mut().filter(|lease| lease.epoch == epoch) {
+            lease.expire();
+        }
+    }
+
     /// Returns the epoch of the lease, or `None` if it isn't held or may have expired.
     fn epoch(&self) -> Option<u64> {
         let held = *self.lock();
@@ -134,6 +143,7 @@
                 if let Err(error) = self.report_usage(current) {
                     log::warn!(error:%, epoch; "can't report usage");
                     if matches!(error, StoreError::Fenced { .. }) {
+                        self.duty_lease.expire(current.epoch);
                         term = None;
                     }
                 }
@@ -162,6 +172,9 @@
             Ok((records, _)) => records,
             Err(error) => {
                 log::warn!(error:%, epoch; "can't start the term of the duties; retrying");
+                if matches!(error, StoreError::Fenced { .. }) {
+                    self.duty_lease.expire(epoch);
+                }
                 return None;
             }
         };
