HTTP: answers without end are given up in time and with bounded memory

What callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end. Cause: an exchange read for as long as bytes were there, without a limit on the body and without a look at the time. Change: at most 8 MiB of a body are held at a time, and an exchange returns after 1 MiB, so that deadlines and the thread's other sockets get their turn.

--- a/crates/godwitspool-host/src/http/decode.rs
+++ b/crates/godwitspool-host/src/http/decode.rs
@@ -13,6 +13,9 @@
 /// Received bytes aren't a valid HTTP/1.1 message.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum DecodeError {
+    /// The body exceeds the limit.
+    #[snafu(display("message body exceeds the limit"))]
+    Body,
     /// The start line or a header field is malformed, or the head exceeds a limit.
     #[snafu(display("message head is malformed or exceeds a limit"))]
     Head,
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -17,6 +17,13 @@
 /// Maximum size of a response head. A larger head is treated as malformed.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum size of the body bytes that are held at a time. A longer body is treated as malformed unless
+/// it is taken as it arrives.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Number of bytes after which [`Exchange::advance`] returns, so that a peer that sends without end
+/// doesn't keep the thread from its deadline and its other sockets.
+const MAX_ADVANCE_BYTES: usize = 1024 * 1024;
+
 /// Why an exchange failed.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -150,11 +157,18 @@
         if self.connecting {
             return Ok(Progress::Pending);
         }
-        loop {
+        let mut taken = 0;
+        while taken < MAX_ADVANCE_BYTES {
+            let held = self.connection.input.len();
             let received = self.connection.receive();
             let received = received.map_err(|source| self.broken(source))?;
+            taken += self.connection.input.len() - held;
             self.decode()
                 .map_err(|source| CallError::Malformed { source })?;
+            if self.response.body.len() > MAX_BODY_BYTES {
+                let source = DecodeError::Body;
+                return Err(CallError::Malformed { source });
+            }
             if self.decoder.as_ref().is_some_and(BodyDecoder::is_done) {
                 return Ok(Progress::Done);
             }
@@ -167,6 +181,7 @@
                 Received::End => return Err(self.broken(io::ErrorKind::UnexpectedEof.into())),
             }
         }
+        Ok(Progress::Pending)
     }
 
     fn send(&mut self) -> Result<(), CallError> {
