Batches: bytes without an event don't keep a run alive

What callers saw: reported from similar systems, and it happened here: a target that sent a byte now and then, but no event, held an item for as long as it went on (20 s in the test, after which the fake ends). Cause: any bytes of a stream counted as progress, so neither the move to another target nor the idle timeout came. An event without an end could also grow without bound. Change: only whole events count as progress; an event larger than 1 MiB breaks the run.

--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -16,6 +16,9 @@
 /// Time until the connection of an unanswered request is closed.
 const HANG_DURATION: Duration = Duration::from_secs(20);
 
+/// Time between two bytes of a stream that has stalled.
+const DRIP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Fault of a request to a target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum TargetFault {
@@ -33,6 +36,8 @@
     Hang,
     /// The target delays the response by this many milliseconds.
     Slow(u64),
+    /// After the stream's event with this number, the target sends a byte every 0.5 s and no event.
+    DripAfter(u64),
     /// The `Request-Id` of the response is that of another request.
     WrongId,
     /// The target sends the response twice. Has no effect on a stream.
@@ -288,6 +293,16 @@
                 caller.close = true;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
+            if fault == TargetFault::DripAfter(number - 1) {
+                let began = Instant::now();
+                while began.elapsed() < HANG_DURATION {
+                    if let Err(error) = caller.chunk(b":") {
+                        self.disconnects.fetch_add(1, Ordering::SeqCst);
+                        return Err(error);
+                    }
+                    thread::sleep(DRIP_INTERVAL);
+                }
+            }
             let event = format!("id: {number}\ndata: e{number}\n\n");
             if let Err(error) = caller.chunk(event.as_bytes()) {
                 self.disconnects.fetch_add(1, Ordering::SeqCst);
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -18,6 +18,8 @@
 const EVENT_TIMEOUT: Millis = Millis(3_000);
 /// Timeout for the head of the response: the time within which a target works off a full queue.
 const HEAD_TIMEOUT: Millis = Millis(4_000);
+/// Maximum size of one event, far above that of the events of the models.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Timeout for connecting to a target: several round trips between data centres.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 /// A run moves only to a target whose interval between events is below this multiple of the median,
@@ -375,17 +377,23 @@
             if !bytes.is_empty() {
                 self.buffer.extend_from_slice(&bytes);
                 match self.read_events(shared, batch) {
+                    // Bytes without an event don't count as progress: a stalled target may send
+                    // some now and then.
+                    Ok(0) => {}
                     Ok(events) => {
                         let since_last = now - self.last_data;
-                        if self.pace.events > 0 && events > 0 {
+                        if self.pace.events > 0 {
                             let interval_ms = since_last.0 as f64 / f64::from(events);
                             shared.fleet().record_pace(&self.target, interval_ms, now);
                         }
                         self.pace.push(events, since_last);
+                        self.last_data = now;
                     }
                     Err(failure) => return failed(failure, Outcome::Failed),
                 }
-                self.last_data = now;
+                if self.buffer.len() > MAX_EVENT_BYTES {
+                    return failed(RunFailure::Broken, Outcome::Failed);
+                }
             }
         }
         match progress {
