--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -173,12 +173,16 @@
         let mut failure = None;
         if direct {
             let mut answer = self.call_directly(call);
-            // A long poll may hang with its connection, or miss records while others see them.
-            if let (StoreCall::Read(topic, part, from, wait), Err(StoreError::Unknown { .. })) =
-                (call, &answer)
+            // A long poll may hang with its connection while new ones work. The targets' entries age
+            // meanwhile, so the store is tried again before other hosts are asked.
+            if let (
+                StoreCall::Read(Topic::Targets, part, from, wait),
+                Err(StoreError::Unknown { .. }),
+            ) = (call, &answer)
                 && !wait.is_zero()
             {
-                answer = self.call_directly(&StoreCall::Read(*topic, *part, *from, Duration::ZERO));
+                let again = StoreCall::Read(Topic::Targets, *part, *from, Duration::ZERO);
+                answer = self.call_directly(&again);
             }
             match answer {
                 Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
