Review: items of a new route are listed as dead while their owner is cut off

Seen: a host that is cut off from the store for 5.5 s owns partitions of batches that another host has accepted on a route that was just added.

--- /dev/null
+++ b/review/stand/cases.rs
@@ -0,0 +1,552 @@
+//! The course of each case. Each returns the exit status.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    net::Json,
+    system::{Submission, System, cut, plain_route, route},
+    worker::POISON,
+};
+
+pub fn run(case: &str, folder: &str, trouble: bool) -> i32 {
+    match case {
+        "new-route" => new_route(folder, trouble),
+        "single-version" => single_version(folder, trouble),
+        "line-ends" => line_ends(folder, trouble),
+        "empty-batch" => empty_batch(folder, trouble),
+        "crashing-request" => crashing_request(folder, trouble),
+        _ => {
+            eprintln!("no case {case}");
+            2
+        }
+    }
+}
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+fn items(batch: &str, count: usize, events: u64, group: usize) -> Vec<(String, u64, String)> {
+    let item = |n: usize| {
+        (
+            format!("{batch}i{n}"),
+            events,
+            format!("{batch}g{}", n / group),
+        )
+    };
+    (0..count).map(item).collect()
+}
+
+/// Reads batches until all of their results are listed, or the time is up. Returns the results.
+fn read_whole(
+    system: &System,
+    host: usize,
+    batches: &[(String, usize)],
+    seconds: u64,
+) -> BTreeMap<String, Vec<Json>> {
+    let due = Instant::now() + Duration::from_secs(seconds);
+    let mut known: BTreeMap<String, Vec<Json>> = BTreeMap::new();
+    loop {
+        let mut open = false;
+        for (batch, total) in batches {
+            let results = known.entry(batch.clone()).or_default();
+            if results.len() < *total {
+                system.read_on(host, batch, results);
+                open |= results.len() < *total;
+            }
+        }
+        if !open || Instant::now() > due {
+            return known;
+        }
+        sleep_ms(100);
+    }
+}
+
+/// A route is added while the owner of a batch's partition is cut off from the store.
+fn new_route(folder: &str, trouble: bool) -> i32 {
+    let system = System::start(folder, 3, 120);
+    let log = &system.log;
+    let model = "m0";
+    let old = route("dues", "/dues/", false);
+    system.configure(1, std::slice::from_ref(&old), &[model], 16);
+    for n in 0..2 {
+        system.add_worker(&format!("i-{n}"), 16, &[model], 20, 0);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    let step = |batch: &str| Submission {
+        model,
+        step: 0,
+        min_version: 1,
+        groups: 2,
+        items: items(batch, 4, 5, 2),
+    };
+    system.submit_until_accepted(0, "/dues/", "warm", &step("warm"));
+    let warm = read_whole(&system, 0, &[("warm".to_owned(), 4)], 15);
+    if warm["warm"].len() < 4 {
+        log.line("couldn't run: the first batch isn't served");
+        return 2;
+    }
+    // The host that owns most of the partitions of results is the one that is cut off.
+    let holders = system.store.holders("keyed.godwitspool-results");
+    let count = |index: usize| {
+        let ip = format!("{}:", system.hosts[index].ip);
+        holders
+            .iter()
+            .filter(|(_, member)| member.starts_with(&ip))
+            .count()
+    };
+    let victim = (0..system.hosts.len())
+        .max_by_key(|index| count(*index))
+        .unwrap_or_default();
+    let other = (victim + 1) % system.hosts.len();
+    log.line(&format!(
+        "{} owns {} partitions",
+        system.hosts[victim].node,
+        count(victim)
+    ));
+    if trouble {
+        cut(&system.hosts[victim], log, true);
+    }
+    let began = Instant::now();
+    sleep_ms(300);
+    system.configure(2, &[old, route("pickup", "/pickup/", false)], &[model], 16);
+    let added = Instant::now();
+    let mut batches = Vec::new();
+    while added.elapsed() < Duration::from_millis(1_800) {
+        let batch = format!("lot{:02}", batches.len());
+        if system.submit(other, "/pickup/", &batch, &step(&batch)) == Some(202) {
+            batches.push((batch, 4));
+        }
+        sleep_ms(50);
+    }
+    let left = Duration::from_millis(5_500).saturating_sub(began.elapsed());
+    thread::sleep(left);
+    if trouble {
+        cut(&system.hosts[victim], log, false);
+    }
+    let results = read_whole(&system, other, &batches, 40);
+    let listed: usize = results.values().map(Vec::len).sum();
+    let dead = results
+        .values()
+        .flatten()
+        .filter(|result| result.get("state").text() == "dead")
+        .count();
+    log.line(&format!(
+        "{} batches accepted on the new route, {listed} of {} results listed, {dead} dead; no worker answered 422 or 500, \
+         no batch was ended, the route is still there",
+        batches.len(), batches.len() * 4
+    ));
+    verdict(&system, "MIXED", dead > 0)
+}
+
+/// A worker is lost for good while it runs items whose results need a single version, and a newer
+/// version has been named.
+fn single_version(folder: &str, trouble: bool) -> i32 {
+    let system = System::start(folder, 3, 120);
+    let log = &system.log;
+    let models = ["m0", "m1", "m2"];
+    system.configure(1, &[route("dues", "/dues/", true)], &models, 4);
+    for n in 0..6 {
+        system.add_worker(&format!("i-{n}"), 4, &models, 100, 0);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    let workers = system.workers.lock().unwrap().clone();
+    for model in models {
+        system.name_version(model, 2);
+    }
+    system.until(25, "two workers are at version 2 of each model", || {
+        let loaded = |model: &str| {
+            workers
+                .iter()
+                .filter(|worker| worker.version(model) == 2)
+                .count()
+        };
+        models.iter().all(|model| loaded(model) >= 2)
+    });
+    sleep_ms(2_500);
+    // The trainer asks a step ahead: step 3 is open while step 2 still runs.
+    let before = Submission {
+        model: "m0",
+        step: 2,
+        min_version: 1,
+        groups: 1,
+        items: items("prior", 2, 5, 2),
+    };
+    let step = Submission {
+        model: "m0",
+        step: 3,
+        min_version: 2,
+        groups: 2,
+        items: items("lot", 6, 40, 3),
+    };
+    system.submit_until_accepted(0, "/dues/", "prior", &before);
+    system.submit_until_accepted(0, "/dues/", "lot", &step);
+    let submitted = Instant::now();
+    let running = || -> usize { workers.iter().map(|worker| worker.running_of("lot")).sum() };
+    system.until(5, "all items of step 3 run", || running() == 6);
+    let whole = read_whole(&system, 0, &[("prior".to_owned(), 2)], 5);
+    if whole["prior"].len() < 2 {
+        log.line("couldn't run: step 2 isn't served");
+        return 2;
+    }
+    system.end_batch(0, "prior");
+    sleep_ms(500);
+    system.name_version("m0", 3);
+    let named = Instant::now();
+    system.until(5, "a worker is ordered to load version 3", || {
+        workers.iter().any(|worker| worker.was_ordered("m0", 3))
+    });
+    sleep_ms(700);
+    if trouble {
+        let lost = workers
+            .iter()
+            .find(|worker| worker.running() > 0 && !worker.was_ordered("m0", 3));
+        let Some(lost) = lost else {
+            log.line("couldn't run: every worker with items was ordered to load version 3");
+            return 2;
+        };
+        log.line(&format!("{} is lost for good", lost.name));
+        lost.crash();
+    }
+    let crashed = Instant::now();
+    let mut known = Vec::new();
+    while submitted.elapsed() < Duration::from_millis(12_000) && known.len() < 6 {
+        system.read_on(0, "lot", &mut known);
+        sleep_ms(400);
+    }
+    let now = Instant::now();
+    // Unfinished items, and how long they have been at no worker in steady state.
+    let steady = crashed + Duration::from_millis(3_000);
+    let listed: Vec<&str> = known.iter().map(|result| result.get("id").text()).collect();
+    let mut forgotten = 0;
+    for (id, _, _) in &step.items {
+        let seen: Vec<_> = workers
+            .iter()
+            .filter_map(|worker| worker.items().get(id).copied())
+            .collect();
+        let finished = seen.iter().any(|(_, finished)| *finished);
+        let last = seen
+            .iter()
+            .map(|(at, _)| *at)
+            .max()
+            .unwrap_or(submitted)
+            .max(steady);
+        let absent = now.saturating_duration_since(last);
+        if !listed.contains(&id.as_str()) {
+            log.line(&format!("item {id}: finished at a worker: {finished}, at no worker in steady state for {absent:?}"));
+            forgotten += usize::from(!finished && absent >= Duration::from_secs(5));
+        }
+    }
+    let busy: usize = workers.iter().map(|worker| worker.running()).sum();
+    log.line(&format!(
+        "step out of time: {} of 6 results listed, {forgotten} unfinished items at no worker for 5 s; {busy} requests at the workers; \
+         the last version was named {:?} ago; {} refusals of items",
+        known.len(), named.elapsed(), log.refusals()
+    ));
+    let versions: Vec<String> = workers
+        .iter()
+        .map(|worker| format!("{} {}", worker.name, worker.version("m0")))
+        .collect();
+    log.line(&format!("versions of m0: {}", versions.join(", ")));
+    system.end_batch(0, "lot");
+    verdict(&system, "LOST", forgotten > 0)
+}
+
+/// A worker answers items with a valid head and then line ends without end.
+fn line_ends(folder: &str, trouble: bool) -> i32 {
+    let system = System::start(folder, 3, 120);
+    let log = &system.log;
+    system.configure(1, &[route("dues", "/dues/", false)], &["m0"], 16);
+    // 3 of 9 workers spoil 1 in 50 of their answers.
+    for n in 0..9 {
+        let spoiled = if trouble && n < 3 { 50 } else { 0 };
+        system.add_worker(&format!("i-{n}"), 16, &["m0"], 20, spoiled);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    // The platform starts a process again after it has ended.
+    let ends: Arc<Vec<AtomicU32>> =
+        Arc::new(system.hosts.iter().map(|_| AtomicU32::new(0)).collect());
+    for number in 0..system.hosts.len() {
+        let (system, ends) = (Arc::clone(&system), Arc::clone(&ends));
+        thread::spawn(move || {
+            let host = &system.hosts[number];
+            loop {
+                if let Some(status) = host.ended() {
+                    ends[number].fetch_add(1, Ordering::SeqCst);
+                    system
+                        .log
+                        .line(&format!("{} ended by itself: {status}", host.node));
+                    sleep_ms(500);
+                    host.restart();
+                    system.log.line(&format!("{} started again", host.node));
+                }
+                sleep_ms(100);
+            }
+        });
+    }
+    let ended = || -> Vec<u32> {
+        ends.iter()
+            .map(|count| count.load(Ordering::SeqCst))
+            .collect()
+    };
+    let is_broken = || ended().iter().filter(|count| **count >= 3).count() >= 2;
+    // Three trainers ask for a step each 4 s.
+    let accepted = Arc::new(Mutex::new(Vec::new()));
+    let length = Duration::from_secs(if trouble { 95 } else { 30 });
+    let began = Instant::now();
+    let trainers = (0..3).map(|trainer| {
+        let (system, accepted) = (Arc::clone(&system), Arc::clone(&accepted));
+        thread::spawn(move || {
+            let mut step = 0;
+            while began.elapsed() + Duration::from_secs(12) < length {
+                let batch = format!("lot{trainer}s{step:02}");
+                let submission = Submission {
+                    model: "m0",
+                    step,
+                    min_version: 1,
+                    groups: 9,
+                    items: items(&batch, 72, 20, 8),
+                };
+                for attempt in 0..3 {
+                    let host = (trainer + step as usize + attempt) % system.hosts.len();
+                    if system.submit(host, "/dues/", &batch, &submission) == Some(202) {
+                        accepted.lock().unwrap().push(batch.clone());
+                        break;
+                    }
+                }
+                let asked = Instant::now();
+                let mut known = Vec::new();
+                while asked.elapsed() < Duration::from_secs(12) && known.len() < 72 {
+                    let host = (trainer + known.len()) % system.hosts.len();
+                    system.read_on(host, &batch, &mut known);
+                    sleep_ms(300);
+                }
+                system.log.line(&format!(
+                    "client: {batch}: {} of 72 results after {:?}",
+                    known.len(),
+                    asked.elapsed()
+                ));
+                system.end_batch(trainer, &batch);
+                thread::sleep(Duration::from_secs(4).saturating_sub(asked.elapsed()));
+                step += 1;
+            }
+        })
+    });
+    let trainers: Vec<_> = trainers.collect();
+    while began.elapsed() < length
+        && !is_broken()
+        && !trainers.iter().all(|trainer| trainer.is_finished())
+    {
+        for host in &system.hosts {
+            if !host.is_ready() {
+                log.line(&format!("{} isn't ready", host.node));
+            }
+        }
+        sleep_ms(1_000);
+    }
+    for host in &system.hosts {
+        for line in host.lines("stands still") {
+            log.line(&format!("{} logged: {line}", host.node));
+        }
+    }
+    log.line(&format!(
+        "processes that ended by themselves, by host: {:?}; {} batches accepted",
+        ended(),
+        accepted.lock().unwrap().len()
+    ));
+    verdict(&system, "Fault", is_broken())
+}
+
+/// A trainer ends batches before they have a result, and their time to live passes.
+fn empty_batch(folder: &str, trouble: bool) -> i32 {
+    let system = System::start(folder, 2, 20);
+    let log = &system.log;
+    system.configure(1, &[route("dues", "/dues/", false)], &["m0"], 16);
+    for n in 0..2 {
+        system.add_worker(&format!("i-{n}"), 16, &["m0"], 100, 0);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    let step = |batch: &str, first: u64, second: u64| Submission {
+        model: "m0",
+        step: 0,
+        min_version: 1,
+        groups: 1,
+        items: vec![
+            (format!("{batch}i0"), first, format!("{batch}g0")),
+            (format!("{batch}i1"), second, format!("{batch}g0")),
+        ],
+    };
+    let whole = |kind: &str, seconds: u64| {
+        let batches: Vec<_> = (0..16).map(|n| (format!("{kind}{n:02}"), 2)).collect();
+        let before = log.refusals();
+        for (batch, _) in &batches {
+            system.submit_until_accepted(0, "/dues/", batch, &step(batch, 4, 30));
+        }
+        let results = read_whole(&system, 0, &batches, seconds);
+        let listed = results.values().map(Vec::len).sum::<usize>();
+        log.line(&format!(
+            "{kind}: {listed} of 32 results listed, {} refusals",
+            log.refusals() - before
+        ));
+        results
+            .into_iter()
+            .filter(|(_, results)| results.len() < 2)
+            .map(|(batch, _)| batch)
+            .collect::<Vec<_>>()
+    };
+    if !whole("first", 15).is_empty() {
+        log.line("couldn't run: the first batches aren't served");
+        return 2;
+    }
+    for n in 0..16 {
+        let batch = format!("ended{n:02}");
+        system.submit_until_accepted(
+            0,
+            "/dues/",
+            &batch,
+            &step(&batch, if trouble { 40 } else { 2 }, 40),
+        );
+        if trouble {
+            system.end_batch(0, &batch);
+        } else {
+            // Without the disruption the trainer has read a result before it ends the batch.
+            read_whole(&system, 0, &[(batch.clone(), 1)], 5);
+            system.end_batch(0, &batch);
+        }
+    }
+    log.line("the time to live of these batches passes");
+    sleep_ms(60_000);
+    let asked = Instant::now();
+    let stuck = whole("later", 12);
+    log.line(&format!(
+        "batches without all results {:?} after they were asked: {stuck:?}",
+        asked.elapsed()
+    ));
+    for host in &system.hosts {
+        for line in host
+            .lines("partition lost")
+            .iter()
+            .chain(&host.lines("partition closed"))
+        {
+            log.line(&format!("{} logged: {line}", host.node));
+        }
+    }
+    let workers = system.workers.lock().unwrap().clone();
+    let busy: usize = workers.iter().map(|worker| worker.running()).sum();
+    log.line(&format!("{busy} requests at the workers"));
+    let mut forgotten = 0;
+    for batch in &stuck {
+        for (id, _, _) in step(batch, 4, 30).items {
+            let seen: Vec<_> = workers
+                .iter()
+                .filter_map(|worker| worker.items().get(&id).copied())
+                .collect();
+            let finished = seen.iter().any(|(_, finished)| *finished);
+            let absent = seen
+                .iter()
+                .map(|(at, _)| at.elapsed())
+                .min()
+                .unwrap_or(asked.elapsed());
+            log.line(&format!(
+                "item {id}: finished at a worker: {finished}, last there {absent:?} ago"
+            ));
+            forgotten += usize::from(!finished && absent >= Duration::from_secs(5));
+        }
+    }
+    log.line(&format!(
+        "{forgotten} unfinished items were at no worker for 5 s when their step ran out of time"
+    ));
+    verdict(&system, "LOST", forgotten > 0)
+}
+
+/// A request crashes each worker that begins to run it, and comes again.
+fn crashing_request(folder: &str, trouble: bool) -> i32 {
+    let system = System::start(folder, 3, 120);
+    let log = &system.log;
+    system.configure(1, &[plain_route()], &["m0"], 16);
+    let mut next = 0;
+    while next < 4 {
+        system.add_plain_worker(&format!("d-{next}"), trouble);
+        next += 1;
+    }
+    system.await_ready();
+    system.until(10, "a request is served", || {
+        system.request(0, "/booking/sound", "warm", b"sound") == Some(200)
+    });
+    let began = Instant::now();
+    let (mut attempt, mut served, mut sound) = (0, 0, 0);
+    let mut asked = None::<Instant>;
+    while began.elapsed() < Duration::from_secs(40) {
+        // A crashed worker is back after some seconds, under another name.
+        let workers = system.workers.lock().unwrap().clone();
+        let lost = workers.iter().filter(|worker| worker.crashed().is_some());
+        let back = lost.filter(|worker| {
+            let at = worker.crashed().map(|(_, at)| at.elapsed());
+            at.is_some_and(|at| at > Duration::from_secs(2))
+        });
+        while 4 + back.clone().count() > next {
+            system.add_plain_worker(&format!("d-{next}"), trouble);
+            log.line(&format!("d-{next} started in place of a crashed worker"));
+            next += 1;
+        }
+        // The same caller sends the same path and body again, at any host.
+        if asked.is_none_or(|at| at.elapsed() > Duration::from_millis(2_500)) {
+            asked = Some(Instant::now());
+            let (host, id) = (attempt % system.hosts.len(), format!("c{attempt:02}"));
+            attempt += 1;
+            let status = system.request(host, "/booking/same", &id, POISON);
+            let node = &system.hosts[host].node;
+            log.line(&format!("client: request {id} at {node} -> {status:?}"));
+        }
+        sound += 1;
+        let id = format!("s{sound:04}");
+        let status = system.request(sound % system.hosts.len(), "/booking/sound", &id, b"sound");
+        served += usize::from(status == Some(200));
+        sleep_ms(50);
+    }
+    let mut crashes: Vec<_> = system
+        .workers
+        .lock()
+        .unwrap()
+        .iter()
+        .filter_map(|worker| worker.crashed())
+        .collect();
+    crashes.sort_by_key(|(_, at)| *at);
+    let third = crashes
+        .get(2)
+        .map(|(_, at)| *at + Duration::from_millis(3_000));
+    let mut late: Vec<&String> = Vec::new();
+    for (id, at) in &crashes {
+        if third.is_some_and(|third| *at > third) && !late.contains(&id) {
+            late.push(id);
+        }
+    }
+    log.line(&format!(
+        "{attempt} attempts, {} crashes; attempts that reached workers later than 3 s after the third crash: {late:?}; \
+         {served} of {sound} sound requests served",
+        crashes.len()
+    ));
+    verdict(&system, "BUDGET", late.len() > 3)
+}
+
+fn verdict(system: &System, rule: &str, broken: bool) -> i32 {
+    let text = if broken { "broken" } else { "held" };
+    system.log.line(&format!(
+        "{rule} {text}, after {:?}",
+        system.began.elapsed()
+    ));
+    println!("{rule} {text}");
+    i32::from(broken)
+}
--- /dev/null
+++ b/review/stand/worker.rs
@@ -0,0 +1,442 @@
+//! Stand-in for a model worker: item streams, load orders, registration in the store.
+
+use std::{
+    collections::BTreeMap,
+    io::{ErrorKind, Read, Write},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    log::Log,
+    net::{Json, Message, read_message, respond},
+    store::Store,
+};
+
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+pub struct Options {
+    pub name: String,
+    pub service: String,
+    pub slots: usize,
+    /// Versions of its models.
+    pub models: BTreeMap<String, u64>,
+    /// Time from an event to the next.
+    pub interval: Duration,
+    /// One in this many of its answers to items is a valid head and then line ends without end; 0 for none.
+    pub spoiled: u64,
+    /// Whether a request with the body [`POISON`] crashes it.
+    pub crashes: bool,
+}
+
+/// Body of the request that crashes each worker that begins to run it.
+pub const POISON: &[u8] = b"crashes each worker that begins to run it";
+
+pub struct Worker {
+    pub name: String,
+    pub address: SocketAddr,
+    slots: usize,
+    service: String,
+    interval: Duration,
+    spoiled: u64,
+    answers: AtomicU64,
+    crashes: bool,
+    /// The request that has crashed it, and when.
+    crashed: Mutex<Option<(String, Instant)>>,
+    dead: AtomicBool,
+    born: u64,
+    seq: AtomicU64,
+    state: Mutex<State>,
+    store: Arc<Store>,
+    log: Arc<Log>,
+}
+
+#[derive(Default)]
+struct State {
+    models: BTreeMap<String, u64>,
+    /// The order that is being carried out.
+    loading: Option<(String, u64)>,
+    orders: Vec<(String, u64, Instant)>,
+    fence: u64,
+    running: usize,
+    at_work: Vec<String>,
+    /// When each item was last at this worker, and whether its stream was sent to its end.
+    items: BTreeMap<String, (Instant, bool)>,
+    connections: Vec<TcpStream>,
+}
+
+impl Worker {
+    pub fn start(options: Options, store: &Arc<Store>, log: &Arc<Log>) -> Arc<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        listener.set_nonblocking(true).expect("a listener");
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let worker = Arc::new(Self {
+            name: options.name,
+            address: listener.local_addr().expect("an address"),
+            slots: options.slots,
+            service: options.service,
+            interval: options.interval,
+            spoiled: options.spoiled,
+            answers: AtomicU64::new(0),
+            crashes: options.crashes,
+            crashed: Mutex::new(None),
+            dead: AtomicBool::new(false),
+            born: born.as_millis() as u64,
+            seq: AtomicU64::new(0),
+            state: Mutex::new(State {
+                models: options.models,
+                ..State::default()
+            }),
+            store: Arc::clone(store),
+            log: Arc::clone(log),
+        });
+        let own = Arc::clone(&worker);
+        thread::spawn(move || own.accept(&listener));
+        let own = Arc::clone(&worker);
+        thread::spawn(move || own.beat());
+        worker.register();
+        worker
+    }
+
+    /// The worker is lost for good: its connections end, and its entry goes after three silent intervals.
+    pub fn crash(&self) {
+        self.dead.store(true, Ordering::SeqCst);
+        for connection in self.state.lock().unwrap().connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Returns which request has crashed the worker, and when.
+    pub fn crashed(&self) -> Option<(String, Instant)> {
+        self.crashed.lock().unwrap().clone()
+    }
+
+    /// Returns the version of a model.
+    pub fn version(&self, model: &str) -> u64 {
+        self.state
+            .lock()
+            .unwrap()
+            .models
+            .get(model)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns whether an order to load this version was accepted, carried out or not.
+    pub fn was_ordered(&self, model: &str, version: u64) -> bool {
+        let state = self.state.lock().unwrap();
+        state
+            .orders
+            .iter()
+            .any(|(of, to, _)| of == model && *to == version)
+    }
+
+    /// Returns when each item was last at the worker and whether its stream was sent to its end.
+    pub fn items(&self) -> BTreeMap<String, (Instant, bool)> {
+        self.state.lock().unwrap().items.clone()
+    }
+
+    /// Returns the number of running items whose id begins with a text.
+    pub fn running_of(&self, text: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state
+            .at_work
+            .iter()
+            .filter(|id| id.starts_with(text))
+            .count()
+    }
+
+    pub fn running(&self) -> usize {
+        self.state.lock().unwrap().running
+    }
+
+    fn is_dead(&self) -> bool {
+        self.dead.load(Ordering::SeqCst)
+    }
+
+    fn beat(&self) {
+        loop {
+            thread::sleep(HEARTBEAT);
+            if self.is_dead() {
+                thread::sleep(2 * HEARTBEAT);
+                self.store.put("keyed.servers", &self.name, "");
+                self.log
+                    .line(&format!("store: entry of {} expired", self.name));
+                return;
+            }
+            self.register();
+        }
+    }
+
+    fn register(&self) {
+        let state = self.state.lock().unwrap();
+        let models: Vec<String> = state
+            .models
+            .iter()
+            .map(|(name, version)| {
+                format!("{{\"name\":\"{name}\",\"version\":{version},\"adapters\":[]}}")
+            })
+            .collect();
+        drop(state);
+        if self.is_dead() {
+            return;
+        }
+        let seq = self.seq.fetch_add(1, Ordering::SeqCst);
+        let entry = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"tbilisi-depot\",\"version\":1,\"slots\":{},\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"seq\":{seq},\"stage\":\"both\",\"models\":[{}],\"born\":{}}}",
+            self.service,
+            self.address,
+            self.slots,
+            models.join(","),
+            self.born
+        );
+        self.store.put("keyed.servers", &self.name, &entry);
+    }
+
+    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+        while !self.is_dead() {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let _ = stream.set_nodelay(true);
+                    if let Ok(copy) = stream.try_clone() {
+                        self.state.lock().unwrap().connections.push(copy);
+                    }
+                    let own = Arc::clone(self);
+                    thread::spawn(move || own.serve(stream));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    thread::sleep(Duration::from_millis(2))
+                }
+                Err(_) => thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    }
+
+    fn serve(self: &Arc<Self>, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        loop {
+            let _ = stream.set_read_timeout(None);
+            let Ok(Some(request)) = read_message(&mut stream, &mut buffer) else {
+                return;
+            };
+            if self.is_dead() {
+                return;
+            }
+            let id = request.header("Request-Id").unwrap_or_default().to_owned();
+            let echoed = [("Request-Id", id.clone())];
+            let instance = request.header("Expect-Instance");
+            if instance.is_some_and(|instance| instance != self.name) {
+                if respond(&mut stream, 421, &echoed, b"").is_err() {
+                    return;
+                }
+                continue;
+            }
+            let kept = if request.path() == "/api/order" {
+                self.order(&mut stream, &request)
+            } else if request.header("Model").is_some() {
+                self.item(&mut stream, &request, &id)
+            } else if request.body == POISON && self.crashes {
+                self.log
+                    .line(&format!("{}: request {id} crashes the worker", self.name));
+                *self.crashed.lock().unwrap() = Some((id, Instant::now()));
+                self.crash();
+                return;
+            } else {
+                if request.body == POISON {
+                    self.log.line(&format!("{}: request {id} runs", self.name));
+                }
+                let stamp = [
+                    ("Request-Id", id),
+                    ("Server-Stamp", format!("stamp.{}", self.name)),
+                ];
+                respond(&mut stream, 200, &stamp, b"body").is_ok()
+            };
+            if !kept {
+                return;
+            }
+        }
+    }
+
+    fn order(self: &Arc<Self>, stream: &mut TcpStream, request: &Message) -> bool {
+        let body = Json::parse(&request.body);
+        let model = body.get("model").text().to_owned();
+        let version = body.get("version").number();
+        let fence = body.get("fence_token").number();
+        let waits = body.get("mode").text() == "wait";
+        let mut state = self.state.lock().unwrap();
+        let known = state.models.get(&model).copied();
+        let status = if fence < state.fence {
+            412
+        } else if state.loading.is_some() {
+            409
+        } else if known.is_none() {
+            400
+        } else if known == Some(version) {
+            200
+        } else {
+            state.loading = Some((model.clone(), version));
+            state.orders.push((model.clone(), version, Instant::now()));
+            202
+        };
+        state.fence = state.fence.max(fence);
+        drop(state);
+        self.log.line(&format!(
+            "{}: order version {version} of {model}, mode {}, fence {fence} -> {status}",
+            self.name,
+            body.get("mode").text()
+        ));
+        if status == 202 {
+            let own = Arc::clone(self);
+            thread::spawn(move || {
+                while waits && own.state.lock().unwrap().running > 0 {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                thread::sleep(Duration::from_millis(900));
+                if own.is_dead() {
+                    return;
+                }
+                let mut state = own.state.lock().unwrap();
+                state.models.insert(model.clone(), version);
+                state.loading = None;
+                drop(state);
+                own.log
+                    .line(&format!("{}: {model} is at version {version}", own.name));
+                own.register();
+            });
+        }
+        respond(stream, status, &[], b"").is_ok()
+    }
+
+    fn item(&self, stream: &mut TcpStream, request: &Message, id: &str) -> bool {
+        let model = request.header("Model").unwrap_or_default().to_owned();
+        let mut state = self.state.lock().unwrap();
+        let version = state.models.get(&model).copied().unwrap_or_default();
+        let expected: Option<u64> = request
+            .header("Expect-Version")
+            .and_then(|text| text.parse().ok());
+        let loads = state.loading.as_ref().is_some_and(|(of, _)| *of == model);
+        let refusal = if expected.is_some_and(|expected| expected != version) {
+            Some(421)
+        } else if loads || state.running >= self.slots {
+            Some(503)
+        } else {
+            state.running += 1;
+            state.at_work.push(id.to_owned());
+            None
+        };
+        drop(state);
+        let events: u64 = request
+            .header("Token-Counts")
+            .and_then(|text| text.split(',').nth(1))
+            .and_then(|text| text.trim().parse().ok())
+            .unwrap_or(10);
+        let last: u64 = request
+            .header("Last-Event-Id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        if let Some(status) = refusal {
+            self.log.refused(&format!(
+                "{}: item {id} after event {last}, version {version}, expected {expected:?} -> {status}",
+                self.name
+            ));
+            let headers = [("Request-Id", id.to_owned()), ("Not-Run", "1".to_owned())];
+            return respond(stream, status, &headers, b"").is_ok();
+        }
+        self.log.line(&format!(
+            "{}: item {id} begins after event {last} under version {version}",
+            self.name
+        ));
+        let ended = self.stream(stream, id, version, last, events);
+        let mut state = self.state.lock().unwrap();
+        state.running -= 1;
+        if let Some(at) = state.at_work.iter().position(|own| own == id) {
+            state.at_work.remove(at);
+        }
+        let done = ended == events;
+        state.items.insert(id.to_owned(), (Instant::now(), done));
+        drop(state);
+        self.log.line(&format!(
+            "{}: item {id} ends after event {ended} of {events}",
+            self.name
+        ));
+        done
+    }
+
+    /// Sends the events and returns the last one that was sent.
+    fn stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        version: u64,
+        last: u64,
+        events: u64,
+    ) -> u64 {
+        let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+        let endless = self.spoiled > 0 && number.is_multiple_of(self.spoiled);
+        let framing = if endless {
+            "Connection: close"
+        } else {
+            "Transfer-Encoding: chunked"
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{}\r\nWeight-Versions: {version}\r\n\
+             Content-Type: text/event-stream\r\n{framing}\r\n\r\n",
+            self.name
+        );
+        if stream.write_all(head.as_bytes()).is_err() {
+            return last;
+        }
+        if endless {
+            // Bytes that are no answer, until the caller closes.
+            let noise = vec![b'\n'; 64 * 1024];
+            let mut sent = 0_u64;
+            self.log.line(&format!(
+                "{}: item {id}: answered with line ends without end",
+                self.name
+            ));
+            while !self.is_dead() && stream.write_all(&noise).is_ok() {
+                sent += noise.len() as u64;
+            }
+            self.log.line(&format!(
+                "{}: item {id}: {sent} line ends sent until the caller closed",
+                self.name
+            ));
+            return last;
+        }
+        let mut at = last;
+        let _ = stream.set_read_timeout(Some(self.interval));
+        while at < events {
+            // Waits for the interval, and notices if the caller closes.
+            let mut byte = [0];
+            match stream.read(&mut byte) {
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                _ => return at,
+            }
+            if self.is_dead() {
+                return at;
+            }
+            let event = format!("id: {}\ndata: {id} {}\n\n", at + 1, at + 1);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if stream.write_all(chunk.as_bytes()).is_err() {
+                return at;
+            }
+            at += 1;
+            let mut state = self.state.lock().unwrap();
+            state.items.insert(id.to_owned(), (Instant::now(), false));
+        }
+        if stream.write_all(b"0\r\n\r\n").is_err() {
+            return at - 1;
+        }
+        at
+    }
+}
