Review: line ends without end make the hosts stand still and end

Seen: a few answers to items are a valid head and then line ends until the caller closes.

At fault: Run::read_events in crates/godwitspool-host/src/batch/runner.rs, which takes each empty event from the front of a buffer of up to 1 MB.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicU32, Ordering},
     },
     thread,
@@ -78,7 +78,7 @@
     let old = route("dues", "/dues/", false);
     system.configure(1, std::slice::from_ref(&old), &[model], 16);
     for n in 0..2 {
-        system.add_worker(&format!("i-{n}"), 16, &[model], 20, 0);
+        system.add_worker(&format!("i-{n}"), 16, &[model], 20);
     }
     system.await_ready();
     sleep_ms(2_000);
@@ -156,7 +156,7 @@
     let models = ["m0", "m1", "m2"];
     system.configure(1, &[route("dues", "/dues/", true)], &models, 4);
     for n in 0..6 {
-        system.add_worker(&format!("i-{n}"), 4, &models, 100, 0);
+        system.add_worker(&format!("i-{n}"), 4, &models, 100);
     }
     system.await_ready();
     sleep_ms(2_000);
@@ -262,15 +262,13 @@
     verdict(&system, "LOST", forgotten > 0)
 }
 
-/// A worker answers items with a valid head and then line ends without end.
+/// For some seconds, workers answer a few items with a valid head and then line ends without end.
 fn line_ends(folder: &str, trouble: bool) -> i32 {
     let system = System::start(folder, 3, 120);
     let log = &system.log;
     system.configure(1, &[route("dues", "/dues/", false)], &["m0"], 16);
-    // 3 of 9 workers spoil 1 in 50 of their answers.
     for n in 0..9 {
-        let spoiled = if trouble && n < 3 { 50 } else { 0 };
-        system.add_worker(&format!("i-{n}"), 16, &["m0"], 20, spoiled);
+        system.add_worker(&format!("i-{n}"), 16, &["m0"], 20);
     }
     system.await_ready();
     sleep_ms(2_000);
@@ -295,86 +293,101 @@
             }
         });
     }
+    let workers = system.workers.lock().unwrap().clone();
     let ended = || -> Vec<u32> {
         ends.iter()
             .map(|count| count.load(Ordering::SeqCst))
             .collect()
     };
     let is_broken = || ended().iter().filter(|count| **count >= 3).count() >= 2;
-    // Three trainers ask for a step each 4 s.
-    let accepted = Arc::new(Mutex::new(Vec::new()));
-    let length = Duration::from_secs(if trouble { 95 } else { 30 });
+    // Three trainers ask for a step each 4 s. Each step has 12 s.
+    let mut readers = Vec::new();
     let began = Instant::now();
-    let trainers = (0..3).map(|trainer| {
-        let (system, accepted) = (Arc::clone(&system), Arc::clone(&accepted));
-        thread::spawn(move || {
-            let mut step = 0;
-            while began.elapsed() + Duration::from_secs(12) < length {
-                let batch = format!("lot{trainer}s{step:02}");
-                let submission = Submission {
-                    model: "m0",
-                    step,
-                    min_version: 1,
-                    groups: 9,
-                    items: items(&batch, 72, 20, 8),
-                };
-                for attempt in 0..3 {
-                    let host = (trainer + step as usize + attempt) % system.hosts.len();
-                    if system.submit(host, "/dues/", &batch, &submission) == Some(202) {
-                        accepted.lock().unwrap().push(batch.clone());
-                        break;
-                    }
-                }
-                let asked = Instant::now();
-                let mut known = Vec::new();
-                while asked.elapsed() < Duration::from_secs(12) && known.len() < 72 {
-                    let host = (trainer + known.len()) % system.hosts.len();
-                    system.read_on(host, &batch, &mut known);
-                    sleep_ms(300);
-                }
-                system.log.line(&format!(
-                    "client: {batch}: {} of 72 results after {:?}",
-                    known.len(),
-                    asked.elapsed()
-                ));
-                system.end_batch(trainer, &batch);
-                thread::sleep(Duration::from_secs(4).saturating_sub(asked.elapsed()));
-                step += 1;
+    for second in 0..92_u64 {
+        let step = second / 4;
+        if second % 4 == 0 && step < 21 {
+            for trainer in 0..3 {
+                let system = Arc::clone(&system);
+                readers.push(thread::spawn(move || run_step(&system, trainer, step)));
             }
-        })
-    });
-    let trainers: Vec<_> = trainers.collect();
-    while began.elapsed() < length
-        && !is_broken()
-        && !trainers.iter().all(|trainer| trainer.is_finished())
-    {
+        }
+        // The trouble lasts 5 s, and comes again each 20 s.
+        if trouble && second % 20 == 4 && second < 80 {
+            log.line("5 of 9 workers spoil 1 in 34 of their answers");
+            workers.iter().take(5).for_each(|worker| worker.spoil(34));
+        } else if second % 20 == 9 {
+            workers.iter().for_each(|worker| worker.spoil(0));
+            log.line("all workers are sound");
+        }
         for host in &system.hosts {
             if !host.is_ready() {
                 log.line(&format!("{} isn't ready", host.node));
             }
         }
-        sleep_ms(1_000);
+        if is_broken() || (!trouble && second == 40) {
+            break;
+        }
+        thread::sleep(Duration::from_secs(second + 1).saturating_sub(began.elapsed()));
     }
     for host in &system.hosts {
         for line in host.lines("stands still") {
             log.line(&format!("{} logged: {line}", host.node));
         }
     }
+    let late: usize = readers
+        .into_iter()
+        .filter(|reader| reader.is_finished())
+        .filter_map(|reader| reader.join().ok())
+        .filter(|listed| *listed < 72)
+        .count();
     log.line(&format!(
-        "processes that ended by themselves, by host: {:?}; {} batches accepted",
-        ended(),
-        accepted.lock().unwrap().len()
+        "processes that ended by themselves, by host: {:?}; {late} steps ran out of time",
+        ended()
     ));
     verdict(&system, "Fault", is_broken())
 }
 
+/// A trainer's step of 72 items, for which it waits 12 s. Returns the number of results.
+fn run_step(system: &System, trainer: usize, step: u64) -> usize {
+    let batch = format!("lot{trainer}s{step:02}");
+    let submission = Submission {
+        model: "m0",
+        step,
+        min_version: 1,
+        groups: 9,
+        items: items(&batch, 72, 20, 8),
+    };
+    let asked = Instant::now();
+    for attempt in 0..3 {
+        let host = (trainer + step as usize + attempt) % system.hosts.len();
+        if system.submit(host, "/dues/", &batch, &submission) == Some(202) {
+            break;
+        }
+    }
+    let mut known = Vec::new();
+    let mut host = trainer;
+    while asked.elapsed() < Duration::from_secs(12) && known.len() < 72 {
+        // After a read without an answer, the client asks another host.
+        if system.read_on(host, &batch, &mut known) != Some(200) {
+            host = (host + 1) % system.hosts.len();
+        }
+        sleep_ms(300);
+    }
+    let (listed, took) = (known.len(), asked.elapsed());
+    system.log.line(&format!(
+        "client: {batch}: {listed} of 72 results after {took:?}"
+    ));
+    system.end_batch(host, &batch);
+    listed
+}
+
 /// A trainer ends batches before they have a result, and their time to live passes.
 fn empty_batch(folder: &str, trouble: bool) -> i32 {
     let system = System::start(folder, 2, 20);
     let log = &system.log;
     system.configure(1, &[route("dues", "/dues/", false)], &["m0"], 16);
     for n in 0..2 {
-        system.add_worker(&format!("i-{n}"), 16, &["m0"], 100, 0);
+        system.add_worker(&format!("i-{n}"), 16, &["m0"], 100);
     }
     system.await_ready();
     sleep_ms(2_000);
@@ -410,22 +423,23 @@
         log.line("couldn't run: the first batches aren't served");
         return 2;
     }
-    for n in 0..16 {
-        let batch = format!("ended{n:02}");
-        system.submit_until_accepted(
-            0,
-            "/dues/",
-            &batch,
-            &step(&batch, if trouble { 40 } else { 2 }, 40),
-        );
-        if trouble {
+    // One trainer in five ends its batch right after it was accepted.
+    let mut kept = Vec::new();
+    for n in 0..20 {
+        let ends = trouble && n % 5 == 0;
+        let batch = format!("{}{n:02}", if ends { "zended" } else { "middle" });
+        system.submit_until_accepted(0, "/dues/", &batch, &step(&batch, 10, 10));
+        if ends {
             system.end_batch(0, &batch);
         } else {
-            // Without the disruption the trainer has read a result before it ends the batch.
-            read_whole(&system, 0, &[(batch.clone(), 1)], 5);
-            system.end_batch(0, &batch);
+            kept.push((batch, 2));
         }
     }
+    let results = read_whole(&system, 0, &kept, 10);
+    if results.values().any(|results| results.len() < 2) {
+        log.line("couldn't run: the kept batches aren't served");
+        return 2;
+    }
     log.line("the time to live of these batches passes");
     sleep_ms(60_000);
     let asked = Instant::now();
@@ -446,8 +460,10 @@
     let workers = system.workers.lock().unwrap().clone();
     let busy: usize = workers.iter().map(|worker| worker.running()).sum();
     log.line(&format!("{busy} requests at the workers"));
+    // An item counts if another one of its step had begun.
     let mut forgotten = 0;
     for batch in &stuck {
+        let (mut begun, mut absent_items) = (false, 0);
         for (id, _, _) in step(batch, 4, 30).items {
             let seen: Vec<_> = workers
                 .iter()
@@ -460,10 +476,13 @@
                 .min()
                 .unwrap_or(asked.elapsed());
             log.line(&format!(
-                "item {id}: finished at a worker: {finished}, last there {absent:?} ago"
+                "item {id}: begun {}, finished at a worker {finished}, at no worker for {absent:?}",
+                !seen.is_empty()
             ));
-            forgotten += usize::from(!finished && absent >= Duration::from_secs(5));
+            begun |= !seen.is_empty();
+            absent_items += usize::from(!finished && absent >= Duration::from_secs(5));
         }
+        forgotten += if begun { absent_items } else { 0 };
     }
     log.line(&format!(
         "{forgotten} unfinished items were at no worker for 5 s when their step ran out of time"
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -79,10 +79,9 @@
         changed |= before != self.members.len();
         if changed {
             self.generation += 1;
-            let all: Vec<(String, u32)> = self
-                .topics
-                .iter()
-                .flat_map(|topic| (0..PARTS).map(move |part| (topic.clone(), part)))
+            // Every host gets about as many partitions of each topic.
+            let all: Vec<(String, u32)> = (0..PARTS)
+                .flat_map(|part| self.topics.iter().map(move |topic| (topic.clone(), part)))
                 .collect();
             let most = all.len().div_ceil(self.members.len().max(1));
             let mut counts: BTreeMap<String, usize> = self
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -151,7 +151,6 @@
         slots: usize,
         models: &[&str],
         interval_ms: u64,
-        spoiled: u64,
     ) -> Arc<Worker> {
         let models = models.iter().map(|model| ((*model).to_owned(), 1));
         self.start_worker(Options {
@@ -160,7 +159,6 @@
             slots,
             models: models.collect(),
             interval: Duration::from_millis(interval_ms),
-            spoiled,
             crashes: false,
         })
     }
@@ -173,7 +171,6 @@
             slots: 6,
             models: BTreeMap::new(),
             interval: Duration::from_millis(25),
-            spoiled: 0,
             crashes,
         })
     }
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -28,8 +28,6 @@
     pub models: BTreeMap<String, u64>,
     /// Time from an event to the next.
     pub interval: Duration,
-    /// One in this many of its answers to items is a valid head and then line ends without end; 0 for none.
-    pub spoiled: u64,
     /// Whether a request with the body [`POISON`] crashes it.
     pub crashes: bool,
 }
@@ -43,7 +41,7 @@
     slots: usize,
     service: String,
     interval: Duration,
-    spoiled: u64,
+    spoiled: AtomicU64,
     answers: AtomicU64,
     crashes: bool,
     /// The request that has crashed it, and when.
@@ -83,7 +81,7 @@
             slots: options.slots,
             service: options.service,
             interval: options.interval,
-            spoiled: options.spoiled,
+            spoiled: AtomicU64::new(0),
             answers: AtomicU64::new(0),
             crashes: options.crashes,
             crashed: Mutex::new(None),
@@ -113,6 +111,12 @@
         }
     }
 
+    /// From now on, one in this many of its answers to items is a valid head and then line ends without
+    /// end; none for 0.
+    pub fn spoil(&self, one_in: u64) {
+        self.spoiled.store(one_in, Ordering::SeqCst);
+    }
+
     /// Returns which request has crashed the worker, and when.
     pub fn crashed(&self) -> Option<(String, Instant)> {
         self.crashed.lock().unwrap().clone()
@@ -381,7 +385,8 @@
         events: u64,
     ) -> u64 {
         let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let endless = self.spoiled > 0 && number.is_multiple_of(self.spoiled);
+        let spoiled = self.spoiled.load(Ordering::SeqCst);
+        let endless = spoiled > 0 && number.is_multiple_of(spoiled);
         let framing = if endless {
             "Connection: close"
         } else {
