Review: a worker that is cut off while a version is named gets no order to load any more

Seen: after ten cuts of 3 s, one of six workers each, in which a version is named, one of the six workers is at the version named. A step asked more than 5 s later has 16 of 72 results when its 12 s are over; 52 items were at no worker, 4 of 24 places in use (LOST).

Fault: duty/loads.rs leaves out a target with two failures in a row as the host with the duties counts them; version/fleet.rs sets the count back only by a response to a request, which a target without the version never gets.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -22,6 +22,7 @@
         "single-version" => single_version(folder, trouble),
         "line-ends" => line_ends(folder, trouble),
         "empty-batch" => empty_batch(folder, trouble),
+        "unreachable-worker" => unreachable_worker(folder, trouble),
         "crashing-request" => crashing_request(folder, trouble),
         _ => {
             eprintln!("no case {case}");
@@ -148,8 +149,8 @@
     verdict(&system, "MIXED", dead > 0)
 }
 
-/// A worker is lost for good while it runs items whose results need a single version, and a newer
-/// version has been named.
+/// The host that runs items whose results need a single version is stopped, and a newer version has
+/// been named.
 fn single_version(folder: &str, trouble: bool) -> i32 {
     let system = System::start(folder, 3, 120);
     let log = &system.log;
@@ -207,26 +208,38 @@
         workers.iter().any(|worker| worker.was_ordered("m0", 3))
     });
     sleep_ms(700);
+    let owner = system.hosts.iter().position(|host| {
+        let starts = host.lines("item starts");
+        starts.iter().any(|line| line.contains("batch=lot "))
+    });
+    let Some(owner) = owner else {
+        log.line("couldn't run: no host has started the items");
+        return 2;
+    };
     if trouble {
-        let lost = workers
-            .iter()
-            .find(|worker| worker.running() > 0 && !worker.was_ordered("m0", 3));
-        let Some(lost) = lost else {
-            log.line("couldn't run: every worker with items was ordered to load version 3");
-            return 2;
-        };
-        log.line(&format!("{} is lost for good", lost.name));
-        lost.crash();
+        system.hosts[owner].terminate();
+        log.line(&format!(
+            "{} runs the items and gets SIGTERM",
+            system.hosts[owner].node
+        ));
     }
-    let crashed = Instant::now();
+    let stopped = Instant::now();
     let mut known = Vec::new();
     while submitted.elapsed() < Duration::from_millis(12_000) && known.len() < 6 {
-        system.read_on(0, "lot", &mut known);
+        // Clients are sent to hosts that are ready.
+        system.read_on((owner + 1) % system.hosts.len(), "lot", &mut known);
+        if let Some(status) = system.hosts[owner].ended() {
+            system.hosts[owner].restart();
+            log.line(&format!(
+                "{} has ended ({status}) and is started again",
+                system.hosts[owner].node
+            ));
+        }
         sleep_ms(400);
     }
     let now = Instant::now();
     // Unfinished items, and how long they have been at no worker in steady state.
-    let steady = crashed + Duration::from_millis(3_000);
+    let steady = stopped + Duration::from_millis(3_000);
     let listed: Vec<&str> = known.iter().map(|result| result.get("id").text()).collect();
     let mut forgotten = 0;
     for (id, _, _) in &step.items {
@@ -258,7 +271,7 @@
         .map(|worker| format!("{} {}", worker.name, worker.version("m0")))
         .collect();
     log.line(&format!("versions of m0: {}", versions.join(", ")));
-    system.end_batch(0, "lot");
+    system.end_batch((owner + 1) % system.hosts.len(), "lot");
     verdict(&system, "LOST", forgotten > 0)
 }
 
@@ -560,6 +573,112 @@
     verdict(&system, "BUDGET", late.len() > 3)
 }
 
+/// Single workers can't be reached for some seconds while a version is named.
+fn unreachable_worker(folder: &str, trouble: bool) -> i32 {
+    const WORKERS: usize = 6;
+    let system = System::start(folder, 4, 120);
+    let log = &system.log;
+    system.configure(1, &[route("dues", "/dues/", false)], &["m0"], 4);
+    for n in 0..WORKERS {
+        system.add_worker(&format!("i-{n}"), 4, &["m0"], 60);
+    }
+    system.await_ready();
+    sleep_ms(3_000);
+    let workers = system.workers.lock().unwrap().clone();
+    // One worker after the other, two rounds. Each time the trainer names a version, and asks a short
+    // step that the other workers serve.
+    let mut version = 1;
+    for turn in 0..10 {
+        let worker = &workers[turn % (WORKERS - 1)];
+        let began = Instant::now();
+        if trouble {
+            worker.cut(true);
+        }
+        sleep_ms(100);
+        version += 1;
+        system.name_version("m0", version);
+        sleep_ms(2_900);
+        if trouble {
+            worker.cut(false);
+        }
+        let batch = random_id();
+        let short = Submission {
+            model: "m0",
+            step: version,
+            min_version: version - 1,
+            groups: 2,
+            items: items(&batch, 8, 10, 4),
+        };
+        system.submit_until_accepted(turn % system.hosts.len(), "/dues/", &batch, &short);
+        let whole = read_whole(&system, turn % system.hosts.len(), &[(batch.clone(), 8)], 8);
+        log.line(&format!(
+            "short step {version}: {} of 8 results listed",
+            whole[&batch].len()
+        ));
+        system.end_batch(turn % system.hosts.len(), &batch);
+        sleep_ms(5_000_u64.saturating_sub(began.elapsed().as_millis() as u64));
+    }
+    // From here on nothing is disturbed.
+    sleep_ms(3_500);
+    version += 1;
+    system.name_version("m0", version);
+    let named = Instant::now();
+    let batch = random_id();
+    let step = Submission {
+        model: "m0",
+        step: version,
+        min_version: version - 1,
+        groups: 9,
+        items: items(&batch, 72, 40, 8),
+    };
+    system.submit_until_accepted(0, "/dues/", &batch, &step);
+    let submitted = Instant::now();
+    let mut known = Vec::new();
+    let mut most = 0;
+    while submitted.elapsed() < Duration::from_secs(12) && known.len() < 72 {
+        system.read_on(0, &batch, &mut known);
+        most = most.max(workers.iter().map(|worker| worker.running()).sum());
+        sleep_ms(300);
+    }
+    let (mut begun, mut absent) = (0, 0);
+    for (id, _, _) in &step.items {
+        let seen: Vec<_> = workers
+            .iter()
+            .filter_map(|worker| worker.items().get(id).copied())
+            .collect();
+        let finished = seen.iter().any(|(_, finished)| *finished);
+        let last = seen.iter().map(|(at, _)| *at).max().unwrap_or(submitted);
+        begun += usize::from(!seen.is_empty());
+        absent += usize::from(!finished && last.elapsed() >= Duration::from_secs(5));
+    }
+    let versions: Vec<String> = workers
+        .iter()
+        .map(|worker| format!("{} {}", worker.name, worker.version("m0")))
+        .collect();
+    log.line(&format!(
+        "step out of time: {} of 72 results listed, {begun} items had begun, {absent} unfinished items at no worker for 5 s; \
+         at most {most} of {} places in use; the last version, {version}, was named {:?} ago; versions at the workers: {}",
+        known.len(),
+        WORKERS * 4,
+        named.elapsed(),
+        versions.join(", ")
+    ));
+    verdict(
+        &system,
+        "LOST",
+        known.len() < 72 && begun > 0 && absent > 0 && most < WORKERS * 2,
+    )
+}
+
+/// Returns a batch's id, as clients draw it.
+fn random_id() -> String {
+    use std::io::Read;
+    let mut bytes = [0; 8];
+    let read = std::fs::File::open("/dev/urandom").and_then(|mut file| file.read_exact(&mut bytes));
+    read.expect("random bytes");
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn verdict(system: &System, rule: &str, broken: bool) -> i32 {
     let text = if broken { "broken" } else { "held" };
     system.log.line(&format!(
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -438,6 +438,17 @@
         status.map(|status| status.to_string())
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) {
+        let children = CHILDREN.lock().unwrap();
+        let id = children[*self.child.lock().unwrap()].id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "SIGTERM can be sent"
+        );
+    }
+
     /// Starts the process again, as the platform does after an end.
     pub fn restart(&self) {
         *self.child.lock().unwrap() = spawn(&self.settings, &self.output);
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -47,6 +47,8 @@
     /// The request that has crashed it, and when.
     crashed: Mutex<Option<(String, Instant)>>,
     dead: AtomicBool,
+    /// Whether no machine of the system reaches it; it still reaches the store.
+    unreachable: AtomicBool,
     born: u64,
     seq: AtomicU64,
     state: Mutex<State>,
@@ -71,7 +73,6 @@
 impl Worker {
     pub fn start(options: Options, store: &Arc<Store>, log: &Arc<Log>) -> Arc<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        listener.set_nonblocking(true).expect("a listener");
         let born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -86,6 +87,7 @@
             crashes: options.crashes,
             crashed: Mutex::new(None),
             dead: AtomicBool::new(false),
+            unreachable: AtomicBool::new(false),
             born: born.as_millis() as u64,
             seq: AtomicU64::new(0),
             state: Mutex::new(State {
@@ -96,7 +98,7 @@
             log: Arc::clone(log),
         });
         let own = Arc::clone(&worker);
-        thread::spawn(move || own.accept(&listener));
+        thread::spawn(move || own.accept(listener));
         let own = Arc::clone(&worker);
         thread::spawn(move || own.beat());
         worker.register();
@@ -111,6 +113,23 @@
         }
     }
 
+    /// Cuts the worker off from all machines of the system, or ends the cut: its connections are reset
+    /// and new ones are refused. It goes on to register in the store.
+    pub fn cut(&self, on: bool) {
+        self.unreachable.store(on, Ordering::SeqCst);
+        if on {
+            for connection in self.state.lock().unwrap().connections.drain(..) {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+        let what = if on {
+            "is cut off from all machines"
+        } else {
+            "is reached again"
+        };
+        self.log.line(&format!("{} {what}", self.name));
+    }
+
     /// From now on, one in this many of its answers to items is a valid head and then line ends without
     /// end; none for 0.
     pub fn spoil(&self, one_in: u64) {
@@ -205,9 +224,21 @@
         self.store.put("keyed.servers", &self.name, &entry);
     }
 
-    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+    fn accept(self: &Arc<Self>, first: TcpListener) {
+        let mut listener = Some(first);
         while !self.is_dead() {
-            match listener.accept() {
+            if self.unreachable.load(Ordering::SeqCst) {
+                listener = None;
+                thread::sleep(Duration::from_millis(2));
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = TcpListener::bind(self.address).ok();
+                thread::sleep(Duration::from_millis(2));
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            match open.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nonblocking(false);
                     let _ = stream.set_nodelay(true);
