Review: a stream that its worker resets early looks complete to the client

Seen: a stream without a length that is reset right after its first event reaches the client as a complete answer with one of five events (MIXED, ORDER).

Fault: Forward::advance_stream drops the error of an exchange whose head has arrived in the same step; the next step reads the end of the connection and takes it as the end of the body.

The cases are in the order of their gravity; the former case 5 (crashing-request) gives place.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     net::Json,
-    system::{Submission, System, cut, plain_route, route},
-    worker::POISON,
+    system::{Submission, System, cut, plain_route, route, stream_route},
+    worker::{ADVICE_EVENTS, POISON},
 };
 
 pub fn run(case: &str, folder: &str, trouble: bool) -> i32 {
@@ -23,6 +23,7 @@
         "line-ends" => line_ends(folder, trouble),
         "empty-batch" => empty_batch(folder, trouble),
         "unreachable-worker" => unreachable_worker(folder, trouble),
+        "reset-stream" => reset_stream(folder, trouble),
         "crashing-request" => crashing_request(folder, trouble),
         _ => {
             eprintln!("no case {case}");
@@ -670,6 +671,82 @@
     )
 }
 
+/// Some workers break off a few of their streams, which have no length, by a reset.
+fn reset_stream(folder: &str, trouble: bool) -> i32 {
+    let system = System::start(folder, 3, 120);
+    let log = &system.log;
+    system.configure(1, &[stream_route()], &["m0"], 16);
+    for n in 0..4 {
+        system.add_plain_worker(&format!("d-{n}"), false);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    let workers = system.workers.lock().unwrap().clone();
+    for worker in &workers {
+        worker.break_off(0);
+    }
+    let whole = |id: &str| -> String {
+        (1..=ADVICE_EVENTS)
+            .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
+            .collect()
+    };
+    let (mut sent, mut complete, mut cut_off, mut short) = (0, 0, 0, 0);
+    for round in 0..4 {
+        // Two of four workers are faulty for 5 s.
+        if trouble {
+            workers
+                .iter()
+                .take(2)
+                .for_each(|worker| worker.break_off(34));
+            log.line("2 of 4 workers break off 1 in 34 of their streams");
+        }
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(5) {
+            let senders: Vec<_> = (0..4)
+                .map(|sender| {
+                    sent += 1;
+                    let (system, id) = (Arc::clone(&system), format!("a{round}{sent:06}"));
+                    thread::spawn(move || {
+                        let answer = system.stream(sender % system.hosts.len(), "/advice/", &id);
+                        (id, sender % system.hosts.len(), answer)
+                    })
+                })
+                .collect();
+            for sender in senders {
+                let Ok((id, host, answer)) = sender.join() else {
+                    return 2;
+                };
+                match answer {
+                    Ok((200, body, true)) if body == whole(&id) => complete += 1,
+                    Ok((200, body, true)) => {
+                        short += 1;
+                        let node = &system.hosts[host].node;
+                        let events = body.matches("data:").count();
+                        log.line(&format!(
+                            "client: request {id} at {node} -> 200, complete, {events} of {ADVICE_EVENTS} events: {body:?}"
+                        ));
+                    }
+                    other => {
+                        cut_off += 1;
+                        let text =
+                            other.map(|(status, body, _)| (status, body.matches("data:").count()));
+                        log.line(&format!(
+                            "client: request {id} -> not complete, status and events {text:?}"
+                        ));
+                    }
+                }
+            }
+        }
+        workers.iter().for_each(|worker| worker.break_off(0));
+        log.line("all workers are sound");
+        sleep_ms(2_000);
+    }
+    log.line(&format!(
+        "{sent} requests: {complete} whole, {cut_off} ended without looking complete, {short} looked complete and were not whole"
+    ));
+    verdict(&system, "MIXED", short > 0)
+}
+
 /// Returns a batch's id, as clients draw it.
 fn random_id() -> String {
     use std::io::Read;
--- a/review/stand/net.rs
+++ b/review/stand/net.rs
@@ -131,6 +131,64 @@
     answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
+/// Sends a request on a new connection and reads an answer in chunks. Returns the status, the body and
+/// whether the answer is complete: the last chunk has arrived, or as many bytes as its length says.
+pub fn call_stream(
+    address: SocketAddr,
+    request: &[u8],
+    timeout: Duration,
+) -> io::Result<(u16, String, bool)> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_nodelay(true)?;
+    stream.write_all(request)?;
+    stream.set_read_timeout(Some(timeout))?;
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        if let Some((status, body, true)) = decode_answer(&bytes) {
+            return Ok((status, body, true));
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => break,
+            Ok(read) => bytes.extend_from_slice(&chunk[..read]),
+        }
+    }
+    decode_answer(&bytes).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+fn decode_answer(bytes: &[u8]) -> Option<(u16, String, bool)> {
+    let end = find(bytes, b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).to_lowercase();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut rest = &bytes[end + 4..];
+    if !head.contains("transfer-encoding: chunked") {
+        let length = head.split("content-length:").nth(1)?;
+        let length: usize = length.split("\r\n").next()?.trim().parse().ok()?;
+        let body = String::from_utf8_lossy(&rest[..length.min(rest.len())]).into_owned();
+        return Some((status, body, rest.len() >= length));
+    }
+    let mut body = Vec::new();
+    while let Some(line) = find(rest, b"\r\n") {
+        let size = std::str::from_utf8(&rest[..line]).ok()?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        rest = &rest[line + 2..];
+        if size == 0 {
+            let complete = rest.starts_with(b"\r\n");
+            return Some((
+                status,
+                String::from_utf8_lossy(&body).into_owned(),
+                complete,
+            ));
+        }
+        if rest.len() < size + 2 {
+            break;
+        }
+        body.extend_from_slice(&rest[..size]);
+        rest = &rest[size + 2..];
+    }
+    Some((status, String::from_utf8_lossy(&body).into_owned(), false))
+}
+
 pub fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
     bytes.windows(part.len()).position(|window| window == part)
 }
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     log::Log,
-    net::{Json, base64, call, read_message, respond},
+    net::{Json, base64, call, call_stream, read_message, respond},
     store::{PARTS, Store},
     worker::{Options, Worker},
 };
@@ -181,6 +181,24 @@
         worker
     }
 
+    /// Sends a request of the streaming route. Returns the status, the body and whether it is complete.
+    pub fn stream(
+        &self,
+        host: usize,
+        target: &str,
+        id: &str,
+    ) -> std::io::Result<(u16, String, bool)> {
+        let request = format!(
+            "POST {target} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        call_stream(
+            self.hosts[host].front(),
+            request.as_bytes(),
+            Duration::from_secs(3),
+        )
+    }
+
     /// Sends a request of the plain route; the status is `None` without an answer.
     pub fn request(&self, host: usize, target: &str, id: &str, body: &[u8]) -> Option<u16> {
         let headers = [
@@ -481,6 +499,14 @@
     )
 }
 
+/// Returns the route of the plain streams.
+pub fn stream_route() -> String {
+    format!(
+        "{{\"name\":\"advice\",\"host\":\"{HOST}\",\"path_prefix\":\"/advice/\",\"kind\":\"streaming\",\
+         \"timeout_ms\":2000,\"goal_ms\":150,\"priority\":2,\"service\":\"order-desk\",\"max_attempts\":1}}"
+    )
+}
+
 fn shown<T: std::fmt::Display>(answer: &std::io::Result<T>) -> String {
     match answer {
         Ok(status) => status.to_string(),
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -35,6 +35,9 @@
 /// Body of the request that crashes each worker that begins to run it.
 pub const POISON: &[u8] = b"crashes each worker that begins to run it";
 
+/// Number of events of a plain stream.
+pub const ADVICE_EVENTS: u64 = 5;
+
 pub struct Worker {
     pub name: String,
     pub address: SocketAddr,
@@ -43,6 +46,8 @@
     interval: Duration,
     spoiled: AtomicU64,
     answers: AtomicU64,
+    /// Whether its streams have no length, and end with their connection.
+    unframed: AtomicBool,
     crashes: bool,
     /// The request that has crashed it, and when.
     crashed: Mutex<Option<(String, Instant)>>,
@@ -84,6 +89,7 @@
             interval: options.interval,
             spoiled: AtomicU64::new(0),
             answers: AtomicU64::new(0),
+            unframed: AtomicBool::new(false),
             crashes: options.crashes,
             crashed: Mutex::new(None),
             dead: AtomicBool::new(false),
@@ -136,6 +142,12 @@
         self.spoiled.store(one_in, Ordering::SeqCst);
     }
 
+    /// From now on its streams have no length, and one in this many is broken off by a reset; none for 0.
+    pub fn break_off(&self, one_in: u64) {
+        self.unframed.store(true, Ordering::SeqCst);
+        self.spoiled.store(one_in, Ordering::SeqCst);
+    }
+
     /// Returns which request has crashed the worker, and when.
     pub fn crashed(&self) -> Option<(String, Instant)> {
         self.crashed.lock().unwrap().clone()
@@ -279,6 +291,8 @@
                 self.order(&mut stream, &request)
             } else if request.header("Model").is_some() {
                 self.item(&mut stream, &request, &id)
+            } else if request.path().starts_with("/advice/") {
+                return self.advise(stream, &id);
             } else if request.body == POISON && self.crashes {
                 self.log
                     .line(&format!("{}: request {id} crashes the worker", self.name));
@@ -301,6 +315,63 @@
         }
     }
 
+    /// Answers with a stream of [`ADVICE_EVENTS`] events, the first one together with the head. A stream
+    /// that is broken off ends with a reset after one of its events.
+    fn advise(&self, mut stream: TcpStream, id: &str) {
+        let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+        let one_in = self.spoiled.load(Ordering::SeqCst);
+        let broken = one_in > 0 && number.is_multiple_of(one_in);
+        // Broken off after 1, 2, 3 and so on events.
+        let last = if broken {
+            1 + (number / one_in - 1) % (ADVICE_EVENTS - 1)
+        } else {
+            ADVICE_EVENTS
+        };
+        let unframed = self.unframed.load(Ordering::SeqCst);
+        let framing = if unframed {
+            "Connection: close"
+        } else {
+            "Transfer-Encoding: chunked"
+        };
+        let mut bytes = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{}\r\n\
+             Content-Type: text/event-stream\r\n{framing}\r\n\r\n",
+            self.name
+        );
+        // The connection ends with the last descriptor.
+        let peer = stream.peer_addr().ok();
+        let mut state = self.state.lock().unwrap();
+        state
+            .connections
+            .retain(|copy| copy.peer_addr().ok() != peer);
+        drop(state);
+        for event in 1..=last {
+            let text = format!("id: {event}\ndata: {id} {event}\n\n");
+            if unframed {
+                bytes.push_str(&text);
+            } else {
+                bytes.push_str(&format!("{:x}\r\n{text}\r\n", text.len()));
+            }
+            if event == ADVICE_EVENTS && !unframed {
+                bytes.push_str("0\r\n\r\n");
+            }
+            if event > 1 {
+                thread::sleep(self.interval);
+            }
+            if stream.write_all(bytes.as_bytes()).is_err() {
+                return;
+            }
+            bytes.clear();
+        }
+        if broken {
+            reset(stream);
+            self.log.line(&format!(
+                "{}: request {id}: broken off by a reset after event {last} of {ADVICE_EVENTS}",
+                self.name
+            ));
+        }
+    }
+
     fn order(self: &Arc<Self>, stream: &mut TcpStream, request: &Message) -> bool {
         let body = Json::parse(&request.body);
         let model = body.get("model").text().to_owned();
@@ -476,3 +547,17 @@
         at
     }
 }
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+/// Closes a connection with a reset instead of a normal end.
+fn reset(stream: TcpStream) {
+    use std::os::fd::AsRawFd;
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    // SAFETY: the descriptor is open, and the value is a `struct linger` of two integers.
+    let set = unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+    assert_eq!(set, 0, "the connection can be reset");
+}
