Review: answers to long requests that are reset early look complete too

Seen: on an idempotent route, an answer without a length that its worker begins before it has read the body, and resets, reaches the client as a success with half of the body (MIXED).

Fault: Exchange::send drops the error of the connection; the next read takes its end for the end of the body. The same class as the streams of this case.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -23,7 +23,7 @@
         "line-ends" => line_ends(folder, trouble),
         "empty-batch" => empty_batch(folder, trouble),
         "unreachable-worker" => unreachable_worker(folder, trouble),
-        "reset-stream" => reset_stream(folder, trouble),
+        "broken-off" => broken_off(folder, trouble),
         "crashing-request" => crashing_request(folder, trouble),
         _ => {
             eprintln!("no case {case}");
@@ -671,11 +671,16 @@
     )
 }
 
-/// Some workers break off a few of their streams, which have no length, by a reset.
-fn reset_stream(folder: &str, trouble: bool) -> i32 {
+/// Size of a long request's body.
+const LONG_BODY: usize = 3 * 1024 * 1024;
+
+/// Some workers break off a few of their answers, which have no length, by a reset: streams, and answers
+/// to long requests.
+fn broken_off(folder: &str, trouble: bool) -> i32 {
     let system = System::start(folder, 3, 120);
     let log = &system.log;
-    system.configure(1, &[stream_route()], &["m0"], 16);
+    let long = plain_route().replace("booking", "long");
+    system.configure(1, &[stream_route(), long], &["m0"], 16);
     for n in 0..4 {
         system.add_plain_worker(&format!("d-{n}"), false);
     }
@@ -691,15 +696,22 @@
             .collect()
     };
     let (mut sent, mut complete, mut cut_off, mut short) = (0, 0, 0, 0);
-    for round in 0..4 {
-        // Two of four workers are faulty for 5 s.
-        if trouble {
+    // Two of four workers are faulty, 5 s each time.
+    let faulty = |on: bool| {
+        if on && trouble {
             workers
                 .iter()
                 .take(2)
                 .for_each(|worker| worker.break_off(34));
-            log.line("2 of 4 workers break off 1 in 34 of their streams");
+            log.line("2 of 4 workers break off 1 in 34 of their answers");
+        } else if !on {
+            workers.iter().for_each(|worker| worker.break_off(0));
+            log.line("all workers are sound");
+            sleep_ms(2_000);
         }
+    };
+    for round in 0..4 {
+        faulty(true);
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(5) {
             let senders: Vec<_> = (0..4)
@@ -737,14 +749,38 @@
                 }
             }
         }
-        workers.iter().for_each(|worker| worker.break_off(0));
-        log.line("all workers are sound");
-        sleep_ms(2_000);
+        faulty(false);
+    }
+    // Long requests on an idempotent route.
+    let body = vec![b'x'; LONG_BODY];
+    let (mut long_sent, mut long_whole, mut long_short) = (0, 0, 0);
+    for _ in 0..3 {
+        faulty(true);
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(5) {
+            long_sent += 1;
+            let id = format!("l{long_sent:06}");
+            let answer = system.long(long_sent % system.hosts.len(), "/long/a", &id, &body);
+            match answer {
+                Ok((200, text, true)) if text == "body" => long_whole += 1,
+                Ok((200, text, true)) => {
+                    long_short += 1;
+                    log.line(&format!(
+                        "client: request {id} -> 200, complete, {text:?} in place of \"body\""
+                    ));
+                }
+                other => log.line(&format!("client: request {id} -> {other:?}")),
+            }
+        }
+        faulty(false);
     }
     log.line(&format!(
-        "{sent} requests: {complete} whole, {cut_off} ended without looking complete, {short} looked complete and were not whole"
+        "streams: {sent} requests, {complete} whole, {cut_off} ended without looking complete, {short} looked complete and were not whole"
+    ));
+    log.line(&format!(
+        "long requests: {long_sent}, {long_whole} whole, {long_short} looked complete and were not whole"
     ));
-    verdict(&system, "MIXED", short > 0)
+    verdict(&system, "MIXED", short + long_short > 0)
 }
 
 /// Returns a batch's id, as clients draw it.
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -199,6 +199,24 @@
         )
     }
 
+    /// Sends a request with a long body. Returns the status, the body and whether it is complete.
+    pub fn long(
+        &self,
+        host: usize,
+        target: &str,
+        id: &str,
+        body: &[u8],
+    ) -> std::io::Result<(u16, String, bool)> {
+        let mut request = format!(
+            "POST {target} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 2000\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        )
+        .into_bytes();
+        request.extend_from_slice(body);
+        call_stream(self.hosts[host].front(), &request, Duration::from_secs(3))
+    }
+
     /// Sends a request of the plain route; the status is `None` without an answer.
     pub fn request(&self, host: usize, target: &str, id: &str, body: &[u8]) -> Option<u16> {
         let headers = [
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -272,6 +272,9 @@
         let mut buffer = Vec::new();
         loop {
             let _ = stream.set_read_timeout(None);
+            if self.answers_early(&mut stream) {
+                return;
+            }
             let Ok(Some(request)) = read_message(&mut stream, &mut buffer) else {
                 return;
             };
@@ -315,6 +318,45 @@
         }
     }
 
+    /// A faulty worker answers one in some long requests before it has read their body, without a length,
+    /// and breaks the answer off by a reset. Returns whether it did.
+    fn answers_early(&self, stream: &mut TcpStream) -> bool {
+        let one_in = self.spoiled.load(Ordering::SeqCst);
+        let mut bytes = [0; 4096];
+        let Ok(read) = stream.peek(&mut bytes) else {
+            return false;
+        };
+        let head = String::from_utf8_lossy(&bytes[..read]).into_owned();
+        if !head.starts_with("POST /long/") {
+            return false;
+        }
+        let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+        if one_in == 0 || !number.is_multiple_of(one_in) {
+            return false;
+        }
+        let id = head
+            .lines()
+            .find_map(|line| line.strip_prefix("Request-Id: "))
+            .unwrap_or_default();
+        let peer = stream.peer_addr().ok();
+        let mut state = self.state.lock().unwrap();
+        state
+            .connections
+            .retain(|copy| copy.peer_addr().ok() != peer);
+        drop(state);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{}\r\n\r\nbo",
+            self.name
+        );
+        let _ = stream.write_all(answer.as_bytes());
+        set_reset(stream);
+        self.log.line(&format!(
+            "{}: request {id}: answered early and broken off by a reset after 2 of 4 bytes",
+            self.name
+        ));
+        true
+    }
+
     /// Answers with a stream of [`ADVICE_EVENTS`] events, the first one together with the head. A stream
     /// that is broken off ends with a reset after one of its events.
     fn advise(&self, mut stream: TcpStream, id: &str) {
@@ -554,6 +596,11 @@
 
 /// Closes a connection with a reset instead of a normal end.
 fn reset(stream: TcpStream) {
+    set_reset(&stream);
+}
+
+/// Has a connection end with a reset when it is closed.
+fn set_reset(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
     const SOL_SOCKET: i32 = 1;
     const SO_LINGER: i32 = 13;
