review: stand-ins of the cases, repaired

A host is started under the lock with which all are ended, so none outlives a run. Workers can be lost for good with an item of a single_version route; two more faults that are no case can be played.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -13,7 +13,7 @@
 use crate::{
     net::Json,
     system::{Submission, System, cut, plain_route, route, stream_route},
-    worker::{ADVICE_EVENTS, POISON},
+    worker::{ADVICE_EVENTS, POISON, Worker},
 };
 
 pub fn run(case: &str, folder: &str, trouble: bool) -> i32 {
@@ -25,6 +25,8 @@
         "unreachable-worker" => unreachable_worker(folder, trouble),
         "broken-off" => broken_off(folder, trouble),
         "crashing-request" => crashing_request(folder, trouble),
+        "lost-worker" => lost_worker(folder, trouble),
+        "left-open" => left_open(folder, trouble),
         _ => {
             eprintln!("no case {case}");
             2
@@ -97,6 +99,21 @@
         log.line("couldn't run: the first batch isn't served");
         return 2;
     }
+    let mut routes = vec![old];
+    for round in 1..=4 {
+        let dead = add_route(&system, &mut routes, round, trouble);
+        if dead > 0 {
+            return verdict(&system, "MIXED", true);
+        }
+        sleep_ms(4_000);
+    }
+    verdict(&system, "MIXED", false)
+}
+
+/// Cuts one host off from the store, adds a route, and submits batches on it. Returns the number of results
+/// that are listed as dead.
+fn add_route(system: &System, routes: &mut Vec<String>, round: u64, trouble: bool) -> usize {
+    let log = &system.log;
     // The host that owns most of the partitions of results is the one that is cut off.
     let holders = system.store.holders("keyed.godwitspool-results");
     let count = |index: usize| {
@@ -119,23 +136,33 @@
         cut(&system.hosts[victim], log, true);
     }
     let began = Instant::now();
-    sleep_ms(300);
-    system.configure(2, &[old, route("pickup", "/pickup/", false)], &[model], 16);
+    sleep_ms(100);
+    let prefix = format!("/pickup{round}/");
+    routes.push(route(&format!("pickup{round}"), &prefix, false));
+    system.configure(1 + round, routes, &["m0"], 16);
+    // Without a cut, all hosts have the configuration long before the first submission.
+    sleep_ms(200);
     let added = Instant::now();
     let mut batches = Vec::new();
     while added.elapsed() < Duration::from_millis(1_800) {
-        let batch = format!("lot{:02}", batches.len());
-        if system.submit(other, "/pickup/", &batch, &step(&batch)) == Some(202) {
+        let batch = format!("lot{round}n{:02}", batches.len());
+        let step = Submission {
+            model: "m0",
+            step: 0,
+            min_version: 1,
+            groups: 2,
+            items: items(&batch, 4, 5, 2),
+        };
+        if system.submit(other, &prefix, &batch, &step) == Some(202) {
             batches.push((batch, 4));
         }
         sleep_ms(50);
     }
-    let left = Duration::from_millis(5_500).saturating_sub(began.elapsed());
-    thread::sleep(left);
+    thread::sleep(Duration::from_millis(5_500).saturating_sub(began.elapsed()));
     if trouble {
         cut(&system.hosts[victim], log, false);
     }
-    let results = read_whole(&system, other, &batches, 40);
+    let results = read_whole(system, other, &batches, 15);
     let listed: usize = results.values().map(Vec::len).sum();
     let dead = results
         .values()
@@ -145,9 +172,10 @@
     log.line(&format!(
         "{} batches accepted on the new route, {listed} of {} results listed, {dead} dead; no worker answered 422 or 500, \
          no batch was ended, the route is still there",
-        batches.len(), batches.len() * 4
+        batches.len(),
+        batches.len() * 4
     ));
-    verdict(&system, "MIXED", dead > 0)
+    dead
 }
 
 /// The host that runs items whose results need a single version is stopped, and a newer version has
@@ -574,7 +602,173 @@
     verdict(&system, "BUDGET", late.len() > 3)
 }
 
-/// Single workers can't be reached for some seconds while a version is named.
+/// A worker is lost for good while it runs an item whose result needs a single version, and the other
+/// workers have loaded a newer one.
+fn lost_worker(folder: &str, trouble: bool) -> i32 {
+    const LONG: u64 = 75;
+    let system = System::start(folder, 3, 120);
+    let log = &system.log;
+    system.configure(1, &[route("dues", "/dues/", true)], &["m0"], 4);
+    for n in 0..6 {
+        system.add_worker(&format!("i-{n}"), 4, &["m0"], 100);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    let workers = system.workers.lock().unwrap().clone();
+    system.name_version("m0", 2);
+    system.until(20, "all workers are at version 2", || {
+        workers.iter().all(|worker| worker.version("m0") == 2)
+    });
+    sleep_ms(7_000);
+    // The trainer asks step 3 ahead, which allows versions 2 and newer, and then names version 3. Each
+    // worker runs one item; one of the items is long.
+    let batch = random_id();
+    let mut step = Submission {
+        model: "m0",
+        step: 3,
+        min_version: 2,
+        groups: 2,
+        items: items(&batch, 6, 5, 3),
+    };
+    step.items[0].1 = LONG;
+    let long = step.items[0].0.clone();
+    system.submit_until_accepted(0, "/dues/", &batch, &step);
+    let submitted = Instant::now();
+    let running = || -> usize { workers.iter().map(|worker| worker.running_of(&batch)).sum() };
+    system.until(3, "all items run", || running() == 6);
+    system.name_version("m0", 3);
+    let named = Instant::now();
+    let Some(runner) = workers.iter().find(|worker| worker.running_of(&long) == 1) else {
+        log.line("couldn't run: the long item runs nowhere");
+        return 2;
+    };
+    let others = || workers.iter().filter(|worker| worker.name != runner.name);
+    system.until(5, "the other workers are at version 3", || {
+        others().all(|worker| worker.version("m0") == 3)
+    });
+    if trouble {
+        log.line(&format!("{} is lost for good", runner.name));
+        runner.crash();
+    }
+    let mut known = Vec::new();
+    let (mut most, mut last_run) = (0, None);
+    while submitted.elapsed() < Duration::from_secs(12) && known.len() < 6 {
+        system.read_on(1, &batch, &mut known);
+        let at_work = workers.iter().map(|worker| worker.running()).sum::<usize>();
+        if !trouble || at_work > 1 {
+            most = most.max(at_work);
+        }
+        if others().any(|worker| worker.items().contains_key(&long)) {
+            last_run = Some(Instant::now());
+        }
+        sleep_ms(100);
+    }
+    let seen = |worker: &Worker| worker.items().get(&long).copied();
+    let finished = workers
+        .iter()
+        .filter_map(|worker| seen(worker))
+        .any(|(_, finished)| finished);
+    let absent = workers
+        .iter()
+        .filter_map(|worker| seen(worker))
+        .map(|(at, _)| at.elapsed())
+        .min()
+        .unwrap_or_default();
+    let since_named = named.elapsed();
+    log.line(&format!(
+        "step out of time: {} of 6 results listed; the long item: finished at a worker {finished}, run at another worker {}, \
+         at no worker for {absent:?}; at most {most} of 20 places in use; version 3 was named {since_named:?} ago; \
+         {} refusals of items",
+        known.len(),
+        last_run.is_some(),
+        log.refusals()
+    ));
+    let versions: Vec<String> = others()
+        .map(|worker| format!("{} {}", worker.name, worker.version("m0")))
+        .collect();
+    log.line(&format!("versions of m0: {}", versions.join(", ")));
+    system.end_batch(1, &batch);
+    // The last 5 s are steady: the worker was lost more than 3 s before them, and the version was named more
+    // than 6 s before them.
+    let steady = absent > Duration::from_secs(8) && since_named > Duration::from_secs(11);
+    verdict(&system, "LOST", !finished && known.len() == 5 && steady)
+}
+
+/// A trainer leaves before it has ended its batch. The batch stays open, and another client of the tenant
+/// reads it after the time to live.
+fn left_open(folder: &str, trouble: bool) -> i32 {
+    const TTL_S: u64 = 20;
+    let system = System::start(folder, 3, TTL_S);
+    let log = &system.log;
+    system.configure(1, &[route("dues", "/dues/", false)], &["m0"], 16);
+    for n in 0..4 {
+        system.add_worker(&format!("i-{n}"), 16, &["m0"], 20);
+    }
+    system.await_ready();
+    sleep_ms(2_000);
+    let mut batches = Vec::new();
+    for n in 0..10 {
+        let batch = random_id();
+        let step = Submission {
+            model: "m0",
+            step: n,
+            min_version: 1,
+            groups: 2,
+            items: items(&batch, 8, 5, 4),
+        };
+        system.submit_until_accepted(n as usize, "/dues/", &batch, &step);
+        batches.push((batch, 8));
+    }
+    let submitted = Instant::now();
+    let whole = read_whole(&system, 0, &batches, 12);
+    if whole.values().any(|results| results.len() < 8) {
+        log.line("couldn't run: the batches aren't served");
+        return 2;
+    }
+    // One trainer in five leaves; the others end their batches.
+    let mut open = Vec::new();
+    for (n, (batch, _)) in batches.iter().enumerate() {
+        if trouble && n % 5 == 0 {
+            log.line(&format!(
+                "the trainer of {batch} leaves, and doesn't end it"
+            ));
+            open.push(batch.clone());
+        } else {
+            system.end_batch(n % system.hosts.len(), batch);
+        }
+    }
+    let mut lost = 0;
+    for after_s in [10, 25, 40, 55, 70, 80] {
+        thread::sleep(Duration::from_secs(after_s).saturating_sub(submitted.elapsed()));
+        for (n, batch) in open.iter().enumerate() {
+            for host in 0..system.hosts.len() {
+                let answer = system.read(host, batch, 0);
+                let status = answer.as_ref().map(|answer| answer.status);
+                let listed = answer.map_or(0, |answer| answer.body.get("results").list().len());
+                log.line(&format!(
+                    "client: open batch {n}, {batch}, read from the start at {}, {:.1} s after its submission -> {status:?}, {listed} of 8 results",
+                    system.hosts[host].node,
+                    submitted.elapsed().as_secs_f64()
+                ));
+                lost += usize::from(status == Some(404));
+            }
+        }
+    }
+    for host in &system.hosts {
+        for line in host.lines("batch removed") {
+            if open.iter().any(|batch| line.contains(batch.as_str())) {
+                log.line(&format!("{} logged: {line}", host.node));
+            }
+        }
+    }
+    log.line(&format!(
+        "{} batches are open, {lost} reads of them were answered with 404",
+        open.len()
+    ));
+    verdict(&system, "LOST", lost > 0)
+}
+
+/// Workers can't be reached for some seconds while versions are named.
 fn unreachable_worker(folder: &str, trouble: bool) -> i32 {
     const WORKERS: usize = 6;
     let system = System::start(folder, 4, 120);
@@ -586,22 +780,23 @@
     system.await_ready();
     sleep_ms(3_000);
     let workers = system.workers.lock().unwrap().clone();
-    // One worker after the other, two rounds. Each time the trainer names a version, and asks a short
-    // step that the other workers serve.
+    // Two workers, and then two others, 12 s each time. The trainer names a version each 4 s, and asks a
+    // short step that the other workers serve.
     let mut version = 1;
-    for turn in 0..10 {
-        let worker = &workers[turn % (WORKERS - 1)];
-        let began = Instant::now();
-        if trouble {
-            worker.cut(true);
+    for turn in 0..7 {
+        let cut_off = match turn {
+            0..=2 => &workers[..2],
+            4..=6 => &workers[2..4],
+            _ => &[],
+        };
+        if trouble && turn % 4 == 0 {
+            cut_off.iter().for_each(|worker| worker.cut(true));
         }
+        let began = Instant::now();
         sleep_ms(100);
         version += 1;
         system.name_version("m0", version);
-        sleep_ms(2_900);
-        if trouble {
-            worker.cut(false);
-        }
+        sleep_ms(1_500);
         let batch = random_id();
         let short = Submission {
             model: "m0",
@@ -610,14 +805,18 @@
             groups: 2,
             items: items(&batch, 8, 10, 4),
         };
-        system.submit_until_accepted(turn % system.hosts.len(), "/dues/", &batch, &short);
-        let whole = read_whole(&system, turn % system.hosts.len(), &[(batch.clone(), 8)], 8);
+        let host = turn % system.hosts.len();
+        system.submit_until_accepted(host, "/dues/", &batch, &short);
+        let whole = read_whole(&system, host, &[(batch.clone(), 8)], 2);
         log.line(&format!(
             "short step {version}: {} of 8 results listed",
             whole[&batch].len()
         ));
-        system.end_batch(turn % system.hosts.len(), &batch);
-        sleep_ms(5_000_u64.saturating_sub(began.elapsed().as_millis() as u64));
+        system.end_batch(host, &batch);
+        sleep_ms(4_000_u64.saturating_sub(began.elapsed().as_millis() as u64));
+        if trouble && turn % 4 == 2 {
+            cut_off.iter().for_each(|worker| worker.cut(false));
+        }
     }
     // From here on nothing is disturbed.
     sleep_ms(3_500);
@@ -702,8 +901,8 @@
             workers
                 .iter()
                 .take(2)
-                .for_each(|worker| worker.break_off(34));
-            log.line("2 of 4 workers break off 1 in 34 of their answers");
+                .for_each(|worker| worker.break_off(50));
+            log.line("2 of 4 workers break off 1 in 50 of their answers");
         } else if !on {
             workers.iter().for_each(|worker| worker.break_off(0));
             log.line("all workers are sound");
@@ -714,7 +913,7 @@
         faulty(true);
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(5) {
-            let senders: Vec<_> = (0..4)
+            let senders: Vec<_> = (0..8)
                 .map(|sender| {
                     sent += 1;
                     let (system, id) = (Arc::clone(&system), format!("a{round}{sent:06}"));
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -29,13 +29,16 @@
 
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 static FILES: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+/// Set once all processes are ended; none is started any more.
+static ENDED: AtomicBool = AtomicBool::new(false);
 
 /// Ends all processes that were started, and removes their files.
 pub fn end_all() {
-    for child in &mut *CHILDREN
+    let mut children = CHILDREN
         .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-    {
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    ENDED.store(true, Ordering::SeqCst);
+    for child in &mut *children {
         let _ = child.kill();
         let _ = child.wait();
     }
@@ -546,13 +549,15 @@
         }
     }
     command.env("GODWITSPOOL_NODE_FILE", settings);
-    let child = command
+    command
         .stdin(Stdio::null())
         .stdout(output)
-        .stderr(Stdio::null())
-        .spawn();
-    let child = child.expect("target/release/godwitspool-host can be started");
+        .stderr(Stdio::null());
+    // Started under the lock, so that a process is either ended with the others or not started.
     let mut children = CHILDREN.lock().unwrap();
+    assert!(!ENDED.load(Ordering::SeqCst), "the run has ended");
+    let child = command.spawn();
+    let child = child.expect("target/release/godwitspool-host can be started");
     children.push(child);
     children.len() - 1
 }
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -348,12 +348,12 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{}\r\n\r\nbo",
             self.name
         );
-        let _ = stream.write_all(answer.as_bytes());
-        set_reset(stream);
         self.log.line(&format!(
-            "{}: request {id}: answered early and broken off by a reset after 2 of 4 bytes",
+            "{}: request {id}: answers early and breaks off by a reset after 2 of 4 bytes",
             self.name
         ));
+        set_reset(stream);
+        let _ = stream.write_all(answer.as_bytes());
         true
     }
 
