Batches: items wait for the configuration that accepted them

Cause: an owner reads its partitions and the operators' records by calls of their own. When a cut delays them by different times it knows the batch before the configuration, and start_items took a route that is missing from an older configuration for one that was removed. The record of a batch didn't say by which configuration it was accepted.

Change: a submission's record carries the version of the accepting configuration (an extension that earlier builds ignore), and the owner starts neither items nor reward calls of a batch before it has that version.

Related paths: the service of a route that moved and the route of a reward call were looked up in the older configuration too; the same comparison covers them.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -64,6 +64,28 @@
     pub single_version: bool,
     /// The items, in the order of the submission.
     pub items: Vec<ItemSpec>,
+    /// Version of the configuration by which the batch was accepted. Stored as an extension.
+    #[serde(skip)]
+    pub configuration: u64,
+}
+
+impl Submission {
+    /// Returns whether the batch may run by the configuration of this version. An older configuration
+    /// than that which accepted the batch may lack its routes, or name services that they have left.
+    ///
+    /// ```
+    /// use godwitspool_host::batch::Submission;
+    ///
+    /// let submission = Submission {
+    ///     configuration: 7,
+    ///     ..Submission::default()
+    /// };
+    /// assert!(!submission.runs_under(6));
+    /// assert!(submission.runs_under(7));
+    /// ```
+    pub fn runs_under(&self, version: u64) -> bool {
+        self.configuration <= version
+    }
 }
 
 /// An item: one request of a batch.
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -37,6 +37,8 @@
     calls: Vec<RewardCall>,
     /// Time of the last check for stalled and slow runs.
     last_check: Millis,
+    /// Number of batches that wait for a newer configuration.
+    held: usize,
 }
 
 /// A run: one attempt to run an item at a target.
@@ -75,6 +77,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
+            held: 0,
             last_check: Millis::ZERO,
             runs: Vec::new(),
             calls: Vec::new(),
@@ -131,6 +134,10 @@
         for (number, part) in &mut *parts {
             let ownership = (*number, part.epoch);
             for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+                if !batch.submission.runs_under(configuration.version) {
+                    waiting = true;
+                    continue;
+                }
                 let (calls, others) = batch.next_calls(now);
                 waiting |= others;
                 for item in calls {
@@ -188,10 +195,16 @@
         let mut waiting = false;
         let now = self.shared.clock.now();
         let mut started = Vec::new();
+        let mut held = 0_usize;
         let mut parts = self.shared.owned_batches.lock();
         for (number, part) in &mut *parts {
             let mut dropped = Vec::new();
             for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+                if !batch.submission.runs_under(configuration.version) {
+                    waiting = true;
+                    held += 1;
+                    continue;
+                }
                 loop {
                     let item = match batch.next_item(now) {
                         Ok(item) => item,
@@ -230,6 +243,10 @@
             }
         }
         drop(parts);
+        if held != self.held {
+            log::info!(batches = held, configuration = configuration.version; "batches wait for a newer configuration");
+            self.held = held;
+        }
         self.runs.extend(started);
         waiting
     }
--- a/crates/godwitspool-host/src/batch/wire.rs
+++ b/crates/godwitspool-host/src/batch/wire.rs
@@ -22,13 +22,26 @@
     complete: bool,
 }
 
+/// What follows a submission in the store. Builds that know only the reward calls ignore the rest.
+#[derive(Serialize)]
+struct SubmissionExtension {
+    calls: ScoreCalls,
+    /// Version of the configuration, in big-endian order. Its length is fixed, so that the chunks of a
+    /// batch that two hosts have stored have the same boundaries.
+    configuration: [u8; 8],
+}
+
 /// Encodes a submission.
 pub fn encode_submission(submission: &Submission) -> Vec<u8> {
     let items = submission.items.iter().enumerate();
     let calls: ScoreCalls = items
         .filter_map(|(index, item)| Some((index as u32, item.scorer.clone()?)))
         .collect();
-    encode(submission, (!calls.is_empty()).then_some(calls))
+    let extension = SubmissionExtension {
+        calls,
+        configuration: submission.configuration.to_be_bytes(),
+    };
+    encode(submission, Some(extension))
 }
 
 /// Decodes a submission.
@@ -37,12 +50,22 @@
 ///
 /// Fails if the bytes are no submission, or name an item that it doesn't have.
 pub fn decode_submission(bytes: &[u8]) -> Result<Submission, String> {
-    let (mut submission, calls) = decode::<Submission, ScoreCalls>(bytes)?;
-    for (index, call) in calls.unwrap_or_default() {
+    let describe = |error: postcard::Error| error.to_string();
+    let (mut submission, rest) =
+        postcard::take_from_bytes::<Submission>(bytes).map_err(describe)?;
+    if rest.is_empty() {
+        return Ok(submission);
+    }
+    let (calls, rest) = postcard::take_from_bytes::<ScoreCalls>(rest).map_err(describe)?;
+    for (index, call) in calls {
         let item = submission.items.get_mut(index as usize);
         let item = item.ok_or_else(|| format!("reward call of an unknown item {index}"))?;
         item.scorer = Some(call);
     }
+    if !rest.is_empty() {
+        submission.configuration =
+            u64::from_be_bytes(postcard::from_bytes(rest).map_err(describe)?);
+    }
     Ok(submission)
 }
 
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -140,7 +140,8 @@
     }
     let workspace = workspace.unwrap_or_default();
     match shared.dialect.submission(request, call, route, &workspace) {
-        Ok(submission) => {
+        Ok(mut submission) => {
+            submission.configuration = configuration.version;
             let batch_call = BatchCall {
                 shared,
                 call,
