Batches: events are split in linear time, and noise ends a run

Cause: each pair of line ends counted as an event and was taken from the front of the buffer, which moves the rest: 1 MB cost 500,000 moves of 0.5 MB, in the runner's only thread and under the lock of the owned batches. Such events were neither progress nor an error, so the run went on.

Change: EventBuffer keeps a cursor and skips empty lines; more than 1 MB without a numbered event ends the run as broken.

Related paths: comments without end; interim heads before an answer, which Exchange::decode took from the front one by one and now consumes together.

--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -19,6 +19,9 @@
 /// Time between two bytes of a stream that has stalled.
 const DRIP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Number of bytes in a chunk of a body without end.
+const ENDLESS_BYTES: usize = 64 * 1024;
+
 /// Fault of a request to a target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum TargetFault {
@@ -38,6 +41,8 @@
     Slow(u64),
     /// After the stream's event with this number, the target sends a byte every 0.5 s and no event.
     DripAfter(u64),
+    /// After the head of a stream, the target sends this piece without end.
+    Endless(&'static str),
     /// The `Request-Id` of the response is that of another request.
     WrongId,
     /// The target sends the response twice. Has no effect on a stream.
@@ -284,6 +289,12 @@
             head = head.with("Server-Limit", limit);
         }
         caller.begin(&head)?;
+        if let TargetFault::Endless(piece) = fault {
+            let piece = piece.repeat(ENDLESS_BYTES / piece.len());
+            loop {
+                caller.chunk(piece.as_bytes())?;
+            }
+        }
         let last = request
             .headers
             .get("Last-Event-Id")
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! accept it. One host at a time owns the partition: it runs the items, and appends each result
 //! under its epoch before callers can read the result.
 
+mod event_buffer;
 mod order;
 mod owner;
 mod pace;
@@ -17,6 +18,7 @@
 mod stored_results;
 mod wire;
 
+pub use event_buffer::EventBuffer;
 pub use order::{order_items, predicted_tokens};
 pub use owner::{Owner, StoredBatch, read_stored};
 pub use pace::{Move, Pace, RunView, decide_move, median_pace};
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -3,7 +3,8 @@
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
-    Batch, Move, Pace, RunFailure, RunView, Submission, Verdict, decide_move, reward::RewardCall,
+    Batch, EventBuffer, Move, Pace, RunFailure, RunView, Submission, Verdict, decide_move,
+    reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
@@ -18,7 +19,7 @@
 const EVENT_TIMEOUT: Millis = Millis(3_000);
 /// Timeout for the head of the response: the time within which a target works off a full queue.
 const HEAD_TIMEOUT: Millis = Millis(4_000);
-/// Maximum size of one event, far above that of the events of the models.
+/// Maximum number of bytes without a numbered event, far above the size of the events of the models.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Timeout for connecting to a target: several round trips between data centres.
 const CONNECT_TIMEOUT: Millis = Millis(300);
@@ -52,8 +53,7 @@
     target: TargetName,
     address: SocketAddr,
     exchange: Exchange,
-    /// Bytes of an incomplete event.
-    buffer: Vec<u8>,
+    buffer: EventBuffer,
     began: Millis,
     last_data: Millis,
     head_read: bool,
@@ -315,7 +315,7 @@
             target: name,
             address,
             exchange: Exchange::new(connection, &request).begin_by(lease_clock() + CHOICE_LIFETIME),
-            buffer: Vec::new(),
+            buffer: EventBuffer::default(),
             began: now,
             last_data: now,
             head_read: false,
@@ -392,7 +392,7 @@
         if status == Some(200) {
             let bytes = self.exchange.take_body();
             if !bytes.is_empty() {
-                self.buffer.extend_from_slice(&bytes);
+                self.buffer.push(&bytes);
                 match self.read_events(shared, batch) {
                     // Bytes without an event don't count as progress: a stalled target may send
                     // some now and then.
@@ -408,7 +408,9 @@
                     }
                     Err(failure) => return failed(failure, Outcome::Failed),
                 }
-                if self.buffer.len() > MAX_EVENT_BYTES {
+                if self.buffer.unaccepted() > MAX_EVENT_BYTES {
+                    let spec = &self.submission.items[self.item];
+                    log::warn!(item:% = spec.id, target_name:% = self.target, bytes = self.buffer.unaccepted(); "too many bytes without an event");
                     return failed(RunFailure::Broken, Outcome::Failed);
                 }
             }
@@ -490,9 +492,8 @@
         let spec = &self.submission.items[self.item];
         let progress = &mut batch.items[self.item].progress;
         let mut events = 0;
-        while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
-            let lines: Vec<u8> = self.buffer.drain(..end + 2).collect();
-            let event = shared.dialect.event(&lines[..end]);
+        while let Some(lines) = self.buffer.next_event() {
+            let event = shared.dialect.event(lines);
             if let Some(version) = event.version {
                 progress.version = Some(version);
                 shared
@@ -520,6 +521,7 @@
                 return Err(RunFailure::Unusable);
             }
             progress.push(number, &event.data);
+            self.buffer.accept();
             events += 1;
         }
         Ok(events)
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -214,19 +214,22 @@
     }
 
     fn decode(&mut self) -> Result<(), DecodeError> {
+        let input = &mut self.connection.input;
+        let mut used = 0;
         while self.decoder.is_none() {
-            let input = &mut self.connection.input;
-            let Some((response, length)) = decode_response(input)? else {
-                return (input.len() <= MAX_HEAD_BYTES)
-                    .then_some(())
-                    .ok_or(DecodeError::Head);
+            let Some((response, length)) = decode_response(&input[used..])? else {
+                break;
             };
-            input.drain(..length);
+            used += length;
             if response.status >= 200 {
                 self.decoder = Some(BodyDecoder::of_response(&self.method, &response)?);
                 self.response = response;
             }
         }
+        input.drain(..used);
+        if self.decoder.is_none() && input.len() > MAX_HEAD_BYTES {
+            return Err(DecodeError::Head);
+        }
         match &mut self.decoder {
             Some(decoder) => decoder.decode(&mut self.connection.input, &mut self.response.body),
             None => Ok(()),
