Batches: a removal without records takes no sequence number

The store counts only appends of records, so the next append of results is one ahead, is answered 409 (why=seq), and the owner closes the partition.

Evidence: a_partition_stays_open_when_a_batch_without_results_expires fails on the code before ("the partition is closed") and passes with the change.

Related paths: results and frozen windows are appended only if there are any; the empty append that fences earlier owners has number 0, and the next one may have any number.

--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -303,16 +303,19 @@
         let ttl = self.ttl + TTL_MARGIN;
         for (submission, results) in self.registry.expired(self.part, unix_ms(), ttl) {
             let (batch, results) = BatchRecord::of_removal(&submission, &results, &self.bounds);
-            let writer = Writer {
-                epoch: self.epoch,
-                seq: *seq,
-            };
-            let append = || {
-                self.store
-                    .append(Topic::Results, self.part, &results, Some(writer))
-            };
-            self.retry_call("remove results", append)?;
-            *seq += 1;
+            // The store counts only appends of records, and a batch may end without a result.
+            if !results.is_empty() {
+                let writer = Writer {
+                    epoch: self.epoch,
+                    seq: *seq,
+                };
+                let append = || {
+                    self.store
+                        .append(Topic::Results, self.part, &results, Some(writer))
+                };
+                self.retry_call("remove results", append)?;
+                *seq += 1;
+            }
             let append = || self.store.append(Topic::Batches, self.part, &batch, None);
             self.retry_call("remove batch", append)?;
             log::info!(batch:% = submission.id, partition = self.part; "batch removed: its TTL is over");
