Host: a partition whose owner has closed is opened again

Cause: a closed owner was followed by another one only in another generation of the hosts' group. The store deals partitions only when members change.

Evidence: a_closed_partition_is_opened_again_within_the_same_generation makes the store refuse an owner's append.

Change: each renewal of the membership starts an owner for a partition that is still assigned and has closed, under an epoch above the last one (next_epoch). An owner that was really fenced off is fenced again by its first call.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! accept it. One host at a time owns the partition: it runs the items, and appends each result
 //! under its epoch before callers can read the result.
 
+mod epoch;
 mod event_buffer;
 mod order;
 mod owner;
@@ -18,6 +19,7 @@
 mod stored_results;
 mod wire;
 
+pub use epoch::next_epoch;
 pub use event_buffer::EventBuffer;
 pub use order::{order_items, predicted_tokens};
 pub use owner::{Owner, StoredBatch, read_stored};
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -4,7 +4,7 @@
 
 use super::{Activity, Shared, StallDetector, duties::DutyLease};
 use crate::{
-    batch::Owner,
+    batch::{Owner, next_epoch},
     lease_clock,
     store::{Assignment, Store, Topic},
 };
@@ -19,26 +19,17 @@
 const EXIT_FACTOR: u64 = 3;
 /// Exit status of a process that ends because a worker stands still.
 const STALLED_STATUS: i32 = 102;
-/// Number of random low bits in an epoch, so that two owners don't share one.
-const EPOCH_RANDOM_BITS: u32 = 16;
 
 /// Keeps this host in the hosts' group and owns the partitions that the store assigns to it.
 pub struct Membership {
     shared: Arc<Shared>,
     duty_lease: Arc<DutyLease>,
-    owners: HashMap<u32, HeldPartition>,
+    owners: HashMap<u32, Owner>,
     generation: u64,
     duties: StallDetector,
     runner: StallDetector,
 }
 
-/// A partition that the store has assigned to this host.
-struct HeldPartition {
-    owner: Owner,
-    /// Generation of the group in which ownership started.
-    generation: u64,
-}
-
 impl Membership {
     /// Creates a member that owns no partitions.
     pub fn new(shared: Arc<Shared>, duty_lease: Arc<DutyLease>) -> Self {
@@ -161,13 +152,14 @@
                 .filter(move |(held, _)| *held == topic);
             parts.map(|(_, part)| *part)
         };
-        if assigned(Topic::Duty).next().is_some() {
-            self.duty_lease.renew(epoch(assignment.generation), until);
-        } else {
-            self.duty_lease.release();
+        match next_epoch(assignment.generation, None, rand::random()) {
+            Some(epoch) if assigned(Topic::Duty).next().is_some() => {
+                self.duty_lease.renew(epoch, until);
+            }
+            _ => self.duty_lease.release(),
         }
         let parts: Vec<u32> = assigned(Topic::Results).collect();
-        let (kept, lost): (HashMap<u32, HeldPartition>, HashMap<u32, HeldPartition>) =
+        let (kept, lost): (HashMap<u32, Owner>, HashMap<u32, Owner>) =
             std::mem::take(&mut self.owners)
                 .into_iter()
                 .partition(|(part, _)| parts.contains(part));
@@ -175,28 +167,28 @@
         hand_over(lost.values());
         for part in parts {
             let held = self.owners.get(&part);
-            let fenced = held.is_some_and(|held| {
-                held.owner.is_lost() && held.generation != assignment.generation
-            });
-            if held.is_none() || fenced {
-                self.start_owner(part, assignment.generation);
+            if held.is_some_and(|held| !held.is_lost()) {
+                continue;
+            }
+            let last = held.map(|held| held.epoch);
+            if let Some(epoch) = next_epoch(assignment.generation, last, rand::random()) {
+                self.start_owner(part, epoch);
             }
         }
         !lost.is_empty()
     }
 
-    fn start_owner(&mut self, part: u32, generation: u64) {
+    fn start_owner(&mut self, part: u32, epoch: u64) {
         let started = Owner::start(
             Arc::clone(&self.shared.store) as Arc<dyn Store>,
             Arc::clone(&self.shared.owned_batches),
             self.shared.settings.store,
             self.shared.settings.batch_ttl,
-            (part, epoch(generation)),
+            (part, epoch),
         );
         match started {
             Ok(owner) => {
-                self.owners
-                    .insert(part, HeldPartition { owner, generation });
+                self.owners.insert(part, owner);
             }
             Err(error) => log::error!(error:%, partition = part; "can't start a partition thread"),
         }
@@ -204,17 +196,10 @@
 }
 
 /// Hands over partitions in parallel, since each takes several calls to the store.
-fn hand_over<'a>(held: impl Iterator<Item = &'a HeldPartition>) {
+fn hand_over<'a>(owners: impl Iterator<Item = &'a Owner>) {
     thread::scope(|scope| {
-        for held in held {
-            scope.spawn(|| held.owner.hand_over());
+        for owner in owners {
+            scope.spawn(|| owner.hand_over());
         }
     });
 }
-
-/// Returns an epoch that is higher than those of earlier generations and, through its random bits,
-/// differs from others of the same generation.
-fn epoch(generation: u64) -> u64 {
-    let random = rand::random::<u64>() & ((1 << EPOCH_RANDOM_BITS) - 1);
-    (generation << EPOCH_RANDOM_BITS) | random
-}
