HTTP: an exchange keeps the failure of its connection

Cause: a socket reports its error once and then reads as closed, which ends a body without a length. Exchange::send dropped the report, and so did the callers that advance an exchange again (advance_stream, start_attempt).

Change: the exchange keeps the failure. What has arrived is read, then every call fails; a response that is complete stays complete. advance decodes before it receives, so a complete response isn't lost to a later reset either.

Related paths: runs of items, reward calls, and calls to the store and to other hosts use the same exchange.

--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -86,6 +86,8 @@
     response: Response,
     sent: usize,
     skipped: bool,
+    /// Error of the socket. The socket reports it once and then looks as if the peer had closed it.
+    failure: Option<io::ErrorKind>,
     /// Time, by the lease clock, after which nothing is sent if nothing was before.
     begin_by: Option<Millis>,
 }
@@ -106,6 +108,7 @@
             response: Response::default(),
             sent: 0,
             skipped: false,
+            failure: None,
             begin_by: None,
         }
     }
@@ -147,7 +150,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails or the response is malformed.
+    /// Fails if the connection fails or the response is malformed. After a failure of the connection
+    /// each further call fails too.
     pub fn advance(&mut self) -> Result<Progress, CallError> {
         if self.connecting {
             let connected = self.connection.check_connected();
@@ -158,30 +162,34 @@
             return Ok(Progress::Pending);
         }
         let mut taken = 0;
-        while taken < MAX_ADVANCE_BYTES {
-            let held = self.connection.input.len();
-            let received = self.connection.receive();
-            let received = received.map_err(|source| self.broken(source))?;
-            taken += self.connection.input.len() - held;
+        loop {
             self.decode()
                 .map_err(|source| CallError::Malformed { source })?;
-            if self.response.body.len() > MAX_BODY_BYTES {
-                let source = DecodeError::Body;
-                return Err(CallError::Malformed { source });
-            }
             if self.decoder.as_ref().is_some_and(BodyDecoder::is_done) {
                 return Ok(Progress::Done);
             }
-            match received {
-                Received::Bytes => {}
-                Received::Nothing => return Ok(Progress::Pending),
-                Received::End if self.decoder == Some(BodyDecoder::UntilClose) => {
+            if taken >= MAX_ADVANCE_BYTES {
+                return Ok(Progress::Pending);
+            }
+            let held = self.connection.input.len();
+            match self.connection.receive() {
+                Ok(Received::Bytes) => taken += self.connection.input.len() - held,
+                Ok(Received::Nothing) if self.failure.is_none() => return Ok(Progress::Pending),
+                Ok(Received::End)
+                    if self.failure.is_none() && self.decoder == Some(BodyDecoder::UntilClose) =>
+                {
                     return Ok(Progress::Done);
                 }
-                Received::End => return Err(self.broken(io::ErrorKind::UnexpectedEof.into())),
+                Ok(Received::Nothing | Received::End) => {
+                    let kind = self.failure.unwrap_or(io::ErrorKind::UnexpectedEof);
+                    return Err(self.broken(kind.into()));
+                }
+                Err(source) => {
+                    self.failure = Some(source.kind());
+                    return Err(self.broken(source));
+                }
             }
         }
-        Ok(Progress::Pending)
     }
 
     fn send(&mut self) -> Result<(), CallError> {
@@ -189,7 +197,7 @@
             let source = io::ErrorKind::TimedOut.into();
             return Err(CallError::Connect { source });
         }
-        while self.sent < self.output.len() && self.decoder.is_none() {
+        while self.sent < self.output.len() && self.decoder.is_none() && self.failure.is_none() {
             match self.connection.send(&self.output[self.sent..]) {
                 Ok(0) => break,
                 Ok(sent) => {
@@ -198,7 +206,10 @@
                 }
                 Err(source) if source.kind() == io::ErrorKind::NotConnected => break,
                 // The peer may have responded before it closed the connection.
-                Err(_) if self.sent > 0 => break,
+                Err(source) if self.sent > 0 => {
+                    self.failure = Some(source.kind());
+                    break;
+                }
                 Err(source) if self.connecting => return Err(CallError::Connect { source }),
                 Err(source) => return Err(self.broken(source)),
             }
@@ -230,10 +241,13 @@
         if self.decoder.is_none() && input.len() > MAX_HEAD_BYTES {
             return Err(DecodeError::Head);
         }
-        match &mut self.decoder {
-            Some(decoder) => decoder.decode(&mut self.connection.input, &mut self.response.body),
-            None => Ok(()),
+        if let Some(decoder) = &mut self.decoder {
+            decoder.decode(&mut self.connection.input, &mut self.response.body)?;
         }
+        if self.response.body.len() > MAX_BODY_BYTES {
+            return Err(DecodeError::Body);
+        }
+        Ok(())
     }
 
     /// Discards a response that belongs to an earlier request on a reused connection; the response
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -412,6 +412,7 @@
         let Some(mut attempt) = self.in_flight.pop() else {
             return Ok(None);
         };
+        // With a head, `relay_stream` gets an error of this call once more, behind the bytes before it.
         let progress = attempt.exchange.advance();
         let Some(head) = attempt.exchange.head() else {
             if let Err(error) = progress {
