HTTP: a malformed response stays malformed

Cause: advance failed, but left the input in place while the decoder's state had moved past it. A stream's exchange is advanced again after its head was seen.

Evidence: a_malformed_answer_stays_malformed gets "one" a second time on the code before, and nothing with the change.

Change: the exchange keeps the decode error, and each further call fails.

--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -88,6 +88,8 @@
     skipped: bool,
     /// Error of the socket. The socket reports it once and then looks as if the peer had closed it.
     failure: Option<io::ErrorKind>,
+    /// Why the response is malformed. What follows has no meaning.
+    malformed: Option<DecodeError>,
     /// Time, by the lease clock, after which nothing is sent if nothing was before.
     begin_by: Option<Millis>,
 }
@@ -109,6 +111,7 @@
             sent: 0,
             skipped: false,
             failure: None,
+            malformed: None,
             begin_by: None,
         }
     }
@@ -150,8 +153,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails or the response is malformed. After a failure of the connection
-    /// each further call fails too.
+    /// Fails if the connection fails or the response is malformed. Each further call then fails too.
     pub fn advance(&mut self) -> Result<Progress, CallError> {
         if self.connecting {
             let connected = self.connection.check_connected();
@@ -163,8 +165,12 @@
         }
         let mut taken = 0;
         loop {
-            self.decode()
-                .map_err(|source| CallError::Malformed { source })?;
+            if self.malformed.is_none() {
+                self.malformed = self.decode().err();
+            }
+            if let Some(source) = self.malformed {
+                return Err(CallError::Malformed { source });
+            }
             if self.decoder.as_ref().is_some_and(BodyDecoder::is_done) {
                 return Ok(Progress::Done);
             }
