--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -170,8 +170,8 @@
             if held.is_some_and(|held| !held.is_lost()) {
                 continue;
             }
-            let last = held.map(|held| held.epoch);
-            if let Some(epoch) = next_epoch(assignment.generation, last, rand::random()) {
+            let closed = held.map(|held| held.epoch);
+            if let Some(epoch) = next_epoch(assignment.generation, closed, rand::random()) {
                 self.start_owner(part, epoch);
             }
         }
