Batches: a run that ends in text without an event is broken

Cause: a run that ends whole completes its item if the item has any event. A resumed run without events is right if the first one broke off behind the last event, so that can't be refused; but bytes that are no events were passed over.

--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -127,12 +127,15 @@
     /// Appends a keyed record to partition 0 of a topic, as an operator or a target does. A record
     /// without a value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
-        let value = value
-            .map(|value| value.to_string().into_bytes())
-            .unwrap_or_default();
+        let value = value.map(|value| value.to_string().into_bytes());
+        self.put_raw(topic, key, &value.unwrap_or_default());
+    }
+
+    /// Appends a keyed record to partition 0 of a topic with any bytes as its value.
+    pub fn put_raw(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(&value);
+        record.extend_from_slice(value);
         let mut state = self.shared.lock();
         let partition = state.topics.entry((topic.to_owned(), 0)).or_default();
         partition.append(true, record);
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -54,6 +54,8 @@
     address: SocketAddr,
     exchange: Exchange,
     buffer: EventBuffer,
+    /// Whether the newest event had text, but no number, and so was none of a stream.
+    ended_in_noise: bool,
     began: Millis,
     last_data: Millis,
     head_read: bool,
@@ -316,6 +318,7 @@
             address,
             exchange: Exchange::new(connection, &request).begin_by(lease_clock() + CHOICE_LIFETIME),
             buffer: EventBuffer::default(),
+            ended_in_noise: false,
             began: now,
             last_data: now,
             head_read: false,
@@ -501,6 +504,7 @@
                     .observe_version(&self.target, &self.model, version);
             }
             let Some(number) = event.number else {
+                self.ended_in_noise |= is_text(lines);
                 continue;
             };
             let expected = progress.last_event.map(|last| last + 1);
@@ -522,6 +526,7 @@
             }
             progress.push(number, &event.data);
             self.buffer.accept();
+            self.ended_in_noise = false;
             events += 1;
         }
         Ok(events)
@@ -538,7 +543,9 @@
             return failed(RunFailure::NotRun, Outcome::Refused);
         }
         match status {
-            200 if !self.buffer.is_empty() => failed(RunFailure::Broken, Outcome::Failed),
+            200 if !self.buffer.is_empty() || self.ended_in_noise => {
+                failed(RunFailure::Broken, Outcome::Failed)
+            }
             200 if batch.items[self.item].progress.last_event.is_none() => {
                 failed(RunFailure::Broken, Outcome::Failed)
             }
@@ -608,3 +615,9 @@
         }
     }
 }
+
+/// Returns whether lines without an event hold anything but comments.
+fn is_text(lines: &[u8]) -> bool {
+    let mut lines = lines.split(|byte| *byte == b'\n');
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
