Host: targets that say in a response that they leave get no new work

Callers saw: requests at a target that was about to end, as long as its entry said ready. Nothing read the header.

Change: Leaving keeps name and start of such targets; Fleet::usable and with it every choice passes them by. Requests that no other target can take go there for half of drain_ms, then callers are refused at once.

--- a/crates/godwitspool-cli/src/timeline.rs
+++ b/crates/godwitspool-cli/src/timeline.rs
@@ -24,10 +24,11 @@
 
 /// Messages about changes of the hosts' state, which give context, and for each the field that
 /// relates it to a subject.
-const CONTEXT_MESSAGES: [(&str, &str); 22] = [
+const CONTEXT_MESSAGES: [(&str, &str); 24] = [
     ("batch ended", "batch"),
     ("batch submitted", "batch"),
     ("batch taken over", "batch"),
+    ("batches wait for a newer configuration", "host"),
     ("duties begun", "epoch"),
     ("duties given up", "epoch"),
     ("duties taken over", "epoch"),
@@ -45,6 +46,7 @@
     ("store lost, other hosts are asked", "host"),
     ("store regained", "host"),
     ("target gone", "target_name"),
+    ("target says that it leaves", "target_name"),
     ("target's entry", "target_name"),
     ("target's entry removed", "target_name"),
 ];
--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -102,6 +102,8 @@
     arrivals: Mutex<Vec<Instant>>,
     /// Limit in requests a second that responses name.
     limit: Mutex<Option<f64>>,
+    /// Whether responses say that the target leaves.
+    leaving: AtomicBool,
     orders: Mutex<Vec<Value>>,
     /// Weight versions by model.
     models: Mutex<HashMap<String, u64>>,
@@ -131,6 +133,7 @@
             executed: Mutex::default(),
             arrivals: Mutex::default(),
             limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
         });
         let own = Arc::clone(&shared);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -169,6 +172,11 @@
         *lock(&self.shared.limit) = limit;
     }
 
+    /// Sets whether responses say that the target leaves. It serves on, and its entry isn't changed.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.leaving.store(leaving, Ordering::SeqCst);
+    }
+
     /// Returns the times at which requests arrived, with those that were refused and without orders.
     pub fn arrivals(&self) -> Vec<Instant> {
         lock(&self.shared.arrivals).clone()
@@ -213,13 +221,10 @@
         }
         lock(&self.arrivals).push(Instant::now());
         let limit = *lock(&self.limit);
-        let named = |answer: Response| match limit {
-            Some(limit) => answer.with("Server-Limit", limit),
-            None => answer,
-        };
+        let named = |answer: Response| self.describe(answer, limit);
         let expected = request.headers.get("Expect-Instance");
         if expected.is_some_and(|expected| expected != self.options.name) {
-            let answer = Response::new(421, Vec::new()).with("Request-Id", &id);
+            let answer = named(Response::new(421, Vec::new())).with("Request-Id", &id);
             return caller.respond(&answer.with("Instance-Id", &self.options.name));
         }
         let fault = lock(&self.fault)
@@ -267,6 +272,17 @@
         Ok(())
     }
 
+    /// Adds what the target says of itself in all its responses.
+    fn describe(&self, mut answer: Response, limit: Option<f64>) -> Response {
+        if let Some(limit) = limit {
+            answer = answer.with("Server-Limit", limit);
+        }
+        if self.leaving.load(Ordering::SeqCst) {
+            answer = answer.with("Server-Leaving", 1);
+        }
+        answer
+    }
+
     fn stream(
         &self,
         caller: &mut Caller,
@@ -280,15 +296,12 @@
             TargetFault::Version(version) => version,
             _ => lock(&self.models).get(model).copied().unwrap_or(1),
         };
-        let mut head = Response::new(200, Vec::new())
+        let head = Response::new(200, Vec::new())
             .with("Content-Type", "text/event-stream")
             .with("Request-Id", id)
             .with("Server-Stamp", format!("stamp-{id}"))
             .with("Weight-Versions", version);
-        if let Some(limit) = limit {
-            head = head.with("Server-Limit", limit);
-        }
-        caller.begin(&head)?;
+        caller.begin(&self.describe(head, limit))?;
         if let TargetFault::Endless(piece) = fault {
             let piece = piece.repeat(ENDLESS_BYTES / piece.len());
             loop {
@@ -330,7 +343,7 @@
         let mut orders = lock(&self.orders);
         let highest = orders.iter().map(fence).max().unwrap_or_default();
         if fence(&order) < highest {
-            return caller.respond(&Response::new(412, Vec::new()));
+            return caller.respond(&self.describe(Response::new(412, Vec::new()), None));
         }
         let model = order["model"].as_str().unwrap_or_default().to_owned();
         let version = order["version"].as_u64().unwrap_or_default();
@@ -338,6 +351,6 @@
         drop(orders);
         let old = lock(&self.models).insert(model, version);
         let status = if old == Some(version) { 200 } else { 202 };
-        caller.respond(&Response::new(status, Vec::new()))
+        caller.respond(&self.describe(Response::new(status, Vec::new()), None))
     }
 }
--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -15,7 +15,7 @@
     http::{CallError, Connection, Exchange, Progress},
     lease_clock,
     process::Shared,
-    version::{CHOICE_LIFETIME, Configuration, Outcome},
+    version::{CHOICE_LIFETIME, Configuration, Outcome, TargetEntry},
 };
 
 /// Time budget of a call if its route sets no shorter one. It is several times the time that a
@@ -81,6 +81,8 @@
     pub item: usize,
     pub target: TargetName,
     address: SocketAddr,
+    /// Start of the target.
+    born: u64,
     /// Number of failed calls after which the item is given up.
     attempts: u32,
     began: Millis,
@@ -109,7 +111,13 @@
         let timeout = timeout.min(CALL_TIMEOUT);
         let mut fleet = shared.fleet();
         let placed = fleet.place_call(&service, &shared.settings.dc, now);
-        let Some((target, address)) = placed.filter(|(target, _)| fleet.take_permit(target, now))
+        let placed = placed.map(|target| target.entry.clone());
+        let Some(TargetEntry {
+            name: target,
+            address,
+            born,
+            ..
+        }) = placed.filter(|entry| fleet.take_permit(&entry.name, now))
         else {
             let waiting = batch.next_calls(now).0.len();
             let lacking = fleet.lacking_for_call(&service, waiting, now);
@@ -135,6 +143,7 @@
                 item,
                 target,
                 address,
+                born,
                 attempts: route.attempts.max(submission.attempts),
                 began: now,
                 exchange: Exchange::new(connection, &request)
@@ -194,7 +203,7 @@
             return RewardOutcome::Broken;
         };
         let reply = shared.dialect.reply(head);
-        shared.permits.observe(shared, &self.target, reply.limit);
+        shared.observe_reply(&self.target, self.born, &reply, "reward call");
         if !self.is_own_response(shared) {
             return RewardOutcome::Broken;
         }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -52,6 +52,8 @@
     model: ModelName,
     target: TargetName,
     address: SocketAddr,
+    /// Start of the target.
+    born: u64,
     exchange: Exchange,
     buffer: EventBuffer,
     /// Whether the newest event had text, but no number, and so was none of a stream.
@@ -283,7 +285,7 @@
             shared.permits.want(lacking);
             return None;
         };
-        let (name, address) = (place.target, place.address);
+        let (name, address, born) = (place.target, place.address, place.born);
         let entries_ms = shared.observe_entry_age(&fleet);
         let context = ForwardContext {
             target: &name,
@@ -316,6 +318,7 @@
             model,
             target: name,
             address,
+            born,
             exchange: Exchange::new(connection, &request).begin_by(lease_clock() + CHOICE_LIFETIME),
             buffer: EventBuffer::default(),
             ended_in_noise: false,
@@ -376,7 +379,7 @@
             self.head_read = true;
             self.last_data = now;
             let reply = shared.dialect.reply(head);
-            shared.permits.observe(shared, &self.target, reply.limit);
+            shared.observe_reply(&self.target, self.born, &reply, "item");
             let spec = &self.submission.items[self.item];
             if reply.id.as_deref() != Some(&spec.id) {
                 log::warn!(item:% = spec.id, target_name:% = self.target, answered:? = reply.id; "response belongs to another request");
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -82,6 +82,8 @@
 pub struct Reply {
     /// Identifier of the request to which the response belongs.
     pub id: Option<String>,
+    /// Whether the target states that it leaves.
+    pub leaving: bool,
     /// Requests a second that the target takes from all hosts together; `None` if it names no limit.
     pub limit: Option<f64>,
     /// Whether the target states that it has not run the request.
@@ -113,6 +115,8 @@
     pub target: TargetName,
     /// Address to which the order is sent.
     pub address: SocketAddr,
+    /// Start of the intended target.
+    pub born: u64,
     /// Name of the model.
     pub model: ModelName,
     /// The version to load.
--- a/crates/godwitspool-host/src/duty/loads.rs
+++ b/crates/godwitspool-host/src/duty/loads.rs
@@ -145,6 +145,7 @@
         Some(LoadOrder {
             target: name.clone(),
             address: target.entry.address,
+            born: target.entry.born,
             model: model.clone(),
             version: view.newest_versions[model],
             mode: view.mode,
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -282,7 +282,13 @@
         let loading = Arc::clone(&self.loading);
         let spawned = thread::Builder::new().name("order".to_owned()).spawn(move || {
             let answer = Exchange::call(&shared.pool, order.address, &request, ORDER_TIMEOUT);
-            let ordered = answer.map(|answer| shared.dialect.ordered(&answer));
+            let ordered = answer.map(|answer| {
+                let reply = shared.dialect.reply(&answer);
+                if reply.leaving {
+                    shared.observe_leaving(&order.target, order.born, "order");
+                }
+                shared.dialect.ordered(&answer)
+            });
             let (target, model, version) = (&order.target, &order.model, order.version);
             log::info!(target_name:% = target, model:%, version, epoch, ordered:?; "load ordered");
             shared.orders.count(match &ordered {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -10,7 +10,7 @@
 
 use godwitspool_process::{Clock, CounterByReason, Histogram, Metrics};
 use godwitspool_sync::{Condvar, Mutex, MutexGuard, RwLock};
-use godwitspool_types::ModelName;
+use godwitspool_types::{ModelName, TargetName};
 
 use super::{
     Activity, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
@@ -19,11 +19,11 @@
 use crate::{
     Settings,
     batch::BatchRegistry,
-    dialect::{Dialect, Duties},
+    dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
     store::{Store, Topic},
-    version::{Configuration, Fleet, Mirror},
+    version::{Configuration, Fleet, Leaving, Mirror},
 };
 
 /// Fraction of the time for which a leaving target serves on up to which its entry may be old when it
@@ -92,6 +92,8 @@
     pub score_seconds: Histogram,
     /// Ages of the targets' entries at the time that a target was chosen, in seconds.
     pub entry_age: Histogram,
+    /// Number of targets that have said that they leave, by the kind of response that said it first.
+    pub leavings: CounterByReason,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -145,6 +147,10 @@
             metrics.seconds_histogram("answer_seconds", "Times from request to answer");
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
+        let leavings = metrics.counter_by_reason(
+            "targets_leaving",
+            "Targets that said in a response that they leave, by the kind of request",
+        );
         let orders = metrics.counter_by_reason("orders", "Orders to targets by what came of them");
         let permit_answers =
             metrics.counter_by_reason("permits", "Permits for limited targets by outcome");
@@ -163,6 +169,8 @@
             .into_iter()
             .flatten()
             .collect();
+        let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
+        fleet.leaving = Leaving::new(settings.drain.into());
         let incarnation = rand::random::<u32>();
         let member = format!("{}#{incarnation:08x}", settings.peer);
         Ok(Self {
@@ -176,7 +184,7 @@
             duties_activity: Activity::default(),
             runner_activity: Activity::default(),
             duties: adapters.duties,
-            fleet: Mutex::new(Fleet::new(max_entry_age(settings.drain).into())),
+            fleet: Mutex::new(fleet),
             incarnation,
             member,
             reports: Reports::open(settings.peer),
@@ -188,6 +196,7 @@
             calls,
             score_seconds,
             entry_age,
+            leavings,
             orders,
             mirrors: Mutex::default(),
             versions: Mutex::default(),
@@ -249,6 +258,26 @@
         Some(age.0)
     }
 
+    /// Records what a response says of its target besides the request: its limit, and whether it
+    /// leaves. `born` is the start of the target that the request was sent to, and `kind` that of the
+    /// request, for the log and metrics.
+    pub fn observe_reply(&self, target: &TargetName, born: u64, reply: &Reply, kind: &'static str) {
+        self.permits.observe(self, target, reply.limit);
+        if reply.leaving {
+            self.observe_leaving(target, born, kind);
+        }
+    }
+
+    /// Records that a target has said in a response that it leaves.
+    pub fn observe_leaving(&self, target: &TargetName, born: u64, kind: &'static str) {
+        let now = self.clock.now();
+        if self.fleet().observe_leaving(target, born, now) {
+            log::info!(target_name:% = target, born, kind; "target says that it leaves");
+            self.leavings.count(kind);
+            self.notify_change();
+        }
+    }
+
     /// Returns the newest known version of each model.
     pub fn newest_versions(&self) -> HashMap<ModelName, u64> {
         self.versions
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -11,7 +11,7 @@
     http::{Caller, Exchange, Progress, Request, Response, wait},
     lease_clock,
     process::{Shared, unix_ms},
-    version::{Basis, CHOICE_LIFETIME, Outcome, Route, RouteKind},
+    version::{Basis, CHOICE_LIFETIME, Outcome, Route, RouteKind, TargetEntry},
 };
 
 /// Part of the time until the caller's deadline that is reserved for delivering the response.
@@ -77,6 +77,8 @@
 /// An attempt at one target.
 struct Attempt {
     target: TargetName,
+    /// Start of the target.
+    born: u64,
     address: SocketAddr,
     exchange: Exchange,
     began: Instant,
@@ -249,8 +251,12 @@
             let now = self.shared.clock.now();
             let mut fleet = self.shared.fleet();
             let chosen = fleet.choose(&self.service, &self.shared.settings.dc, &self.tried, now);
-            let Some((target, address)) =
-                chosen.map(|target| (target.entry.name.clone(), target.entry.address))
+            let Some(TargetEntry {
+                name: target,
+                address,
+                born,
+                ..
+            }) = chosen.map(|target| target.entry.clone())
             else {
                 return false;
             };
@@ -283,6 +289,7 @@
                     }
                     self.in_flight.push(Attempt {
                         target,
+                        born,
                         address,
                         exchange,
                         began: Instant::now(),
@@ -363,8 +370,8 @@
             .head()
             .map(|head| self.shared.dialect.reply(head));
         let reply: Reply = reply.unwrap_or_default();
-        let permits = &self.shared.permits;
-        permits.observe(self.shared, &attempt.target, reply.limit);
+        self.shared
+            .observe_reply(&attempt.target, attempt.born, &reply, "request");
         if reply.id != self.call.id {
             log::warn!(request = self.call.request(), target_name:% = attempt.target, answered:? = reply.id; "response belongs to another request");
             self.started += 1;
@@ -433,8 +440,8 @@
             caller.respond(&answer)?;
             return Ok(Some(Ended::Answered(answer.status)));
         }
-        let permits = &self.shared.permits;
-        permits.observe(self.shared, &attempt.target, reply.limit);
+        self.shared
+            .observe_reply(&attempt.target, attempt.born, &reply, "stream");
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
         let head = without_hop_by_hop(head.clone());
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -6,7 +6,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Basis, Freshness, Limited};
+use super::{Basis, Freshness, Leaving, Limited};
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -112,6 +112,8 @@
     pub target: TargetName,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Start of the target.
+    pub born: u64,
     /// Version that the target should have loaded by now; `None` if its entry or a response
     /// has confirmed the version.
     pub expected: Option<u64>,
@@ -128,6 +130,8 @@
     reports: HashMap<u32, (u64, Millis)>,
     /// How current the entries are.
     pub freshness: Freshness,
+    /// Targets that have said in a response that they leave.
+    pub leaving: Leaving,
 }
 
 impl Target {
@@ -257,14 +261,38 @@
         self.targets.get(name)
     }
 
-    /// Returns the targets of a service that are not draining, ordered by name.
+    /// Returns the targets of a service that neither their entries nor their responses say to leave,
+    /// ordered by name.
     pub fn usable(&self, service: &ServiceName) -> Vec<&Target> {
+        let mut usable = self.registered(service);
+        usable.retain(|target| !self.is_leaving(target));
+        usable
+    }
+
+    /// Returns the targets of a service that their entries don't say to drain, ordered by name.
+    fn registered(&self, service: &ServiceName) -> Vec<&Target> {
         let targets = self.targets.values();
-        let mut usable: Vec<&Target> = targets
+        let mut registered: Vec<&Target> = targets
             .filter(|target| target.entry.service == *service && !target.entry.draining)
             .collect();
-        usable.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
-        usable
+        registered.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
+        registered
+    }
+
+    /// Returns whether a target has said in a response that it leaves.
+    fn is_leaving(&self, target: &Target) -> bool {
+        self.leaving.includes(&target.entry.name, target.entry.born)
+    }
+
+    /// Records that the start `born` of a target has said in a response that it leaves. Returns whether
+    /// that is news.
+    pub fn observe_leaving(&mut self, name: &TargetName, born: u64, now: Millis) -> bool {
+        let news = self.leaving.observe(name, born, now);
+        if news {
+            let targets = &self.targets;
+            self.leaving.prune(|name| targets.contains_key(name), now);
+        }
+        news
     }
 
     /// Counts a request that was sent to a target.
@@ -343,7 +371,8 @@
 
     /// Chooses the target for a request: the one with the lowest expected latency, given its
     /// smoothed latency and its load. Targets in other data centres count as 1.5 times slower.
-    /// Paused targets come last. Targets in `tried` are left out, and so are those whose limit leaves
+    /// Targets that leave come behind those that don't, and only for a short time; paused targets come
+    /// last. Targets in `tried` are left out, and so are those whose limit leaves
     /// no room; a target with a limit needs a permit before the request is sent. None is chosen by stale entries.
     pub fn choose(
         &self,
@@ -355,9 +384,17 @@
         if self.freshness.basis() == Basis::Stale {
             return None;
         }
-        let usable = self.usable(service);
-        let candidates = usable
+        let (leaving, staying): (Vec<&Target>, Vec<&Target>) = self
+            .registered(service)
+            .into_iter()
+            .partition(|target| self.is_leaving(target));
+        let last_resorts = leaving.into_iter().filter(|target| {
+            let entry = &target.entry;
+            self.leaving.is_last_resort(&entry.name, entry.born, now)
+        });
+        let candidates = staying
             .into_iter()
+            .chain(last_resorts)
             .filter(|target| !tried.contains(&target.entry.name))
             .filter(|target| target.limited.is_none_or(|limited| limited.is_open(now)));
         candidates.min_by(|a, b| {
@@ -365,7 +402,8 @@
                 let paused = target.paused_until > now;
                 let load = f64::from(target.running) / f64::from(target.entry.slots.max(1));
                 let distance = if target.entry.dc == *dc { 1.0 } else { 1.5 };
-                (paused, target.latency_ms * (1.0 + load) * distance)
+                let order = (paused, self.is_leaving(target));
+                (order, target.latency_ms * (1.0 + load) * distance)
             };
             let (a, b) = (rank(a), rank(b));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
@@ -464,6 +502,7 @@
         best.map(|(target, expected, pace)| Placement {
             target: target.entry.name.clone(),
             address: target.entry.address,
+            born: target.entry.born,
             expected,
             pace,
         })
@@ -474,19 +513,13 @@
     ///
     /// Load pattern: the outputs of a step become complete at the same time, and interactive callers
     /// use the same targets. The half that stays free serves them without a queue.
-    pub fn place_call(
-        &self,
-        service: &ServiceName,
-        dc: &Dc,
-        now: Millis,
-    ) -> Option<(TargetName, SocketAddr)> {
+    pub fn place_call(&self, service: &ServiceName, dc: &Dc, now: Millis) -> Option<&Target> {
         if self.freshness.basis() == Basis::Stale {
             return None;
         }
         let usable = self.usable(service).into_iter();
         let free = usable.filter(|target| target.fits_call(now) && target.has_permit(now));
-        let best = free.min_by_key(|target| (target.total_running(now), target.entry.dc != *dc));
-        best.map(|target| (target.entry.name.clone(), target.entry.address))
+        free.min_by_key(|target| (target.total_running(now), target.entry.dc != *dc))
     }
 
     /// Returns the time until the first limit of a service's targets leaves room again; `None` if no
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod freshness;
 mod lapse;
+mod leaving;
 mod limit;
 mod mirror;
 
@@ -14,5 +15,6 @@
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
+pub use leaving::Leaving;
 pub use limit::{Limited, Limiter, Permit};
 pub use mirror::{Fetched, Mirror, MirrorChange};
--- a/crates/godwitspool-host/tests/loads.rs
+++ b/crates/godwitspool-host/tests/loads.rs
@@ -114,6 +114,7 @@
         (target.entry.models[model] < newest && !ordered).then(|| LoadOrder {
             target: name.clone(),
             address: target.entry.address,
+            born: target.entry.born,
             model: model.clone(),
             version: newest,
             mode: view.mode,
