Batches: output that no target can continue is given up

Cause: the run asked for the version of the item's partial output, but its target was chosen by the oldest version that the step allows, and nothing asked whether any target has that version or can have it again.

The fake target answers 421 to another version now, as the users' pages say; it ignored Expect-Version.

Change: such an item is placed at a target that has the version. If none that can be reached has it, and a newer one is named, the output is discarded.

--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -227,6 +227,14 @@
             let answer = named(Response::new(421, Vec::new())).with("Request-Id", &id);
             return caller.respond(&answer.with("Instance-Id", &self.options.name));
         }
+        let model = request.headers.get("Model").unwrap_or_default();
+        let version = lock(&self.models).get(model).copied();
+        let expected = request.headers.get("Expect-Version");
+        let expected = expected.and_then(|text| text.parse().ok());
+        if expected.is_some() && version.is_some() && expected != version {
+            let answer = named(Response::new(421, Vec::new())).with("Request-Id", &id);
+            return caller.respond(&answer);
+        }
         let fault = lock(&self.fault)
             .as_ref()
             .map(|decide| decide(request))
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -266,9 +266,6 @@
         let shared = &self.shared;
         let submission = Arc::clone(&batch.submission);
         let spec = &submission.items[index];
-        let progress = &batch.items[index].progress;
-        let resuming = submission.single_version && progress.last_event.is_some();
-        let pinned = progress.version.filter(|_| resuming);
         let models = configuration
             .services
             .get(service)
@@ -276,11 +273,26 @@
         let model = submission.model.clone();
         let mut fleet = shared.fleet();
         let assigned = fleet.assign_models(service, models.unwrap_or_default());
-        let oldest = submission.min_version;
-        let placed = fleet.place(service, &model, oldest, &assigned, None, now);
+        let pinned = batch.pinned_version(index);
+        if let Some(version) = pinned
+            && !fleet.has_version(service, &model, version, now)
+            && shared.newest_version(&model) > version
+        {
+            log::info!(
+                batch:% = submission.id, item:% = spec.id, version,
+                events:? = batch.items[index].progress.last_event;
+                "output discarded: no target has its version any more"
+            );
+            batch.discard_output(index);
+        }
+        let pinned = batch.pinned_version(index);
+        let oldest = pinned.unwrap_or(submission.min_version);
+        let versions = oldest..=pinned.unwrap_or(u64::MAX);
+        let progress = &batch.items[index].progress;
+        let placed = fleet.place(service, &model, &versions, &assigned, None, now);
         let Some(place) = placed.filter(|place| fleet.take_permit(&place.target, now)) else {
             let waiting = batch.waiting_items();
-            let lacking = fleet.lacking_for_item(service, &model, oldest, waiting, now);
+            let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
             drop(fleet);
             shared.permits.want(lacking);
             return None;
@@ -477,13 +489,13 @@
             moves: batch.items[self.item].moves,
         };
         let reason = decide_move(&view)?;
-        let min_version = self.submission.min_version;
+        let versions = self.submission.min_version..=u64::MAX;
         let assigned = HashMap::new();
         let excluded = Some(&self.target);
         let other = fleet.place(
             &self.service,
             &self.model,
-            min_version,
+            &versions,
             &assigned,
             excluded,
             now,
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -117,6 +117,10 @@
         self.progress.complete && matches!(self.state, ItemState::Waiting { .. })
     }
 
+    fn discard_output(&mut self) {
+        self.progress = ItemProgress::default();
+    }
+
     /// Counts consecutive broken runs without a new event.
     fn record_break(&mut self) {
         let last = self.progress.last_event;
@@ -353,6 +357,19 @@
         !self.ended && self.results.len() < self.items.len()
     }
 
+    /// Returns the only version of the model that may continue an item's partial output; `None` if it
+    /// has none, or may come from several versions.
+    pub fn pinned_version(&self, item: usize) -> Option<u64> {
+        let progress = &self.items[item].progress;
+        let bound = self.submission.single_version && progress.last_event.is_some();
+        progress.version.filter(|_| bound)
+    }
+
+    /// Discards an item's partial output, which no target can continue. Its next run starts over.
+    pub fn discard_output(&mut self, item: usize) {
+        self.items[item].discard_output();
+    }
+
     /// Records a failed run of an item and decides whether the item is retried.
     pub fn fail(&mut self, item: usize, failure: RunFailure, now: Millis) -> Verdict {
         let attempts = self.submission.attempts.max(1);
@@ -360,7 +377,7 @@
         match failure {
             RunFailure::Failed => item.failures += 1,
             RunFailure::Rejected => item.rejections += 1,
-            RunFailure::Unusable => item.progress = ItemProgress::default(),
+            RunFailure::Unusable => item.discard_output(),
             RunFailure::Moved => item.moves += 1,
             RunFailure::Broken => item.record_break(),
             RunFailure::NotRun => {}
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -286,6 +286,12 @@
             .clone()
     }
 
+    /// Returns the newest known version of a model, 0 if none is known.
+    pub fn newest_version(&self, model: &ModelName) -> u64 {
+        let named = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        named.get(model).copied().unwrap_or_default()
+    }
+
     /// Records a version of a model if it is newer than the known one. Returns whether it was.
     pub fn update_version(&self, model: &ModelName, version: u64) -> bool {
         let mut named = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    ops::RangeInclusive,
 };
 
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
@@ -37,6 +38,8 @@
 /// A target whose interval between events exceeds the median by this factor gets items only if no
 /// other target can take them.
 const SLOW_FACTOR: f64 = 1.6;
+/// Number of consecutive failures from which on a target isn't relied on to continue a text.
+const UNRELIABLE_FAILURES: u32 = 2;
 /// Weight of the newest interval between events in a target's pace.
 const PACE_SMOOTHING: f64 = 0.2;
 
@@ -150,9 +153,9 @@
     }
 
     /// Returns whether an item may run at the target, apart from a limit that it has named.
-    fn fits_item(&self, model: &ModelName, min_version: u64, now: Millis) -> bool {
+    fn fits_item(&self, model: &ModelName, versions: &RangeInclusive<u64>, now: Millis) -> bool {
         let version = self.version(model, now).map(|(version, _)| version);
-        version.is_some_and(|version| version >= min_version)
+        version.is_some_and(|version| versions.contains(&version))
             && self.paused_until <= now
             && self.total_running(now) < self.entry.slots
     }
@@ -459,8 +462,25 @@
         median_pace(candidates.map(|(pace, _)| pace).collect())
     }
 
-    /// Chooses the target for an item of a batch, other than `excluded`: it must have a fitting
-    /// version and a free slot, and must not be paused. Targets that aren't slow are preferred,
+    /// Returns whether a usable target serves this version of a model now, busy or not.
+    pub fn has_version(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        version: u64,
+        now: Millis,
+    ) -> bool {
+        let mut usable = self.usable(service).into_iter();
+        usable.any(|target| {
+            target.failures < UNRELIABLE_FAILURES
+                && target
+                    .version(model, now)
+                    .is_some_and(|(served, _)| served == version)
+        })
+    }
+
+    /// Chooses the target for an item of a batch, other than `excluded`: it must have one of the
+    /// `versions` and a free slot, and must not be paused. Targets that aren't slow are preferred,
     /// then targets that are assigned to the model; among equals the least loaded one is chosen. None
     /// is chosen by stale entries.
     ///
@@ -471,7 +491,7 @@
         &self,
         service: &ServiceName,
         model: &ModelName,
-        min_version: u64,
+        versions: &RangeInclusive<u64>,
         assigned: &HashMap<TargetName, ModelName>,
         excluded: Option<&TargetName>,
         now: Millis,
@@ -482,7 +502,7 @@
         let median = self.median_pace(service, now);
         let fitting = self.usable(service).into_iter().filter_map(|target| {
             let (version, expected) = target.version(model, now)?;
-            let fits = target.fits_item(model, min_version, now)
+            let fits = target.fits_item(model, versions, now)
                 && target.has_permit(now)
                 && Some(&target.entry.name) != excluded;
             let pace = target
@@ -537,11 +557,11 @@
         &self,
         service: &ServiceName,
         model: &ModelName,
-        min_version: u64,
+        versions: &RangeInclusive<u64>,
         count: usize,
         now: Millis,
     ) -> Vec<TargetName> {
-        let fits = |target: &Target| target.fits_item(model, min_version, now);
+        let fits = |target: &Target| target.fits_item(model, versions, now);
         self.lacking(service, fits, count, now)
     }
 
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -34,7 +34,14 @@
 fn place(fleet: &Fleet, min_version: u64, now: u64) -> Option<String> {
     let (service, model) = (ServiceName::from("engine"), ModelName::from("m"));
     let assigned = fleet.assign_models(&service, std::slice::from_ref(&model));
-    let place = fleet.place(&service, &model, min_version, &assigned, None, Millis(now));
+    let place = fleet.place(
+        &service,
+        &model,
+        &(min_version..=u64::MAX),
+        &assigned,
+        None,
+        Millis(now),
+    );
     place.map(|place| place.target.to_string())
 }
 
@@ -143,7 +150,14 @@
     assert_eq!(place(&fleet, 1, 100), None);
     let service = ServiceName::from("engine");
     let place = fleet
-        .place(&service, &model, 2, &HashMap::new(), None, LOAD_TIME)
+        .place(
+            &service,
+            &model,
+            &(2..=u64::MAX),
+            &HashMap::new(),
+            None,
+            LOAD_TIME,
+        )
         .unwrap();
     assert_eq!(
         place.expected,
@@ -152,7 +166,14 @@
     );
     fleet.observe_version(&name, &model, 2);
     let place = fleet
-        .place(&service, &model, 2, &HashMap::new(), None, LOAD_TIME)
+        .place(
+            &service,
+            &model,
+            &(2..=u64::MAX),
+            &HashMap::new(),
+            None,
+            LOAD_TIME,
+        )
         .unwrap();
     assert_eq!(place.expected, None);
 }
