Duties: an unreachable target is tried again

Cause: plan_loads left out a target with two failures in a row, and only an answer sets them back; such a target gets nothing that it could answer.

Change: behind all other orders, and while another load could still begin, one unreachable target whose pause is over is ordered to load. Any answer to an order sets its failures back.

--- a/crates/godwitspool-host/src/duty/loads.rs
+++ b/crates/godwitspool-host/src/duty/loads.rs
@@ -14,7 +14,8 @@
 const TARGETS_PER_LOAD: usize = 5;
 /// Number of concurrent loads that is always allowed, since so few don't slow each other down.
 const MIN_CONCURRENT_LOADS: usize = 2;
-/// Number of consecutive failures from which on a target counts as unreachable and is ignored.
+/// Number of consecutive failures from which on a target counts as unreachable: it isn't counted on, and
+/// is tried again only while there is nothing more urgent.
 const MAX_FAILURES: u32 = 2;
 
 /// A load that was ordered from a target.
@@ -151,7 +152,36 @@
             mode: view.mode,
         })
     });
-    orders.take(available).collect()
+    let mut orders: Vec<LoadOrder> = orders.take(available).collect();
+    // Leaves room for a load that becomes urgent meanwhile.
+    if orders.len() + 1 < available {
+        orders.extend(retry(view));
+    }
+    orders
+}
+
+/// Returns an order to the target that has been unreachable for longest and is due to be tried again, so
+/// that a target comes back although nothing but orders is sent to it.
+fn retry(view: &LoadView<'_>) -> Option<LoadOrder> {
+    let due = view.targets.iter().filter(|target| {
+        target.failures >= MAX_FAILURES
+            && target.paused_until <= view.now
+            && !view.is_loading(target)
+    });
+    let outdated = due.filter_map(|target| {
+        let model = view.assigned.get(&target.entry.name)?;
+        let version = *view.newest_versions.get(model)?;
+        (view.expected(target, model) < version).then_some((target, model, version))
+    });
+    let (target, model, version) = outdated.min_by_key(|(target, ..)| target.paused_until)?;
+    Some(LoadOrder {
+        target: target.entry.name.clone(),
+        address: target.entry.address,
+        born: target.entry.born,
+        model: model.clone(),
+        version,
+        mode: view.mode,
+    })
 }
 
 impl LoadView<'_> {
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -283,6 +283,7 @@
         let spawned = thread::Builder::new().name("order".to_owned()).spawn(move || {
             let answer = Exchange::call(&shared.pool, order.address, &request, ORDER_TIMEOUT);
             let ordered = answer.map(|answer| {
+                shared.fleet().observe_answer(&order.target);
                 let reply = shared.dialect.reply(&answer);
                 if reply.leaving {
                     shared.observe_leaving(&order.target, order.born, "order");
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -336,6 +336,14 @@
         }
     }
 
+    /// Records that a target has answered something else than a request, so that it can be reached.
+    pub fn observe_answer(&mut self, name: &TargetName) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.failures = 0;
+            target.paused_until = Millis::default();
+        }
+    }
+
     /// Records the version of a model that a target's response has shown.
     pub fn observe_version(&mut self, name: &TargetName, model: &ModelName, version: u64) {
         if let Some(target) = self.targets.get_mut(name) {
