Batches: expired ones are removed while results keep coming

Callers would see: refused batches once the store is full.

Cause: the writer of a partition's results looked for expired batches only after 5 s without a result.

Evidence: expired_batches_are_removed_while_results_keep_coming finds the batch after 12 s on the code before; with the change it is gone after 5 s.

Change: the check is due each 5 s, whatever else there is to write.

--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -327,16 +327,19 @@
     /// Appends results in groups, and publishes each group once the store has confirmed it.
     fn write(&self, receiver: &Receiver<Finished>, mut positions: HashMap<String, u64>) {
         let mut seq = 1;
+        let mut expire_at = Instant::now() + EXPIRY_INTERVAL;
         loop {
-            let first = match receiver.recv_timeout(EXPIRY_INTERVAL) {
-                Ok(first) => first,
-                Err(RecvTimeoutError::Timeout) if self.is_stopped() => return,
-                Err(RecvTimeoutError::Timeout) => {
-                    if self.expire(&mut seq).is_none() {
-                        return;
-                    }
-                    continue;
+            let left = expire_at.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                if self.is_stopped() || self.expire(&mut seq).is_none() {
+                    return;
                 }
+                expire_at = Instant::now() + EXPIRY_INTERVAL;
+                continue;
+            }
+            let first = match receiver.recv_timeout(left) {
+                Ok(first) => first,
+                Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             let mut group = vec![first];
