HTTP: a Keep-Alive time near the largest number ends no process

Seen by the review in passing: Connection::is_reusable multiplies the time that a peer's Keep-Alive names, which overflows and panics for times that no sound target sends.

Evidence: case largest of an_odd_keep_alive_time_harms_no_later_request panics on the code before; times beyond the largest number and negative ones were ignored already.

Change: more than an hour counts as an hour.

--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -20,6 +20,8 @@
 /// Maximum size of the body bytes that are held at a time. A longer body is treated as malformed unless
 /// it is taken as it arrives.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum keep-alive timeout of a peer that is used; a larger one makes no difference.
+const MAX_KEEP_ALIVE: Duration = Duration::from_hours(1);
 /// Number of bytes after which [`Exchange::advance`] returns, so that a peer that sends without end
 /// doesn't keep the thread from its deadline and its other sockets.
 const MAX_ADVANCE_BYTES: usize = 1024 * 1024;
@@ -327,5 +329,6 @@
         .split(',')
         .filter_map(|part| part.trim().split_once('='));
     let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
-    seconds.parse().ok().map(Duration::from_secs)
+    let seconds: u64 = seconds.parse().ok()?;
+    Some(Duration::from_secs(seconds).min(MAX_KEEP_ALIVE))
 }
