Batches: a slow owner doesn't replace its successor

An owner whose last read hangs while its partition is lost and dealt to the same host again would put itself in its successor's place and then be removed, and nobody on this host would run the partition.

Evidence: a_slow_owner_doesnt_replace_its_successor finds no owned partition on the code before.

Change: open leaves a partition with a higher epoch alone.

--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -118,7 +118,8 @@
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds a partition that this host owns from now on, with its batches.
+    /// Adds a partition that this host owns from now on, with its batches. Does nothing if the host owns
+    /// the partition under a higher epoch: an earlier owner was slow, and its successor is here.
     pub fn open(&self, part: u32, epoch: u64, batches: Vec<Batch>, writer: Sender<Finished>) {
         let batches = batches.into_iter();
         let batches = batches
@@ -129,7 +130,12 @@
             batches,
             writer,
         };
-        self.lock().insert(part, opened);
+        let mut parts = self.lock();
+        if parts.get(&part).is_some_and(|known| known.epoch > epoch) {
+            return;
+        }
+        parts.insert(part, opened);
+        drop(parts);
         self.notify();
     }
 
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -477,3 +477,16 @@
     let items: Vec<u32> = read.iter().map(|result| result.item).collect();
     assert_eq!(items, [7]);
 }
+
+/// Guards against LOST: an owner whose last read hung opens its partition after its successor on the same
+/// host has, and takes the successor's place, which nobody runs then.
+#[test]
+fn a_slow_owner_doesnt_replace_its_successor() {
+    let registry = BatchRegistry::new(4).unwrap();
+    let part = partition_of("b", 4);
+    let (sender, _receiver) = mpsc::channel();
+    registry.open(part, 9, vec![batch(2, 1)], sender.clone());
+    registry.open(part, 7, Vec::new(), sender);
+    registry.close(part, 7);
+    assert_eq!(registry.owned(), [(part, 9)]);
+}
