Batches: complete ones are kept until they are ended or abandoned

Cause: a batch whose results are all stored counted as closed.

Its decision, Batch::is_expired, has a test of its own.

Change: a batch is removed after its TTL if it was ended, or if it is complete and nobody has read it from its owner for 15 minutes.

--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -11,7 +11,7 @@
 use super::{
     Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, partition_of,
 };
-use crate::{StoreBounds, http::Waker, store::Record};
+use crate::{StoreBounds, http::Waker, process::unix_ms, store::Record};
 
 /// Maximum size of a page of results. The platform's interface allows responses of up to a
 /// megabyte.
@@ -122,8 +122,12 @@
     /// the partition under a higher epoch: an earlier owner was slow, and its successor is here.
     pub fn open(&self, part: u32, epoch: u64, batches: Vec<Batch>, writer: Sender<Finished>) {
         let batches = batches.into_iter();
+        let read_ms = unix_ms();
         let batches = batches
-            .map(|batch| (batch.submission.id.clone(), batch))
+            .map(|mut batch| {
+                batch.read_ms = read_ms;
+                (batch.submission.id.clone(), batch)
+            })
             .collect();
         let opened = OwnedPartition {
             epoch,
@@ -243,17 +247,14 @@
         }
     }
 
-    /// Returns the expired batches of a partition with their results: those that were submitted
-    /// longer than `ttl` ago and are closed.
+    /// Returns the expired batches of a partition with their results.
     pub fn expired(&self, part: u32, now_ms: u64, ttl: Duration) -> Vec<StoredBatch> {
-        let ttl_ms = ttl.as_millis() as u64;
         let parts = self.lock();
         let batches = parts
             .get(&part)
             .into_iter()
             .flat_map(|part| part.batches.values());
-        let expired_batches = batches
-            .filter(|batch| !batch.is_open() && batch.submission.received_ms + ttl_ms < now_ms);
+        let expired_batches = batches.filter(|batch| batch.is_expired(now_ms, ttl));
         expired_batches
             .map(|batch| (Arc::clone(&batch.submission), batch.results.clone()))
             .collect()
@@ -286,12 +287,16 @@
         let due = Instant::now() + wait;
         let mut parts = self.lock();
         loop {
-            let Some(part) = parts.get(&partition_of(id, self.part_count)) else {
+            let Some(part) = parts.get_mut(&partition_of(id, self.part_count)) else {
                 return Lookup::NotOwned;
             };
-            let Some(batch) = find(part, id, workspace) else {
+            if find(part, id, workspace).is_none() {
+                return Lookup::Missing;
+            }
+            let Some(batch) = part.batches.get_mut(id) else {
                 return Lookup::Missing;
             };
+            batch.read_ms = unix_ms();
             let left = due.saturating_duration_since(Instant::now());
             let ready = batch.results.len() as u64 > after;
             if ready || left.is_zero() || !batch.is_open() {
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
@@ -15,6 +15,9 @@
 /// platform considers an item forgotten, and much longer than the second that a target needs to
 /// restart. It doesn't grow: a sound item that ran on targets that crashed is owed as much as any.
 const SUSPECT_BACKOFF: Millis = Millis(4_500);
+/// Time without a read after which a complete batch that its caller hasn't ended is removed. Without it the
+/// store would fill up with the batches of callers that have gone.
+const ABANDONED_AFTER: Duration = Duration::from_mins(15);
 /// Number of rejections after which an item is given up: a rejection means that no target can ever
 /// serve it.
 const MAX_REJECTIONS: u32 = 1;
@@ -194,6 +197,9 @@
     pub results: Vec<Arc<ItemResult>>,
     /// Whether the caller has ended the batch.
     pub ended: bool,
+    /// When callers last read the results at this host, or when it took the batch over, in milliseconds
+    /// since 1970.
+    pub read_ms: u64,
     /// Indexes of the items in the order in which they start.
     order: Vec<usize>,
     /// Number of each item's group.
@@ -234,6 +240,7 @@
         Self {
             order: order_items(&submission),
             group_numbers,
+            read_ms: submission.received_ms,
             submission,
             items,
             results,
@@ -351,6 +358,15 @@
             .count()
     }
 
+    /// Returns whether the batch may be removed, `ttl` after its submission: it was ended, or all results
+    /// are stored and callers have left without an end.
+    pub fn is_expired(&self, now_ms: u64, ttl: Duration) -> bool {
+        let past = |since_ms: u64, time: Duration| since_ms + (time.as_millis() as u64) < now_ms;
+        let complete = self.results.len() >= self.items.len();
+        let done = self.ended || (complete && past(self.read_ms, ABANDONED_AFTER));
+        done && past(self.submission.received_ms, ttl)
+    }
+
     /// Returns whether the batch was not ended and some item has no stored result. Batches that are
     /// not open are closed.
     pub fn is_open(&self) -> bool {
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -490,3 +490,25 @@
     registry.close(part, 7);
     assert_eq!(registry.owned(), [(part, 9)]);
 }
+
+/// Guards against LOST: the results of a batch that no caller has ended are removed when its TTL is over,
+/// although callers still read them.
+#[test]
+fn a_complete_batch_is_kept_until_it_is_ended_or_abandoned() {
+    const TTL: Duration = Duration::from_mins(2);
+    let ms = |time: Duration| time.as_millis() as u64;
+    let mut batch = batch(1, 1);
+    batch.results = vec![Arc::default()];
+    let over = batch.submission.received_ms + ms(TTL) + 1;
+    assert!(!batch.is_expired(over, TTL), "it is open");
+    batch.read_ms = over;
+    let abandoned = over + ms(Duration::from_mins(15));
+    assert!(!batch.is_expired(abandoned, TTL), "it was read");
+    assert!(batch.is_expired(abandoned + 1, TTL));
+    batch.ended = true;
+    assert!(batch.is_expired(over, TTL));
+    assert!(!batch.is_expired(over - 1, TTL));
+    batch.ended = false;
+    batch.results.clear();
+    assert!(!batch.is_expired(abandoned + 1, TTL), "items are missing");
+}
