Batches: noise ends a run within one step, after 256 KB

Found by a test that failed once beside other load: a read of results took over 1 s while four runs at a time got endless comments.

Cause: a step parsed all that an exchange hands over, up to 1 MB a run, before it counted the bytes without an event, under the lock of the owned batches.

--- a/crates/godwitspool-host/src/batch/event_buffer.rs
+++ b/crates/godwitspool-host/src/batch/event_buffer.rs
@@ -16,8 +16,8 @@
     start: usize,
     /// Index up to which no end of an event was found.
     searched: usize,
-    /// Number of bytes received since the last call of [`Self::accept`].
-    unaccepted: usize,
+    /// Number of bytes taken since the last call of [`Self::accept`].
+    skipped: usize,
 }
 
 impl EventBuffer {
@@ -27,7 +27,6 @@
         self.searched -= self.start;
         self.start = 0;
         self.bytes.extend_from_slice(bytes);
-        self.unaccepted += bytes.len();
     }
 
     /// Returns the lines of the next complete event. Empty lines between events are skipped.
@@ -35,6 +34,7 @@
         let rest = &self.bytes[self.start..];
         let blank = rest.iter().take_while(|byte| **byte == b'\n').count();
         self.start += blank;
+        self.skipped += blank;
         self.searched = self.searched.max(self.start);
         let unsearched = &self.bytes[self.searched..];
         let Some(end) = unsearched.windows(2).position(|pair| pair == b"\n\n") else {
@@ -45,21 +45,27 @@
         let event = self.start..self.searched + end;
         self.start = event.end + 2;
         self.searched = self.start;
+        self.skipped += event.len() + 2;
         Some(&self.bytes[event])
     }
 
     /// Notes that the last event was a valid one.
     pub fn accept(&mut self) {
-        self.unaccepted = self.bytes.len() - self.start;
+        self.skipped = 0;
     }
 
-    /// Returns the number of bytes received behind the last valid event.
-    pub fn unaccepted(&self) -> usize {
-        self.unaccepted
+    /// Returns the number of bytes that were taken behind the last valid event.
+    pub fn skipped(&self) -> usize {
+        self.skipped
+    }
+
+    /// Returns the number of bytes that are left.
+    pub fn pending(&self) -> usize {
+        self.bytes.len() - self.start
     }
 
     /// Returns whether no part of an event is left.
     pub fn is_empty(&self) -> bool {
-        self.start == self.bytes.len()
+        self.pending() == 0
     }
 }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -19,8 +19,9 @@
 const EVENT_TIMEOUT: Millis = Millis(3_000);
 /// Timeout for the head of the response: the time within which a target works off a full queue.
 const HEAD_TIMEOUT: Millis = Millis(4_000);
-/// Maximum number of bytes without a numbered event, far above the size of the events of the models.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum number of bytes without a numbered event, far above the size of the events of the models. It
+/// bounds the work that noise makes in one step of a run.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Timeout for connecting to a target: several round trips between data centres.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 /// A run moves only to a target whose interval between events is below this multiple of the median,
@@ -56,7 +57,7 @@
     born: u64,
     exchange: Exchange,
     buffer: EventBuffer,
-    /// Whether the newest event had text, but no number, and so was none of a stream.
+    /// Whether the body has ended, so far, in text that is no event of a stream.
     ended_in_noise: bool,
     began: Millis,
     last_data: Millis,
@@ -271,12 +272,13 @@
             .get(service)
             .map(|service| &service.models[..]);
         let model = submission.model.clone();
+        let newest = shared.newest_version(&model);
         let mut fleet = shared.fleet();
         let assigned = fleet.assign_models(service, models.unwrap_or_default());
         let pinned = batch.pinned_version(index);
         if let Some(version) = pinned
             && !fleet.has_version(service, &model, version, now)
-            && shared.newest_version(&model) > version
+            && newest > version
         {
             log::info!(
                 batch:% = submission.id, item:% = spec.id, version,
@@ -426,11 +428,6 @@
                     }
                     Err(failure) => return failed(failure, Outcome::Failed),
                 }
-                if self.buffer.unaccepted() > MAX_EVENT_BYTES {
-                    let spec = &self.submission.items[self.item];
-                    log::warn!(item:% = spec.id, target_name:% = self.target, bytes = self.buffer.unaccepted(); "too many bytes without an event");
-                    return failed(RunFailure::Broken, Outcome::Failed);
-                }
             }
         }
         match progress {
@@ -520,6 +517,9 @@
             }
             let Some(number) = event.number else {
                 self.ended_in_noise |= is_text(lines);
+                if self.buffer.skipped() > MAX_EVENT_BYTES {
+                    break;
+                }
                 continue;
             };
             let expected = progress.last_event.map(|last| last + 1);
@@ -544,6 +544,10 @@
             self.ended_in_noise = false;
             events += 1;
         }
+        if self.buffer.skipped().max(self.buffer.pending()) > MAX_EVENT_BYTES {
+            log::warn!(item:% = spec.id, target_name:% = self.target; "too many bytes without an event");
+            return Err(RunFailure::Broken);
+        }
         Ok(events)
     }
 
