Tests: events of a stream, for each way in which its bytes can be split

EventBuffer keeps positions between calls; the test plays every split of a stream into three parts, and byte by byte, against the whole.

--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -12,9 +12,9 @@
 use godwitspool_host::{
     StoreBounds,
     batch::{
-        Batch, BatchRecord, BatchRegistry, Finished, ItemProgress, ItemResult, ItemSpec, ItemState,
-        Lookup, Move, Pace, RunFailure, RunView, StoredResults, Submission, Verdict, decide_move,
-        order_items, partition_of,
+        Batch, BatchRecord, BatchRegistry, EventBuffer, Finished, ItemProgress, ItemResult,
+        ItemSpec, ItemState, Lookup, Move, Pace, RunFailure, RunView, StoredResults, Submission,
+        Verdict, decide_move, order_items, partition_of,
     },
     store::{Record, StoredRecord},
 };
@@ -512,3 +512,31 @@
     batch.results.clear();
     assert!(!batch.is_expired(abandoned + 1, TTL), "items are missing");
 }
+
+/// Guards against ORDER: events are lost or joined by where the bytes of a stream happen to be split.
+#[test]
+fn events_dont_depend_on_how_their_bytes_arrive() {
+    const STREAM: &[u8] = b"\n\nid: 1\ndata: a\n\n\n: x\n\nid: 2\ndata: b\n\n\n\nid: 3";
+    let read = |parts: &[&[u8]]| {
+        let mut buffer = EventBuffer::default();
+        let mut events = Vec::new();
+        for part in parts {
+            buffer.push(part);
+            while let Some(lines) = buffer.next_event() {
+                events.push(lines.to_vec());
+            }
+        }
+        (events, buffer.pending())
+    };
+    let events = [&b"id: 1\ndata: a"[..], b": x", b"id: 2\ndata: b"];
+    let whole = (events.map(<[u8]>::to_vec).to_vec(), b"id: 3".len());
+    for first in 0..=STREAM.len() {
+        for second in first..=STREAM.len() {
+            let (start, rest) = STREAM.split_at(first);
+            let (middle, end) = rest.split_at(second - first);
+            assert_eq!(read(&[start, middle, end]), whole, "{first}, {second}");
+        }
+    }
+    let bytes: Vec<&[u8]> = STREAM.chunks(1).collect();
+    assert_eq!(read(&bytes), whole);
+}
