Host: a stop answers every request before the process ends

With a grace period of 1 s the host ended at once.

Cause: the drain closed the listener and idle connections and then waited until 1 s before SIGKILL; nothing that reads, waits or forwards knew that time.

Change: DrainPlan sets the times of a stop from the grace period. The last answer is a bound like the caller's deadline. may_begin refuses before sending what can't be finished by then, by the longest recent duration of the route. What is left then is answered in place of its handler: 503 if it hasn't been read whole, 504 if it has. An OpenConnection lets one of both respond. Listeners for other hosts complete what is in flight. A response names Connection: close also if the drain began after its request was read.

Why it works: a request is either unread, so that 503 is true, or handled, so that 504 promises nothing, and one of the two is written before the process ends, whatever its handler waits for. The estimate only decides how many are refused in time.

--- a/crates/godwitspool-host/src/http/connection.rs
+++ b/crates/godwitspool-host/src/http/connection.rs
@@ -2,6 +2,7 @@
     io::{self, ErrorKind, Read, Write},
     net::{SocketAddr, TcpStream},
     os::fd::{AsFd, BorrowedFd},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -18,7 +19,7 @@
 /// A non-blocking TCP connection with its input buffer.
 #[derive(Debug)]
 pub struct Connection {
-    socket: TcpStream,
+    socket: Arc<TcpStream>,
     /// Bytes received but not yet decoded.
     pub input: Vec<u8>,
     /// When the last exchange on this connection ended, or when it was created.
@@ -38,7 +39,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         if self.in_exchange
-            && let Err(error) = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO))
+            && let Err(error) = SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO))
         {
             log::debug!(error:%; "can't reset an abandoned connection");
         }
@@ -92,7 +93,7 @@
 
     fn new(socket: TcpStream) -> Self {
         Self {
-            socket,
+            socket: Arc::new(socket),
             input: Vec::new(),
             idle_since: Instant::now(),
             keep_alive_timeout: None,
@@ -101,6 +102,11 @@
         }
     }
 
+    /// Returns a handle to the socket for use by another thread.
+    pub fn socket(&self) -> Arc<TcpStream> {
+        Arc::clone(&self.socket)
+    }
+
     /// Checks whether the connection attempt has failed.
     ///
     /// # Errors
@@ -121,7 +127,7 @@
     pub fn receive(&mut self) -> io::Result<Received> {
         let length = self.input.len();
         self.input.resize(length + MAX_READ_BYTES, 0);
-        let read = self.socket.read(&mut self.input[length..]);
+        let read = (&*self.socket).read(&mut self.input[length..]);
         let received = *read.as_ref().unwrap_or(&0);
         self.input.truncate(length + received);
         match read {
@@ -139,7 +145,7 @@
     ///
     /// Fails if the connection has failed.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        match self.socket.write(bytes) {
+        match (&*self.socket).write(bytes) {
             Ok(sent) => Ok(sent),
             Err(error) if is_transient(&error) => Ok(0),
             Err(error) => Err(error),
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -1,20 +1,22 @@
 use std::{
+    collections::HashMap,
     io,
     net::{SocketAddr, TcpListener},
     os::fd::{AsFd, BorrowedFd},
     sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
+use godwitspool_sync::{Mutex, MutexGuard};
 use snafu::Snafu;
 
 use super::{
-    BodyDecoder, Connection, DecodeError, Interest, Received, Request, Response, Waker,
-    decode_request, wait,
+    BodyDecoder, Connection, DecodeError, Interest, OpenConnection, Phase, Received, Request,
+    Response, Waker, decode_request, wait,
 };
 
 /// Stack size of a connection's thread. Handlers keep no large values on the stack.
@@ -85,8 +87,10 @@
     bounds: Box<BoundsSource>,
     /// Whether the accept thread is still running.
     accepting: AtomicBool,
-    open_connections: AtomicUsize,
-    draining: AtomicBool,
+    connections: Mutex<HashMap<u64, Arc<OpenConnection>>>,
+    /// Number of the next connection, which is its key in `connections`.
+    next_number: AtomicU64,
+    draining: Arc<AtomicBool>,
     handler: Box<Handler>,
     /// Becomes readable when the listener and idle connections must be closed.
     stop: Waker,
@@ -118,8 +122,9 @@
         let inner = Arc::new(Inner {
             bounds: Box::new(bounds),
             accepting: AtomicBool::new(true),
-            open_connections: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
+            connections: Mutex::default(),
+            next_number: AtomicU64::new(0),
+            draining: Arc::default(),
             handler: Box::new(handler),
             stop: Waker::new()?,
         });
@@ -140,7 +145,7 @@
 
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
-        self.inner.open_connections.load(Ordering::SeqCst)
+        self.inner.connections().len()
     }
 
     /// Returns whether the server has stopped accepting and all connections are closed. Until then,
@@ -160,9 +165,54 @@
         self.drain();
         self.inner.stop.wake();
     }
+
+    /// Responds to the requests in flight before the process ends, whatever their handlers wait for:
+    /// with `refusal` to those that haven't been read whole, with status 504 to those that have and
+    /// may have taken effect. Responses that have begun are left to their handlers.
+    pub fn respond_last(&self, refusal: &Response) -> LastResponses {
+        let connections: Vec<Arc<OpenConnection>> =
+            self.inner.connections().values().cloned().collect();
+        let mut responses = LastResponses::default();
+        for connection in connections {
+            let sent = connection.respond_last(|phase| match phase {
+                Phase::Reading => Some(refusal.clone()),
+                Phase::Handling => Some(Response::new(504, Vec::new())),
+                Phase::Idle | Phase::Responding | Phase::Closed => None,
+            });
+            match sent {
+                Ok(Phase::Reading) => responses.refused += 1,
+                Ok(Phase::Handling) => responses.unfinished += 1,
+                Ok(Phase::Responding) => responses.responding += 1,
+                Ok(Phase::Idle | Phase::Closed) => {}
+                Err(error) => {
+                    log::info!(error:%; "can't send the last response of a connection");
+                    responses.failed += 1;
+                }
+            }
+        }
+        responses
+    }
+}
+
+/// Numbers of requests that were in flight when [`Server::respond_last`] was called.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LastResponses {
+    /// Refused, since they hadn't been read whole.
+    pub refused: u64,
+    /// Answered with status 504.
+    pub unfinished: u64,
+    /// Left to their handlers, which have begun to respond.
+    pub responding: u64,
+    /// The caller couldn't be sent a response.
+    pub failed: u64,
 }
 
 impl Inner {
+    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<OpenConnection>>> {
+        let connections = self.connections.lock();
+        connections.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         let readable = Interest {
             read: true,
@@ -205,27 +255,31 @@
                 return;
             }
         };
-        self.open_connections.fetch_add(1, Ordering::SeqCst);
+        let number = self.next_number.fetch_add(1, Ordering::SeqCst);
+        let open = Arc::new(OpenConnection::new(connection.socket()));
+        self.connections().insert(number, Arc::clone(&open));
         let spawned = thread::Builder::new()
             .name("caller".to_owned())
             .stack_size(STACK_BYTES)
             .spawn(move || {
-                server.serve_connection(connection);
-                server.open_connections.fetch_sub(1, Ordering::SeqCst);
+                server.serve_connection(connection, open);
+                server.connections().remove(&number);
             });
         if let Err(error) = spawned {
-            self.open_connections.fetch_sub(1, Ordering::SeqCst);
+            self.connections().remove(&number);
             log::warn!(error:%, peer:%; "can't start a thread for a connection");
         }
     }
 
-    fn serve_connection(&self, connection: Connection) {
+    fn serve_connection(&self, connection: Connection, open: Arc<OpenConnection>) {
         let mut caller = Caller {
             close: false,
             connection,
+            draining: Arc::clone(&self.draining),
+            open,
         };
         loop {
-            let request = match self.read_request(&mut caller.connection) {
+            let request = match self.read_request(&mut caller.connection, &caller.open) {
                 Ok(request) => request,
                 Err(ReadError::Ended) => return,
                 Err(ReadError::Refused { status }) => {
@@ -239,19 +293,26 @@
             };
             caller.close = self.draining.load(Ordering::SeqCst)
                 || request.headers.lists("connection", "close");
+            if !caller.open.enter(Phase::Handling) {
+                return;
+            }
             let handled = (self.handler)(&mut caller, request);
             if let Err(error) = handled {
                 log::debug!(error:%; "can't send a response");
                 return;
             }
-            if caller.close {
+            if caller.close || !caller.open.enter(Phase::Idle) {
                 return;
             }
         }
     }
 
     /// Waits for a request and reads it with its body.
-    fn read_request(&self, connection: &mut Connection) -> Result<Request, ReadError> {
+    fn read_request(
+        &self,
+        connection: &mut Connection,
+        open: &OpenConnection,
+    ) -> Result<Request, ReadError> {
         let idle_since = Instant::now();
         while connection.input.is_empty() {
             let bounds = (self.bounds)();
@@ -260,6 +321,9 @@
                 return Err(ReadError::Ended);
             }
         }
+        if !open.enter(Phase::Reading) {
+            return Err(ReadError::Ended);
+        }
         let began = Instant::now();
         let bounds = (self.bounds)();
         let (mut request, length) = loop {
@@ -338,15 +402,24 @@
     /// Whether the connection is closed after the response.
     pub close: bool,
     connection: Connection,
+    /// Whether the server drains.
+    draining: Arc<AtomicBool>,
+    open: Arc<OpenConnection>,
 }
 
 impl Caller {
+    /// Returns whether the server has responded in place of the handler.
+    pub fn is_answered(&self) -> bool {
+        self.open.phase() == Phase::Closed
+    }
+
     /// Sends a complete response.
     ///
     /// # Errors
     ///
     /// Fails if the caller has disconnected or accepts no bytes.
     pub fn respond(&mut self, response: &Response) -> io::Result<()> {
+        self.start_response()?;
         if self.close {
             let response = response.clone().with("Connection", "close");
             return send_all(&mut self.connection, &response.encode());
@@ -354,12 +427,24 @@
         send_all(&mut self.connection, &response.encode())
     }
 
+    /// Records that the response begins. Fails if the server has sent the last one itself.
+    fn start_response(&mut self) -> io::Result<()> {
+        // The server may have started to drain while the request was handled.
+        self.close |= self.draining.load(Ordering::SeqCst);
+        if self.open.enter(Phase::Responding) {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::ConnectionAborted.into())
+        }
+    }
+
     /// Sends the head of a response whose body follows in chunks.
     ///
     /// # Errors
     ///
     /// Fails if the caller has disconnected or accepts no bytes.
     pub fn begin(&mut self, response: &Response) -> io::Result<()> {
+        self.start_response()?;
         let mut response = response.clone();
         if self.close {
             response.headers.push("Connection", "close");
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -6,12 +6,12 @@
 
 use godwitspool_types::Workspace;
 
-use super::{Shared, peers, permits::PERMIT_PATH, relay::RELAY_PATH};
+use super::{Drained, RETRY_AFTER_END, Shared, peers, permits::PERMIT_PATH, relay::RELAY_PATH};
 use crate::{
     batch::{BatchRecord, Lookup, ResultPage, Submission, page, partition_of, read_stored},
     dialect::{Call, CallKind},
     http::{Caller, Request, Response},
-    request::{Ended, forward},
+    request::{Ended, forward, may_begin},
     store::{Store, StoreError, Topic},
     version::{Configuration, RouteKind},
 };
@@ -24,6 +24,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time allowed for a peer's response in addition to the time that the peer itself may wait.
 const PEER_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
+/// Expected duration of a call about a batch before one of its kind was observed.
+const DEFAULT_DURATION: Duration = Duration::from_millis(100);
 /// Delay before a failed append is repeated.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -71,11 +73,16 @@
     let call = shared.dialect.call(request);
     let ended = answer(shared, caller, request, &call, origin);
     let took_ms = began.elapsed().as_millis() as u64;
+    // What the server has answered itself is counted there.
+    if shared.is_draining() && origin == Origin::Caller && !caller.is_answered() {
+        shared.drained.count(Drained::outcome(&ended));
+    }
     let reason = match &ended {
         Ok(Ended::Answered(status)) if *status < 400 => "answered",
         Ok(Ended::Answered(_)) => "answered with an error",
         Ok(Ended::CallerLeft) => "caller left",
         Ok(Ended::Refused) => "refused",
+        Ok(Ended::RefusedAtEnd) => "refused, process ends",
         Ok(Ended::Failed(_)) => "failed",
         Err(_) => "caller gone",
     };
@@ -127,7 +134,11 @@
             request,
             workspace,
         };
-        return respond(caller, batch_call.answer());
+        let kind = match call.kind {
+            CallKind::EndBatch { .. } => "end of a batch",
+            _ => "read of a batch",
+        };
+        return respond(caller, batch_call.timed(kind, BatchCall::answer));
     }
     let Some(route) = configuration.route(&call.host, request.path()) else {
         return respond(caller, status(404));
@@ -149,7 +160,8 @@
                 request,
                 workspace: Some(workspace),
             };
-            respond(caller, batch_call.submit(&configuration, &submission))
+            let submit = |call: &BatchCall<'_>| call.submit(&configuration, &submission);
+            respond(caller, batch_call.timed(&route.name, submit))
         }
         Err(reason) => {
             log::info!(request = call.request(), reason:%; "invalid batch submission");
@@ -188,8 +200,39 @@
         }
     }
 
+    /// Handles the call and records how long it took; refuses it if the process ends before it could
+    /// be finished.
+    fn timed(&self, kind: &str, handle: impl FnOnce(&Self) -> Response) -> Response {
+        let began = Instant::now();
+        let last_answer = self.shared.ending.last_answer();
+        let expected = self.shared.expected_duration(kind);
+        let expected = expected.unwrap_or(DEFAULT_DURATION);
+        if !may_begin(began, last_answer, began + CALL_TIMEOUT, expected) {
+            return self.shared.dialect.refusal(RETRY_AFTER_END);
+        }
+        let response = handle(self);
+        // A read without results waits for them on purpose.
+        let took = began.elapsed();
+        let worked = took.saturating_sub(self.call.wait.unwrap_or_default());
+        self.shared.observe_duration(kind, worked);
+        response
+    }
+
     fn due(&self) -> Instant {
-        Instant::now() + self.call.deadline.unwrap_or(CALL_TIMEOUT).min(CALL_TIMEOUT)
+        let due = Instant::now() + self.call.deadline.unwrap_or(CALL_TIMEOUT).min(CALL_TIMEOUT);
+        let last_answer = self.shared.ending.last_answer();
+        last_answer.map_or(due, |last| last.min(due))
+    }
+
+    /// Returns how long a read may wait for results: as long as the caller allows and the process
+    /// runs.
+    fn wait(&self) -> Duration {
+        let wait = self.call.wait.unwrap_or_default();
+        let last_answer = self.shared.ending.last_answer();
+        last_answer.map_or(wait, |last| {
+            let left = last.saturating_duration_since(Instant::now());
+            wait.min(left.saturating_sub(DEFAULT_DURATION))
+        })
     }
 
     /// Stores a batch and acknowledges it with 202.
@@ -267,7 +310,7 @@
     /// this order.
     fn read_results(&self, batch: &str, after: u64) -> Response {
         let shared = self.shared;
-        let wait = self.call.wait.unwrap_or_default();
+        let wait = self.wait();
         let found = shared
             .owned_batches
             .read(batch, self.workspace.as_ref(), after, wait);
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -9,7 +9,7 @@
 use godwitspool_process::ExitOnPanic;
 
 use super::{
-    Adapters, Shared, calls,
+    Adapters, DrainPlan, Drained, RETRY_AFTER_END, Shared, calls,
     duties::{DutyLease, DutyRunner, append_usage},
     membership::Membership,
     tails,
@@ -21,11 +21,6 @@
     store::Topic,
 };
 
-/// Time after SIGTERM during which new connections must still be accepted. The platform probes
-/// readiness once per second and stops routing to a host after two failed probes.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_500);
-/// Part of the grace period reserved for process exit before SIGKILL.
-const SHUTDOWN_RESERVE: Duration = Duration::from_secs(1);
 /// Interval between two checks for remaining work while draining.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Stack size of the process's threads.
@@ -107,30 +102,50 @@
         unchanged != self.shared.settings
     }
 
-    /// Hands over the partitions and finishes requests in flight. Returns once that is done or the
-    /// grace period has ended.
+    /// Hands over the partitions and answers the requests in flight. Returns once that is done, or just
+    /// before the grace period ends.
     pub fn drain(self) {
         let began = Instant::now();
-        let grace = self.shared.settings.grace.saturating_sub(SHUTDOWN_RESERVE);
-        log::info!(connections = self.front.open_connections(); "host drains");
-        self.shared.drain();
+        let plan = DrainPlan::new(self.shared.settings.grace);
+        log::info!(
+            connections = self.front.open_connections(), close_ms = plan.close.as_millis() as u64,
+            last_answer_ms = plan.last_answer.as_millis() as u64, end_ms = plan.end.as_millis() as u64;
+            "host drains"
+        );
+        self.shared.drain(began + plan.last_answer);
         self.front.drain();
-        let listen_for = DEREGISTRATION_DELAY.min(grace / 2);
-        while began.elapsed() < listen_for {
-            thread::sleep(POLL_INTERVAL);
-        }
+        await_until(began + plan.close, || false);
         self.front.stop();
-        while !self.front.is_ended() && began.elapsed() < grace {
-            thread::sleep(POLL_INTERVAL);
-        }
-        while !self.drain_threads.iter().all(JoinHandle::is_finished) && began.elapsed() < grace {
-            thread::sleep(POLL_INTERVAL);
-        }
+        await_until(began + plan.last_answer, || self.front.is_ended());
+        let refusal = self.shared.dialect.refusal(RETRY_AFTER_END);
+        let last = self.front.respond_last(&refusal);
+        // The callers have their responses; handlers that still wait get time to count them.
+        let counted = began + (plan.last_answer + plan.end) / 2;
+        await_until(counted, || self.front.is_ended());
+        self.shared.ending.finish_service();
         for server in &self.other_servers {
             server.stop();
         }
-        let took_ms = began.elapsed().as_millis() as u64;
-        log::info!(connections = self.front.open_connections(), took_ms; "host ends");
+        await_until(began + plan.end, || {
+            self.drain_threads.iter().all(JoinHandle::is_finished)
+                && self.other_servers.iter().all(Server::is_ended)
+        });
+        let drained = &self.shared.drained;
+        log::info!(
+            connections = self.front.open_connections(), took_ms = began.elapsed().as_millis() as u64,
+            finished = drained.counted(Drained::FINISHED), refused = drained.counted(Drained::REFUSED) + last.refused,
+            unfinished = drained.counted(Drained::UNFINISHED) + last.unfinished,
+            broken_off = drained.counted(Drained::BROKEN_OFF) + last.responding + last.failed,
+            handed_over = self.drain_threads.iter().all(JoinHandle::is_finished);
+            "host ends"
+        );
+    }
+}
+
+/// Waits until the condition holds, but not beyond the given time.
+fn await_until(until: Instant, condition: impl Fn() -> bool) {
+    while Instant::now() < until && !condition() {
+        thread::sleep(POLL_INTERVAL.min(until.saturating_duration_since(Instant::now())));
     }
 }
 
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -3,7 +3,9 @@
 
 mod activity;
 mod calls;
+mod drained;
 mod duties;
+mod ending;
 mod host;
 mod membership;
 mod peers;
@@ -15,6 +17,8 @@
 mod usage;
 
 pub use activity::{Activity, StallDetector};
+pub use drained::Drained;
+pub use ending::{DrainPlan, Ending, RETRY_AFTER_END};
 pub use host::Host;
 pub use relay::Relay;
 pub use reports::{LoadNotice, Notice, RunReport};
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -5,7 +5,7 @@
         Arc, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use godwitspool_process::{Clock, CounterByReason, Histogram, Metrics};
@@ -13,7 +13,7 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
+    Activity, Ending, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
     reports::Reports,
 };
 use crate::{
@@ -22,6 +22,7 @@
     dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
+    request::DurationEstimates,
     store::{Store, Topic},
     version::{Configuration, Fleet, Leaving, Mirror},
 };
@@ -82,6 +83,11 @@
     pub answers: CounterByReason,
     /// Durations of requests in seconds.
     pub answer_seconds: Histogram,
+    /// Number of requests that ended while the process drained, by outcome.
+    pub drained: CounterByReason,
+    /// The end of the process.
+    pub ending: Ending,
+    durations: Mutex<DurationEstimates>,
     /// Number of runs of batch items by outcome.
     pub runs: CounterByReason,
     /// Durations of completed runs in seconds.
@@ -145,6 +151,10 @@
         let answers = metrics.counter_by_reason("answers", "Requests by how they ended");
         let answer_seconds =
             metrics.seconds_histogram("answer_seconds", "Times from request to answer");
+        let drained = metrics.counter_by_reason(
+            "drained_requests",
+            "Requests that ended while the process drained, by how they ended",
+        );
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let leavings = metrics.counter_by_reason(
@@ -191,6 +201,9 @@
             metrics,
             answers,
             answer_seconds,
+            drained,
+            ending: Ending::new()?,
+            durations: Mutex::default(),
             runs,
             run_seconds,
             calls,
@@ -337,8 +350,24 @@
         self.draining.load(Ordering::SeqCst)
     }
 
-    /// Starts draining: the process reports that it isn't ready and hands over what it owns.
-    pub fn drain(&self) {
+    /// Records how long a request of a kind took.
+    pub fn observe_duration(&self, kind: &str, took: Duration) {
+        let durations = self.durations.lock();
+        let mut durations = durations.unwrap_or_else(PoisonError::into_inner);
+        durations.observe(kind, took);
+    }
+
+    /// Returns how long a request of a kind is expected to take, if one has been observed.
+    pub fn expected_duration(&self, kind: &str) -> Option<Duration> {
+        let durations = self.durations.lock();
+        let durations = durations.unwrap_or_else(PoisonError::into_inner);
+        durations.expected(kind)
+    }
+
+    /// Starts draining: the process reports that it isn't ready, hands over what it owns, and answers
+    /// all requests by the given time.
+    pub fn drain(&self, last_answer: Instant) {
+        self.ending.announce(last_answer);
         self.draining.store(true, Ordering::SeqCst);
         self.notify_change();
     }
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -6,11 +6,12 @@
 
 use godwitspool_types::{Millis, ServiceName, TargetName, Workspace};
 
+use super::may_begin;
 use crate::{
     dialect::{Call, ForwardContext, Reply},
     http::{Caller, Exchange, Progress, Request, Response, wait},
     lease_clock,
-    process::{Shared, unix_ms},
+    process::{RETRY_AFTER_END, Shared, unix_ms},
     version::{Basis, CHOICE_LIFETIME, Outcome, Route, RouteKind, TargetEntry},
 };
 
@@ -36,6 +37,8 @@
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 /// Retry delay sent to the caller if no target of its service is available.
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(500);
+/// Expected duration of a request on a route without a latency goal, before one was observed.
+const DEFAULT_DURATION: Duration = Duration::from_millis(500);
 
 /// Outcome of a request, for logs and metrics.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,6 +49,8 @@
     CallerLeft,
     /// The request was refused and has not run; the caller may retry it.
     Refused,
+    /// The same, because the process ends before the request could be finished.
+    RefusedAtEnd,
     /// The request timed out, its outcome is unknown, or its stream was cut off. The value is the
     /// status sent to the caller, 0 for a stream.
     Failed(u16),
@@ -70,6 +75,8 @@
     started_ms: Option<u64>,
     /// Age of the targets' entries at the last choice, in milliseconds.
     entries_ms: Option<u64>,
+    /// Whether no further target was tried because the process ends too soon.
+    ends_first: bool,
     /// A server error from a target, returned to the caller if no later attempt succeeds.
     fallback: Option<Response>,
 }
@@ -129,13 +136,17 @@
         started: 0,
         started_ms: None,
         entries_ms: None,
+        ends_first: false,
         fallback: None,
     };
     let ended = forward.run(caller);
     forward.abandon_attempts();
+    if forward.started > 0 {
+        shared.observe_duration(&route.name, arrived.elapsed());
+    }
     if !matches!(ended, Ok(Ended::Answered(200))) {
         let left_ms = forward
-            .due
+            .due()
             .saturating_duration_since(Instant::now())
             .as_millis() as u64;
         log::info!(
@@ -154,7 +165,7 @@
 impl Forward<'_> {
     fn run(&mut self, caller: &mut Caller) -> io::Result<Ended> {
         let repeatable = self.route.kind == RouteKind::Idempotent;
-        let wait_until = self.due.min(self.arrived + MAX_ENTRY_WAIT);
+        let wait_until = self.due().min(self.arrived + MAX_ENTRY_WAIT);
         loop {
             if self.in_flight.is_empty() && !self.start_attempt(repeatable) {
                 let stale = self.shared.fleet().freshness.basis() == Basis::Stale;
@@ -179,7 +190,7 @@
                 continue;
             }
             let now = Instant::now();
-            if now >= self.due {
+            if now >= self.due() {
                 return self.respond_timeout(caller);
             }
             let stall = self.stall_deadline(repeatable);
@@ -188,8 +199,11 @@
                 self.start_attempt(repeatable);
                 continue;
             }
-            let until = stall.map_or(self.due, |at| at.min(self.due));
+            let due = self.due();
+            let until = stall.map_or(due, |at| at.min(due));
             let mut sockets = vec![caller.socket()];
+            // The drain may end before the request's own deadline.
+            sockets.extend(self.shared.ending.socket());
             sockets.extend(
                 self.in_flight
                     .iter()
@@ -238,7 +252,14 @@
     /// may not be repeated or has used up its attempts.
     fn start_attempt(&mut self, repeatable: bool) -> bool {
         let max_attempts = self.route.attempts.max(1);
+        let expected = self.shared.expected_duration(&self.route.name);
+        let expected = expected.or(self.route.goal).unwrap_or(DEFAULT_DURATION);
         loop {
+            let last_answer = self.shared.ending.last_answer();
+            self.ends_first = !may_begin(Instant::now(), last_answer, self.due, expected);
+            if self.ends_first {
+                return false;
+            }
             let sent = self
                 .in_flight
                 .iter()
@@ -272,7 +293,7 @@
             let context = ForwardContext {
                 target: &target,
                 workspace: self.workspace,
-                remaining: Some(self.due.saturating_duration_since(Instant::now())),
+                remaining: Some(self.due().saturating_duration_since(Instant::now())),
                 resume_after: None,
                 version: None,
             };
@@ -481,17 +502,24 @@
                     return Ok(Ended::Failed(0));
                 }
             }
-            let left = self.due.saturating_duration_since(Instant::now());
+            let left = self.due().saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Ok(Ended::Failed(0));
             }
-            let sockets = [caller.socket(), attempt.exchange.socket()];
+            let mut sockets = vec![caller.socket(), attempt.exchange.socket()];
+            sockets.extend(self.shared.ending.socket());
             if wait(&sockets, Some(left))?[0].hangup {
                 return Ok(Ended::CallerLeft);
             }
         }
     }
 
+    /// Returns when the request must be answered: at its deadline, or before the process ends.
+    fn due(&self) -> Instant {
+        let last_answer = self.shared.ending.last_answer();
+        last_answer.map_or(self.due, |last| last.min(self.due))
+    }
+
     fn record_outcome(&self, attempt: &Attempt, outcome: Outcome) {
         let now = self.shared.clock.now();
         self.shared.fleet().finish(&attempt.target, outcome, now);
@@ -507,6 +535,10 @@
             caller.respond(&Response::new(502, Vec::new()))?;
             return Ok(Ended::Failed(502));
         }
+        if self.ends_first {
+            caller.respond(&self.shared.dialect.refusal(RETRY_AFTER_END))?;
+            return Ok(Ended::RefusedAtEnd);
+        }
         let now = self.shared.clock.now();
         let limited = self.shared.fleet().opens_in(&self.service, now);
         let retry_after = match limited {
--- a/crates/godwitspool-host/src/request/mod.rs
+++ b/crates/godwitspool-host/src/request/mod.rs
@@ -1,5 +1,8 @@
-//! Forwarding of callers' requests to targets.
+//! Forwarding of callers' requests to targets, and the decision whether a process that ends soon
+//! begins them.
 
+mod drain;
 mod forward;
 
+pub use drain::{DurationEstimates, may_begin};
 pub use forward::{Ended, forward};
