Usage: requests that end late in a stop are counted

Operators saw: most of what a stopping host served after SIGTERM was in no usage report.

Cause: append_usage appended the counts at hand when the drain began and ended, while requests are counted when they end, up to seconds later.

It works because the flag is set after the last handler has counted, and read before the counts are taken.

--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -490,6 +490,8 @@
     let mut number = 0;
     loop {
         let draining = shared.is_draining();
+        // Read before the counts are taken, so that they are the last ones.
+        let finished = shared.ending.is_service_finished();
         let now = unix_ms();
         let until = if draining { u64::MAX } else { now };
         for (window, counts) in shared.usage.take_ended(until) {
@@ -511,7 +513,7 @@
                 }
             }
         }
-        if draining && unsent.is_empty() {
+        if finished && unsent.is_empty() {
             return;
         }
         let length = shared.settings.usage_window.as_millis() as u64;
