Store: a relayed append of unknown outcome isn't refused as not made

Callers could see: 503 for a batch submission, which says that no part of it runs, though the host that was asked to make the append had made it (REFUSED).

Cause: Relay::call_peers took every status but 200 of another host for NotDone, also the 500 with which a host says that it can't encode the result of a call that it has made.

Why it works: only 4xx and 503 say that nothing was done; the rest is unknown.

--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -275,7 +275,11 @@
                         },
                     }
                 }
-                Ok(answer) => StoreError::NotDone {
+                Ok(answer) if matches!(answer.status, 400..=499 | 503) => StoreError::NotDone {
+                    reason: format!("{peer} responded with status {}", answer.status),
+                },
+                // The host may have made the call.
+                Ok(answer) => StoreError::Unknown {
                     reason: format!("{peer} responded with status {}", answer.status),
                 },
                 Err(error) if error.was_sent() => StoreError::Unknown {
