Usage: streams and requests that outlast their window are billed

Operators saw: a request that ends more than 3 s after the end of the window in which it started was in no usage report.

Cause: it was counted when it ended, and its window is frozen 3 s after its end as soon as any host has counts for it.

Evidence: found by a test of stops (three requests of 3 s missing of ten). a_stream_that_outlasts_its_window_is_billed and a_request_that_outlasts_its_window_is_billed time out before the change ("waiting until all requests are billed") and pass after it.

Change: a stream is counted when its response begins, another request at the latest 1 s after the end of its window. Hosts append counts within a second, so they are there before the window is frozen.

--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -40,6 +40,10 @@
 /// Expected duration of a request on a route without a latency goal, before one was observed.
 const DEFAULT_DURATION: Duration = Duration::from_millis(500);
 
+/// Time after the end of a request's window after which it is counted if it is still in flight. The
+/// window is reported soon after. A target that refuses a request rarely takes as long.
+const COUNT_DELAY_MS: u64 = 1_000;
+
 /// Outcome of a request, for logs and metrics.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ended {
@@ -73,6 +77,8 @@
     started: u32,
     /// Unix time at which a target may first have started to process it; decides the usage window.
     started_ms: Option<u64>,
+    /// Whether the request has been counted for the usage report.
+    counted: bool,
     /// Age of the targets' entries at the last choice, in milliseconds.
     entries_ms: Option<u64>,
     /// Whether no further target was tried because the process ends too soon.
@@ -135,6 +141,7 @@
         tried: Vec::new(),
         started: 0,
         started_ms: None,
+        counted: false,
         entries_ms: None,
         ends_first: false,
         fallback: None,
@@ -156,9 +163,7 @@
             "request not served"
         );
     }
-    if let (Some(workspace), Some(started)) = (workspace, forward.started_ms) {
-        shared.usage.count(workspace, started);
-    }
+    forward.count_usage();
     ended
 }
 
@@ -201,6 +206,12 @@
             }
             let due = self.due();
             let until = stall.map_or(due, |at| at.min(due));
+            let counted_in = self.count_delay();
+            if counted_in.is_some_and(|left| left.is_zero()) {
+                self.count_usage();
+                continue;
+            }
+            let until = counted_in.map_or(until, |left| until.min(now + left));
             let mut sockets = vec![caller.socket()];
             // The drain may end before the request's own deadline.
             sockets.extend(self.shared.ending.socket());
@@ -463,9 +474,11 @@
         }
         self.shared
             .observe_reply(&attempt.target, attempt.born, &reply, "stream");
+        let head = without_hop_by_hop(head.clone());
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
-        let head = without_hop_by_hop(head.clone());
+        // The stream may last longer than its window can be reported.
+        self.count_usage();
         caller.begin(&head)?;
         let ended = self.relay_stream(caller, &mut attempt);
         let whole = matches!(ended, Ok(Ended::Answered(_)));
@@ -514,6 +527,26 @@
         }
     }
 
+    /// Returns how long it takes until the request is counted although no response has come; `None` if
+    /// it is counted or isn't billed.
+    fn count_delay(&self) -> Option<Duration> {
+        let started = self.started_ms.filter(|_| !self.counted)?;
+        self.workspace?;
+        let usage = &self.shared.usage;
+        let due_ms = usage.end_ms(usage.window(started)) + COUNT_DELAY_MS;
+        Some(Duration::from_millis(due_ms.saturating_sub(unix_ms())))
+    }
+
+    /// Counts the request in the window in which it started, once.
+    fn count_usage(&mut self) {
+        if let (Some(workspace), Some(started), false) =
+            (self.workspace, self.started_ms, self.counted)
+        {
+            self.counted = true;
+            self.shared.usage.count(workspace, started);
+        }
+    }
+
     /// Returns when the request must be answered: at its deadline, or before the process ends.
     fn due(&self) -> Instant {
         let last_answer = self.shared.ending.last_answer();
