Batches: items start only by recent knowledge of their partition

Cause: the owner learns of an end by reads of the partition, which hang behind a cut for 1.7 s and more, and nothing bounded the age of what items start by. A host that was suspended starts what waits as soon as it wakes up.

Change: each read of a partition confirms what is known of it; items and reward calls start only if that is younger than 0.8 of cancel_ms or a direct read has failed as lately, so that an outage stops nothing. Reads don't wait for news while they fail.

Why it works: an end that was acknowledged before a successful read began is in its answer, and a choice is sent within 0.3 s.

--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -1,4 +1,5 @@
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     io,
     sync::{
@@ -10,12 +11,14 @@
     time::{Duration, Instant},
 };
 
+use godwitspool_types::Millis;
+
 use super::{
     Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, save_progress,
     stored_results::StoredResults, wire,
 };
 use crate::{
-    StoreBounds,
+    StoreBounds, lease_clock,
     process::unix_ms,
     store::{Store, StoreError, StoredRecord, Topic, Writer, read_all},
 };
@@ -164,8 +167,12 @@
         let Some((results, _)) = self.retry_call("results", || self.load(Topic::Results)) else {
             return;
         };
-        let Some((records, mut next)) = self.retry_call("batches", || self.load(Topic::Batches))
-        else {
+        let read_at = Cell::new(Millis::ZERO);
+        let load_batches = || {
+            read_at.set(lease_clock());
+            self.load(Topic::Batches)
+        };
+        let Some((records, mut next)) = self.retry_call("batches", load_batches) else {
             return;
         };
         let mut assembly = Assembly::default();
@@ -175,6 +182,7 @@
         let took_ms = began.elapsed().as_millis() as u64;
         log::info!(partition = part, epoch, batches = batches.len(), took_ms; "partition opened");
         self.open(batches, sender);
+        self.registry.confirm(part, epoch, read_at.get());
         let own = Arc::clone(&self);
         self.writing.store(true, Ordering::SeqCst);
         let spawned = thread::Builder::new()
@@ -190,18 +198,23 @@
             return;
         }
         while !self.is_stopped() {
-            let read = || match self.store.read(Topic::Batches, part, next, MAX_READ_WAIT) {
-                Err(StoreError::Gone { .. }) => {
-                    let (records, end) = self.load(Topic::Batches)?;
-                    Ok((records, end))
+            let wait = Cell::new(MAX_READ_WAIT);
+            let read = || {
+                read_at.set(lease_clock());
+                // While reads fail, one that waits would only take longer to fail, and to notice that
+                // the store is back.
+                let wait = wait.replace(Duration::ZERO);
+                match self.store.read(Topic::Batches, part, next, wait) {
+                    Err(StoreError::Gone { .. }) => self.load(Topic::Batches),
+                    read => read.map(|tail| (tail.records, tail.next)),
                 }
-                read => read.map(|tail| (tail.records, tail.next)),
             };
             let Some((records, end)) = self.retry_call("tail", read) else {
                 return;
             };
             next = end;
             self.apply_records(records, &mut assembly);
+            self.registry.confirm(part, epoch, read_at.get());
         }
     }
 
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -6,12 +6,18 @@
 };
 
 use godwitspool_sync::{Condvar, Mutex, MutexGuard};
-use godwitspool_types::Workspace;
+use godwitspool_types::{Millis, Workspace};
 
 use super::{
     Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, partition_of,
 };
-use crate::{StoreBounds, http::Waker, process::unix_ms, store::Record};
+use crate::{
+    StoreBounds,
+    http::Waker,
+    process::unix_ms,
+    store::Record,
+    version::{Basis, Freshness},
+};
 
 /// Maximum size of a page of results. The platform's interface allows responses of up to a
 /// megabyte.
@@ -25,6 +31,8 @@
     part_count: u32,
     /// Highest epoch that another host has reported for each partition.
     epochs: Mutex<BTreeMap<u32, u64>>,
+    /// Maximum age of what is known of a partition at which its items start; `None` is no limit.
+    max_age: Option<Millis>,
     /// Wakes the runner when items may have to be started or stopped.
     pub waker: Waker,
 }
@@ -36,6 +44,8 @@
     pub epoch: u64,
     /// Batches of the partition by identifier.
     pub batches: BTreeMap<String, Batch>,
+    /// Age of what is known of the batches, which callers may have ended since.
+    pub freshness: Freshness,
     writer: Sender<Finished>,
 }
 
@@ -109,10 +119,18 @@
             changed: Condvar::new(),
             part_count: parts,
             epochs: Mutex::default(),
+            max_age: None,
             waker: Waker::new()?,
         })
     }
 
+    /// Returns the registry with a maximum age of what is known of a partition when its items start.
+    #[must_use]
+    pub fn with_max_age(mut self, age: Millis) -> Self {
+        self.max_age = Some(age);
+        self
+    }
+
     /// Locks the owned partitions.
     pub fn lock(&self) -> MutexGuard<'_, BTreeMap<u32, OwnedPartition>> {
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
@@ -132,6 +150,7 @@
         let opened = OwnedPartition {
             epoch,
             batches,
+            freshness: self.max_age.map(Freshness::new).unwrap_or_default(),
             writer,
         };
         let mut parts = self.lock();
@@ -143,6 +162,20 @@
         self.notify();
     }
 
+    /// Records that the batches of a partition are as of a time by the lease clock.
+    pub fn confirm(&self, part: u32, epoch: u64, read_at: Millis) {
+        let mut parts = self.lock();
+        let Some(part) = parts.get_mut(&part).filter(|part| part.epoch == epoch) else {
+            return;
+        };
+        let stale = part.freshness.basis() == Basis::Stale;
+        part.freshness.confirm(read_at);
+        drop(parts);
+        if stale {
+            self.notify();
+        }
+    }
+
     /// Removes a partition if it is still owned under `epoch`.
     pub fn close(&self, part: u32, epoch: u64) {
         let mut parts = self.lock();
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -3,15 +3,16 @@
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
-    Batch, EventBuffer, Move, Pace, RunFailure, RunView, Submission, Verdict, decide_move,
-    reward::RewardCall,
+    Batch, EventBuffer, Move, OwnedPartition, Pace, RunFailure, RunView, Submission, Verdict,
+    decide_move, reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress, wait},
     lease_clock,
     process::Shared,
-    version::{CHOICE_LIFETIME, Configuration, Outcome},
+    store::Topic,
+    version::{Basis, CHOICE_LIFETIME, Configuration, Outcome},
 };
 
 /// Idle timeout of a run whose response has begun. A target stops sending for about a second while
@@ -77,6 +78,17 @@
     Failed(RunFailure, Outcome),
 }
 
+/// Returns whether callers may have ended batches of a partition without this host's knowledge: it
+/// hasn't read the partition lately, nor failed to. In an outage of the store its items run on.
+///
+/// Load pattern: reads hang behind a cut that has healed, or the host was suspended, while trainers
+/// end their batches through other hosts.
+fn is_stale(shared: &Shared, number: u32, part: &mut OwnedPartition) -> bool {
+    let failed = shared.store.last_direct_failure(Topic::Batches, number);
+    part.freshness.advance(lease_clock(), failed);
+    part.freshness.basis() == Basis::Stale
+}
+
 impl Runner {
     /// Creates a runner without runs.
     pub fn new(shared: Arc<Shared>) -> Self {
@@ -137,6 +149,10 @@
         let mut waiting = false;
         let mut parts = shared.owned_batches.lock();
         for (number, part) in &mut *parts {
+            if is_stale(&shared, *number, part) {
+                waiting = true;
+                continue;
+            }
             let ownership = (*number, part.epoch);
             for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
                 if !batch.submission.runs_under(configuration.version) {
@@ -203,6 +219,10 @@
         let mut held = 0_usize;
         let mut parts = self.shared.owned_batches.lock();
         for (number, part) in &mut *parts {
+            if is_stale(&self.shared, *number, part) {
+                waiting = true;
+                continue;
+            }
             let mut dropped = Vec::new();
             for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
                 if !batch.submission.runs_under(configuration.version) {
--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -86,6 +86,8 @@
     unreachable: HashMap<Option<(Topic, u32)>, Instant>,
     /// When the newest attempt that failed began, by the lease clock, for each partition.
     failures: HashMap<Option<(Topic, u32)>, Millis>,
+    /// The same for direct calls only.
+    direct_failures: HashMap<Option<(Topic, u32)>, Millis>,
     /// Other hosts in the order in which they are tried. A host that reached the store moves to the
     /// front, a host that didn't moves to the back.
     peers: Vec<SocketAddr>,
@@ -151,6 +153,13 @@
         self.lock().failures.get(&Some((topic, part))).copied()
     }
 
+    /// Returns the same for direct calls only. A call through another host may also fail because of that
+    /// host, while the store answers.
+    pub fn last_direct_failure(&self, topic: Topic, part: u32) -> Option<Millis> {
+        let state = self.lock();
+        state.direct_failures.get(&Some((topic, part))).copied()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -219,6 +228,7 @@
         let mut state = self.lock();
         if let Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) = &answer {
             state.failures.insert(place, lease_began);
+            state.direct_failures.insert(place, lease_began);
             let was_reachable = state.unreachable.insert(place, Instant::now()).is_none();
             drop(state);
             if was_reachable {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -31,6 +31,11 @@
 /// is chosen.
 const ENTRY_AGE_FRACTION: f64 = 0.75;
 
+/// Fraction of the time from the end of a batch until no item of it may reach a target up to which
+/// what is known of its partition may be old when an item starts. It covers two reads that each wait
+/// for news.
+const BATCH_AGE_FRACTION: f64 = 0.8;
+
 /// Implementations of the interfaces to the platform.
 #[derive(Clone)]
 pub struct Adapters {
@@ -184,7 +189,10 @@
         let incarnation = rand::random::<u32>();
         let member = format!("{}#{incarnation:08x}", settings.peer);
         Ok(Self {
-            owned_batches: Arc::new(BatchRegistry::new(settings.store.parts)?),
+            owned_batches: Arc::new(
+                BatchRegistry::new(settings.store.parts)?
+                    .with_max_age(max_batch_age(settings.end_timeout).into()),
+            ),
             clock: Clock::start(),
             configuration: RwLock::default(),
             dialect: adapters.dialect,
@@ -394,6 +402,12 @@
     drain.mul_f64(ENTRY_AGE_FRACTION)
 }
 
+/// Returns the maximum age of what is known of a partition at which its items start. The rest of the
+/// time is for connecting and sending.
+fn max_batch_age(end_timeout: Duration) -> Duration {
+    end_timeout.mul_f64(BATCH_AGE_FRACTION)
+}
+
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -39,6 +39,8 @@
     pub usage_deadline: Duration,
     /// Time after its submission for which a batch stays readable.
     pub batch_ttl: Duration,
+    /// Maximum time from the acknowledgement of a batch's end until an item of it may reach a target.
+    pub end_timeout: Duration,
     /// Limits of the store.
     pub store: StoreBounds,
 }
