Batches: a run's request that is given up never arrives behind a cut

Cause: the request had been sent 5.7 s before, into the cut. After 1.75 s the kernel gave its connection up (keepalive, TCP_USER_TIMEOUT), earlier than the runner. A connection that the kernel has given up can't be reset any more, so the peer isn't told and what the network holds is delivered once the cut heals.

The test checks the options of the socket, as packets can't be dropped on loopback.

Change: while a run or a reward call is in flight, only its owner gives the connection up, and so resets it. Calls with a timeout of their own do the same where keepalive probes may be under way. The pool gets connections back with the kernel's timeouts.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -147,6 +147,7 @@
                 attempts: route.attempts.max(submission.attempts),
                 began: now,
                 exchange: Exchange::new(connection, &request)
+                    .without_kernel_timeouts()
                     .begin_by(lease_clock() + CHOICE_LIFETIME),
                 timeout,
             }),
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -353,7 +353,9 @@
             target: name,
             address,
             born,
-            exchange: Exchange::new(connection, &request).begin_by(lease_clock() + CHOICE_LIFETIME),
+            exchange: Exchange::new(connection, &request)
+                .without_kernel_timeouts()
+                .begin_by(lease_clock() + CHOICE_LIFETIME),
             buffer: EventBuffer::default(),
             ended_in_noise: false,
             began: now,
--- a/crates/godwitspool-host/src/http/connection.rs
+++ b/crates/godwitspool-host/src/http/connection.rs
@@ -14,7 +14,7 @@
 /// Operators commonly require a dead peer to be detected within 3 s; this is below that.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+pub(super) const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A non-blocking TCP connection with its input buffer.
 #[derive(Debug)]
@@ -152,6 +152,20 @@
         }
     }
 
+    /// Sets whether the kernel gives up the connection after unanswered data or keepalive probes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket option can't be set.
+    pub fn set_kernel_timeouts(&self, on: bool) -> io::Result<()> {
+        let socket = SockRef::from(&*self.socket);
+        if on {
+            return set_timeouts(&socket);
+        }
+        socket.set_keepalive(false)?;
+        socket.set_tcp_user_timeout(None)
+    }
+
     /// Returns whether an idle connection can carry another request: no bytes have arrived on it,
     /// and less than three quarters of the peer's keep-alive timeout have passed.
     pub fn is_reusable(&mut self) -> bool {
@@ -178,6 +192,10 @@
 
 fn set_options(socket: &SockRef<'_>) -> io::Result<()> {
     socket.set_tcp_nodelay(true)?;
+    set_timeouts(socket)
+}
+
+fn set_timeouts(socket: &SockRef<'_>) -> io::Result<()> {
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BodyDecoder, Connection, DecodeError, Interest, Pool, Received, Request, Response,
-    decode_response, wait,
+    connection::KEEPALIVE_INTERVAL, decode_response, wait,
 };
 use crate::lease_clock;
 
@@ -94,6 +94,8 @@
     malformed: Option<DecodeError>,
     /// Time, by the lease clock, after which nothing is sent if nothing was before.
     begin_by: Option<Millis>,
+    /// Whether the kernel's timeouts are off.
+    own_timeouts: bool,
 }
 
 impl Exchange {
@@ -115,6 +117,7 @@
             failure: None,
             malformed: None,
             begin_by: None,
+            own_timeouts: false,
         }
     }
 
@@ -126,6 +129,18 @@
         self
     }
 
+    /// Returns the exchange with the kernel's timeouts off until it is finished. Its owner gives it up by
+    /// timeouts of its own, which reset the connection. A connection that the kernel gives up is not
+    /// reset, so a request that a cut holds up may still arrive once the cut heals.
+    #[must_use]
+    pub fn without_kernel_timeouts(mut self) -> Self {
+        match self.connection.set_kernel_timeouts(false) {
+            Ok(()) => self.own_timeouts = true,
+            Err(error) => log::debug!(error:%; "can't turn off a connection's timeouts"),
+        }
+        self
+    }
+
     /// Returns the socket and the events to poll for.
     pub fn socket(&self) -> (BorrowedFd<'_>, Interest) {
         let interest = Interest {
@@ -277,7 +292,9 @@
     pub fn finish(mut self) -> (Response, Option<Connection>) {
         let done = self.decoder.as_ref().is_some_and(BodyDecoder::is_done);
         self.connection.in_exchange = !done;
+        let restored = !self.own_timeouts || self.connection.set_kernel_timeouts(true).is_ok();
         let reusable = done
+            && restored
             && self.sent == self.output.len()
             && self.connection.input.is_empty()
             && !self.skipped
@@ -301,7 +318,12 @@
         let deadline = Instant::now() + timeout;
         let connection = pool.connect(address);
         let connection = connection.map_err(|source| CallError::Connect { source })?;
+        // Keepalive probes of an idle connection may be unanswered already.
+        let was_idle = connection.idle_since.elapsed() >= KEEPALIVE_INTERVAL;
         let mut exchange = Self::new(connection, request);
+        if was_idle {
+            exchange = exchange.without_kernel_timeouts();
+        }
         loop {
             if exchange.advance()? == Progress::Done {
                 let (response, connection) = exchange.finish();
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -12,11 +12,12 @@
 use godwitspool_host::{
     http::{
         BodyDecoder, Bounds, CallError, Caller, ChunkState, DecodeError, Exchange, Headers, Pool,
-        Request, Response, Server, decode_request, decode_response,
+        Progress, Request, Response, Server, decode_request, decode_response, wait,
     },
     lease_clock,
 };
 use rstest::rstest;
+use socket2::SockRef;
 
 /// Maximum time that a test waits; reached only when it fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -184,6 +185,40 @@
     assert_eq!(ended.unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
 
+/// Guards against UNASKED: the kernel gives up a connection that a cut silences before its owner does, and
+/// doesn't reset it, so the request arrives once the cut heals. The pool gets the connection back with the
+/// kernel's timeouts, by which it notices that idle connections are dead.
+#[test]
+fn only_its_owner_gives_up_a_request_that_has_timeouts_of_its_own() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let connection = Pool::default().connect(address).unwrap();
+    let socket = connection.socket();
+    let timeouts = || {
+        let socket = SockRef::from(&*socket);
+        (
+            socket.keepalive().unwrap(),
+            socket.tcp_user_timeout().unwrap().is_some(),
+        )
+    };
+    assert_eq!(timeouts(), (true, true), "a pooled connection");
+    let request = Request::new("GET", "/x", Vec::new());
+    let mut exchange = Exchange::new(connection, &request).without_kernel_timeouts();
+    let (mut peer, _) = listener.accept().unwrap();
+    wait(&[exchange.socket()], Some(WAIT_TIMEOUT)).unwrap();
+    assert_eq!(exchange.advance().unwrap(), Progress::Pending);
+    assert_eq!(timeouts(), (false, false), "a request in flight");
+    peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    wait(&[exchange.socket()], Some(WAIT_TIMEOUT)).unwrap();
+    while exchange.advance().unwrap() == Progress::Pending {
+        wait(&[exchange.socket()], Some(WAIT_TIMEOUT)).unwrap();
+    }
+    let (_, reusable) = exchange.finish();
+    assert!(reusable.is_some());
+    assert_eq!(timeouts(), (true, true), "a connection that is reused");
+}
+
 /// Guards against DRAIN: a thread or host that stood still between the choice of a target and the first
 /// byte sends a request to a target that has left.
 #[test]
