--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -75,7 +75,7 @@
     let took_ms = began.elapsed().as_millis() as u64;
     // What the server has answered itself is counted there.
     if shared.is_draining() && origin == Origin::Caller && !caller.is_answered() {
-        shared.drained.count(Drained::outcome(&ended));
+        shared.drained.count(Drained::from(&ended).as_str());
     }
     let reason = match &ended {
         Ok(Ended::Answered(status)) if *status < 400 => "answered",
--- a/crates/godwitspool-host/src/process/drained.rs
+++ b/crates/godwitspool-host/src/process/drained.rs
@@ -2,27 +2,38 @@
 
 use crate::request::Ended;
 
-/// Outcomes of requests that end while the process drains, as counted and logged.
-#[derive(Debug)]
-pub struct Drained;
-
-impl Drained {
+/// How a request ended while the process drained, for logs and metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Drained {
+    /// Its connection was closed within the response, or the caller disconnected.
+    BrokenOff,
     /// Answered by a target or this host.
-    pub const FINISHED: &str = "finished";
+    Finished,
     /// Refused before it was sent to a target.
-    pub const REFUSED: &str = "refused";
+    Refused,
     /// Answered without its outcome.
-    pub const UNFINISHED: &str = "unfinished";
-    /// Its connection was closed within the response, or the caller disconnected.
-    pub const BROKEN_OFF: &str = "broken off";
+    Unfinished,
+}
+
+impl Drained {
+    /// Returns the label value in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BrokenOff => "broken off",
+            Self::Finished => "finished",
+            Self::Refused => "refused",
+            Self::Unfinished => "unfinished",
+        }
+    }
+}
 
-    /// Returns the outcome of a request.
-    pub fn outcome(ended: &io::Result<Ended>) -> &'static str {
+impl From<&io::Result<Ended>> for Drained {
+    fn from(ended: &io::Result<Ended>) -> Self {
         match ended {
-            Ok(Ended::Answered(_)) => Self::FINISHED,
-            Ok(Ended::Refused | Ended::RefusedAtEnd) => Self::REFUSED,
-            Ok(Ended::Failed(1..)) => Self::UNFINISHED,
-            Ok(Ended::Failed(0) | Ended::CallerLeft) | Err(_) => Self::BROKEN_OFF,
+            Ok(Ended::Answered(_)) => Self::Finished,
+            Ok(Ended::Refused | Ended::RefusedAtEnd) => Self::Refused,
+            Ok(Ended::Failed(1..)) => Self::Unfinished,
+            Ok(Ended::Failed(0) | Ended::CallerLeft) | Err(_) => Self::BrokenOff,
         }
     }
 }
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -130,12 +130,12 @@
             self.drain_threads.iter().all(JoinHandle::is_finished)
                 && self.other_servers.iter().all(Server::is_ended)
         });
-        let drained = &self.shared.drained;
+        let drained = |outcome: Drained| self.shared.drained.counted(outcome.as_str());
         log::info!(
             connections = self.front.open_connections(), took_ms = began.elapsed().as_millis() as u64,
-            finished = drained.counted(Drained::FINISHED), refused = drained.counted(Drained::REFUSED) + last.refused,
-            unfinished = drained.counted(Drained::UNFINISHED) + last.unfinished,
-            broken_off = drained.counted(Drained::BROKEN_OFF) + last.responding + last.failed,
+            finished = drained(Drained::Finished), refused = drained(Drained::Refused) + last.refused,
+            unfinished = drained(Drained::Unfinished) + last.unfinished,
+            broken_off = drained(Drained::BrokenOff) + last.responding + last.failed,
             handed_over = self.drain_threads.iter().all(JoinHandle::is_finished);
             "host ends"
         );
