Host: requests that break off are logged by fingerprint, with what became of their target

A request that ends its targets comes again under new identifiers, so log lines couldn't match its copies, and a broken connection looked the same whether the target ended or not. Broken attempts now name a fingerprint of workspace, method, host, path and body, and a connection to the target's address shows whether it still listens: 'request broke off' with probe=Ended, Alive or Unknown, counted in broken_requests. No decision changes.

--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -65,6 +65,9 @@
         }
         spawn(&shared, "reports", |shared| shared.reports.receive(&shared))?;
         spawn(&shared, "permits", |shared| shared.permits.fetch(&shared))?;
+        spawn(&shared, "suspicion", |shared| {
+            shared.suspicion.verify(&shared);
+        })?;
         spawn(&shared, "runner", |shared| {
             if let Err(error) = Runner::new(shared).run() {
                 log::error!(error:%; "batch runner failed");
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Activity, Ending, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
-    reports::Reports,
+    reports::Reports, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -76,6 +76,8 @@
     pub peers: Peers,
     /// Permits for requests to targets that have named a limit.
     pub permits: Permits,
+    /// Requests that were in flight on targets that have ended.
+    pub suspicion: Suspicion,
     /// Reports of runs, sent to and received from other hosts.
     pub reports: Reports,
     /// Random number that distinguishes this start of the process from others of the same host.
@@ -169,6 +171,10 @@
         let orders = metrics.counter_by_reason("orders", "Orders to targets by what came of them");
         let permit_answers =
             metrics.counter_by_reason("permits", "Permits for limited targets by outcome");
+        let breaks = metrics.counter_by_reason(
+            "broken_requests",
+            "Requests whose connection broke off, by what became of the target",
+        );
         let calls = metrics.counter_by_reason("reward_calls", "Reward calls by how they ended");
         let score_seconds =
             metrics.seconds_histogram("score_seconds", "Times from a complete output to its score");
@@ -225,6 +231,7 @@
             change_count: Mutex::default(),
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
+            suspicion: Suspicion::new(breaks),
             pool: Arc::default(),
             store: Arc::new(Relay::new(
                 adapters.store,
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -9,10 +9,10 @@
 use super::may_begin;
 use crate::{
     dialect::{Call, ForwardContext, Reply},
-    http::{Caller, Exchange, Progress, Request, Response, wait},
+    http::{CallError, Caller, Exchange, Progress, Request, Response, wait},
     lease_clock,
-    process::{RETRY_AFTER_END, Shared, unix_ms},
-    version::{Basis, CHOICE_LIFETIME, Outcome, Route, RouteKind, TargetEntry},
+    process::{RETRY_AFTER_END, Shared, TargetStart, unix_ms},
+    version::{Basis, CHOICE_LIFETIME, Fingerprint, Outcome, Route, RouteKind, TargetEntry},
 };
 
 /// Part of the time until the caller's deadline that is reserved for delivering the response.
@@ -372,12 +372,11 @@
                 Ok(Progress::Pending) => pending.push(attempt),
                 Ok(Progress::Done) => answer = self.take_response(attempt),
                 Err(error) => {
-                    log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "try failed");
                     if error.was_sent() {
                         self.started += 1;
                         self.started_ms.get_or_insert_with(unix_ms);
                     }
-                    self.record_outcome(&attempt, Outcome::Failed);
+                    self.record_failure(&attempt, &error);
                 }
             }
         }
@@ -455,9 +454,8 @@
         let progress = attempt.exchange.advance();
         let Some(head) = attempt.exchange.head() else {
             if let Err(error) = progress {
-                log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "try failed");
                 self.started += u32::from(error.was_sent());
-                self.record_outcome(&attempt, Outcome::Failed);
+                self.record_failure(&attempt, &error);
             } else {
                 self.in_flight.push(attempt);
             }
@@ -512,6 +510,7 @@
                 Ok(Progress::Pending) => {}
                 Err(error) => {
                     log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "stream broke off");
+                    self.record_break(attempt);
                     return Ok(Ended::Failed(0));
                 }
             }
@@ -553,6 +552,41 @@
         last_answer.map_or(self.due, |last| last.min(self.due))
     }
 
+    /// Records that an attempt ended without a complete response.
+    fn record_failure(&self, attempt: &Attempt, error: &CallError) {
+        let broken = error.was_sent() && matches!(error, CallError::Broken { .. });
+        let fingerprint = broken.then(|| self.fingerprint().to_string());
+        log::info!(
+            request = self.call.request(), target_name:% = attempt.target, error:%, fingerprint;
+            "try failed"
+        );
+        if broken {
+            self.record_break(attempt);
+        }
+        self.record_outcome(attempt, Outcome::Failed);
+    }
+
+    /// Records that the connection of an attempt broke off while the target had the request.
+    fn record_break(&self, attempt: &Attempt) {
+        let target = TargetStart {
+            name: attempt.target.clone(),
+            born: attempt.born,
+            address: attempt.address,
+        };
+        let print = self.fingerprint();
+        self.shared.suspicion.record_break(target, print);
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
+        let Request {
+            method,
+            target,
+            body,
+            ..
+        } = self.request;
+        Fingerprint::new(self.workspace, method, &self.call.host, target, body)
+    }
+
     fn record_outcome(&self, attempt: &Attempt, outcome: Outcome) {
         let now = self.shared.clock.now();
         self.shared.fleet().finish(&attempt.target, outcome, now);
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -2,6 +2,7 @@
 //! store's keyed partitions.
 
 mod configuration;
+mod fingerprint;
 mod fleet;
 mod freshness;
 mod lapse;
@@ -12,6 +13,7 @@
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
+pub use fingerprint::Fingerprint;
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
