--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -3,7 +3,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
@@ -19,6 +19,9 @@
 /// Time between two bytes of a stream that has stalled.
 const DRIP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which a delayed response looks whether its target has ended.
+const CRASH_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Number of bytes in a chunk of a body without end.
 const ENDLESS_BYTES: usize = 64 * 1024;
 
@@ -37,6 +40,10 @@
     CutAfter(u64),
     /// The target runs the request and sends no response.
     Hang,
+    /// The target ends after this many milliseconds, with all that it runs.
+    Crash(u64),
+    /// The target closes the connection without a response.
+    Abort,
     /// The target delays the response by this many milliseconds.
     Slow(u64),
     /// After the stream's event with this number, the target sends a byte every 0.5 s and no event.
@@ -86,7 +93,7 @@
 /// A fake target that speaks the platform's protocol for workers.
 #[derive(Debug)]
 pub struct PlatformTarget {
-    server: Server,
+    server: Arc<Server>,
     shared: Arc<Shared>,
 }
 
@@ -105,6 +112,9 @@
     /// Whether responses say that the target leaves.
     leaving: AtomicBool,
     orders: Mutex<Vec<Value>>,
+    /// When a request has ended the target, if one has.
+    crashed: OnceLock<Instant>,
+    server: OnceLock<Weak<Server>>,
     /// Weight versions by model.
     models: Mutex<HashMap<String, u64>>,
 }
@@ -134,11 +144,15 @@
             arrivals: Mutex::default(),
             limit: Mutex::default(),
             leaving: AtomicBool::new(false),
+            crashed: OnceLock::new(),
+            server: OnceLock::new(),
         });
         let own = Arc::clone(&shared);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let handle = move |caller: &mut Caller, request: Request| own.serve(caller, &request);
-        let server = Server::start(address, Bounds::default, handle)?;
+        let server = Arc::new(Server::start(address, Bounds::default, handle)?);
+        // A new target has no server yet.
+        let _ = shared.server.set(Arc::downgrade(&server));
         Ok(Self { server, shared })
     }
 
@@ -188,6 +202,16 @@
         lock(&self.shared.executed).clone()
     }
 
+    /// Returns when a request has ended the target, if one has.
+    pub fn crashed(&self) -> Option<Instant> {
+        self.shared.crashed.get().copied()
+    }
+
+    /// Ends the target, with all that it runs.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
     /// Returns the number of streams whose caller disconnected before the end.
     pub fn disconnects(&self) -> usize {
         self.shared.disconnects.load(Ordering::SeqCst)
@@ -254,7 +278,13 @@
                 thread::sleep(HANG_DURATION);
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            TargetFault::Slow(ms) => thread::sleep(Duration::from_millis(ms)),
+            TargetFault::Slow(ms) => self.delay(ms)?,
+            TargetFault::Crash(ms) => {
+                self.delay(ms)?;
+                self.crash();
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            TargetFault::Abort => return Err(io::ErrorKind::ConnectionAborted.into()),
             TargetFault::Fail(status) => {
                 let answer = named(Response::new(status, "failed")).with("Request-Id", &id);
                 return caller.respond(&answer.with("Server-Stamp", format!("stamp-{id}")));
@@ -280,6 +310,29 @@
         Ok(())
     }
 
+    /// Waits, and fails if the target ends meanwhile.
+    fn delay(&self, ms: u64) -> io::Result<()> {
+        let until = Instant::now() + Duration::from_millis(ms);
+        while self.crashed.get().is_none() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            thread::sleep(CRASH_INTERVAL.min(left));
+        }
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
+    /// Closes the listener first, so that nobody connects once the connections are closed.
+    fn crash(&self) {
+        if self.crashed.set(Instant::now()).is_err() {
+            return;
+        }
+        if let Some(server) = self.server.get().and_then(Weak::upgrade) {
+            server.stop();
+        }
+    }
+
     /// Adds what the target says of itself in all its responses.
     fn describe(&self, mut answer: Response, limit: Option<f64>) -> Response {
         if let Some(limit) = limit {
@@ -335,6 +388,9 @@
                     thread::sleep(DRIP_INTERVAL);
                 }
             }
+            if self.crashed.get().is_some() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             let event = format!("id: {number}\ndata: e{number}\n\n");
             if let Err(error) = caller.chunk(event.as_bytes()) {
                 self.disconnects.fetch_add(1, Ordering::SeqCst);
