Host: requests that end their targets are counted by all hosts together, and refused

Callers of a plain service were refused in waves while one request, which comes again under new identifiers at any host, ended all targets of the service.

Cause: a host knew of a broken attempt only until it answered. Class: state of a failure that lives as long as one request, while the failure lives as long as its caller repeats it. Hedges and retries made it two targets for each attempt.

Now the end of a target is recorded in a keyed topic of the store under the fingerprints of the requests in flight, if a probe shows that nothing listens at its address any more. From the first end on a request isn't hedged, from the second on one copy runs at a time in the whole fleet, on trial, and an end in a trial has it refused.

--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns the epoch of the lease, or `None` if it isn't held or may have expired.
-    fn epoch(&self) -> Option<u64> {
+    pub(super) fn epoch(&self) -> Option<u64> {
         let held = *self.lock();
         held.filter(|held| held.is_valid(lease_clock()))
             .map(|held| held.epoch)
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -65,8 +65,9 @@
         }
         spawn(&shared, "reports", |shared| shared.reports.receive(&shared))?;
         spawn(&shared, "permits", |shared| shared.permits.fetch(&shared))?;
-        spawn(&shared, "suspicion", |shared| {
-            shared.suspicion.verify(&shared);
+        spawn(&shared, "probes", |shared| shared.suspicion.verify())?;
+        spawn(&shared, "suspects", |shared| {
+            shared.suspicion.follow(&shared);
         })?;
         spawn(&shared, "runner", |shared| {
             if let Err(error) = Runner::new(shared).run() {
@@ -76,6 +77,10 @@
         spawn(&shared, "progress", |shared| save_running(&shared))?;
         let duty_lease = Arc::new(DutyLease::default());
         let runner_lease = Arc::clone(&duty_lease);
+        let suspects_lease = Arc::clone(&duty_lease);
+        spawn(&shared, "suspicion", move |shared| {
+            shared.suspicion.send(&shared, &suspects_lease);
+        })?;
         spawn(&shared, "duties", move |shared| {
             DutyRunner::new(shared, runner_lease).run();
         })?;
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -24,6 +24,6 @@
 pub use relay::Relay;
 pub use reports::{LoadNotice, Notice, RunReport};
 pub use shared::{Adapters, Shared, unix_ms};
-pub use suspicion::{Suspicion, TargetStart};
+pub use suspicion::{Admission, SuspectRun, Suspicion, TargetStart};
 pub use tails::read_wait;
 pub use usage::UsageCounts;
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -76,7 +76,7 @@
     pub peers: Peers,
     /// Permits for requests to targets that have named a limit.
     pub permits: Permits,
-    /// Requests that were in flight on targets that have ended.
+    /// Requests that are suspected of ending their targets.
     pub suspicion: Suspicion,
     /// Reports of runs, sent to and received from other hosts.
     pub reports: Reports,
@@ -175,6 +175,10 @@
             "broken_requests",
             "Requests whose connection broke off, by what became of the target",
         );
+        let suspects = metrics.counter_by_reason(
+            "suspects",
+            "Decisions about requests that are suspected of ending their targets",
+        );
         let calls = metrics.counter_by_reason("reward_calls", "Reward calls by how they ended");
         let score_seconds =
             metrics.seconds_histogram("score_seconds", "Times from a complete output to its score");
@@ -231,7 +235,7 @@
             change_count: Mutex::default(),
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
-            suspicion: Suspicion::new(breaks),
+            suspicion: Suspicion::new(breaks, suspects),
             pool: Arc::default(),
             store: Arc::new(Relay::new(
                 adapters.store,
--- a/crates/godwitspool-host/src/process/suspicion.rs
+++ b/crates/godwitspool-host/src/process/suspicion.rs
@@ -1,4 +1,4 @@
-//! Requests in flight on targets that have ended.
+//! Suspicion of requests that end their targets, shared by all hosts through the store.
 
 use std::{
     collections::HashMap,
@@ -6,21 +6,42 @@
     net::{SocketAddr, TcpStream},
     sync::PoisonError,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use godwitspool_process::CounterByReason;
 use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use godwitspool_types::TargetName;
+use rapidhash::v3::rapidhash_v3;
 
-use super::Shared;
-use crate::version::Fingerprint;
+use super::{Shared, duties::DutyLease, unix_ms};
+use crate::{
+    store::{Record, Store, StoredRecord, Topic},
+    version::{
+        Fetched, Fingerprint, Mirror, Standing, SuspectChange, SuspectRecord, Suspects, TargetEnd,
+        Trial,
+    },
+};
 
 /// Timeout of a connection that shows whether a target has ended: several round trips between data
 /// centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
 /// Delay of a second probe. A process that ends may close its connections before its listener.
 const PROBE_DELAY: Duration = Duration::from_millis(50);
+/// Maximum time that one read of the suspects waits for new records. It bounds how long a read that
+/// hangs hides news.
+const READ_WAIT: Duration = Duration::from_secs(2);
+/// Delay after a failed call to the store.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time that a trial lasts beyond the deadline of its request, until its host has recorded its end.
+const TRIAL_SLACK: Duration = Duration::from_secs(1);
+/// Interval between checks for ends that are too old.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(30);
+/// Retry delay sent to the caller of a suspected request while another copy is on trial, or no target
+/// can be spared for it.
+const RETRY_AFTER_BUSY: Duration = Duration::from_millis(300);
+/// Maximum number of records that wait for the store. Further ones are dropped.
+const MAX_UNSENT: usize = 4_096;
 
 /// A start of a target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -33,6 +54,13 @@
     pub address: SocketAddr,
 }
 
+impl TargetStart {
+    /// Returns the number that identifies the start on all hosts.
+    fn number(&self) -> u64 {
+        rapidhash_v3(format!("{}@{}", self.name, self.born).as_bytes())
+    }
+}
+
 /// What a probe shows of a target whose connections have broken off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Probe {
@@ -44,29 +72,91 @@
     Unknown,
 }
 
-/// Requests that were in flight when a connection to their target broke off.
+/// A request that broke off.
+#[derive(Clone, Copy, Debug)]
+struct Break {
+    print: Fingerprint,
+    /// Claim of its trial, if it was on trial.
+    trial: Option<u64>,
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// Like any other.
+    Free,
+    /// Without hedges, apart from other suspects.
+    Watched,
+    /// The same, as the trial with this claim.
+    Trial(u64),
+    /// Not at all for this long.
+    Withheld(Duration),
+}
+
+/// Requests that are suspected of ending their targets.
 #[derive(Debug)]
 pub struct Suspicion {
     state: Mutex<State>,
-    /// Notified when a connection has broken off.
+    /// Notified when the state has changed.
     changed: Condvar,
     /// Number of requests that broke off, by what a probe has shown of the target.
     breaks: CounterByReason,
+    /// Number of decisions about suspected requests.
+    decisions: CounterByReason,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    suspects: Suspects,
     /// Requests that broke off, by the target that is to be probed.
-    broken: HashMap<TargetStart, Vec<Fingerprint>>,
+    broken: HashMap<TargetStart, Vec<Break>>,
+    /// Number of this host's suspects that run on a target.
+    running: HashMap<TargetName, u32>,
+    /// Records for the store, in order.
+    unsent: Vec<Record>,
+}
+
+impl State {
+    fn append(&mut self, changes: impl IntoIterator<Item = SuspectRecord>) {
+        for change in changes {
+            match Record::try_from(&change) {
+                Ok(record) if self.unsent.len() < MAX_UNSENT => self.unsent.push(record),
+                Ok(_) => {
+                    log::warn!(fingerprint:% = change.print; "too many records of suspects, one dropped");
+                }
+                Err(error) => log::error!(error:%; "can't encode a record of a suspect"),
+            }
+        }
+    }
+}
+
+/// Marks a target on which a suspected request runs, until it is dropped.
+#[derive(Debug)]
+pub struct SuspectRun<'a> {
+    suspicion: &'a Suspicion,
+    target: TargetName,
+}
+
+impl Drop for SuspectRun<'_> {
+    fn drop(&mut self) {
+        let mut state = self.suspicion.lock();
+        if let Some(count) = state.running.get_mut(&self.target) {
+            *count -= 1;
+            if *count == 0 {
+                state.running.remove(&self.target);
+            }
+        }
+    }
 }
 
 impl Suspicion {
     /// Creates the state of a host that suspects no request.
-    pub fn new(breaks: CounterByReason) -> Self {
+    pub fn new(breaks: CounterByReason, decisions: CounterByReason) -> Self {
         Self {
             state: Mutex::default(),
             changed: Condvar::new(),
             breaks,
+            decisions,
         }
     }
 
@@ -74,14 +164,149 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the connection of a request broke off after it was sent, without a response.
-    pub fn record_break(&self, target: TargetStart, print: Fingerprint) {
-        self.lock().broken.entry(target).or_default().push(print);
+    /// Returns how a request may run, by what is known now. `print` is called only if any request is
+    /// suspected.
+    pub fn standing(&self, print: impl FnOnce() -> Fingerprint) -> Standing {
+        if self.lock().suspects.is_empty() {
+            return Standing::Clear;
+        }
+        let print = print();
+        self.lock().suspects.standing(print, unix_ms())
+    }
+
+    /// Returns the targets that a request should avoid: those on which others are on trial and, if it is
+    /// suspected itself, those on which any other suspect of this host runs.
+    pub fn avoided(&self, standing: Standing) -> Vec<TargetName> {
+        let state = self.lock();
+        if state.suspects.is_empty() {
+            return Vec::new();
+        }
+        let mut avoided = state.suspects.trial_targets(unix_ms());
+        if standing != Standing::Clear {
+            avoided.extend(state.running.keys().cloned());
+        }
+        avoided
+    }
+
+    /// Marks a target on which a suspected request starts to run.
+    pub fn start_run(&self, target: &TargetName) -> SuspectRun<'_> {
+        *self.lock().running.entry(target.clone()).or_default() += 1;
+        SuspectRun {
+            suspicion: self,
+            target: target.clone(),
+        }
+    }
+
+    /// Returns whether a suspected request may run on `target` now, and claims the fleet's trial for it
+    /// if it must. `own` is the claim of a trial that it has already, and `others` tells whether its
+    /// service has sound targets besides. Blocks until `patience` while a copy is on trial, or the store
+    /// confirms nothing.
+    pub fn admit(
+        &self,
+        print: Fingerprint,
+        own: Option<u64>,
+        target: &TargetName,
+        others: bool,
+        due: Instant,
+        patience: Instant,
+    ) -> Admission {
+        let claim = own.unwrap_or_else(rand::random);
+        // Whether a claim may be under way to the store, and whether one ever was.
+        let (mut asked, mut claimed) = (own.is_some(), own.is_some());
+        let mut state = self.lock();
+        loop {
+            let now_ms = unix_ms();
+            let left = patience.saturating_duration_since(Instant::now());
+            match state.suspects.standing(print, now_ms) {
+                Standing::Clear => return Admission::Free,
+                Standing::Watched => return Admission::Watched,
+                Standing::OnTrial(other) if other == claim => {
+                    self.decisions.count("trial");
+                    return Admission::Trial(claim);
+                }
+                Standing::Refused(until_ms) => {
+                    self.decisions.count("refused");
+                    return Admission::Withheld(Duration::from_millis(until_ms - now_ms));
+                }
+                Standing::Suspected if !state.suspects.may_try(print, others, now_ms) => {
+                    self.decisions.count("no target to spare");
+                    return Admission::Withheld(RETRY_AFTER_BUSY);
+                }
+                Standing::Suspected if !asked => {
+                    (asked, claimed) = (true, true);
+                    let lasts = due.saturating_duration_since(Instant::now()) + TRIAL_SLACK;
+                    let trial = Trial {
+                        claim,
+                        target: target.clone(),
+                        at_ms: now_ms,
+                        until_ms: now_ms + lasts.as_millis() as u64,
+                    };
+                    let change = SuspectChange::Trial(trial);
+                    state.append([SuspectRecord { print, change }]);
+                    self.changed.notify_all();
+                }
+                Standing::Suspected | Standing::OnTrial(_) if left.is_zero() => {
+                    if claimed {
+                        // The claim may still count once the store has it.
+                        state.append([release(print, claim)]);
+                        self.changed.notify_all();
+                    }
+                    self.decisions.count("busy");
+                    return Admission::Withheld(RETRY_AFTER_BUSY);
+                }
+                standing => {
+                    // The store ignores a claim that another one precedes.
+                    asked &= standing == Standing::Suspected;
+                    let woken = self.changed.wait_timeout(state, left);
+                    state = woken.unwrap_or_else(PoisonError::into_inner).0;
+                }
+            }
+        }
+    }
+
+    /// Records that a target has answered a request, which clears it.
+    pub fn record_answer(&self, print: impl FnOnce() -> Fingerprint) {
+        if self.lock().suspects.is_empty() {
+            return;
+        }
+        let print = print();
+        let mut state = self.lock();
+        let changes = state.suspects.clear(print);
+        if changes.is_empty() {
+            return;
+        }
+        self.decisions.count("cleared");
+        log::info!(fingerprint:% = print; "suspected request answered");
+        state.append(changes);
+        self.changed.notify_all();
+    }
+
+    /// Ends a trial without a verdict.
+    pub fn end_trial(&self, print: Fingerprint, claim: u64) {
+        let mut state = self.lock();
+        let change = release(print, claim);
+        state.suspects.apply(&change);
+        state.append([change]);
+        self.changed.notify_all();
+    }
+
+    /// Records that the connection of a request broke off after it was sent, without a response. `trial`
+    /// is the claim of its trial, if it was on trial.
+    pub fn record_break(&self, target: TargetStart, print: Fingerprint, trial: Option<u64>) {
+        let end = TargetEnd {
+            at_ms: unix_ms(),
+            on_trial: trial.is_some(),
+        };
+        let mut state = self.lock();
+        // Until the probe has shown what became of the target, it counts as ended.
+        state.suspects.observe(print, target.number(), end);
+        let broken = state.broken.entry(target).or_default();
+        broken.push(Break { print, trial });
         self.changed.notify_all();
     }
 
     /// Probes the targets of requests that broke off, until the process ends.
-    pub fn verify(&self, _shared: &Shared) {
+    pub fn verify(&self) {
         loop {
             let mut state = self.lock();
             while state.broken.is_empty() {
@@ -90,19 +315,126 @@
             }
             let broken = std::mem::take(&mut state.broken);
             drop(state);
-            for (target, prints) in broken {
+            for (target, breaks) in broken {
                 let probe = probe(target.address);
-                for print in prints {
-                    self.breaks.count(probe.as_str());
-                    log::info!(
-                        fingerprint:% = print, target_name:% = target.name, born = target.born,
-                        probe:?;
-                        "request broke off"
-                    );
+                for broken in breaks {
+                    self.conclude(&target, broken, probe);
+                }
+            }
+        }
+    }
+
+    fn conclude(&self, target: &TargetStart, broken: Break, probe: Probe) {
+        let Break { print, trial } = broken;
+        let number = target.number();
+        self.breaks.count(probe.as_str());
+        let mut state = self.lock();
+        if probe == Probe::Ended {
+            // The request may have been answered elsewhere meanwhile.
+            let end = state.suspects.end(print, number);
+            let change = end.map(|end| SuspectChange::Ended(number, end));
+            state.append(change.map(|change| SuspectRecord { print, change }));
+        } else {
+            state.suspects.forget_end(print, number);
+            state.append(trial.map(|claim| release(print, claim)));
+        }
+        let standing = state.suspects.standing(print, unix_ms());
+        self.changed.notify_all();
+        drop(state);
+        log::info!(
+            fingerprint:% = print, target_name:% = target.name, born = target.born, probe:?,
+            standing:?;
+            "request broke off"
+        );
+    }
+
+    /// Appends records to the store until the process ends. Only the host that holds the duties removes
+    /// what has expired.
+    pub(super) fn send(&self, shared: &Shared, lease: &DutyLease) {
+        let mut expired_at = Instant::now();
+        loop {
+            let holds_duties = lease.epoch().is_some();
+            let mut state = self.lock();
+            if expired_at.elapsed() >= EXPIRY_INTERVAL {
+                expired_at = Instant::now();
+                let changes = state.suspects.expire(unix_ms());
+                if holds_duties {
+                    state.append(changes);
+                }
+            }
+            if state.unsent.is_empty() {
+                let woken = self.changed.wait_timeout(state, EXPIRY_INTERVAL);
+                drop(woken.unwrap_or_else(PoisonError::into_inner));
+                continue;
+            }
+            let records = std::mem::take(&mut state.unsent);
+            drop(state);
+            // Repeated records change nothing.
+            while let Err(error) = shared.store.append(Topic::Suspects, 0, &records, None) {
+                log::warn!(records = records.len(), error:%; "can't append records of suspects; retrying");
+                thread::sleep(RETRY_DELAY);
+            }
+        }
+    }
+
+    /// Follows the store's records of suspects until the process ends.
+    pub fn follow(&self, shared: &Shared) {
+        let mut next = None;
+        let mut unreachable = false;
+        loop {
+            match Mirror::fetch(shared.store.as_ref(), Topic::Suspects, next, READ_WAIT) {
+                Ok(fetched) => {
+                    unreachable = false;
+                    let (mut records, after) = match fetched {
+                        Fetched::All { records, end } => {
+                            if next.is_some() {
+                                // Records that removed others may be among those that were missed.
+                                self.lock().suspects = Suspects::default();
+                            }
+                            (records, end)
+                        }
+                        Fetched::Tail(tail) => (tail.records, tail.next),
+                    };
+                    records.sort_unstable_by_key(|stored| stored.offset);
+                    self.apply(&records);
+                    next = Some(after);
+                }
+                Err(error) => {
+                    if !unreachable {
+                        log::warn!(error:%; "can't read the suspects from the store");
+                        unreachable = true;
+                    }
+                    thread::sleep(RETRY_DELAY);
                 }
             }
         }
     }
+
+    fn apply(&self, records: &[StoredRecord]) {
+        if records.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        for StoredRecord { offset, record } in records {
+            match SuspectRecord::try_from(record) {
+                Ok(record) => state.suspects.apply(&record),
+                Err(error) => log::warn!(offset, error:%; "record of a suspect ignored"),
+            }
+        }
+        self.changed.notify_all();
+    }
+}
+
+/// Returns the change that ends the trial with this claim.
+fn release(print: Fingerprint, claim: u64) -> SuspectRecord {
+    let trial = Trial {
+        claim,
+        target: TargetName::default(),
+        at_ms: 0,
+        until_ms: 0,
+    };
+    let change = SuspectChange::Trial(trial);
+    SuspectRecord { print, change }
 }
 
 impl Probe {
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -11,8 +11,10 @@
     dialect::{Call, ForwardContext, Reply},
     http::{CallError, Caller, Exchange, Progress, Request, Response, wait},
     lease_clock,
-    process::{RETRY_AFTER_END, Shared, TargetStart, unix_ms},
-    version::{Basis, CHOICE_LIFETIME, Fingerprint, Outcome, Route, RouteKind, TargetEntry},
+    process::{Admission, RETRY_AFTER_END, Shared, SuspectRun, TargetStart, unix_ms},
+    version::{
+        Basis, CHOICE_LIFETIME, Fingerprint, Outcome, Route, RouteKind, Standing, TargetEntry,
+    },
 };
 
 /// Part of the time until the caller's deadline that is reserved for delivering the response.
@@ -37,6 +39,9 @@
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 /// Retry delay sent to the caller if no target of its service is available.
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(500);
+/// Maximum time that a suspected request waits until it may run on trial: several calls to the store, or
+/// the duration of another copy.
+const TRIAL_PATIENCE: Duration = Duration::from_millis(300);
 /// Expected duration of a request on a route without a latency goal, before one was observed.
 const DEFAULT_DURATION: Duration = Duration::from_millis(500);
 
@@ -71,7 +76,7 @@
     arrived: Instant,
     /// When the request times out.
     due: Instant,
-    in_flight: Vec<Attempt>,
+    in_flight: Vec<Attempt<'a>>,
     tried: Vec<TargetName>,
     /// Number of finished attempts whose target may have started to process the request.
     started: u32,
@@ -81,6 +86,10 @@
     counted: bool,
     /// Age of the targets' entries at the last choice, in milliseconds.
     entries_ms: Option<u64>,
+    /// Claim of the request's trial, if it is on trial.
+    trial: Option<u64>,
+    /// How long the request is withheld from targets, if it is suspected of ending them.
+    withheld: Option<Duration>,
     /// Whether no further target was tried because the process ends too soon.
     ends_first: bool,
     /// A server error from a target, returned to the caller if no later attempt succeeds.
@@ -88,7 +97,7 @@
 }
 
 /// An attempt at one target.
-struct Attempt {
+struct Attempt<'a> {
     target: TargetName,
     /// Start of the target.
     born: u64,
@@ -97,6 +106,8 @@
     began: Instant,
     /// Whether the attempt took so long that another one has been allowed.
     stalled: bool,
+    /// Mark of the target while a suspected request runs there.
+    _suspect: Option<SuspectRun<'a>>,
 }
 
 /// Sends a request to targets of its route's service until one responds, and passes the response to
@@ -144,10 +155,15 @@
         counted: false,
         entries_ms: None,
         ends_first: false,
+        trial: None,
+        withheld: None,
         fallback: None,
     };
     let ended = forward.run(caller);
     forward.abandon_attempts();
+    if let Some(claim) = forward.trial.take() {
+        shared.suspicion.end_trial(forward.fingerprint(), claim);
+    }
     if forward.started > 0 {
         shared.observe_duration(&route.name, arrived.elapsed());
     }
@@ -158,7 +174,7 @@
             .as_millis() as u64;
         log::info!(
             request = call.request(), route = route.name, service:% = forward.service,
-            tried:? = forward.tried, begun = forward.started, entries_ms = forward.entries_ms,
+            tried:? = forward.tried, begun = forward.started, withheld:? = forward.withheld, entries_ms = forward.entries_ms,
             took_ms = forward.arrived.elapsed().as_millis() as u64, left_ms, ended:?;
             "request not served"
         );
@@ -174,7 +190,7 @@
         loop {
             if self.in_flight.is_empty() && !self.start_attempt(repeatable) {
                 let stale = self.shared.fleet().freshness.basis() == Basis::Stale;
-                if stale && Instant::now() < wait_until {
+                if stale && self.withheld.is_none() && Instant::now() < wait_until {
                     if wait(&[caller.socket()], Some(ENTRY_POLL_INTERVAL))?[0].hangup {
                         return Ok(Ended::CallerLeft);
                     }
@@ -280,18 +296,24 @@
             if started > 0 && (!repeatable || started >= max_attempts) {
                 return false;
             }
+            let standing = self.shared.suspicion.standing(|| self.fingerprint());
+            if standing != Standing::Clear && !self.in_flight.is_empty() {
+                return false;
+            }
             let now = self.shared.clock.now();
-            let mut fleet = self.shared.fleet();
-            let chosen = fleet.choose(&self.service, &self.shared.settings.dc, &self.tried, now);
-            let Some(TargetEntry {
+            let Some((entry, others)) = self.choose(standing, now) else {
+                return false;
+            };
+            if standing != Standing::Clear && !self.admit(&entry.name, others) {
+                return false;
+            }
+            let TargetEntry {
                 name: target,
                 address,
                 born,
                 ..
-            }) = chosen.map(|target| target.entry.clone())
-            else {
-                return false;
-            };
+            } = entry;
+            let mut fleet = self.shared.fleet();
             if !fleet.take_permit(&target, now) {
                 drop(fleet);
                 self.shared.permits.acquire(self.shared, &target);
@@ -301,6 +323,8 @@
             self.entries_ms = self.shared.observe_entry_age(&fleet);
             fleet.start(&target);
             drop(fleet);
+            let suspect =
+                (standing != Standing::Clear).then(|| self.shared.suspicion.start_run(&target));
             let context = ForwardContext {
                 target: &target,
                 workspace: self.workspace,
@@ -326,6 +350,7 @@
                         exchange,
                         began: Instant::now(),
                         stalled: false,
+                        _suspect: suspect,
                     });
                     self.record_start();
                     return true;
@@ -338,6 +363,39 @@
         }
     }
 
+    /// Chooses the target of the next attempt, if possible apart from suspected requests. Also returns
+    /// whether the service has other sound targets.
+    fn choose(&self, standing: Standing, now: Millis) -> Option<(TargetEntry, bool)> {
+        let (service, dc) = (&self.service, &self.shared.settings.dc);
+        let avoided = self.shared.suspicion.avoided(standing);
+        let fleet = self.shared.fleet();
+        let apart = (!avoided.is_empty())
+            .then(|| [&self.tried[..], &avoided[..]].concat())
+            .and_then(|left_out| fleet.choose(service, dc, &left_out, now));
+        let chosen = apart.or_else(|| fleet.choose(service, dc, &self.tried, now))?;
+        let others = standing != Standing::Clear
+            && fleet.has_sound_besides(service, &chosen.entry.name, now);
+        Some((chosen.entry.clone(), others))
+    }
+
+    /// Returns whether the request, which is suspected, may run on a target now. Waits for its trial.
+    fn admit(&mut self, target: &TargetName, others: bool) -> bool {
+        let patience = self.due().min(Instant::now() + TRIAL_PATIENCE);
+        let print = self.fingerprint();
+        let suspicion = &self.shared.suspicion;
+        match suspicion.admit(print, self.trial, target, others, self.due(), patience) {
+            Admission::Free | Admission::Watched => true,
+            Admission::Trial(claim) => {
+                self.trial = Some(claim);
+                true
+            }
+            Admission::Withheld(retry) => {
+                self.withheld = Some(retry);
+                false
+            }
+        }
+    }
+
     /// Sets the start time as soon as any attempt has sent a byte.
     fn record_start(&mut self) {
         let sent = self
@@ -435,6 +493,7 @@
         }
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
+        self.record_answer();
         let response = without_hop_by_hop(response);
         let repeatable = self.route.kind == RouteKind::Idempotent;
         if status >= 500 && repeatable && self.started < self.route.attempts.max(1) {
@@ -487,6 +546,7 @@
         };
         self.record_outcome(&attempt, outcome);
         if whole {
+            self.record_answer();
             caller.end()?;
             let connection = attempt.exchange.finish().1;
             if let Some(connection) = connection {
@@ -501,7 +561,7 @@
     }
 
     /// Relays the chunks of a stream as they arrive.
-    fn relay_stream(&self, caller: &mut Caller, attempt: &mut Attempt) -> io::Result<Ended> {
+    fn relay_stream(&mut self, caller: &mut Caller, attempt: &mut Attempt) -> io::Result<Ended> {
         loop {
             let progress = attempt.exchange.advance();
             caller.chunk(&attempt.exchange.take_body())?;
@@ -553,7 +613,7 @@
     }
 
     /// Records that an attempt ended without a complete response.
-    fn record_failure(&self, attempt: &Attempt, error: &CallError) {
+    fn record_failure(&mut self, attempt: &Attempt, error: &CallError) {
         let broken = error.was_sent() && matches!(error, CallError::Broken { .. });
         let fingerprint = broken.then(|| self.fingerprint().to_string());
         log::info!(
@@ -567,14 +627,21 @@
     }
 
     /// Records that the connection of an attempt broke off while the target had the request.
-    fn record_break(&self, attempt: &Attempt) {
+    fn record_break(&mut self, attempt: &Attempt) {
         let target = TargetStart {
             name: attempt.target.clone(),
             born: attempt.born,
             address: attempt.address,
         };
         let print = self.fingerprint();
-        self.shared.suspicion.record_break(target, print);
+        let trial = self.trial.take();
+        self.shared.suspicion.record_break(target, print, trial);
+    }
+
+    /// Records that a target has answered the request, so that it doesn't end its targets.
+    fn record_answer(&mut self) {
+        self.trial = None;
+        self.shared.suspicion.record_answer(|| self.fingerprint());
     }
 
     fn fingerprint(&self) -> Fingerprint {
@@ -609,6 +676,7 @@
         let now = self.shared.clock.now();
         let limited = self.shared.fleet().opens_in(&self.service, now);
         let retry_after = match limited {
+            _ if self.withheld.is_some() => self.withheld.unwrap_or_default(),
             _ if !self.tried.is_empty() => RETRY_AFTER_FULL,
             Some(opens_in) => opens_in.duration().max(RETRY_AFTER_FULL),
             None => RETRY_AFTER_NO_TARGET,
--- a/crates/godwitspool-host/src/store.rs
+++ b/crates/godwitspool-host/src/store.rs
@@ -23,6 +23,8 @@
     Targets,
     /// Requests that hosts have counted for usage; the store keeps them for a short time only.
     Usage,
+    /// Requests that are suspected of ending their targets. Any host appends.
+    Suspects,
 }
 
 impl Topic {
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -421,6 +421,14 @@
         })
     }
 
+    /// Returns whether a service has targets other than this one that are neither paused nor have failed
+    /// last.
+    pub fn has_sound_besides(&self, service: &ServiceName, name: &TargetName, now: Millis) -> bool {
+        let usable = self.usable(service).into_iter();
+        let mut others = usable.filter(|target| target.entry.name != *name);
+        others.any(|target| target.failures == 0 && target.paused_until <= now)
+    }
+
     /// Records that a target has begun to load a version.
     pub fn begin_load(&mut self, name: &TargetName, model: &ModelName, version: u64, now: Millis) {
         if let Some(target) = self.targets.get_mut(name) {
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limit;
 mod mirror;
+mod suspects;
 
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
@@ -20,3 +21,6 @@
 pub use leaving::Leaving;
 pub use limit::{Limited, Limiter, Permit};
 pub use mirror::{Fetched, Mirror, MirrorChange};
+pub use suspects::{
+    Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
+};
