Batches: items and reward calls that end their targets start seldom, in whichever batch

Reward calls weren't counted at all: one each 0.8 s, at the targets of interactive callers.

Cause: as for requests, the count lived in one batch at one owner. Both are now counted in the store's topic of suspects, under their identifiers. From the third end on one copy starts each 4.5 s in the whole fleet, by a claim; they can't be refused, since an item without a run for 5 s counts as forgotten.

Streams and requests that run at most once take the path of all requests and were covered before.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -37,6 +37,8 @@
 use godwitspool_types::{ModelName, Workspace};
 use serde::{Deserialize, Serialize};
 
+use crate::{process::Shared, version::Fingerprint};
+
 /// A batch as it was submitted.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Submission {
@@ -115,6 +117,18 @@
     pub scorer: Option<ScoreCall>,
 }
 
+impl ItemSpec {
+    /// Returns the fingerprint of the item in batches of a workspace and host.
+    pub fn fingerprint(&self, workspace: &Workspace, host: &str) -> Fingerprint {
+        Fingerprint::new(Some(workspace), "POST", host, &self.path, &self.body).with_id(&self.id)
+    }
+}
+
+/// Returns the name under which this host claims the items and reward calls of a batch.
+fn claimant(shared: &Shared, batch: &str) -> String {
+    format!("{}/{batch}", shared.member)
+}
+
 /// A reward call: the request that scores an item's complete output.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ScoreCall {
@@ -128,6 +142,13 @@
     pub body: Vec<u8>,
 }
 
+impl ScoreCall {
+    /// Returns the fingerprint of the call.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::new(None, "POST", &self.host, &self.path, &self.body).with_id(&self.id)
+    }
+}
+
 /// The result of an item.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ItemResult {
--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -9,12 +9,12 @@
 
 use godwitspool_types::{Millis, ServiceName, TargetName};
 
-use super::{Batch, Finished, Submission};
+use super::{Batch, Finished, Submission, claimant};
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress},
     lease_clock,
-    process::Shared,
+    process::{Shared, TargetStart},
     version::{CHOICE_LIFETIME, Configuration, Outcome, TargetEntry},
 };
 
@@ -88,6 +88,8 @@
     began: Millis,
     exchange: Exchange,
     timeout: Millis,
+    /// Whether the connection broke off behind the request.
+    broke_off: bool,
 }
 
 impl RewardCall {
@@ -150,6 +152,7 @@
                     .without_kernel_timeouts()
                     .begin_by(lease_clock() + CHOICE_LIFETIME),
                 timeout,
+                broke_off: false,
             }),
             Err(error) => {
                 log::warn!(target_name:% = target, error:%; "can't connect to a target");
@@ -186,7 +189,10 @@
                 (now - self.began >= limit).then_some(RewardOutcome::Broken)
             }
             Err(CallError::Connect { .. }) => Some(RewardOutcome::NotRun),
-            Err(_) => Some(RewardOutcome::Broken),
+            Err(error) => {
+                self.broke_off = matches!(error, CallError::Broken { sent: true, .. });
+                Some(RewardOutcome::Broken)
+            }
         }
     }
 
@@ -226,6 +232,7 @@
         now: Millis,
     ) -> Option<Finished> {
         let took_ms = (now - self.began).0;
+        self.record_end(shared, &outcome);
         shared.calls.count(outcome.as_str());
         let target_outcome = match outcome {
             RewardOutcome::Scored(_) | RewardOutcome::Failed => Outcome::Answered(took_ms as f64),
@@ -250,6 +257,23 @@
         batch.end_call(self.item, outcome, self.attempts, now, rand::random())
     }
 
+    /// Records what the end of the call says of the target.
+    fn record_end(&self, shared: &Shared, outcome: &RewardOutcome) {
+        let Some(call) = &self.submission.items[self.item].scorer else {
+            return;
+        };
+        let target = TargetStart {
+            name: self.target.clone(),
+            born: self.born,
+            address: self.address,
+        };
+        let answered = matches!(outcome, RewardOutcome::Scored(_) | RewardOutcome::Failed);
+        let claimant = claimant(shared, &self.submission.id);
+        let broke_off = self.broke_off.then_some(target);
+        let suspicion = &shared.suspicion;
+        suspicion.record_end(|| call.fingerprint(), &claimant, answered, broke_off);
+    }
+
     /// Stops the call: its batch has ended, or its partition isn't owned any more.
     pub fn drop_call(&self, shared: &Shared, now: Millis) {
         shared.fleet().finish(&self.target, Outcome::Dropped, now);
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -4,13 +4,13 @@
 
 use super::{
     Batch, EventBuffer, Move, OwnedPartition, Pace, RunFailure, RunView, Submission, Verdict,
-    decide_move, reward::RewardCall,
+    claimant, decide_move, reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress, wait},
     lease_clock,
-    process::Shared,
+    process::{Shared, TargetStart},
     store::Topic,
     version::{Basis, CHOICE_LIFETIME, Configuration, Outcome},
 };
@@ -63,6 +63,8 @@
     began: Millis,
     last_data: Millis,
     head_read: bool,
+    /// Whether the connection broke off behind the request.
+    broke_off: bool,
     pace: Pace,
     service: ServiceName,
 }
@@ -162,6 +164,17 @@
                 let (calls, others) = batch.next_calls(now);
                 waiting |= others;
                 for item in calls {
+                    let spec = &batch.submission.items[item];
+                    let claimant = claimant(&shared, &batch.submission.id);
+                    let pause = spec.scorer.as_ref().and_then(|call| {
+                        let print = || call.fingerprint();
+                        shared.suspicion.pause(print, &claimant)
+                    });
+                    if let Some(pause) = pause {
+                        batch.postpone(item, now + pause);
+                        waiting = true;
+                        continue;
+                    }
                     let started =
                         RewardCall::start(&shared, &configuration, batch, item, ownership);
                     let Some(call) = started else {
@@ -239,6 +252,13 @@
                         }
                     };
                     let submission = Arc::clone(&batch.submission);
+                    let spec = &submission.items[item];
+                    let print = || spec.fingerprint(&submission.workspace, &submission.host);
+                    let claimant = claimant(&self.shared, &submission.id);
+                    if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
+                        batch.postpone(item, now + pause);
+                        continue;
+                    }
                     let Some(route) = configuration.route(&submission.host, &submission.prefix)
                     else {
                         log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up: its route is gone");
@@ -361,6 +381,7 @@
             began: now,
             last_data: now,
             head_read: false,
+            broke_off: false,
             pace: Pace::default(),
             service: service.clone(),
             submission,
@@ -385,6 +406,7 @@
             let batch = part.and_then(|part| part.batches.get_mut(&run.submission.id));
             let Some(batch) = batch.filter(|batch| !batch.ended) else {
                 shared.fleet().finish(&run.target, Outcome::Dropped, now);
+                run.record_end(&shared, false);
                 continue;
             };
             let end = match run.step(&shared, batch, check_due, now) {
@@ -459,6 +481,7 @@
             Err(error) => {
                 let spec = &self.submission.items[self.item];
                 log::info!(item:% = spec.id, target_name:% = self.target, error:%; "connection of a run failed");
+                self.broke_off = matches!(error, CallError::Broken { sent: true, .. });
                 let failure = match error {
                     CallError::Connect { .. } => RunFailure::NotRun,
                     _ => RunFailure::Broken,
@@ -607,6 +630,7 @@
         now: Millis,
     ) -> Option<super::Finished> {
         let spec = &self.submission.items[self.item];
+        self.record_end(shared, matches!(end, RunEnd::Completed));
         let took_ms = (now - self.began).0;
         match *end {
             RunEnd::Completed => {
@@ -648,6 +672,23 @@
         }
     }
 
+    /// Records what the end of the run says of the target.
+    fn record_end(&self, shared: &Shared, completed: bool) {
+        let submission = &self.submission;
+        let spec = &submission.items[self.item];
+        let target = TargetStart {
+            name: self.target.clone(),
+            born: self.born,
+            address: self.address,
+        };
+        shared.suspicion.record_end(
+            || spec.fingerprint(&submission.workspace, &submission.host),
+            &claimant(shared, &submission.id),
+            completed,
+            self.broke_off.then_some(target),
+        );
+    }
+
     /// Returns the connection to the pool if it can be reused.
     fn release(self, shared: &Shared) {
         let connection: Option<Connection> = self.exchange.finish().1;
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -348,6 +348,11 @@
         Err(soonest)
     }
 
+    /// Has a waiting item start no sooner than at the given time.
+    pub fn postpone(&mut self, item: usize, not_before: Millis) {
+        self.items[item].state = ItemState::Waiting { not_before };
+    }
+
     /// Returns the number of items that wait for a target.
     pub fn waiting_items(&self) -> usize {
         let items = self.items.iter();
--- a/crates/godwitspool-host/src/process/suspicion.rs
+++ b/crates/godwitspool-host/src/process/suspicion.rs
@@ -11,15 +11,15 @@
 
 use godwitspool_process::CounterByReason;
 use godwitspool_sync::{Condvar, Mutex, MutexGuard};
-use godwitspool_types::TargetName;
+use godwitspool_types::{Millis, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
 use super::{Shared, duties::DutyLease, unix_ms};
 use crate::{
     store::{Record, Store, StoredRecord, Topic},
     version::{
-        Fetched, Fingerprint, Mirror, Standing, SuspectChange, SuspectRecord, Suspects, TargetEnd,
-        Trial,
+        Fetched, Fingerprint, Mirror, Pacing, Standing, SuspectChange, SuspectRecord, Suspects,
+        TargetEnd, Trial,
     },
 };
 
@@ -35,6 +35,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time that a trial lasts beyond the deadline of its request, until its host has recorded its end.
 const TRIAL_SLACK: Duration = Duration::from_secs(1);
+/// Delay until a claim for an item is looked at: a few calls to the store.
+const CLAIM_DELAY: Millis = Millis(50);
 /// Interval between checks for ends that are too old.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(30);
 /// Retry delay sent to the caller of a suspected request while another copy is on trial, or no target
@@ -264,6 +266,53 @@
         }
     }
 
+    /// Returns the time after which the copy of an item or a reward call with this claim may start;
+    /// `None` if it may start now. `print` is called only if any request is suspected.
+    pub fn pause(&self, print: impl FnOnce() -> Fingerprint, claimant: &str) -> Option<Millis> {
+        if self.lock().suspects.is_empty() {
+            return None;
+        }
+        let print = print();
+        let mut state = self.lock();
+        match state.suspects.pace(print, print.claim(claimant), unix_ms()) {
+            Pacing::Start => None,
+            Pacing::Wait(ms) => Some(Millis(ms)),
+            Pacing::Claim(trial) => {
+                let change = SuspectChange::Trial(trial);
+                state.append([SuspectRecord { print, change }]);
+                self.changed.notify_all();
+                Some(CLAIM_DELAY)
+            }
+        }
+    }
+
+    /// Records how a copy of an item or a reward call ended. `broke_off` names the target if the
+    /// connection broke off.
+    pub fn record_end(
+        &self,
+        print: impl FnOnce() -> Fingerprint,
+        claimant: &str,
+        answered: bool,
+        broke_off: Option<TargetStart>,
+    ) {
+        if broke_off.is_none() && self.lock().suspects.is_empty() {
+            return;
+        }
+        let print = print();
+        let claim = print.claim(claimant);
+        let trial = self
+            .lock()
+            .suspects
+            .has_trial(print, claim)
+            .then_some(claim);
+        match (broke_off, trial) {
+            (Some(target), trial) => self.record_break(target, print, trial),
+            (None, _) if answered => self.record_answer(|| print),
+            (None, Some(claim)) => self.end_trial(print, claim),
+            (None, None) => {}
+        }
+    }
+
     /// Records that a target has answered a request, which clears it.
     pub fn record_answer(&self, print: impl FnOnce() -> Fingerprint) {
         if self.lock().suspects.is_empty() {
--- a/crates/godwitspool-host/src/version/fingerprint.rs
+++ b/crates/godwitspool-host/src/version/fingerprint.rs
@@ -35,6 +35,20 @@
     }
 }
 
+impl Fingerprint {
+    /// Returns the fingerprint of the request with this identifier only, which its sender keeps when it
+    /// sends the request again.
+    #[must_use]
+    pub fn with_id(self, id: &str) -> Self {
+        Self(rapidhash_v3(format!("{self} {id}").as_bytes()))
+    }
+
+    /// Returns a number for a claim on the request by the given claimant.
+    pub fn claim(self, claimant: &str) -> u64 {
+        self.with_id(claimant).0
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -22,5 +22,5 @@
 pub use limit::{Limited, Limiter, Permit};
 pub use mirror::{Fetched, Mirror, MirrorChange};
 pub use suspects::{
-    Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
+    Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
 };
--- a/crates/godwitspool-host/src/version/suspects.rs
+++ b/crates/godwitspool-host/src/version/suspects.rs
@@ -18,6 +18,14 @@
 /// Number of ends from which on a request runs only on trial. One isn't enough: targets end by
 /// themselves too, with sound requests in flight.
 const TRIAL_ENDS: usize = 2;
+/// Number of ends from which on an item or a reward call starts only after a pause. They run for longer
+/// than requests, so they are in flight at more ends.
+const PAUSE_ENDS: usize = 3;
+/// Pause between two starts of such an item or call. It is shorter than the 5 s without a run after which
+/// the platform considers an item forgotten.
+const PAUSE_MS: u64 = 4_500;
+/// Time for which such an item or call may run before another host may start it.
+const RUN_MS: u64 = 30_000;
 /// Time for which a request is refused after its first end in a trial. A sound request may have been on
 /// trial by bad luck.
 const FIRST_REFUSAL_MS: u64 = 60_000;
@@ -27,6 +35,8 @@
 const RETENTION_MS: u64 = 900_000;
 /// Maximum number of ends that are kept; the oldest are forgotten first.
 const MAX_ENDS: usize = 16_384;
+/// Interval at which a copy of an item or call looks whether another one has ended.
+const CLAIM_RETRY_MS: u64 = 100;
 /// Time since its last end after which a request may be tried on the only sound target of its service.
 const LONE_TRIAL_DELAY_MS: u64 = 10_000;
 
@@ -67,6 +77,17 @@
     Refused(u64),
 }
 
+/// How an item or a reward call may start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Pacing {
+    /// Now.
+    Start,
+    /// Once the store has confirmed this trial as the only one.
+    Claim(Trial),
+    /// No sooner than after this time in milliseconds.
+    Wait(u64),
+}
+
 /// What a record of the store says of a suspected request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SuspectRecord {
@@ -243,6 +264,38 @@
         others || last.is_none_or(|last| now_ms >= last + LONE_TRIAL_DELAY_MS)
     }
 
+    /// Returns how an item or a reward call may start, which must not be refused for long: its caller
+    /// counts on it. `claim` identifies this copy of it.
+    pub fn pace(&self, print: Fingerprint, claim: u64, now_ms: u64) -> Pacing {
+        let Some(ends) = self.cases.get(&print) else {
+            return Pacing::Start;
+        };
+        if ends.len() < PAUSE_ENDS {
+            return Pacing::Start;
+        }
+        let due = self.last_end_ms(print).unwrap_or_default() + PAUSE_MS;
+        if now_ms < due {
+            return Pacing::Wait(due - now_ms);
+        }
+        match self.trials.get(&print).filter(|trial| trial.lasts(now_ms)) {
+            Some(trial) if trial.claim == claim => Pacing::Start,
+            Some(_) => Pacing::Wait(CLAIM_RETRY_MS),
+            None => Pacing::Claim(Trial {
+                claim,
+                target: TargetName::default(),
+                at_ms: now_ms,
+                until_ms: now_ms + RUN_MS,
+            }),
+        }
+    }
+
+    /// Returns whether the trial of a request has this claim.
+    pub fn has_trial(&self, print: Fingerprint, claim: u64) -> bool {
+        self.trials
+            .get(&print)
+            .is_some_and(|trial| trial.claim == claim)
+    }
+
     fn last_end_ms(&self, print: Fingerprint) -> Option<u64> {
         let ends = self.cases.get(&print)?;
         ends.values().map(|end| end.at_ms).max()
