Entry: every trial on a crashed target ends with the crash

Cause: two suspects may choose the same target for their trials at the same time. The crash removed both marks but blamed one, so the home of the other let no copy run until the trial's timeout of a minute. Now all suspects on trial on the target are blamed, a part each, which ends their trials.

--- a/crates/godwitspool-entry/src/request/suspicion.rs
+++ b/crates/godwitspool-entry/src/request/suspicion.rs
@@ -34,8 +34,8 @@
 enum CrashReport {
     /// Another request has reported the crash before.
     Duplicate,
-    /// The suspect with this fingerprint was on trial on the target.
-    InTrial(u64),
+    /// The suspects with these fingerprints were on trial on the target.
+    InTrial(Vec<u64>),
     /// No suspect was on trial on the target.
     New,
 }
@@ -62,18 +62,25 @@
     /// Records a crash and ends the trials on the target.
     fn record_crash(&self, id: TargetId, now: Millis) -> CrashReport {
         let mut state = self.lock();
-        let trial = state.trials.iter().find(|(other, _)| *other == id);
-        let trial = trial.map(|(_, fingerprint)| *fingerprint);
-        state.trials.retain(|(other, _)| *other != id);
+        let on_target = |(other, _): &(TargetId, u64)| *other == id;
+        let trials: Vec<u64> = state
+            .trials
+            .iter()
+            .filter(|trial| on_target(trial))
+            .map(|(_, fingerprint)| *fingerprint)
+            .collect();
+        state.trials.retain(|trial| !on_target(trial));
         state
             .recent_crashes
             .retain(|(_, when)| now < *when + CRASH_WINDOW);
         let reported = state.recent_crashes.iter().any(|(other, _)| *other == id);
         state.recent_crashes.push((id, now));
-        match trial {
-            Some(fingerprint) => CrashReport::InTrial(fingerprint),
-            None if reported => CrashReport::Duplicate,
-            None => CrashReport::New,
+        if !trials.is_empty() {
+            CrashReport::InTrial(trials)
+        } else if reported {
+            CrashReport::Duplicate
+        } else {
+            CrashReport::New
         }
     }
 
@@ -129,16 +136,16 @@
     target: &TargetName,
     in_flight: &[u64],
 ) {
-    let trial = match shared
+    let trials = match shared
         .serving
         .suspicion
         .record_crash(id, shared.serving.now())
     {
         CrashReport::Duplicate => return,
-        CrashReport::InTrial(fingerprint) => Some(fingerprint),
-        CrashReport::New => None,
+        CrashReport::InTrial(fingerprints) => fingerprints,
+        CrashReport::New => Vec::new(),
     };
-    for blame in split_blame(target, in_flight, trial) {
+    for blame in split_blame(target, in_flight, &trials) {
         let request = ServingRequest::Blame {
             part: blame.part,
             print: blame.fingerprint,
--- a/crates/godwitspool-measure/src/serving/poison.rs
+++ b/crates/godwitspool-measure/src/serving/poison.rs
@@ -171,7 +171,7 @@
             *self.counts.entry(*request).or_default() += 1;
         }
         let name = TargetName::from(format!("t{target}"));
-        for blame in split_blame(&name, requests, trial) {
+        for blame in split_blame(&name, requests, trial.as_slice()) {
             self.apply(SuspectEvent::Blamed(blame), now);
         }
     }
--- a/crates/godwitspool-request/src/quarantine.rs
+++ b/crates/godwitspool-request/src/quarantine.rs
@@ -51,22 +51,22 @@
 
 /// Splits the blame for a crash evenly among the requests in flight on the target.
 ///
-/// If one of them was on trial, it gets all of the blame and the others get none.
+/// If some of them were on trial, those get all of the blame and the others get none. Several may be on
+/// trial on one target, since hosts and requests choose targets at the same time; each of their trials
+/// ends with its blame.
 ///
 /// ```
 /// use godwitspool_request::split_blame;
 /// use godwitspool_types::TargetName;
 ///
 /// let target = TargetName::from("t1");
-/// let blames = split_blame(&target, &[7, 8], None);
+/// let blames = split_blame(&target, &[7, 8], &[]);
 /// assert_eq!(blames.iter().map(|blame| blame.part).collect::<Vec<_>>(), [500, 500]);
-/// assert_eq!(split_blame(&target, &[7, 8], Some(8)).len(), 1);
+/// assert_eq!(split_blame(&target, &[7, 8], &[8]).len(), 1);
 /// ```
-pub fn split_blame(target: &TargetName, in_flight: &[u64], trial: Option<u64>) -> Vec<Blame> {
-    let fingerprints: BTreeSet<u64> = match trial {
-        Some(fingerprint) => [fingerprint].into(),
-        None => in_flight.iter().copied().collect(),
-    };
+pub fn split_blame(target: &TargetName, in_flight: &[u64], trials: &[u64]) -> Vec<Blame> {
+    let blamed = if trials.is_empty() { in_flight } else { trials };
+    let fingerprints: BTreeSet<u64> = blamed.iter().copied().collect();
     let part = BLAME_PER_CRASH / fingerprints.len().max(1) as u32;
     let blame = |fingerprint| Blame {
         part,
--- a/crates/godwitspool-request/tests/quarantine.rs
+++ b/crates/godwitspool-request/tests/quarantine.rs
@@ -18,8 +18,8 @@
     }
 }
 
-fn crash(suspects: &mut Suspects, target: &str, in_flight: &[u64], trial: Option<u64>) {
-    for blame in split_blame(&TargetName::from(target), in_flight, trial) {
+fn crash(suspects: &mut Suspects, target: &str, in_flight: &[u64], trials: &[u64]) {
+    for blame in split_blame(&TargetName::from(target), in_flight, trials) {
         suspects.decide(SuspectEvent::Blamed(blame), Millis(0));
     }
 }
@@ -27,13 +27,13 @@
 #[test]
 fn a_suspect_that_crashes_its_trial_is_quarantined_and_those_beside_it_are_not() {
     let mut suspects = Suspects::default();
-    crash(&mut suspects, "t1", &[1, 2, 3, 4], None);
+    crash(&mut suspects, "t1", &[1, 2, 3, 4], &[]);
     assert!(suspects.quarantined(Millis(0)).is_empty());
     assert_eq!(
         suspects.decide(ask(3, CrashRecord::default()), Millis(1)),
         [SuspectAction::Try]
     );
-    crash(&mut suspects, "t2", &[3, 5, 6], Some(3));
+    crash(&mut suspects, "t2", &[3, 5, 6], &[3]);
     assert!(
         suspects.quarantined(Millis(2)).is_empty(),
         "one crash in a trial is not enough, since targets also crash for other reasons"
@@ -42,7 +42,7 @@
         suspects.decide(ask(3, CrashRecord::default()), Millis(2)),
         [SuspectAction::Try]
     );
-    crash(&mut suspects, "t3", &[3, 5, 7], Some(3));
+    crash(&mut suspects, "t3", &[3, 5, 7], &[3]);
     assert_eq!(suspects.quarantined(Millis(2)), vec![3_u64]);
     let refused = suspects.decide(ask(3, CrashRecord::default()), Millis(1_000));
     assert_eq!(
@@ -56,7 +56,7 @@
 #[test]
 fn one_copy_runs_at_a_time_and_an_answer_clears() {
     let mut suspects = Suspects::default();
-    crash(&mut suspects, "t1", &[1], None);
+    crash(&mut suspects, "t1", &[1], &[]);
     assert_eq!(
         suspects.decide(ask(1, CrashRecord::default()), Millis(1)),
         [SuspectAction::Try]
@@ -83,9 +83,9 @@
 #[test]
 fn a_quarantine_ends_by_itself_and_can_be_lifted() {
     let mut suspects = Suspects::default();
-    crash(&mut suspects, "t1", &[1], None);
-    crash(&mut suspects, "t2", &[1], Some(1));
-    crash(&mut suspects, "t3", &[1], Some(1));
+    crash(&mut suspects, "t1", &[1], &[]);
+    crash(&mut suspects, "t2", &[1], &[1]);
+    crash(&mut suspects, "t3", &[1], &[1]);
     assert_eq!(
         suspects.quarantined(Suspects::QUARANTINE_PERIOD - Millis(1)),
         vec![1_u64]
@@ -100,19 +100,19 @@
 fn two_reports_of_one_crash_count_once() {
     let mut suspects = Suspects::default();
     for _ in 0..5 {
-        crash(&mut suspects, "t1", &[1], None);
+        crash(&mut suspects, "t1", &[1], &[]);
     }
-    crash(&mut suspects, "t2", &[1], None);
+    crash(&mut suspects, "t2", &[1], &[]);
     assert!(suspects.quarantined(Millis(0)).is_empty());
 }
 
 #[test]
 fn a_trial_that_crashes_a_restarted_target_counts() {
     let mut suspects = Suspects::default();
-    crash(&mut suspects, "t1", &[1, 2], None);
+    crash(&mut suspects, "t1", &[1, 2], &[]);
     for _ in 0..2 {
         suspects.decide(ask(1, CrashRecord::default()), Millis(0));
-        crash(&mut suspects, "t1", &[1], Some(1));
+        crash(&mut suspects, "t1", &[1], &[1]);
     }
     assert_eq!(suspects.quarantined(Millis(0)), vec![1_u64]);
 }
@@ -133,7 +133,7 @@
         fresh.decide(ask(9, list.record(9)), Millis(1)),
         [SuspectAction::Try]
     );
-    crash(&mut fresh, "t2", &[9], Some(9));
+    crash(&mut fresh, "t2", &[9], &[9]);
     assert_eq!(fresh.quarantined(Millis(2)), vec![9_u64]);
 }
 
@@ -196,7 +196,7 @@
                     crashed.insert(target);
                 }
                 let name = TargetName::from(format!("t{target}"));
-                for blame in split_blame(&name, &fingerprints, trial) {
+                for blame in split_blame(&name, &fingerprints, trial.as_slice()) {
                     actions.extend(suspects.decide(SuspectEvent::Blamed(blame), now));
                 }
             } else if let Some(fingerprint) = trial {
@@ -242,9 +242,26 @@
 
     #[test]
     fn blame_for_a_crash_is_never_more_than_whole(in_flight in prop::collection::vec(any::<u64>(), 0..40)) {
-        let blames: Vec<Blame> = split_blame(&TargetName::from("t"), &in_flight, None);
+        let blames: Vec<Blame> = split_blame(&TargetName::from("t"), &in_flight, &[]);
         prop_assert!(blames.iter().map(|blame| blame.part).sum::<u32>() <= 1_000);
         let distinct: BTreeSet<u64> = in_flight.into_iter().collect();
         prop_assert_eq!(blames.len(), distinct.len());
     }
 }
+
+/// Two suspects chose the same target for their trials at the same time.
+#[test]
+fn every_trial_on_a_target_ends_with_its_crash() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, "t1", &[1, 2], &[]);
+    for suspect in [1, 2] {
+        let granted = suspects.decide(ask(suspect, CrashRecord::default()), Millis(1));
+        assert_eq!(granted, [SuspectAction::Try]);
+    }
+    crash(&mut suspects, "t2", &[1, 2, 3], &[1, 2]);
+    for suspect in [1, 2] {
+        let granted = suspects.decide(ask(suspect, CrashRecord::default()), Millis(2));
+        assert_eq!(granted, [SuspectAction::Try]);
+    }
+    assert!(suspects.quarantined(Millis(2)).is_empty());
+}
