Host: only a connection that its peer closed counts as the end of a target

A connection that the kernel gives up behind a cut, or an unreachable host, also broke off 'behind the request', and a cut that refuses new connections then looked like the end of a target. What a peer closed or reset counts, as a process that ends does.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -190,7 +190,7 @@
             }
             Err(CallError::Connect { .. }) => Some(RewardOutcome::NotRun),
             Err(error) => {
-                self.broke_off = matches!(error, CallError::Broken { sent: true, .. });
+                self.broke_off = error.was_closed();
                 Some(RewardOutcome::Broken)
             }
         }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -481,7 +481,7 @@
             Err(error) => {
                 let spec = &self.submission.items[self.item];
                 log::info!(item:% = spec.id, target_name:% = self.target, error:%; "connection of a run failed");
-                self.broke_off = matches!(error, CallError::Broken { sent: true, .. });
+                self.broke_off = error.was_closed();
                 let failure = match error {
                     CallError::Connect { .. } => RunFailure::NotRun,
                     _ => RunFailure::Broken,
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -66,6 +66,23 @@
             Self::Malformed { .. } => true,
         }
     }
+
+    /// Returns whether the peer closed or reset the connection after it may have received the request.
+    pub fn was_closed(&self) -> bool {
+        use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
+        match self {
+            Self::Broken { sent, source } => {
+                let closed = [
+                    BrokenPipe,
+                    ConnectionAborted,
+                    ConnectionReset,
+                    UnexpectedEof,
+                ];
+                *sent && closed.contains(&source.kind())
+            }
+            Self::Connect { .. } | Self::Late { .. } | Self::Malformed { .. } => false,
+        }
+    }
 }
 
 /// State of an exchange after [`Exchange::advance`].
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -570,7 +570,9 @@
                 Ok(Progress::Pending) => {}
                 Err(error) => {
                     log::info!(request = self.call.request(), target_name:% = attempt.target, error:%; "stream broke off");
-                    self.record_break(attempt);
+                    if error.was_closed() {
+                        self.record_break(attempt);
+                    }
                     return Ok(Ended::Failed(0));
                 }
             }
@@ -614,13 +616,13 @@
 
     /// Records that an attempt ended without a complete response.
     fn record_failure(&mut self, attempt: &Attempt, error: &CallError) {
-        let broken = error.was_sent() && matches!(error, CallError::Broken { .. });
-        let fingerprint = broken.then(|| self.fingerprint().to_string());
+        let closed = error.was_closed();
+        let fingerprint = closed.then(|| self.fingerprint().to_string());
         log::info!(
             request = self.call.request(), target_name:% = attempt.target, error:%, fingerprint;
             "try failed"
         );
-        if broken {
+        if closed {
             self.record_break(attempt);
         }
         self.record_outcome(attempt, Outcome::Failed);
