Host: a stream without its target's signature is no success

Such an attempt now fails before its head is passed on, with 502, since it may have run. The test saw 200 before.

--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -531,6 +531,13 @@
         }
         self.shared
             .observe_reply(&attempt.target, attempt.born, &reply, "stream");
+        if reply.signature.is_none() {
+            log::warn!(request = self.call.request(), target_name:% = attempt.target; "stream without a signature");
+            self.started += 1;
+            self.started_ms.get_or_insert_with(unix_ms);
+            self.record_outcome(&attempt, Outcome::Failed);
+            return Ok(None);
+        }
         let head = without_hop_by_hop(head.clone());
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
