Connections: idle ones to addresses that are gone are closed

Nobody takes a pooled connection to an address again once its target is gone, so it kept a file descriptor for good, up to 16 an address; with hundreds of targets that come and go a host runs out. Every 30 s the pool closes those that can't be used.

--- a/crates/godwitspool-host/src/http/pool.rs
+++ b/crates/godwitspool-host/src/http/pool.rs
@@ -1,4 +1,10 @@
-use std::{collections::HashMap, io, net::SocketAddr, sync::PoisonError};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::PoisonError,
+    time::{Duration, Instant},
+};
 
 use godwitspool_sync::{Mutex, MutexGuard};
 
@@ -6,12 +12,42 @@
 
 /// Maximum number of idle connections per address; more would only consume file descriptors.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
+/// Interval between two searches for idle connections that can't be used any more.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
-pub struct Pool(Mutex<HashMap<SocketAddr, Vec<Connection>>>);
+#[derive(Debug)]
+pub struct Pool {
+    idle: Mutex<Idle>,
+    interval: Duration,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connections: HashMap<SocketAddr, Vec<Connection>>,
+    swept_at: Instant,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(SWEEP_INTERVAL)
+    }
+}
 
 impl Pool {
+    /// Creates an empty pool, which searches at the given interval for connections that can't be used
+    /// any more.
+    pub fn new(interval: Duration) -> Self {
+        let idle = Idle {
+            connections: HashMap::new(),
+            swept_at: Instant::now(),
+        };
+        Self {
+            idle: Mutex::new(idle),
+            interval,
+        }
+    }
+
     /// Returns an idle connection, or starts a new one.
     ///
     /// # Errors
@@ -27,17 +63,22 @@
     /// Takes an idle connection that can carry another request, and closes those that can't.
     pub fn take(&self, address: SocketAddr) -> Option<Connection> {
         loop {
-            let mut connection = self.lock().get_mut(&address)?.pop()?;
+            let mut connection = self.lock().connections.get_mut(&address)?.pop()?;
             if connection.is_reusable() {
                 return Some(connection);
             }
         }
     }
 
-    /// Returns a connection to the pool, or closes it if the address has the maximum of idle ones.
+    /// Returns a connection to the pool, or closes it if the address has the maximum of idle ones. Now
+    /// and then, closes the connections that can't be used any more: nobody asks for those to addresses
+    /// that are gone.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
         let mut pool = self.lock();
-        let idle = pool.entry(address).or_default();
+        if pool.swept_at.elapsed() >= self.interval {
+            pool.sweep();
+        }
+        let idle = pool.connections.entry(address).or_default();
         if idle.len() < MAX_IDLE_PER_ADDRESS {
             idle.push(connection);
         }
@@ -45,10 +86,25 @@
 
     /// Closes all idle connections to an address.
     pub fn close(&self, address: SocketAddr) {
-        self.lock().remove(&address);
+        self.lock().connections.remove(&address);
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle_connections(&self) -> usize {
+        self.lock().connections.values().map(Vec::len).sum()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Idle {
+    fn sweep(&mut self) {
+        self.swept_at = Instant::now();
+        self.connections.retain(|_, idle| {
+            idle.retain_mut(Connection::is_reusable);
+            !idle.is_empty()
+        });
     }
 }
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -259,3 +259,25 @@
         "an idle connection is closed normally"
     );
 }
+
+/// Targets come and go at ever new addresses. Idle connections to those that are gone would use up the
+/// file descriptors.
+#[test]
+fn idle_connections_to_addresses_that_are_gone_are_closed() {
+    let pool = Pool::new(Duration::ZERO);
+    let open = || {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let connection = Pool::default().connect(address).unwrap();
+        let (peer, _) = listener.accept().unwrap();
+        pool.put(address, connection);
+        peer
+    };
+    for _ in 0..50 {
+        drop(open());
+        thread::sleep(Duration::from_millis(5));
+    }
+    let (first, second) = (open(), open());
+    assert!(pool.idle_connections() <= 3);
+    drop((first, second));
+}
