Host: a target chosen before the wait for a trial is chosen again

A suspected request may wait up to 300 ms for its trial. Its target was chosen before that, by entries as old as may be, so a target that began to leave meanwhile could get it too late (DRAIN). The probe of targets has a file of its own.

--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod peers;
 mod permits;
+mod probe;
 mod relay;
 mod reports;
 mod shared;
--- a/crates/godwitspool-host/src/process/suspicion.rs
+++ b/crates/godwitspool-host/src/process/suspicion.rs
@@ -2,8 +2,7 @@
 
 use std::{
     collections::HashMap,
-    io,
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     sync::PoisonError,
     thread,
     time::{Duration, Instant},
@@ -14,7 +13,7 @@
 use godwitspool_types::{Millis, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Shared, duties::DutyLease, unix_ms};
+use super::{Shared, duties::DutyLease, probe::Probe, unix_ms};
 use crate::{
     store::{Record, Store, StoredRecord, Topic},
     version::{
@@ -23,11 +22,6 @@
     },
 };
 
-/// Timeout of a connection that shows whether a target has ended: several round trips between data
-/// centres.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
-/// Delay of a second probe. A process that ends may close its connections before its listener.
-const PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time that one read of the suspects waits for new records. It bounds how long a read that
 /// hangs hides news.
 const READ_WAIT: Duration = Duration::from_secs(2);
@@ -63,17 +57,6 @@
     }
 }
 
-/// What a probe shows of a target whose connections have broken off.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Probe {
-    /// Nothing listens at its address any more.
-    Ended,
-    /// It takes connections.
-    Alive,
-    /// It can't be reached.
-    Unknown,
-}
-
 /// A request that broke off.
 #[derive(Clone, Copy, Debug)]
 struct Break {
@@ -365,7 +348,7 @@
             let broken = std::mem::take(&mut state.broken);
             drop(state);
             for (target, breaks) in broken {
-                let probe = probe(target.address);
+                let probe = Probe::of(target.address);
                 for broken in breaks {
                     self.conclude(&target, broken, probe);
                 }
@@ -485,29 +468,3 @@
     let change = SuspectChange::Trial(trial);
     SuspectRecord { print, change }
 }
-
-impl Probe {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Ended => "target ended",
-            Self::Alive => "target alive",
-            Self::Unknown => "target unknown",
-        }
-    }
-}
-
-/// Connects to an address to find out whether its process has ended.
-fn probe(address: SocketAddr) -> Probe {
-    for delay in [Duration::ZERO, PROBE_DELAY] {
-        thread::sleep(delay);
-        match TcpStream::connect_timeout(&address, PROBE_TIMEOUT) {
-            Ok(_) => {}
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Probe::Ended,
-            Err(error) => {
-                log::debug!(address:%, error:%; "can't tell whether a target has ended");
-                return Probe::Unknown;
-            }
-        }
-    }
-    Probe::Alive
-}
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -174,7 +174,8 @@
             .as_millis() as u64;
         log::info!(
             request = call.request(), route = route.name, service:% = forward.service,
-            tried:? = forward.tried, begun = forward.started, withheld:? = forward.withheld, entries_ms = forward.entries_ms,
+            tried:? = forward.tried, begun = forward.started, withheld:? = forward.withheld,
+            entries_ms = forward.entries_ms,
             took_ms = forward.arrived.elapsed().as_millis() as u64, left_ms, ended:?;
             "request not served"
         );
@@ -304,8 +305,13 @@
             let Some((entry, others)) = self.choose(standing, now) else {
                 return false;
             };
-            if standing != Standing::Clear && !self.admit(&entry.name, others) {
-                return false;
+            if standing != Standing::Clear {
+                if !self.admit(&entry.name, others) {
+                    return false;
+                }
+                if self.shared.clock.now() - now > CHOICE_LIFETIME {
+                    continue;
+                }
             }
             let TargetEntry {
                 name: target,
