Duties: a holder that regains them uninterrupted acts at once

Cause: without fences every new term waits for a lease (3 s), also if the store deals the duties to the host that held them before. Change: the host appends nothing under its previous epoch. The store accepts that only if no other host has begun a term since, and then the new term waits for nothing. An append of unknown outcome confirms nothing. The decision is TermStart::active_from. Tests: the first wait after an outage was 3,000 ms by the rule of before, now 0; after another holder it stays.

--- a/crates/godwitspool-host/src/duty/lease.rs
+++ b/crates/godwitspool-host/src/duty/lease.rs
@@ -50,3 +50,48 @@
         now < self.until
     }
 }
+
+/// What a host knows of earlier holders when it begins a term of the duties.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TermStart {
+    /// Whether the store has confirmed that no other host began a term since this host's last one.
+    pub uninterrupted: bool,
+    /// Whether targets and the platform refuse lower fencing tokens.
+    pub fenced: bool,
+    /// When this host last acted, if it has held the duties before.
+    pub last_action: Option<Millis>,
+    /// Duration of the lease.
+    pub lease: Millis,
+    /// The current time.
+    pub now: Millis,
+}
+
+impl TermStart {
+    /// Returns the time from which on the host may act in the new term. A host that has held the duties
+    /// before waits for one lease after its last action, so that holders never alternate within a lease.
+    /// Without fencing, every new holder waits until the lease of an earlier one must have expired. No
+    /// wait is needed if nobody else can have acted meanwhile.
+    ///
+    /// Load pattern: the store is away for all hosts for longer than a lease, and deals the duties to the
+    /// same host again, while trainers wait for versions that no target has loaded.
+    ///
+    /// ```
+    /// use godwitspool_host::duty::TermStart;
+    /// use godwitspool_types::Millis;
+    ///
+    /// let taken_over = TermStart { lease: Millis(3_000), now: Millis(9_000), ..TermStart::default() };
+    /// assert_eq!(taken_over.active_from(), Millis(12_000));
+    /// let regained = TermStart { uninterrupted: true, ..taken_over };
+    /// assert_eq!(regained.active_from(), Millis(9_000));
+    /// ```
+    pub fn active_from(&self) -> Millis {
+        if self.uninterrupted {
+            return self.now;
+        }
+        if !self.fenced {
+            return self.now + self.lease;
+        }
+        let own = self.last_action.map(|last_action| last_action + self.lease);
+        own.map_or(self.now, |own| own.max(self.now))
+    }
+}
--- a/crates/godwitspool-host/src/duty/mod.rs
+++ b/crates/godwitspool-host/src/duty/mod.rs
@@ -3,5 +3,5 @@
 mod lease;
 mod loads;
 
-pub use lease::Lease;
+pub use lease::{Lease, TermStart};
 pub use loads::{LoadView, Loading, next_load, plan_loads};
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -11,7 +11,7 @@
 use super::{LoadNotice, Shared, shared::unix_ms};
 use crate::{
     dialect::{DutyError, Fence, LoadMode, LoadOrder, Ordered, WindowReport},
-    duty::{Lease, LoadView, Loading, next_load, plan_loads},
+    duty::{Lease, LoadView, Loading, TermStart, next_load, plan_loads},
     http::Exchange,
     lease_clock,
     store::{Record, Store, StoreError, Topic, Writer, read_all},
@@ -133,10 +133,13 @@
             let Some(epoch) = self.duty_lease.epoch() else {
                 continue;
             };
-            if term.as_ref().is_none_or(|term| term.epoch != epoch) {
-                term = self.begin_term(epoch);
+            if term.as_ref().is_none_or(|term| term.epoch != epoch)
+                && let Some(begun) = self.begin_term(epoch, term.as_mut())
+            {
+                term = Some(begun);
             }
             if let Some(current) = &mut term
+                && current.epoch == epoch
                 && lease_clock() >= current.active_from
             {
                 self.order_loads(current.epoch);
@@ -159,9 +162,30 @@
         next.map_or(MAX_POLL_INTERVAL, |next| next.min(MAX_POLL_INTERVAL))
     }
 
+    /// Returns whether the store confirms that no other host has begun a term since this host's previous
+    /// one: it still accepts an append under the previous epoch, which every later holder's epoch fences.
+    /// Each sequence number serves for one append only, since the store answers a repeated one as the first.
+    fn is_uninterrupted(&self, previous: &mut Term) -> bool {
+        let writer = Writer {
+            epoch: previous.epoch,
+            seq: previous.seq,
+        };
+        let store = self.shared.store.as_ref();
+        let append = || store.append(Topic::Duty, 0, &[], Some(writer));
+        if previous.unconfirmed.is_some() {
+            return false;
+        }
+        let appended = self.shared.duties_activity.wait(append);
+        if !matches!(appended, Err(StoreError::NotDone { .. })) {
+            previous.seq += 1;
+        }
+        appended.is_ok()
+    }
+
     /// Fences earlier holders by an empty append under the new epoch, and loads the frozen windows.
     /// Returns `None` if the store fails; the next round tries again.
-    fn begin_term(&self, epoch: u64) -> Option<Term> {
+    fn begin_term(&self, epoch: u64, previous: Option<&mut Term>) -> Option<Term> {
+        let uninterrupted = previous.is_some_and(|previous| self.is_uninterrupted(previous));
         let store = self.shared.store.as_ref();
         let writer = Writer { epoch, seq: 0 };
         let read = self.shared.duties_activity.wait(|| {
@@ -188,17 +212,17 @@
                 Err(error) => log::warn!(key:% = stored.record.key, error:%; "window skipped"),
             }
         }
-        // A host that has held the duties before waits for one lease duration after its last
-        // action, so that holders never alternate within a lease. Without fencing, every new holder
-        // waits until the lease of an earlier one must have expired.
-        let lease = Millis::from(self.shared.settings.lease);
-        let active_from = if self.shared.settings.fenced {
-            self.last_action
-                .map_or(Millis::ZERO, |last_action| last_action + lease)
-        } else {
-            lease_clock() + lease
-        };
-        log::info!(epoch, frozen = frozen.len(); "duties begun");
+        let now = lease_clock();
+        let active_from = TermStart {
+            uninterrupted,
+            fenced: self.shared.settings.fenced,
+            last_action: self.last_action,
+            lease: Millis::from(self.shared.settings.lease),
+            now,
+        }
+        .active_from();
+        let wait_ms = (active_from - now).0;
+        log::info!(epoch, frozen = frozen.len(), uninterrupted, wait_ms; "duties begun");
         Some(Term {
             epoch,
             seq: 1,
