--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     io,
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
@@ -86,13 +86,20 @@
 struct Group {
     /// Number of assignments so far.
     generation: u64,
-    /// Time of the last join and time to live, by member.
-    members: BTreeMap<String, (Instant, Duration)>,
-    topics: Vec<String>,
+    members: BTreeMap<String, Member>,
     /// Owner by topic and partition number.
     owners: BTreeMap<(String, u32), String>,
 }
 
+/// A member as of its last join.
+#[derive(Debug)]
+struct Member {
+    joined_at: Instant,
+    ttl: Duration,
+    /// Topics whose partitions it may be assigned. They may differ between members.
+    topics: Vec<String>,
+}
+
 impl PlatformStore {
     /// Starts a store with `parts` partitions per topic.
     ///
@@ -242,7 +249,10 @@
                 Response::new(200, "{}")
             }
             "/api/log-owners" => {
-                let state = self.lock();
+                let mut state = self.lock();
+                if state.group.expire(Instant::now()) {
+                    state.group.assign(parts);
+                }
                 let owners = state.group.owners.iter();
                 let rows = owners.map(|((topic, part), member)| json!([topic, part, member, 0]));
                 json_response(200, &json!({ "parts": rows.collect::<Vec<_>>() }))
@@ -371,14 +381,15 @@
             .collect();
         let mut state = self.lock();
         let group = &mut state.group;
-        group.topics = topics;
         let now = Instant::now();
-        let rejoined = group.members.insert(member.clone(), (now, ttl)).is_some();
-        let members = group.members.len();
-        group
-            .members
-            .retain(|_, (joined_at, ttl)| now.duration_since(*joined_at) < *ttl);
-        if !rejoined || group.members.len() != members {
+        let joined = Member {
+            joined_at: now,
+            ttl,
+            topics: topics.clone(),
+        };
+        let before = group.members.insert(member.clone(), joined);
+        let renewed = before.is_some_and(|before| before.topics == topics);
+        if group.expire(now) || !renewed {
             group.assign(parts);
         }
         let owned = group.owners.iter().filter(|(_, owner)| **owner == member);
@@ -413,40 +424,55 @@
 }
 
 impl Group {
-    /// Assigns the partitions evenly. A partition keeps its owner if that is still a member and has
-    /// no more than its share.
+    /// Removes the members that have not renewed their membership in time; returns whether there were any.
+    fn expire(&mut self, now: Instant) -> bool {
+        let count = self.members.len();
+        self.members
+            .retain(|_, member| now.duration_since(member.joined_at) < member.ttl);
+        self.members.len() < count
+    }
+
+    /// Assigns the partitions of each topic evenly to the members that joined for it. A partition keeps
+    /// its owner if that is still such a member and has no more than its share.
     fn assign(&mut self, parts: u32) {
         self.generation += 1;
-        let all = self
-            .topics
-            .iter()
-            .flat_map(|topic| (0..parts).map(move |part| (topic, part)));
-        let all: Vec<(String, u32)> = all.map(|(topic, part)| (topic.clone(), part)).collect();
-        let members: Vec<&String> = self.members.keys().collect();
-        let max_share = all.len().div_ceil(members.len().max(1));
+        let topics = self.members.values().flat_map(|member| &member.topics);
+        let topics: BTreeSet<&String> = topics.collect();
+        let all = topics
+            .into_iter()
+            .flat_map(|topic| (0..parts).map(move |part| (topic.clone(), part)));
+        let all: Vec<(String, u32)> = all.collect();
+        let candidates = |topic: &String| {
+            let members = self.members.iter();
+            let joined = members.filter(|(_, member)| member.topics.contains(topic));
+            joined.map(|(name, _)| name).collect::<Vec<_>>()
+        };
         let mut shares: HashMap<&String, usize> = HashMap::new();
         let mut owners = BTreeMap::new();
         let mut unassigned = Vec::new();
-        for topic_part in all {
+        for topic_part in &all {
+            let members = candidates(&topic_part.0);
+            let max_share = all.len().div_ceil(members.len().max(1));
             let current = self
                 .owners
-                .get(&topic_part)
+                .get(topic_part)
                 .and_then(|old| members.iter().copied().find(|member| *member == old));
             match current {
                 Some(member) if shares.get(member).copied().unwrap_or_default() < max_share => {
                     *shares.entry(member).or_default() += 1;
-                    owners.insert(topic_part, member.clone());
+                    owners.insert(topic_part.clone(), member.clone());
                 }
                 _ => unassigned.push(topic_part),
             }
         }
         for topic_part in unassigned {
+            let members = candidates(&topic_part.0);
             let least_loaded = members
                 .iter()
                 .min_by_key(|member| shares.get(*member).copied());
             if let Some(member) = least_loaded {
                 *shares.entry(member).or_default() += 1;
-                owners.insert(topic_part, (*member).clone());
+                owners.insert(topic_part.clone(), (*member).clone());
             }
         }
         self.owners = owners;
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -48,7 +48,7 @@
 /// Limits of the platform's store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreBounds {
-    /// Number of partitions of each of this project's topics, 8 by default.
+    /// Number of partitions of batches, and of their results, 8 by default.
     pub parts: u32,
     /// Maximum size of a record in bytes, 256 KiB by default.
     pub record_bytes: usize,
