Reports: the interval grows with the number of holders

Cause: each holder reports to each other one every 15 ms; with 64 partitions a host would receive 4,267 reports/s. Change: 15 ms for up to 16 other holders, as before; beyond, in proportion, at most 140 ms: two intervals and the runner's checks fit into the 500 ms after which reports are discarded. Taken-over partitions are reported as before. A runner wakes up for a report that was held back, and counts its runs only for a report. The holders' addresses are parsed once per list. A report with very many partitions is split; one of 128 could exceed a datagram.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -111,24 +111,29 @@
     pub fn run(mut self) -> io::Result<()> {
         loop {
             let waiting = self.start_calls() | self.start_items();
-            self.report();
+            let report_due = self.report();
             let active = !self.runs.is_empty() || !self.calls.is_empty();
-            let timeout = (waiting || active).then(|| CHECK_INTERVAL.duration());
-            self.wait(timeout)?;
+            let check_due = (waiting || active).then_some(CHECK_INTERVAL);
+            let due = [check_due, report_due].into_iter().flatten().min();
+            self.wait(due.map(Millis::duration))?;
             self.advance();
             self.advance_calls();
         }
     }
 
-    /// Reports the number of runs and reward calls per target to the other hosts.
-    fn report(&self) {
-        let mut running: HashMap<TargetName, u32> = HashMap::new();
-        let runs = self.runs.iter().map(|run| &run.target);
-        for target in runs.chain(self.calls.iter().map(|call| &call.target)) {
-            *running.entry(target.clone()).or_default() += 1;
-        }
+    /// Reports the number of runs and reward calls per target to the other hosts. Returns the time until
+    /// a report that is held back is due.
+    fn report(&self) -> Option<Millis> {
+        let running = || {
+            let mut running: HashMap<TargetName, u32> = HashMap::new();
+            let runs = self.runs.iter().map(|run| &run.target);
+            for target in runs.chain(self.calls.iter().map(|call| &call.target)) {
+                *running.entry(target.clone()).or_default() += 1;
+            }
+            running
+        };
         let shared = &self.shared;
-        shared.reports.send(shared, shared.incarnation, running);
+        shared.reports.send(shared, shared.incarnation, running)
     }
 
     fn wait(&self, timeout: Option<Duration>) -> io::Result<()> {
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -23,7 +23,7 @@
 pub use ending::{DrainPlan, Ending, RETRY_AFTER_END};
 pub use host::Host;
 pub use relay::Relay;
-pub use reports::{LoadNotice, Notice, RunReport};
+pub use reports::{LoadNotice, Notice, RunReport, report_interval};
 pub use shared::{Adapters, Shared, unix_ms};
 pub use suspicion::{Admission, SuspectRun, Suspicion, TargetStart};
 pub use tails::read_wait;
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -24,6 +24,10 @@
     /// When the list was last requested.
     requested_at: Option<Millis>,
     holdings: Vec<Holding>,
+    /// Addresses of the other hosts in the list, each once.
+    others: Vec<SocketAddr>,
+    /// Whether this host is in the list.
+    includes_own: bool,
     /// Whether the list must be refreshed before its maximum age.
     stale: bool,
 }
@@ -52,32 +56,22 @@
 
     /// Returns the addresses of all other hosts that hold at least one partition, as last listed. Never
     /// blocks: the membership's renewal refreshes the list.
-    pub fn holders(&self, shared: &Shared) -> Vec<SocketAddr> {
-        let cache = self.lock();
-        let held = cache
-            .holdings
-            .iter()
-            .filter_map(|holding| address(&holding.member));
-        let mut addresses: Vec<SocketAddr> = held
-            .filter(|address| *address != shared.settings.peer)
-            .collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
+    pub fn holders(&self) -> Vec<SocketAddr> {
+        self.lock().others.clone()
+    }
+
+    /// Returns the number of other hosts that hold at least one partition, as last listed.
+    pub fn holder_count(&self) -> usize {
+        self.lock().others.len()
     }
 
     /// Returns the addresses of the hosts that limit the requests to a target, this one included: its
     /// home first, then the one that stands in. All hosts that know the same list agree on them.
     pub fn homes(&self, shared: &Shared, target: &str) -> Vec<SocketAddr> {
-        let mut homes = self.holders(shared);
-        let own = shared.settings.peer;
         let cache = self.lock();
-        if cache
-            .holdings
-            .iter()
-            .any(|held| address(&held.member) == Some(own))
-        {
-            homes.push(own);
+        let mut homes = cache.others.clone();
+        if cache.includes_own {
+            homes.push(shared.settings.peer);
         }
         drop(cache);
         let weight = |home: &SocketAddr| rapidhash_v3(format!("{target}@{home}").as_bytes());
@@ -101,7 +95,16 @@
         drop(cache);
         match shared.store.holdings() {
             Ok(holdings) => {
+                let members = holdings.iter();
+                let mut others: Vec<SocketAddr> =
+                    members.filter_map(|held| address(&held.member)).collect();
+                others.sort_unstable();
+                others.dedup();
+                let own = shared.settings.peer;
                 let mut cache = self.lock();
+                cache.includes_own = others.contains(&own);
+                others.retain(|other| *other != own);
+                cache.others = others;
                 cache.holdings = holdings;
                 cache.stale = false;
             }
--- a/crates/godwitspool-host/src/process/reports.rs
+++ b/crates/godwitspool-host/src/process/reports.rs
@@ -20,11 +20,38 @@
 const REPORT_INTERVAL: Millis = Millis(100);
 /// Minimum interval between reports, even if runs have changed.
 const MIN_REPORT_INTERVAL: Millis = Millis(15);
+/// Number of other holders up to which that interval applies: as many as a store with 8 partitions for
+/// results and 8 for duties can have, which is what the interval was measured with.
+const BASE_HOLDERS: u64 = 16;
+/// Maximum value of the minimum interval. A report may wait as long again for the runner's next check
+/// (100 ms), and two intervals must fit into the 500 ms after which receivers discard a report, so that
+/// one lost datagram doesn't hide a host's runs.
+const MAX_REPORT_INTERVAL: Millis = Millis(140);
 /// Maximum size of a datagram; it fits into one network packet.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// Returns the minimum interval between a host's reports if `holders` other hosts hold partitions.
+///
+/// Load pattern: each holder reports to each other one, so what all receive together grows with the
+/// square of their number. The interval grows with the number, so that one host receives no more reports
+/// than from 16 holders at the shortest interval, about 1,070 per second.
+///
+/// ```
+/// use godwitspool_host::process::report_interval;
+/// use godwitspool_types::Millis;
+///
+/// assert_eq!(report_interval(16), Millis(15));
+/// assert_eq!(report_interval(64), Millis(60));
+/// assert_eq!(report_interval(1_000), Millis(140));
+/// ```
+pub fn report_interval(holders: usize) -> Millis {
+    let holders = (holders as u64).max(BASE_HOLDERS);
+    let interval = (MIN_REPORT_INTERVAL.0 * holders).div_ceil(BASE_HOLDERS);
+    Millis(interval).min(MAX_REPORT_INTERVAL)
+}
+
 /// A datagram between hosts.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Notice {
@@ -99,6 +126,18 @@
                 datagrams.extend(Self::Runs(rest).datagrams()?);
                 Ok(datagrams)
             }
+            // A host that owns most partitions of a store with many topics.
+            Self::Runs(mut report) if report.owned.len() > 1 => {
+                let rest = RunReport {
+                    owned: report.owned.split_off(report.owned.len() / 2),
+                    running: Vec::new(),
+                    named: Vec::new(),
+                    ..report
+                };
+                let mut datagrams = Self::Runs(report).datagrams()?;
+                datagrams.extend(Self::Runs(rest).datagrams()?);
+                Ok(datagrams)
+            }
             Self::Runs(_) | Self::Load(_) => Err(io::Error::other(format!(
                 "{} bytes exceed a datagram",
                 bytes.len()
@@ -139,22 +178,33 @@
         }
     }
 
-    /// Reports the runs of this host to the others if a report is due.
-    pub fn send(&self, shared: &Shared, sender: u32, running: HashMap<TargetName, u32>) {
-        let Some(socket) = &self.socket else {
-            return;
-        };
+    /// Reports the runs of this host to the others if a report is due. `running` is called only then.
+    /// Returns the time until runs that have changed meanwhile may be reported, if the interval is so
+    /// long that others would rely on old runs for a noticeable time.
+    pub fn send(
+        &self,
+        shared: &Shared,
+        sender: u32,
+        running: impl FnOnce() -> HashMap<TargetName, u32>,
+    ) -> Option<Millis> {
+        let socket = self.socket.as_ref()?;
         let now = shared.clock.now();
+        let interval = report_interval(shared.peers.holder_count());
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         let age = now - last.sent_at;
         if age < MIN_REPORT_INTERVAL {
-            return;
+            return (interval > MIN_REPORT_INTERVAL).then(|| interval - age);
+        }
+        // Earlier owners learn from the report that a partition was taken over, which can't wait.
+        let owned = shared.owned_batches.owned();
+        if age < interval && owned == last.report.owned {
+            return Some(interval - age);
         }
         let mut report = RunReport {
             sender,
             number: last.number,
-            running: running.into_iter().collect(),
-            owned: shared.owned_batches.owned(),
+            running: running().into_iter().collect(),
+            owned,
             named: shared.newest_versions().into_iter().collect(),
         };
         report.running.sort();
@@ -162,7 +212,7 @@
         let idle = report.running.is_empty();
         let unchanged = report == last.report;
         if unchanged && (idle || age < REPORT_INTERVAL) {
-            return;
+            return None;
         }
         last.sent_at = now;
         last.number += 1;
@@ -172,6 +222,7 @@
         };
         drop(last);
         broadcast(shared, socket, Notice::Runs(report));
+        None
     }
 
     /// Notifies the other hosts of a load, so that they send nothing to the target meanwhile and
@@ -233,7 +284,7 @@
             return;
         }
     };
-    for address in shared.peers.holders(shared) {
+    for address in shared.peers.holders() {
         for datagram in &datagrams {
             if let Err(error) = socket.send_to(datagram, address) {
                 log::debug!(error:%, peer:% = address; "can't send a report");
