Duties: a limit on loads, and targets that haven't loaded yet are asked later

What callers saw: at 100 and 300 hosts (1,002 and 3,003 targets) most items found no target with the version of their step. Cause: a fifth of all targets loaded at the same time. The storage of weights serves few at full speed, so with 200 at once each load took longer than the time between two versions; hosts took loads as done after a second. Evidence: log of an own variant of a deployment with 900 targets: 7,961 of 9,383 orders answered as busy, 18,704 of 20,081 arrivals refused by targets. A target that refuses a request for an expected version gets none for 0.5 s.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -67,6 +67,8 @@
     broke_off: bool,
     pace: Pace,
     service: ServiceName,
+    /// Version that the target should have loaded, if nothing had confirmed it.
+    expected: Option<u64>,
 }
 
 /// The state of a run after its socket was served.
@@ -389,6 +391,7 @@
             broke_off: false,
             pace: Pace::default(),
             service: service.clone(),
+            expected: place.expected,
             submission,
         })
     }
@@ -608,6 +611,9 @@
         let (status, reply) = (head.status, shared.dialect.reply(head));
         let failed = |failure, outcome| Step::Ended(RunEnd::Failed(failure, outcome));
         let answered = Outcome::Answered((now - self.began).0 as f64);
+        if let Some(version) = self.expected.filter(|_| reply.not_run || status == 421) {
+            shared.fleet().defer_load(&self.target, version, now);
+        }
         if reply.not_run {
             return failed(RunFailure::NotRun, Outcome::Refused);
         }
--- a/crates/godwitspool-host/src/duty/loads.rs
+++ b/crates/godwitspool-host/src/duty/loads.rs
@@ -10,10 +10,6 @@
 /// Time after which an accepted order is repeated if the target's entry doesn't show its effect. It
 /// covers the load itself and the delay until the entry is read.
 const ORDER_TIMEOUT: Millis = Millis(4_000);
-/// Number of targets per concurrent load. More concurrent loads slow each other down.
-const TARGETS_PER_LOAD: usize = 5;
-/// Number of concurrent loads that is always allowed, since so few don't slow each other down.
-const MIN_CONCURRENT_LOADS: usize = 2;
 /// Number of consecutive failures from which on a target counts as unreachable: it isn't counted on, and
 /// is tried again only while there is nothing more urgent.
 const MAX_FAILURES: u32 = 2;
@@ -42,6 +38,8 @@
     pub loading: &'a HashMap<TargetName, Loading>,
     /// What the targets do with a model's running requests.
     pub mode: LoadMode,
+    /// Maximum number of concurrent loads.
+    pub most: usize,
     /// Current time.
     pub now: Millis,
 }
@@ -80,13 +78,12 @@
 /// models.
 pub fn plan_loads(view: &LoadView<'_>) -> Vec<LoadOrder> {
     let now = view.now;
-    let max_loads = (view.targets.len() / TARGETS_PER_LOAD).max(MIN_CONCURRENT_LOADS);
     let in_progress = view
         .loading
         .values()
         .filter(|load| now - load.since < LOAD_TIME)
         .count();
-    let available = max_loads.saturating_sub(in_progress);
+    let available = view.most.saturating_sub(in_progress);
     if available == 0 {
         return Vec::new();
     }
@@ -94,7 +91,7 @@
     models.sort();
     let is_reachable = |target: &&&Target| target.failures < MAX_FAILURES;
     let share = view.targets.iter().filter(is_reachable).count() / models.len().max(1);
-    let mut candidates: Vec<(Need, u64, &TargetName, &ModelName)> = Vec::new();
+    let mut candidates: Vec<(Need, usize, u64, &Target, &ModelName)> = Vec::new();
     for model in models {
         let newest = view.newest_versions[model];
         let versions: Vec<(&Target, u64)> = view
@@ -116,7 +113,7 @@
             .iter()
             .filter(|(target, at)| *at < newest && !view.is_loading(target))
             .collect();
-        behind.sort_by_key(|(target, at)| (!own(target), *at, target.total_running(now)));
+        behind.sort_by_cached_key(|(target, at)| (!own(target), *at, target.total_running(now)));
         for (rank, (target, at)) in behind.into_iter().enumerate() {
             let own = own(target);
             let need = if usable + rank < half.min(2) {
@@ -130,27 +127,30 @@
             } else {
                 continue;
             };
-            candidates.push((need, newest - at, &target.entry.name, model));
+            candidates.push((need, up_to_date + rank, newest - at, target, model));
         }
     }
-    candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(b.2)));
+    // Among equal needs the model with the fewest targets for its next step comes first, so that the
+    // models share loads that are scarce.
+    candidates.sort_by(|a, b| {
+        let rank = |(need, up_to_date, ..): &(Need, usize, u64, &Target, &ModelName)| match need {
+            Need::Next => (*need, *up_to_date),
+            _ => (*need, 0),
+        };
+        let order = rank(a).cmp(&rank(b)).then(b.2.cmp(&a.2));
+        order.then_with(|| a.3.entry.name.cmp(&b.3.entry.name))
+    });
     let mut taken = HashSet::new();
     let orders = candidates
         .into_iter()
-        .filter(|(_, _, target, _)| taken.insert(*target));
-    let orders = orders.filter_map(|(_, _, name, model)| {
-        let target = view
-            .targets
-            .iter()
-            .find(|target| target.entry.name == *name)?;
-        Some(LoadOrder {
-            target: name.clone(),
-            address: target.entry.address,
-            born: target.entry.born,
-            model: model.clone(),
-            version: view.newest_versions[model],
-            mode: view.mode,
-        })
+        .filter(|(_, _, _, target, _)| taken.insert(&target.entry.name));
+    let orders = orders.map(|(_, _, _, target, model)| LoadOrder {
+        target: target.entry.name.clone(),
+        address: target.entry.address,
+        born: target.entry.born,
+        model: model.clone(),
+        version: view.newest_versions[model],
+        mode: view.mode,
     });
     let mut orders: Vec<LoadOrder> = orders.take(available).collect();
     // Leaves room for a load that becomes urgent meanwhile.
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -6,12 +6,12 @@
 };
 
 use godwitspool_sync::{Mutex, MutexGuard};
-use godwitspool_types::{Millis, TargetName, Workspace};
+use godwitspool_types::{Millis, ServiceName, TargetName, Workspace};
 
 use super::{LoadNotice, Shared, shared::unix_ms};
 use crate::{
     dialect::{DutyError, Fence, LoadMode, LoadOrder, Ordered, WindowReport},
-    duty::{Lease, LoadView, Loading, TermStart, next_load, plan_loads},
+    duty::{Lease, LoadLimit, LoadView, Loading, TermStart, next_load, plan_loads},
     http::Exchange,
     lease_clock,
     store::{Record, Store, StoreError, Topic, Writer, read_all},
@@ -80,6 +80,8 @@
     shared: Arc<Shared>,
     duty_lease: Arc<DutyLease>,
     loading: Arc<Mutex<HashMap<TargetName, Loading>>>,
+    /// Limit on the loads of each service.
+    limits: HashMap<ServiceName, LoadLimit>,
     /// When this host last sent an order or a usage report, by the lease clock.
     last_action: Option<Millis>,
 }
@@ -114,6 +116,7 @@
     pub fn new(shared: Arc<Shared>, duty_lease: Arc<DutyLease>) -> Self {
         Self {
             last_action: None,
+            limits: HashMap::new(),
             duty_lease,
             loading: Arc::default(),
             shared,
@@ -272,14 +275,31 @@
                     .filter(|(model, _)| service.models.contains(model))
                     .map(|(model, version)| (model.clone(), *version))
                     .collect();
-                orders.extend(plan_loads(&LoadView {
-                    targets: fleet.usable(name),
+                let limit = self.limits.entry(name.clone()).or_default();
+                limit.update(now, |target, model| {
+                    let accepted = loading.get(target).is_some_and(|load| load.version > 0);
+                    let target = fleet.get(target).filter(|_| accepted)?;
+                    Some(target.entry.models.get(model).copied().unwrap_or_default())
+                });
+                let targets = fleet.usable(name);
+                let planned = plan_loads(&LoadView {
+                    most: limit.most(targets.len()),
+                    targets,
                     assigned: &fleet.assign_models(name, &service.models),
                     newest_versions: &named,
                     loading: &loading,
                     mode,
                     now,
-                }));
+                });
+                for order in &planned {
+                    limit.begin(
+                        order.target.clone(),
+                        order.model.clone(),
+                        order.version,
+                        now,
+                    );
+                }
+                orders.extend(planned);
             }
         }
         for order in orders {
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -14,6 +14,9 @@
 /// the operators state it, and some time for the order and its notice. Loads take longer if more of
 /// them overlap than planned.
 pub const LOAD_TIME: Millis = Millis(1_000);
+/// Time after which a target is tried again that refused a request for a version which it should have
+/// loaded: loads take longer while many targets load.
+const LOAD_RECHECK: Millis = Millis(500);
 /// Time after which a load counts as failed if no entry or response has shown the new version.
 const LOAD_TIMEOUT: Millis = Millis(4_000);
 /// Pause of a target after its first failure; doubles with each further consecutive failure.
@@ -436,6 +439,16 @@
         }
     }
 
+    /// Records that a target has refused a request for a version that it should have loaded by now: it gets
+    /// none for that version for a while.
+    pub fn defer_load(&mut self, name: &TargetName, version: u64, now: Millis) {
+        let loading = self.targets.get_mut(name);
+        let loading = loading.and_then(|target| target.loading.as_mut());
+        if let Some((_, _, at)) = loading.filter(|(_, loaded, _)| *loaded == version) {
+            *at = now + LOAD_RECHECK - LOAD_TIME;
+        }
+    }
+
     /// Applies another host's report of its running requests, unless a newer one has already
     /// arrived.
     pub fn apply_report(&mut self, report: &RunReport, now: Millis) {
--- a/crates/godwitspool-host/tests/loads.rs
+++ b/crates/godwitspool-host/tests/loads.rs
@@ -82,6 +82,7 @@
             newest_versions: &named,
             loading: &loading,
             mode: LoadMode::Continue,
+            most: CONCURRENT_LOADS,
             now,
         });
         for order in orders {
@@ -145,6 +146,7 @@
         newest_versions: &named,
         loading: &HashMap::new(),
         mode: LoadMode::Continue,
+        most: CONCURRENT_LOADS,
         now: Millis(10_000),
     });
     assert_eq!(orders.len(), CONCURRENT_LOADS);
@@ -184,6 +186,7 @@
             newest_versions: &named,
             loading: &loading,
             mode: LoadMode::Continue,
+            most: CONCURRENT_LOADS,
             now,
         });
         for order in orders {
