--- a/crates/godwitspool-host/src/duty/load_limit.rs
+++ b/crates/godwitspool-host/src/duty/load_limit.rs
@@ -7,7 +7,7 @@
 const ON_TIME: Millis = Millis(3_500);
 /// Limit with which a fleet starts, however many targets it has: if the operators' weight storage serves
 /// fewer, the first loads take too long only once.
-const INITIAL_LIMIT: usize = 24;
+const INITIAL_LIMIT: usize = 16;
 /// Number of targets per concurrent load. The operators' sheets state that more slow each other down.
 const TARGETS_PER_LOAD: usize = 5;
 /// Number of concurrent loads that is always allowed.
@@ -42,12 +42,12 @@
 ///
 /// let mut limit = LoadLimit::default();
 /// assert_eq!(limit.most(45), 9);
-/// assert_eq!(limit.most(1_000), 24);
+/// assert_eq!(limit.most(1_000), 16);
 /// for number in 0..10 {
 ///     limit.begin(format!("t-{number}").into(), "model".into(), 2, Millis(0));
 /// }
 /// limit.update(Millis(4_000), |_, _| Some(1));
-/// assert_eq!(limit.most(1_000), 12);
+/// assert_eq!(limit.most(1_000), 8);
 /// ```
 #[derive(Clone, Debug)]
 pub struct LoadLimit {
@@ -56,6 +56,8 @@
     pending: VecDeque<Pending>,
     /// Loads that began before this time don't count: they were slowed by those of a higher limit.
     counted_from: Millis,
+    /// Whether the limit has been halved. Before that it doubles with each round of loads in time.
+    reached: bool,
 }
 
 impl Default for LoadLimit {
@@ -65,6 +67,7 @@
             late: 0.0,
             pending: VecDeque::new(),
             counted_from: Millis::ZERO,
+            reached: false,
         }
     }
 }
@@ -111,10 +114,12 @@
             let before = self.limit;
             self.limit = (self.limit / 2.0).max(MIN_LIMIT as f64);
             self.late = FEW_LATE;
-            self.counted_from = now;
+            // The loads in progress delay those of the next seconds too.
+            self.counted_from = now + ON_TIME;
+            self.reached = true;
             log::info!(before, limit = self.limit; "loads are late, fewer at a time");
         } else if !late && self.late < FEW_LATE {
-            self.limit += 1.0 / self.limit;
+            self.limit += if self.reached { 1.0 / self.limit } else { 1.0 };
         }
     }
 }
