Duties: the limit on loads grows only while it is used up

Cause: loads in time say nothing of a limit that wasn't used up. Change: only loads that began at the limit let it grow, slowly.

--- a/crates/godwitspool-host/src/duty/load_limit.rs
+++ b/crates/godwitspool-host/src/duty/load_limit.rs
@@ -2,6 +2,8 @@
 
 use godwitspool_types::{Millis, ModelName, TargetName};
 
+use crate::version::LOAD_TIME;
+
 /// Time after an order by which a target's entry has shown the load if loads don't slow each other
 /// down: the load itself, the interval between entries, and the delay until they are read.
 const ON_TIME: Millis = Millis(3_500);
@@ -27,6 +29,8 @@
     model: ModelName,
     version: u64,
     since: Millis,
+    /// Whether the limit was used up when the load began; only such loads tell whether it may grow.
+    at_limit: bool,
 }
 
 /// Limits how many targets of a service begin to load a version within the time of one load.
@@ -56,8 +60,6 @@
     pending: VecDeque<Pending>,
     /// Loads that began before this time don't count: they were slowed by those of a higher limit.
     counted_from: Millis,
-    /// Whether the limit has been halved. Before that it doubles with each round of loads in time.
-    reached: bool,
 }
 
 impl Default for LoadLimit {
@@ -67,7 +69,6 @@
             late: 0.0,
             pending: VecDeque::new(),
             counted_from: Millis::ZERO,
-            reached: false,
         }
     }
 }
@@ -83,11 +84,14 @@
 
     /// Records an order.
     pub fn begin(&mut self, target: TargetName, model: ModelName, version: u64, now: Millis) {
+        let recent = self.pending.iter().rev();
+        let recent = recent.take_while(|load| now - load.since < LOAD_TIME);
         self.pending.push_back(Pending {
             target,
             model,
             version,
             since: now,
+            at_limit: recent.count() + 1 >= self.limit as usize,
         });
     }
 
@@ -99,16 +103,16 @@
                 return;
             }
             let version = shown(&load.target, &load.model);
-            let counts = load.since >= self.counted_from;
+            let (counts, at_limit) = (load.since >= self.counted_from, load.at_limit);
             let late = version.is_some_and(|version| version < load.version);
             self.pending.pop_front();
             if version.is_some() && counts {
-                self.count(late, now);
+                self.count(late, at_limit, now);
             }
         }
     }
 
-    fn count(&mut self, late: bool, now: Millis) {
+    fn count(&mut self, late: bool, at_limit: bool, now: Millis) {
         self.late += LATE_SMOOTHING * (f64::from(u8::from(late)) - self.late);
         if self.late > MAX_LATE {
             let before = self.limit;
@@ -116,10 +120,9 @@
             self.late = FEW_LATE;
             // The loads in progress delay those of the next seconds too.
             self.counted_from = now + ON_TIME;
-            self.reached = true;
             log::info!(before, limit = self.limit; "loads are late, fewer at a time");
-        } else if !late && self.late < FEW_LATE {
-            self.limit += if self.reached { 1.0 / self.limit } else { 1.0 };
+        } else if !late && at_limit && self.late < FEW_LATE {
+            self.limit += 1.0 / self.limit;
         }
     }
 }
