--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -67,6 +67,8 @@
     pub name: String,
     /// Service in the target's entry.
     pub service: String,
+    /// Data centre in the target's entry.
+    pub dc: String,
     /// Number of slots in the target's entry.
     pub slots: u32,
     /// Number of events in a stream; 0 responds with a plain body instead.
@@ -82,6 +84,7 @@
         Self {
             name: "t-1".to_owned(),
             service: "service".to_owned(),
+            dc: "north".to_owned(),
             slots: 8,
             events: 0,
             gap: Duration::from_millis(2),
@@ -165,7 +168,7 @@
         let options = &self.shared.options;
         json!({
             "service": options.service, "address": self.server.address().to_string(),
-            "zone": "north", "version": "v1", "slots": options.slots, "state": state,
+            "zone": options.dc, "version": "v1", "slots": options.slots, "state": state,
             "cold_left_ms": 0, "models": models.collect::<Vec<_>>(), "seq": 1, "born": 1,
         })
     }
