Exchange: a call that may not be sent any more is given up before its first byte

The connection of a load order may open seconds after the order was decided. Exchange::call_if asks again before the first byte is sent. Test: a_call_that_may_not_be_sent_any_more_is_not_sent.

--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -331,6 +331,21 @@
         address: SocketAddr,
         request: &Request,
         timeout: Duration,
+    ) -> Result<Response, CallError> {
+        Self::call_if(pool, address, request, timeout, || true)
+    }
+
+    /// Does the same, but gives up once `may_send` returns false before anything was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the exchange fails or no complete response arrives within the timeout.
+    pub fn call_if(
+        pool: &Pool,
+        address: SocketAddr,
+        request: &Request,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response, CallError> {
         let deadline = Instant::now() + timeout;
         let connection = pool.connect(address);
@@ -342,6 +357,10 @@
             exchange = exchange.without_kernel_timeouts();
         }
         loop {
+            if !exchange.was_sent() && !may_send() {
+                let source = io::ErrorKind::Interrupted.into();
+                return Err(CallError::Connect { source });
+            }
             if exchange.advance()? == Progress::Done {
                 let (response, connection) = exchange.finish();
                 if let Some(connection) = connection {
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -48,6 +48,23 @@
     );
 }
 
+/// Guards against a request that is sent although its reason is gone by the time the connection is open.
+#[test]
+fn a_call_that_may_not_be_sent_any_more_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let request = Request::new("POST", "/", Vec::new());
+    let called = Exchange::call_if(&Pool::default(), address, &request, WAIT_TIMEOUT, || false);
+    let error = called.unwrap_err();
+    assert!(matches!(error, CallError::Connect { .. }), "{error}");
+    let (mut accepted, _) = listener.accept().unwrap();
+    accepted.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let mut bytes = Vec::new();
+    // The connection may be reset.
+    let _ = accepted.read_to_end(&mut bytes);
+    assert!(bytes.is_empty(), "{bytes:?}");
+}
+
 #[rstest]
 #[case(b"x\r\n".as_slice())]
 #[case(b"\r\n")]
