Host: evacuated data centres, and permits for cold targets

The operators' key evacuate/NAME was ignored, and targets that had just started got their share of the load at once from every host.

Evacuation: Fleet::registered, from which every choice of a target starts, leaves evacuated data centres out. What was chosen before and has sent nothing is checked again (take_permit, Shared::is_withheld, Exchange::call_if for orders). Evacuations are applied before the configuration that is read with them, and with evacuate_ms in the settings nothing is chosen by operators' records older than 0.9 of it, unless reads fail. The removal of the key restores the data centre, whose targets are then taken as cold.

Cold targets: requests to them need permits of their home, by the existing calls and buckets; a named limit and the cold rate share a bucket, and the smaller one applies. The rate is the bound of a second divided by what late permits, a saved-up burst and two homes can add up to. Slowness while cold changes neither latency nor pace, and pauses nothing. Services without cold_s or cold_per_s need no permits.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -169,6 +169,9 @@
 
     /// Serves the socket. Returns how the call ended, once it has.
     pub fn step(&mut self, shared: &Shared, now: Millis) -> Option<RewardOutcome> {
+        if shared.is_withheld(&self.target, &self.exchange) {
+            return Some(RewardOutcome::NotRun);
+        }
         let mut progress = self.exchange.advance();
         // A duplicate response to an earlier request may precede the one to this call.
         if matches!(progress, Ok(Progress::Done))
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -429,8 +429,11 @@
 
 impl Run {
     fn step(&mut self, shared: &Shared, batch: &mut Batch, check_due: bool, now: Millis) -> Step {
-        let progress = self.exchange.advance();
         let failed = |failure, outcome| Step::Ended(RunEnd::Failed(failure, outcome));
+        if shared.is_withheld(&self.target, &self.exchange) {
+            return failed(RunFailure::NotRun, Outcome::Dropped);
+        }
+        let progress = self.exchange.advance();
         if !self.head_read
             && let Some(head) = self.exchange.head()
         {
@@ -531,6 +534,12 @@
             moves: batch.items[self.item].moves,
         };
         let reason = decide_move(&view)?;
+        // It is slow for a short time only, and a move would read the prompt again.
+        let target = fleet.get(&self.target);
+        let is_cold = target.is_some_and(|target| target.cold.is_cold(now));
+        if is_cold && reason == Move::Slow {
+            return None;
+        }
         let versions = self.submission.min_version..=u64::MAX;
         let assigned = HashMap::new();
         let excluded = Some(&self.target);
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use godwitspool_types::{Key, ModelName, ServiceName, TargetName, Workspace};
+use godwitspool_types::{Dc, Key, Millis, ModelName, ServiceName, TargetName, Workspace};
 
 use crate::{
     batch::{ItemSpec, ResultPage, ScoreCall, Submission},
@@ -86,6 +86,8 @@
     pub leaving: bool,
     /// Requests a second that the target takes from all hosts together; `None` if it names no limit.
     pub limit: Option<f64>,
+    /// How long the target stays cold; `None` if it doesn't say.
+    pub cold_left: Option<Millis>,
     /// Whether the target states that it has not run the request.
     pub not_run: bool,
     /// The target's signature over the response, if it carries one.
@@ -99,6 +101,13 @@
 pub enum OperatorRecord {
     /// A complete configuration; it replaces the earlier one.
     Configuration(Box<Configuration>),
+    /// A data centre is evacuated or restored.
+    Evacuation {
+        /// Name of the data centre.
+        dc: Dc,
+        /// Whether it is evacuated from now on.
+        active: bool,
+    },
     /// The newest version of a model, which targets should load.
     Version {
         /// Name of the model.
@@ -211,6 +220,13 @@
     /// Returns what is wrong with the record and where.
     fn operator_record(&self, key: &str, value: &[u8]) -> Result<Option<OperatorRecord>, String>;
 
+    /// Reads the removal of a record that operators had written; `None` if the removal means nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the key.
+    fn operator_removal(&self, key: &str) -> Result<Option<OperatorRecord>, String>;
+
     /// Reads the entry with which a target registers itself.
     ///
     /// # Errors
@@ -262,7 +278,7 @@
     fn scale(
         &self,
         service: &ServiceName,
-        dc: &godwitspool_types::Dc,
+        dc: &Dc,
         count: u32,
         fence: &Fence,
     ) -> Result<(), DutyError>;
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -281,7 +281,9 @@
         let shared = Arc::clone(&self.shared);
         let loading = Arc::clone(&self.loading);
         let spawned = thread::Builder::new().name("order".to_owned()).spawn(move || {
-            let answer = Exchange::call(&shared.pool, order.address, &request, ORDER_TIMEOUT);
+            let may_send = || !shared.fleet().is_evacuated(&order.target);
+            let (pool, address) = (&shared.pool, order.address);
+            let answer = Exchange::call_if(pool, address, &request, ORDER_TIMEOUT, may_send);
             let ordered = answer.map(|answer| {
                 shared.fleet().observe_answer(&order.target);
                 let reply = shared.dialect.reply(&answer);
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -65,7 +65,7 @@
         }
         spawn(&shared, "reports", |shared| shared.reports.receive(&shared))?;
         spawn(&shared, "permits", |shared| shared.permits.fetch(&shared))?;
-        spawn(&shared, "probes", |shared| shared.suspicion.verify())?;
+        spawn(&shared, "probes", |shared| shared.suspicion.verify(&shared))?;
         spawn(&shared, "suspects", |shared| {
             shared.suspicion.follow(&shared);
         })?;
--- a/crates/godwitspool-host/src/process/permits.rs
+++ b/crates/godwitspool-host/src/process/permits.rs
@@ -1,4 +1,4 @@
-//! Permits for requests to targets that have named a limit, from the host that is the target's home.
+//! Permits for requests to targets that have named a limit or are cold, from the host that is the target's home.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -14,7 +14,7 @@
 use super::{Shared, peers};
 use crate::{
     http::{Request, Response},
-    version::{Limiter, Permit},
+    version::{Limiter, Permit, PermitNeed},
 };
 
 /// Path of requests for permits between hosts.
@@ -38,6 +38,17 @@
         /// Whether the asking host couldn't reach the target's home.
         stands_in: bool,
     },
+    /// A host wants to send one request to a cold target. Homes of earlier builds refuse the call, so the
+    /// host sends nothing.
+    TakeCold {
+        target: TargetName,
+        /// Permits a second while it is cold.
+        rate: f64,
+        /// The limit that the target has also named to the asking host, and the time since.
+        named: Option<(f64, Millis)>,
+        /// Whether the asking host couldn't reach the target's home.
+        stands_in: bool,
+    },
 }
 
 /// Permits given out by this host, and wanted from others.
@@ -128,25 +139,32 @@
     /// the home and of its stand-in have passed.
     pub fn acquire(&self, shared: &Shared, target: &TargetName) -> bool {
         let now = shared.clock.now();
-        let Some((limit, named_at)) = shared
-            .fleet()
-            .limited(target)
-            .map(|limited| (limited.limit, limited.named_at))
-        else {
+        let Some(need) = shared.fleet().permit_need(target, now) else {
             return true;
         };
-        let age = now - named_at;
-        let answer = self.ask(shared, target, |stands_in| PermitCall::Take {
-            target: target.clone(),
-            limit,
-            age,
-            stands_in,
+        let named = need.named.map(|(limit, named_at)| (limit, now - named_at));
+        let answer = self.ask(shared, target, |stands_in| {
+            let target = target.clone();
+            match (need.cold, named) {
+                (None, Some((limit, age))) => PermitCall::Take {
+                    target,
+                    limit,
+                    age,
+                    stands_in,
+                },
+                (rate, named) => PermitCall::TakeCold {
+                    target,
+                    rate: rate.unwrap_or_default(),
+                    named,
+                    stands_in,
+                },
+            }
         });
         let now = shared.clock.now();
         let mut fleet = shared.fleet();
         let (reason, permitted) = match answer {
             Some(Permit::Granted) => {
-                if let Some(limited) = fleet.limited(target) {
+                if let Some(limited) = fleet.limited(target, now) {
                     limited.add_permit(now);
                 }
                 ("granted", true)
@@ -156,13 +174,13 @@
                 ("unlimited", true)
             }
             Some(Permit::Later(retry)) => {
-                if let Some(limited) = fleet.limited(target) {
+                if let Some(limited) = fleet.limited(target, now) {
                     limited.block(retry, now);
                 }
                 ("later", false)
             }
             None => {
-                if let Some(limited) = fleet.limited(target) {
+                if let Some(limited) = fleet.limited(target, now) {
                     limited.block(UNREACHABLE_RETRY, now);
                 }
                 ("no answer", false)
@@ -227,6 +245,18 @@
                 age,
                 stands_in,
             } => limiter.take(target, *limit, now - *age, *stands_in, now),
+            PermitCall::TakeCold {
+                target,
+                rate,
+                named,
+                stands_in,
+            } => {
+                let need = PermitNeed {
+                    named: named.map(|(limit, age)| (limit, now - age)),
+                    cold: Some(*rate),
+                };
+                limiter.take_for(target, need, *stands_in, now)
+            }
         }
     }
 
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,8 +13,8 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
-    reports::Reports, suspicion::Suspicion,
+    Activity, Ending, PlaceMetrics, Relay, UsageCounts, peers::Peers, permits::Permits,
+    relay::RelayMetrics, reports::Reports, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -24,13 +24,17 @@
     lease_clock,
     request::DurationEstimates,
     store::{Store, Topic},
-    version::{Configuration, Fleet, Leaving, Mirror},
+    version::{ColdRule, Configuration, Fleet, Freshness, Leaving, Mirror},
 };
 
 /// Fraction of the time for which a leaving target serves on up to which its entry may be old when it
 /// is chosen.
 const ENTRY_AGE_FRACTION: f64 = 0.75;
 
+/// Fraction of the time from an evacuation until no request may reach a target there up to which the
+/// operators' records may be old when a target is chosen. The rest is for connecting and sending.
+const OPERATOR_AGE_FRACTION: f64 = 0.9;
+
 /// Fraction of the time from the end of a batch until no item of it may reach a target up to which
 /// what is known of its partition may be old when an item starts. It covers two reads that each wait
 /// for news.
@@ -107,6 +111,8 @@
     pub entry_age: Histogram,
     /// Number of targets that have said that they leave, by the kind of response that said it first.
     pub leavings: CounterByReason,
+    /// Metrics of evacuated data centres and cold targets.
+    pub places: PlaceMetrics,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -195,6 +201,9 @@
             .flatten()
             .collect();
         let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
+        if let Some(evacuate) = settings.evacuate {
+            fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
+        }
         fleet.leaving = Leaving::new(settings.drain.into());
         let incarnation = rand::random::<u32>();
         let member = format!("{}#{incarnation:08x}", settings.peer);
@@ -216,6 +225,7 @@
             incarnation,
             member,
             reports: Reports::open(settings.peer),
+            places: PlaceMetrics::new(&metrics),
             metrics,
             answers,
             answer_seconds,
@@ -270,15 +280,24 @@
         {
             return false;
         }
+        let rules = ColdRule::of_services(&configuration.services, &self.settings.cold);
         *current = Some(Arc::new(configuration));
+        drop(current);
+        self.fleet().set_cold_rules(rules);
         true
     }
 
     /// Locks and returns the known targets, with the age of their entries as of now.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         let failed = self.store.last_failure(Topic::Targets, 0);
+        let is_bounded = self.settings.evacuate.is_some();
+        let operator_failed = is_bounded
+            .then(|| self.store.last_failure(Topic::Operator, 0))
+            .flatten();
         let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
-        fleet.freshness.advance(lease_clock(), failed);
+        let now = lease_clock();
+        fleet.freshness.advance(now, failed);
+        fleet.operator_freshness.advance(now, operator_failed);
         fleet
     }
 
@@ -298,6 +317,12 @@
         if reply.leaving {
             self.observe_leaving(target, born, kind);
         }
+        if let Some(left) = reply.cold_left {
+            let now = self.clock.now();
+            if self.fleet().observe_cold(target, born, left, now) {
+                self.report_cold(target, "response");
+            }
+        }
     }
 
     /// Records that a target has said in a response that it leaves.
@@ -413,6 +438,11 @@
     drain.mul_f64(ENTRY_AGE_FRACTION)
 }
 
+/// Returns the maximum age of the operators' records by which a target is chosen.
+fn max_operator_age(evacuate: Duration) -> Duration {
+    evacuate.mul_f64(OPERATOR_AGE_FRACTION)
+}
+
 /// Returns the maximum age of what is known of a partition at which its items start. The rest of the
 /// time is for connecting and sending.
 fn max_batch_age(end_timeout: Duration) -> Duration {
--- a/crates/godwitspool-host/src/process/suspicion.rs
+++ b/crates/godwitspool-host/src/process/suspicion.rs
@@ -338,7 +338,7 @@
     }
 
     /// Probes the targets of requests that broke off, until the process ends.
-    pub fn verify(&self) {
+    pub fn verify(&self, shared: &Shared) {
         loop {
             let mut state = self.lock();
             while state.broken.is_empty() {
@@ -348,7 +348,11 @@
             let broken = std::mem::take(&mut state.broken);
             drop(state);
             for (target, breaks) in broken {
-                let probe = Probe::of(target.address);
+                let probe = if shared.fleet().is_evacuated(&target.name) {
+                    Probe::Unknown
+                } else {
+                    Probe::of(target.address)
+                };
                 for broken in breaks {
                     self.conclude(&target, broken, probe);
                 }
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -50,9 +50,12 @@
 pub fn follow(shared: &Arc<Shared>, topic: Topic) {
     let mut lapse = Lapse::default();
     let mut unreachable = false;
-    let usual_wait = match topic {
-        Topic::Targets => TARGETS_READ_WAIT,
-        _ => read_wait(shared.settings.apply_timeout),
+    let usual_wait = if topic == Topic::Targets {
+        TARGETS_READ_WAIT
+    } else {
+        let apply_timeout = shared.settings.apply_timeout;
+        let evacuate = shared.settings.evacuate.unwrap_or(apply_timeout);
+        read_wait(apply_timeout.min(evacuate))
     };
     loop {
         // While reads fail, one that waits would only take longer to fail.
@@ -73,7 +76,12 @@
                 }
                 let changes = mirrors(shared)[index(topic)].update(fetched, now);
                 lapse.succeed(now);
-                apply(shared, topic, changes, lapse.keep_until(now));
+                let keep_until = lapse.keep_until(now);
+                apply(shared, topic, changes, keep_until, next.is_none());
+                if topic == Topic::Operator {
+                    let mut fleet = shared.fleet();
+                    fleet.operator_freshness.confirm(lease_began);
+                }
                 if topic == Topic::Targets {
                     shared.fleet().freshness.confirm(lease_began);
                     expire(shared, now);
@@ -103,44 +111,79 @@
     usize::from(topic == Topic::Targets)
 }
 
-fn apply(shared: &Shared, topic: Topic, changes: Vec<MirrorChange>, keep_until: Option<Millis>) {
+/// Applies changes of a topic. `first` is set if they are all records of the topic.
+fn apply(
+    shared: &Shared,
+    topic: Topic,
+    changes: Vec<MirrorChange>,
+    keep_until: Option<Millis>,
+    first: bool,
+) {
     if changes.is_empty() {
         return;
     }
-    for change in changes {
-        match topic {
-            Topic::Targets => apply_target(shared, &change, keep_until),
-            _ => apply_operator(shared, &change),
+    if topic == Topic::Targets {
+        for change in changes {
+            apply_target(shared, &change, keep_until, first);
+        }
+    } else {
+        // Without a configuration nothing is sent. Evacuations come before the first one, so that nothing
+        // is sent before they are known.
+        let (configurations, others): (Vec<OperatorChange>, Vec<OperatorChange>) = changes
+            .into_iter()
+            .filter_map(|change| read_operator(shared, change))
+            .partition(|(_, record)| matches!(record, OperatorRecord::Configuration(_)));
+        for (change, record) in others.into_iter().chain(configurations) {
+            apply_operator(shared, &change, record);
         }
     }
+    shared.report_unserved();
     shared.notify_change();
 }
 
-fn apply_operator(shared: &Shared, change: &MirrorChange) {
-    let Some(value) = &change.value else {
-        return;
+/// A change of the operators' topic, and the record that it stands for.
+type OperatorChange = (MirrorChange, OperatorRecord);
+
+/// Reads an operators' record or its removal; `None` if it means nothing or is invalid.
+fn read_operator(shared: &Shared, change: MirrorChange) -> Option<OperatorChange> {
+    let read = match &change.value {
+        Some(value) => shared.dialect.operator_record(&change.key, value),
+        None => shared.dialect.operator_removal(&change.key),
     };
-    match shared.dialect.operator_record(&change.key, value) {
-        Ok(Some(OperatorRecord::Configuration(configuration))) => {
+    match read {
+        Ok(Some(record)) => Some((change, record)),
+        Ok(None) => {
+            log::debug!(key:% = change.key; "operators' record of another kind ignored");
+            None
+        }
+        Err(reason) => {
+            log::warn!(key:% = change.key, offset = change.offset, reason:%; "invalid operators' record ignored");
+            None
+        }
+    }
+}
+
+fn apply_operator(shared: &Shared, change: &MirrorChange, record: OperatorRecord) {
+    match record {
+        OperatorRecord::Evacuation { dc, active } => {
+            shared.apply_evacuation(&dc, active, change.offset);
+        }
+        OperatorRecord::Configuration(configuration) => {
             let (version, routes) = (configuration.version, configuration.routes.len());
             let keys = configuration.keys.len();
             if shared.apply_configuration(*configuration) {
                 log::info!(version, routes, keys, offset = change.offset; "configuration in force");
             }
         }
-        Ok(Some(OperatorRecord::Version { model, version })) => {
+        OperatorRecord::Version { model, version } => {
             if shared.update_version(&model, version) {
                 log::info!(model:%, version, offset = change.offset; "version named");
             }
         }
-        Ok(None) => log::debug!(key:% = change.key; "operators' record of another kind ignored"),
-        Err(reason) => {
-            log::warn!(key:% = change.key, offset = change.offset, reason:%; "invalid operators' record ignored");
-        }
     }
 }
 
-fn apply_target(shared: &Shared, change: &MirrorChange, keep_until: Option<Millis>) {
+fn apply_target(shared: &Shared, change: &MirrorChange, keep_until: Option<Millis>, first: bool) {
     let name = TargetName::from(change.key.as_str());
     let Some(value) = &change.value else {
         let lapsing = keep_until.is_some();
@@ -154,10 +197,23 @@
             let known = fleet.get(&name);
             let is_changed =
                 known.is_none_or(|known| known.entry != entry || known.kept_until.is_some());
+            let is_new = known.is_none_or(|known| known.entry.born != entry.born);
+            let cold_left = entry.cold_left;
             let (draining, models) = (entry.draining, sorted(&entry.models));
             let (service, address, born) = (entry.service.clone(), entry.address, entry.born);
             // An unchanged entry is applied too, because it may have lapsed before.
             if fleet.apply(entry) {
+                let now = shared.clock.now();
+                // An entry that is read at the start of this host may be that of an old target.
+                let is_cold = if is_new && !first && cold_left == Millis::ZERO {
+                    fleet.presume_cold(&name, now)
+                } else {
+                    fleet.observe_cold(&name, born, cold_left, now)
+                };
+                drop(fleet);
+                if is_cold {
+                    shared.report_cold(&name, "entry");
+                }
                 if !is_changed {
                     return;
                 }
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -190,7 +190,7 @@
         let wait_until = self.due().min(self.arrived + MAX_ENTRY_WAIT);
         loop {
             if self.in_flight.is_empty() && !self.start_attempt(repeatable) {
-                let stale = self.shared.fleet().freshness.basis() == Basis::Stale;
+                let stale = self.shared.fleet().basis() == Basis::Stale;
                 if stale && self.withheld.is_none() && Instant::now() < wait_until {
                     if wait(&[caller.socket()], Some(ENTRY_POLL_INTERVAL))?[0].hangup {
                         return Ok(Ended::CallerLeft);
@@ -423,6 +423,10 @@
                 pending.push(attempt);
                 continue;
             }
+            if self.shared.is_withheld(&attempt.target, &attempt.exchange) {
+                self.record_outcome(&attempt, Outcome::Dropped);
+                continue;
+            }
             let mut progress = attempt.exchange.advance();
             // A duplicate response to an earlier request may precede the one to this request.
             if matches!(progress, Ok(Progress::Done))
@@ -515,6 +519,10 @@
         let Some(mut attempt) = self.in_flight.pop() else {
             return Ok(None);
         };
+        if self.shared.is_withheld(&attempt.target, &attempt.exchange) {
+            self.record_outcome(&attempt, Outcome::Dropped);
+            return Ok(None);
+        }
         // With a head, `relay_stream` gets an error of this call once more, behind the bytes before it.
         let progress = attempt.exchange.advance();
         let Some(head) = attempt.exchange.head() else {
@@ -689,7 +697,13 @@
             return Ok(Ended::RefusedAtEnd);
         }
         let now = self.shared.clock.now();
-        let limited = self.shared.fleet().opens_in(&self.service, now);
+        let fleet = self.shared.fleet();
+        let limited = fleet.opens_in(&self.service, now);
+        let is_evacuated = fleet.is_service_evacuated(&self.service);
+        drop(fleet);
+        if is_evacuated {
+            self.shared.places.evacuations.count("request refused");
+        }
         let retry_after = match limited {
             _ if self.withheld.is_some() => self.withheld.unwrap_or_default(),
             _ if !self.tried.is_empty() => RETRY_AFTER_FULL,
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -2,8 +2,10 @@
 
 use godwitspool_types::{Dc, HostName};
 
+use crate::version::ColdBound;
+
 /// Settings that a host process needs before it reads anything from the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this host, as given in logs and as the holder of duties.
     pub host: HostName,
@@ -25,6 +27,11 @@
     pub grace: Duration,
     /// Maximum time from the acknowledgement of a configuration until it is in force.
     pub apply_timeout: Duration,
+    /// Maximum time from the acknowledgement of an evacuation until a request may reach a target there;
+    /// `None` if the operators state none.
+    pub evacuate: Option<Duration>,
+    /// The bound on requests to cold targets.
+    pub cold: ColdBound,
     /// Time for which a target serves on after the store has acknowledged that it leaves. No request
     /// may reach it later.
     pub drain: Duration,
--- a/crates/godwitspool-host/src/version/configuration.rs
+++ b/crates/godwitspool-host/src/version/configuration.rs
@@ -102,6 +102,10 @@
     pub models: Vec<ModelName>,
     /// Number of requests that one target runs concurrently; 0 for services without models.
     pub slots: u32,
+    /// Time for which a target is cold after its start; zero if it never is.
+    pub cold: Duration,
+    /// Requests a second that a cold target takes from all hosts together; `None` is no bound.
+    pub cold_rate: Option<f64>,
     /// Limits on the number of ordered targets; `None` if the service isn't scaled.
     pub scaling: Option<Scaling>,
 }
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -7,7 +7,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Basis, Freshness, Leaving, Limited};
+use super::{Basis, Cold, ColdRule, Evacuations, Freshness, Leaving, Limited, PermitNeed};
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -62,6 +62,8 @@
     pub models: HashMap<ModelName, u64>,
     /// When the target started, in milliseconds since 1970; distinguishes restarts.
     pub born: u64,
+    /// Time for which the target stays cold from when the entry is read.
+    pub cold_left: Millis,
 }
 
 /// How an exchange with a target ended.
@@ -103,6 +105,8 @@
     pub loading: Option<(ModelName, u64, Millis)>,
     /// The limit that it has named to this host, if its newest response named one.
     pub limited: Option<Limited>,
+    /// Whether it is cold, and permits for requests to it while it is.
+    pub cold: Cold,
     /// Until when it is kept although its entry was removed: the entry may have expired only because
     /// the store was unavailable.
     pub kept_until: Option<Millis>,
@@ -133,6 +137,12 @@
     reports: HashMap<u32, (u64, Millis)>,
     /// How current the entries are.
     pub freshness: Freshness,
+    /// How current the operators' records are, if a bound on evacuations is set.
+    pub operator_freshness: Freshness,
+    /// Data centres that the operators have evacuated.
+    evacuations: Evacuations,
+    /// Rules for the cold targets of each service.
+    cold_rules: HashMap<ServiceName, ColdRule>,
     /// Targets that have said in a response that they leave.
     pub leaving: Leaving,
 }
@@ -166,15 +176,26 @@
         self.paused_until <= now && self.total_running(now) < slots
     }
 
+    /// Returns the state of the permits for requests to the target, if they need any.
+    fn limiting(&self, now: Millis) -> Option<&Limited> {
+        self.cold.permits(now).or(self.limited.as_ref())
+    }
+
     /// Returns whether only a permit is missing, which may be asked for now.
     fn lacks_permit(&self, now: Millis) -> bool {
-        self.limited
+        self.limiting(now)
             .is_some_and(|limited| !limited.has_permit(now) && limited.is_open(now))
     }
 
     /// Returns whether a request may be sent to the target as far as its limit is concerned.
     fn has_permit(&self, now: Millis) -> bool {
-        self.limited.is_none_or(|limited| limited.has_permit(now))
+        self.limiting(now)
+            .is_none_or(|limited| limited.has_permit(now))
+    }
+
+    /// Returns whether a slot is free, as far as this host knows.
+    fn has_free_slot(&self, now: Millis) -> bool {
+        self.total_running(now) < self.entry.slots
     }
 
     /// Returns the number of requests that run at the target, including those of other hosts.
@@ -221,6 +242,7 @@
                     pace: None,
                     loading: None,
                     limited: None,
+                    cold: Cold::new(self.cold_rules.get(&entry.service).copied()),
                     kept_until: None,
                     entry,
                 };
@@ -272,11 +294,13 @@
         usable
     }
 
-    /// Returns the targets of a service that their entries don't say to drain, ordered by name.
+    /// Returns the targets of a service that their entries don't say to drain, ordered by name. Every choice
+    /// of a target starts here, so targets in evacuated data centres are left out here.
     fn registered(&self, service: &ServiceName) -> Vec<&Target> {
         let targets = self.targets.values();
         let mut registered: Vec<&Target> = targets
             .filter(|target| target.entry.service == *service && !target.entry.draining)
+            .filter(|target| !self.evacuations.includes(&target.entry.dc))
             .collect();
         registered.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
         registered
@@ -305,14 +329,105 @@
         }
     }
 
-    /// Takes a permit for a request from the stock if the target has named a limit. Returns false if
-    /// there is none: the request must not be sent.
+    /// Takes a permit for a request from the stock if the target has named a limit or is cold. Returns
+    /// false if there is none, or the target has been evacuated since it was chosen: the request must not
+    /// be sent.
     #[must_use]
     pub fn take_permit(&mut self, name: &TargetName, now: Millis) -> bool {
-        self.limited(name)
+        if self.is_evacuated(name) {
+            return false;
+        }
+        self.limited(name, now)
             .is_none_or(|limited| limited.take_permit(now))
     }
 
+    /// Evacuates or restores a data centre. Returns whether that is news, and the number of its targets.
+    /// Whether the targets of a restored data centre are cold isn't known, so they are taken as cold.
+    pub fn set_evacuated(&mut self, dc: &Dc, active: bool, now: Millis) -> (bool, usize) {
+        let news = self.evacuations.set(dc, active);
+        let targets = self.targets.values_mut();
+        let concerned = targets.filter(|target| target.entry.dc == *dc);
+        let mut count = 0;
+        for target in concerned {
+            count += 1;
+            if news && !active {
+                target.cold.presume(now);
+            }
+        }
+        (news, count)
+    }
+
+    /// Returns whether a target is in an evacuated data centre: nothing more may be sent to it.
+    pub fn is_evacuated(&self, name: &TargetName) -> bool {
+        let target = self.targets.get(name);
+        target.is_some_and(|target| self.evacuations.includes(&target.entry.dc))
+    }
+
+    /// Returns whether a service has targets, all of them in evacuated data centres.
+    pub fn is_service_evacuated(&self, service: &ServiceName) -> bool {
+        let mut of_service = self
+            .targets
+            .values()
+            .filter(|target| target.entry.service == *service)
+            .peekable();
+        of_service.peek().is_some()
+            && of_service.all(|target| self.evacuations.includes(&target.entry.dc))
+    }
+
+    /// Returns the services that have just lost their last target to an evacuation, and those that have one
+    /// again.
+    pub fn update_unserved(&mut self) -> (Vec<ServiceName>, Vec<ServiceName>) {
+        if self.evacuations.is_idle() {
+            return Default::default();
+        }
+        let services = self.targets.values().map(|target| &target.entry.service);
+        let services: HashSet<&ServiceName> = services.collect();
+        let unserved = services
+            .into_iter()
+            .filter(|service| self.is_service_evacuated(service))
+            .cloned()
+            .collect();
+        self.evacuations.update_unserved(unserved)
+    }
+
+    /// Returns what a choice of a target rests on now: on the older one of the entries and of the operators'
+    /// records.
+    pub fn basis(&self) -> Basis {
+        match self.operator_freshness.basis() {
+            Basis::Stale => Basis::Stale,
+            Basis::Current | Basis::Unreachable => self.freshness.basis(),
+        }
+    }
+
+    /// Sets the rules for cold targets.
+    pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
+        for target in self.targets.values_mut() {
+            let rule = rules.get(&target.entry.service);
+            target.cold.set_rule(rule.copied());
+        }
+        self.cold_rules = rules;
+    }
+
+    /// Records how long the start `born` of a target stays cold. Returns whether it has become cold.
+    pub fn observe_cold(
+        &mut self,
+        name: &TargetName,
+        born: u64,
+        left: Millis,
+        now: Millis,
+    ) -> bool {
+        let target = self.targets.get_mut(name);
+        let target = target.filter(|target| target.entry.born == born);
+        target.is_some_and(|target| target.cold.observe(left, now))
+    }
+
+    /// Records that a target which was not known, or came back under its name, may be cold although its entry
+    /// doesn't say so. Returns whether it has become cold.
+    pub fn presume_cold(&mut self, name: &TargetName, now: Millis) -> bool {
+        let target = self.targets.get_mut(name);
+        target.is_some_and(|target| target.cold.presume(now))
+    }
+
     /// Records how a request ended, and pauses the target if it failed, refused or stalled.
     pub fn finish(&mut self, name: &TargetName, outcome: Outcome, now: Millis) {
         let Some(target) = self.targets.get_mut(name) else {
@@ -323,9 +438,13 @@
             Outcome::Answered(ms) => {
                 target.failures = 0;
                 target.paused_until = Millis::default();
-                target.latency_ms += LATENCY_SMOOTHING * (ms - target.latency_ms);
+                // A cold target is slow for a known time, which says nothing of the time after it.
+                if !target.cold.is_cold(now) {
+                    target.latency_ms += LATENCY_SMOOTHING * (ms - target.latency_ms);
+                }
             }
             Outcome::Dropped => {}
+            Outcome::Stalled if target.cold.is_cold(now) => {}
             Outcome::Stalled => target.paused_until = now + STALLED_BACKOFF,
             Outcome::Failed => {
                 let pause = MIN_FAILURE_BACKOFF.0 << target.failures.min(3);
@@ -368,9 +487,27 @@
         known != limit
     }
 
-    /// Returns the state of a target that has named a limit.
-    pub fn limited(&mut self, name: &TargetName) -> Option<&mut Limited> {
-        self.targets.get_mut(name)?.limited.as_mut()
+    /// Returns the state of the permits for requests to a target that has named a limit or is cold.
+    pub fn limited(&mut self, name: &TargetName, now: Millis) -> Option<&mut Limited> {
+        let target = self.targets.get_mut(name)?;
+        let cold = target.cold.permits_mut(now);
+        cold.or(target.limited.as_mut())
+    }
+
+    /// Returns why a request to a target needs a permit; `None` if it doesn't, or if the target is in an
+    /// evacuated data centre and gets no request.
+    pub fn permit_need(&self, name: &TargetName, now: Millis) -> Option<PermitNeed> {
+        let target = self.targets.get(name)?;
+        if self.evacuations.includes(&target.entry.dc) {
+            return None;
+        }
+        let need = PermitNeed {
+            named: target
+                .limited
+                .map(|limited| (limited.limit, limited.named_at)),
+            cold: target.cold.rate(now),
+        };
+        (need != PermitNeed::default()).then_some(need)
     }
 
     /// Ends the limit of a target that has ended it in a response to another host.
@@ -383,8 +520,9 @@
     /// Chooses the target for a request: the one with the lowest expected latency, given its
     /// smoothed latency and its load. Targets in other data centres count as 1.5 times slower.
     /// Targets that leave come behind those that don't, and only for a short time; paused targets come
-    /// last. Targets in `tried` are left out, and so are those whose limit leaves
-    /// no room; a target with a limit needs a permit before the request is sent. None is chosen by stale entries.
+    /// last. Cold targets are chosen only if no warm one has a free slot. Targets in `tried` are left out,
+    /// and so are those whose limit leaves no room; a target that has a limit or is cold needs a permit
+    /// before the request is sent. None is chosen by stale entries or operators' records.
     pub fn choose(
         &self,
         service: &ServiceName,
@@ -392,7 +530,7 @@
         tried: &[TargetName],
         now: Millis,
     ) -> Option<&Target> {
-        if self.freshness.basis() == Basis::Stale {
+        if self.basis() == Basis::Stale {
             return None;
         }
         let (leaving, staying): (Vec<&Target>, Vec<&Target>) = self
@@ -407,10 +545,24 @@
             .into_iter()
             .chain(last_resorts)
             .filter(|target| !tried.contains(&target.entry.name))
-            .filter(|target| target.limited.is_none_or(|limited| limited.is_open(now)));
-        candidates.min_by(|a, b| {
+            .filter(|target| {
+                let limited = target.limiting(now);
+                limited.is_none_or(|limited| limited.is_open(now))
+            });
+        let candidates: Vec<&Target> = candidates.collect();
+        let is_spare = |target: &&Target| {
+            !target.cold.is_cold(now)
+                && !self.is_leaving(target)
+                && target.paused_until <= now
+                && target.has_free_slot(now)
+        };
+        let warm_first = candidates.iter().any(is_spare);
+        candidates.into_iter().min_by(|a, b| {
             let rank = |target: &Target| {
-                let paused = target.paused_until > now;
+                let paused = (
+                    target.paused_until > now,
+                    warm_first && target.cold.is_cold(now),
+                );
                 let load = f64::from(target.running) / f64::from(target.entry.slots.max(1));
                 let distance = if target.entry.dc == *dc { 1.0 } else { 1.5 };
                 let order = (paused, self.is_leaving(target));
@@ -459,9 +611,11 @@
         }
     }
 
-    /// Records the interval between two events of a stream.
+    /// Records the interval between two events of a stream, except while the target is cold.
     pub fn record_pace(&mut self, name: &TargetName, interval_ms: f64, now: Millis) {
-        if let Some(target) = self.targets.get_mut(name) {
+        if let Some(target) = self.targets.get_mut(name)
+            && !target.cold.is_cold(now)
+        {
             let known = target.pace.filter(|(_, at)| now - *at < MAX_PACE_AGE);
             let pace = known.map_or(interval_ms, |(pace, _)| {
                 pace + PACE_SMOOTHING * (interval_ms - pace)
@@ -478,7 +632,8 @@
         median_pace(candidates.map(|(pace, _)| pace).collect())
     }
 
-    /// Returns whether a usable target serves this version of a model now, busy or not.
+    /// Returns whether a usable target serves this version of a model now, busy or not. If all targets are
+    /// evacuated, one may serve it again once a data centre is restored.
     pub fn has_version(
         &self,
         service: &ServiceName,
@@ -487,12 +642,13 @@
         now: Millis,
     ) -> bool {
         let mut usable = self.usable(service).into_iter();
-        usable.any(|target| {
+        let serves = usable.any(|target| {
             target.failures < UNRELIABLE_FAILURES
                 && target
                     .version(model, now)
                     .is_some_and(|(served, _)| served == version)
-        })
+        });
+        serves || self.is_service_evacuated(service)
     }
 
     /// Chooses the target for an item of a batch, other than `excluded`: it must have one of the
@@ -512,7 +668,7 @@
         excluded: Option<&TargetName>,
         now: Millis,
     ) -> Option<Placement> {
-        if self.freshness.basis() == Basis::Stale {
+        if self.basis() == Basis::Stale {
             return None;
         }
         let median = self.median_pace(service, now);
@@ -550,7 +706,7 @@
     /// Load pattern: the outputs of a step become complete at the same time, and interactive callers
     /// use the same targets. The half that stays free serves them without a queue.
     pub fn place_call(&self, service: &ServiceName, dc: &Dc, now: Millis) -> Option<&Target> {
-        if self.freshness.basis() == Basis::Stale {
+        if self.basis() == Basis::Stale {
             return None;
         }
         let usable = self.usable(service).into_iter();
@@ -563,7 +719,7 @@
     pub fn opens_in(&self, service: &ServiceName, now: Millis) -> Option<Millis> {
         let usable = self.usable(service).into_iter();
         usable
-            .filter_map(|target| target.limited.map(|limited| limited.opens_in(now)))
+            .filter_map(|target| target.limiting(now).map(|limited| limited.opens_in(now)))
             .min()
     }
 
--- a/crates/godwitspool-host/src/version/limit.rs
+++ b/crates/godwitspool-host/src/version/limit.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Length of the burst that a home permits, as time at the limit; at least one request.
-const BURST: Millis = Millis(500);
+pub(super) const BURST: Millis = Millis(500);
 /// Rate of the permits of a host that stands in for a home, as a fraction of the limit. The home may
 /// go on for hosts that reach it, and both together must stay below one and a half times the limit.
 const STAND_IN_FRACTION: f64 = 0.5;
@@ -25,7 +25,7 @@
 /// Time without a request for permits after which a target is forgotten.
 const BUCKET_RETENTION: Millis = Millis(60_000);
 /// Time within which a permit must be used. Its home accounts for it as used at once.
-const PERMIT_LIFETIME: Millis = Millis(400);
+pub(super) const PERMIT_LIFETIME: Millis = Millis(400);
 
 /// What a host knows of a target that has named a limit in a response to this host.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -92,6 +92,15 @@
     }
 }
 
+/// Why a request to a target needs a permit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PermitNeed {
+    /// The limit that the target has named, and when.
+    pub named: Option<(f64, Millis)>,
+    /// Permits a second while the target is cold.
+    pub cold: Option<f64>,
+}
+
 /// Answer to a request for a permit.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Permit {
@@ -111,10 +120,10 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
-    /// Newest limit that a host has heard of; `None` if it has ended.
+    /// Newest limit that a host has heard of; `None` if it has ended or was never named.
     limit: Option<f64>,
-    /// When the target named it, or ended it.
-    named_at: Millis,
+    /// When the target named it, or ended it, if it ever did.
+    named_at: Option<Millis>,
     tokens: f64,
     filled_at: Millis,
 }
@@ -144,25 +153,57 @@
         named_at: Millis,
         stands_in: bool,
         now: Millis,
+    ) -> Permit {
+        let need = PermitNeed {
+            named: Some((limit, named_at)),
+            cold: None,
+        };
+        self.take_for(target, need, stands_in, now)
+    }
+
+    /// Answers the same for any reason. The rate is the smaller one of a limit that the target has named
+    /// and of the rate of a cold target, and both use the same bucket.
+    ///
+    /// ```
+    /// use godwitspool_host::version::{Limiter, Permit, PermitNeed};
+    /// use godwitspool_types::{Millis, TargetName};
+    ///
+    /// let mut limiter = Limiter::default();
+    /// let target = TargetName::from("t-1");
+    /// let need = PermitNeed { named: Some((8.0, Millis(0))), cold: Some(2.0) };
+    /// let mut ask = |now| limiter.take_for(&target, need, false, Millis(now));
+    /// assert_eq!(ask(0), Permit::Later(Millis(500)));
+    /// assert_eq!(ask(500), Permit::Granted);
+    /// ```
+    pub fn take_for(
+        &mut self,
+        target: &TargetName,
+        need: PermitNeed,
+        stands_in: bool,
+        now: Millis,
     ) -> Permit {
         self.buckets
             .retain(|_, bucket| now - bucket.filled_at < BUCKET_RETENTION);
         let bucket = self.buckets.entry(target.clone()).or_insert(Bucket {
-            limit: Some(limit),
-            named_at,
+            limit: None,
+            named_at: None,
             tokens: 0.0,
             filled_at: now,
         });
-        if named_at > bucket.named_at {
+        if let Some((limit, named_at)) = need.named
+            && Some(named_at) > bucket.named_at
+        {
             bucket.limit = Some(limit);
-            bucket.named_at = named_at;
+            bucket.named_at = Some(named_at);
         }
-        let Some(limit) = bucket.limit else {
+        let named = bucket.limit.map(|limit| limit.max(MIN_RATE));
+        let rates = [named, need.cold].into_iter().flatten();
+        let Some(limit) = rates.min_by(f64::total_cmp) else {
             bucket.filled_at = now;
             return Permit::Unlimited;
         };
         let share = if stands_in { STAND_IN_FRACTION } else { 1.0 };
-        let rate = limit.max(MIN_RATE) * share;
+        let rate = limit * share;
         let capacity = (rate * BURST.seconds()).max(1.0);
         let gained = rate * (now - bucket.filled_at).seconds();
         bucket.tokens = (bucket.tokens + gained).min(capacity);
@@ -178,10 +219,10 @@
     /// Records that a target has answered without a limit at `at`.
     pub fn end(&mut self, target: &TargetName, at: Millis) {
         if let Some(bucket) = self.buckets.get_mut(target)
-            && at > bucket.named_at
+            && Some(at) > bucket.named_at
         {
             bucket.limit = None;
-            bucket.named_at = at;
+            bucket.named_at = Some(at);
         }
     }
 }
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -1,7 +1,9 @@
 //! State that is replaced by newer versions: the configuration, the targets, and mirrors of the
 //! store's keyed partitions.
 
+mod cold;
 mod configuration;
+mod evacuation;
 mod fingerprint;
 mod fleet;
 mod freshness;
@@ -11,15 +13,18 @@
 mod mirror;
 mod suspects;
 
+pub use cold::{Cold, ColdBound, ColdRule};
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
+pub use evacuation::Evacuations;
 pub use fingerprint::Fingerprint;
 pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
 pub use leaving::Leaving;
-pub use limit::{Limited, Limiter, Permit};
+use limit::{BURST, PERMIT_LIFETIME};
+pub use limit::{Limited, Limiter, Permit, PermitNeed};
 pub use mirror::{Fetched, Mirror, MirrorChange};
 pub use suspects::{
     Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -20,6 +20,7 @@
         draining: false,
         models: HashMap::from([(ModelName::from("m"), version)]),
         born: 10,
+        cold_left: Millis::ZERO,
     }
 }
 
--- a/crates/godwitspool-host/tests/loads.rs
+++ b/crates/godwitspool-host/tests/loads.rs
@@ -39,6 +39,7 @@
             draining: false,
             models: (0..MODELS).map(|number| (model(number), 1)).collect(),
             born: 1,
+            cold_left: Millis::ZERO,
         });
     }
     fleet
