--- a/crates/godwitspool-host/src/version/cold.rs
+++ b/crates/godwitspool-host/src/version/cold.rs
@@ -138,10 +138,12 @@
     }
 
     /// Records that a target's state isn't known, because it is new or was out of use: it is taken as cold
-    /// for its service's whole cold time. Returns whether it has become cold.
+    /// for its service's whole cold time, or for longer if it has said so. Returns whether it has become
+    /// cold.
     pub fn presume(&mut self, now: Millis) -> bool {
         let time = self.rule.map_or(Millis::ZERO, |rule| rule.time);
-        self.observe(time, now)
+        let left = self.until.max(now) - now;
+        self.observe(time.max(left), now)
     }
 
     /// Returns whether the target is cold.
--- a/crates/godwitspool-host/tests/cold.rs
+++ b/crates/godwitspool-host/tests/cold.rs
@@ -177,6 +177,12 @@
     fleet.set_evacuated(&north, false, Millis(1_000));
     assert!(!fleet.take_permit(&name("a"), Millis(1_000)));
     assert!(fleet.take_permit(&name("a"), Millis(4_000)));
+    // What the target has said holds if it is longer.
+    fleet.observe_cold(&name("a"), 10, Millis(9_000), Millis(4_000));
+    fleet.set_evacuated(&north, true, Millis(4_000));
+    fleet.set_evacuated(&north, false, Millis(4_000));
+    assert!(!fleet.take_permit(&name("a"), Millis(12_999)));
+    fleet.observe_cold(&name("a"), 10, Millis::ZERO, Millis(5_000));
     // A key that is removed twice restores once.
     fleet.set_evacuated(&north, false, Millis(5_000));
     assert!(fleet.take_permit(&name("a"), Millis(5_000)));
