--- a/crates/godwitspool-host/tests/reports.rs
+++ b/crates/godwitspool-host/tests/reports.rs
@@ -55,6 +55,7 @@
         draining: false,
         models: HashMap::from([(ModelName::from("m"), 1)]),
         born: 10,
+        cold_left: Millis(0),
     });
     let interval = report_interval(holders).0 + CHECK_INTERVAL;
     let mut report = RunReport {
