Standbys: hosts below 0.2 cores own partitions only while no other host does

Cause: of 86 hosts, 50 have 0.09 cores; the store assigns partitions to them as to any other, and a step waits for the slowest partition. Change: at stores of 1,000 writes per second and more such a host isn't a member of the hosts' group. It asks for the list of holders three times per 2 s, joins once a partition or the duty was unheld for longer than 2 s, and leaves once a large host holds partitions for as long, or if it is assigned none. Names of standbys end in -standby. Metrics partitions and standby_changes.

--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -172,6 +172,12 @@
         state.group.assign(parts);
     }
 
+    /// Returns the names of the members that hold partitions, one for each partition.
+    pub fn holders(&self) -> Vec<String> {
+        let state = self.shared.lock();
+        state.group.owners.values().cloned().collect()
+    }
+
     /// Returns partition, key and value of the newest records of a topic, sorted.
     pub fn newest(&self, topic: &str) -> Vec<(u32, String, Vec<u8>)> {
         let state = self.shared.lock();
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -1,8 +1,9 @@
 use std::{collections::HashMap, process, sync::Arc, thread, time::Duration};
 
+use godwitspool_process::{CounterByReason, Gauge};
 use godwitspool_types::Millis;
 
-use super::{Activity, Shared, StallDetector, duties::DutyLease};
+use super::{Activity, Listing, Shared, StallDetector, Standby, duties::DutyLease, is_standby};
 use crate::{
     batch::{Owner, next_epoch},
     lease_clock,
@@ -26,6 +27,14 @@
     duty_lease: Arc<DutyLease>,
     owners: HashMap<u32, Owner>,
     generation: u64,
+    /// Time for which the membership lasts without a renewal.
+    ttl: Duration,
+    /// When a host with little processor time is a member; `None` for other hosts, which always are.
+    standby: Option<Standby>,
+    /// Number of times that this host joined or left the group as a standby, by reason.
+    standby_changes: CounterByReason,
+    /// Number of owned partitions.
+    owned_parts: Gauge,
     duties: StallDetector,
     runner: StallDetector,
 }
@@ -33,7 +42,21 @@
 impl Membership {
     /// Creates a member that owns no partitions.
     pub fn new(shared: Arc<Shared>, duty_lease: Arc<DutyLease>) -> Self {
+        let store = &shared.settings.store;
+        let ttl = MEMBER_TTL.max(store.member_ttl);
+        let standby = is_standby(&shared.settings.resources, store)
+            .then(|| Standby::new(shared.member.clone(), store.parts, ttl.into()));
+        let metrics = &shared.metrics;
+        let standby_changes = metrics.counter_by_reason(
+            "standby_changes",
+            "Times that a small host joined or left the hosts' group, by reason",
+        );
+        let owned_parts = metrics.gauge("partitions", "Partitions of batches that the host owns");
         Self {
+            ttl,
+            standby,
+            standby_changes,
+            owned_parts,
             duty_lease,
             duties: StallDetector::default(),
             generation: 0,
@@ -46,7 +69,7 @@
     /// Renews the membership until the process drains, then hands over all partitions and leaves
     /// the group.
     pub fn run(mut self) {
-        let ttl = MEMBER_TTL.max(self.shared.settings.store.member_ttl);
+        let ttl = self.ttl;
         let (mut failing, mut out) = (false, false);
         while !self.shared.is_draining() {
             let stalled = self.is_stalled();
@@ -54,7 +77,7 @@
                 self.withdraw();
             }
             out = stalled;
-            if out {
+            if out || !self.takes_part() {
                 thread::sleep(ttl / RENEWALS_PER_TTL);
                 continue;
             }
@@ -88,14 +111,49 @@
                 thread::sleep(ttl / RENEWALS_PER_TTL);
             }
         }
+        if self.standby.as_ref().is_none_or(Standby::is_member) {
+            self.leave();
+        }
+    }
+
+    /// Hands over all partitions and leaves the group.
+    fn leave(&mut self) {
         self.duty_lease.release();
         hand_over(self.owners.values());
+        self.owners.clear();
+        self.owned_parts.set(0);
         match self.shared.store.leave(&self.shared.member) {
             Ok(()) => log::info!("left the hosts' group"),
             Err(error) => log::warn!(error:%; "leaving the hosts' group not confirmed"),
         }
     }
 
+    /// Returns whether this host is to be a member of the group now. A standby asks the store who holds
+    /// partitions, and leaves the group once it isn't needed any more.
+    fn takes_part(&mut self) -> bool {
+        let Some(standby) = &mut self.standby else {
+            return true;
+        };
+        let asked = lease_clock();
+        if let Some(holdings) = self.shared.peers.reload(&self.shared) {
+            let listing = Listing {
+                asked,
+                answered: lease_clock(),
+                holdings: &holdings,
+            };
+            if let Some(change) = standby.observe(&listing) {
+                let (reason, joins) = (change.as_str(), standby.is_member());
+                log::info!(reason, joins; "standby changes");
+                self.standby_changes.count(reason);
+                if !joins {
+                    self.leave();
+                    return false;
+                }
+            }
+        }
+        self.standby.as_ref().is_none_or(Standby::is_member)
+    }
+
     /// Returns whether a worker behind the duties or the partitions has stood still for longer than
     /// the lease. Ends the process if it has done so for several leases.
     fn is_stalled(&mut self) -> bool {
@@ -129,6 +187,7 @@
         }
         // The next owners fence these off. Closing them takes locks that the worker may hold.
         let owners = std::mem::take(&mut self.owners);
+        self.owned_parts.set(0);
         let closing = thread::Builder::new()
             .name("hand-over".to_owned())
             .spawn(move || hand_over(owners.values()));
@@ -175,6 +234,7 @@
                 self.start_owner(part, epoch);
             }
         }
+        self.owned_parts.set(self.owners.len() as i64);
         !lost.is_empty()
     }
 
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -82,7 +82,7 @@
     /// Refreshes the list if it is too old or marked as stale.
     pub fn refresh(&self, shared: &Shared) {
         let now = shared.clock.now();
-        let mut cache = self.lock();
+        let cache = self.lock();
         let age = cache.requested_at.map(|requested_at| now - requested_at);
         let due = match age {
             None => true,
@@ -91,8 +91,13 @@
         if !due {
             return;
         }
-        cache.requested_at = Some(now);
         drop(cache);
+        self.reload(shared);
+    }
+
+    /// Refreshes the list whatever its age, and returns it; `None` if the store doesn't return one.
+    pub fn reload(&self, shared: &Shared) -> Option<Vec<Holding>> {
+        self.lock().requested_at = Some(shared.clock.now());
         match shared.store.holdings() {
             Ok(holdings) => {
                 let members = holdings.iter();
@@ -105,15 +110,20 @@
                 cache.includes_own = others.contains(&own);
                 others.retain(|other| *other != own);
                 cache.others = others;
-                cache.holdings = holdings;
+                cache.holdings.clone_from(&holdings);
                 cache.stale = false;
+                Some(holdings)
+            }
+            Err(error) => {
+                log::info!(error:%; "can't refresh the list of partition holders");
+                None
             }
-            Err(error) => log::info!(error:%; "can't refresh the list of partition holders"),
         }
     }
 }
 
-/// Returns the address in a member's name, which has the form `address#incarnation`.
+/// Returns the address in a member's name, which has the form `address#incarnation`, with a suffix for
+/// standbys.
 pub fn address(member: &str) -> Option<SocketAddr> {
     member.split('#').next()?.parse().ok()
 }
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,8 +13,8 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
-    reports::Reports, suspicion::Suspicion,
+    Activity, Ending, Relay, UsageCounts, is_standby, peers::Peers, permits::Permits,
+    relay::RelayMetrics, reports::Reports, standby::standby_name, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -82,7 +82,8 @@
     pub reports: Reports,
     /// Random number that distinguishes this start of the process from others of the same host.
     pub incarnation: u32,
-    /// Member name in the hosts' group, unique for each start: peer address and incarnation.
+    /// Member name in the hosts' group, unique for each start: peer address, incarnation, and a suffix for
+    /// standbys.
     pub member: String,
     /// Registry of the process's metrics.
     pub metrics: Metrics,
@@ -197,7 +198,10 @@
         let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
         fleet.leaving = Leaving::new(settings.drain.into());
         let incarnation = rand::random::<u32>();
-        let member = format!("{}#{incarnation:08x}", settings.peer);
+        let mut member = format!("{}#{incarnation:08x}", settings.peer);
+        if is_standby(&settings.resources, &settings.store) {
+            member = standby_name(&member);
+        }
         Ok(Self {
             owned_batches: Arc::new(
                 BatchRegistry::new(settings.store.parts)?
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -3,7 +3,7 @@
 use godwitspool_types::{Dc, HostName};
 
 /// Settings that a host process needs before it reads anything from the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this host, as given in logs and as the holder of duties.
     pub host: HostName,
@@ -43,6 +43,21 @@
     pub end_timeout: Duration,
     /// Limits of the store.
     pub store: StoreBounds,
+    /// What the machine gives the process.
+    pub resources: Resources,
+}
+
+/// What the machine gives the process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Resources {
+    /// Processor time in cores, 1.0 by default.
+    pub cores: f64,
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Self { cores: 1.0 }
+    }
 }
 
 /// Limits of the platform's store.
@@ -50,6 +65,8 @@
 pub struct StoreBounds {
     /// Number of partitions of batches, and of their results, 8 by default.
     pub parts: u32,
+    /// Number of writes per second that the store bears, 0 if it isn't known.
+    pub max_writes: u32,
     /// Maximum size of a record in bytes, 256 KiB by default.
     pub record_bytes: usize,
     /// Maximum total size of the records of one append in bytes, 2 MiB by default.
@@ -62,6 +79,7 @@
     fn default() -> Self {
         Self {
             parts: 8,
+            max_writes: 0,
             record_bytes: 256 * 1024,
             call_bytes: 2 * 1024 * 1024,
             member_ttl: Duration::from_secs(1),
--- a/crates/godwitspool-process/src/lib.rs
+++ b/crates/godwitspool-process/src/lib.rs
@@ -36,6 +36,6 @@
 pub use operator_http::{OperatorApi, OperatorHttp, Readiness};
 pub use panics::{ExitOnPanic, log_panics};
 pub use program::Program;
-pub use prometheus_client::metrics::histogram::Histogram;
+pub use prometheus_client::metrics::{gauge::Gauge, histogram::Histogram};
 pub use settings::{EntrySettings, LogFormat, StewardSettings};
 pub use timer::{Tick, Timer};
