--- a/crates/godwitspool-host/src/process/relay.rs
+++ b/crates/godwitspool-host/src/process/relay.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_process::{CounterByReason, Histogram};
+use godwitspool_process::{CounterByReason, Histogram, Metrics};
 use godwitspool_sync::{Mutex, MutexGuard};
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
@@ -68,6 +68,17 @@
     pub seconds: Histogram,
 }
 
+impl RelayMetrics {
+    /// Registers the metrics.
+    pub fn new(metrics: &Metrics) -> Self {
+        Self {
+            calls: metrics
+                .counter_by_reason("store_calls", "Calls to the store by way and outcome"),
+            seconds: metrics.seconds_histogram("store_seconds", "Times of calls to the store"),
+        }
+    }
+}
+
 /// A store that is called directly, or through another host while it is unreachable.
 #[derive(Debug)]
 pub struct Relay {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,8 +13,8 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, PlaceMetrics, Relay, UsageCounts, peers::Peers, permits::Permits,
-    relay::RelayMetrics, reports::Reports, suspicion::Suspicion,
+    Activity, Ending, PlaceMetrics, Relay, UsageCounts, is_standby, peers::Peers, permits::Permits,
+    relay::RelayMetrics, reports::Reports, standby::standby_name, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -86,7 +86,8 @@
     pub reports: Reports,
     /// Random number that distinguishes this start of the process from others of the same host.
     pub incarnation: u32,
-    /// Member name in the hosts' group, unique for each start: peer address and incarnation.
+    /// Member name in the hosts' group, unique for each start: peer address, incarnation, and a suffix for
+    /// standbys.
     pub member: String,
     /// Registry of the process's metrics.
     pub metrics: Metrics,
@@ -192,10 +193,7 @@
             "entry_age_seconds",
             "Ages of the targets' entries when a target was chosen",
         );
-        let store_calls =
-            metrics.counter_by_reason("store_calls", "Calls to the store by way and outcome");
-        let call_seconds =
-            metrics.seconds_histogram("store_seconds", "Times of calls to the store");
+        let relay_metrics = RelayMetrics::new(&metrics);
         let own_addresses = [Some(settings.peer), settings.seed]
             .into_iter()
             .flatten()
@@ -206,7 +204,10 @@
         }
         fleet.leaving = Leaving::new(settings.drain.into());
         let incarnation = rand::random::<u32>();
-        let member = format!("{}#{incarnation:08x}", settings.peer);
+        let mut member = format!("{}#{incarnation:08x}", settings.peer);
+        if is_standby(&settings.resources, &settings.store) {
+            member = standby_name(&member);
+        }
         Ok(Self {
             owned_batches: Arc::new(
                 BatchRegistry::new(settings.store.parts)?
@@ -251,10 +252,7 @@
                 adapters.store,
                 &settings.seeds,
                 own_addresses,
-                RelayMetrics {
-                    calls: store_calls,
-                    seconds: call_seconds,
-                },
+                relay_metrics,
             )),
             usage: UsageCounts::new(settings.usage_window),
             settings,
