Placement: a request type, and ties broken by host and target

Cause: Fleet::place took seven arguments and broke ties by name, so that all hosts tried the same target first. By late reports hundreds of hosts also find the same few targets least loaded.

Change: Fleet::place takes a PlaceRequest with the host's data centre and a hash of its name. Ties are broken by the rendezvous weight of host and target. If more than eight other hosts have runs at equally good targets, the least loaded of a sample that differs between hosts is chosen.

Tested: 300 hosts and targets, half of the slots in use, reports up to 500 ms late.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -1,5 +1,6 @@
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use godwitspool_request::stable_hash;
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
@@ -12,7 +13,7 @@
     lease_clock,
     process::{Shared, TargetStart},
     store::Topic,
-    version::{Basis, CHOICE_LIFETIME, Configuration, Outcome},
+    version::{Basis, CHOICE_LIFETIME, Configuration, Outcome, PlaceRequest},
 };
 
 /// Idle timeout of a run whose response has begun. A target stops sending for about a second while
@@ -331,7 +332,16 @@
         let oldest = pinned.unwrap_or(submission.min_version);
         let versions = oldest..=pinned.unwrap_or(u64::MAX);
         let progress = &batch.items[index].progress;
-        let placed = fleet.place(service, &model, &versions, &assigned, None, now);
+        let placed = fleet.place(&PlaceRequest {
+            assigned: &assigned,
+            dc: &shared.settings.dc,
+            excluded: None,
+            host: stable_hash(shared.settings.host.as_str().as_bytes()),
+            model: &model,
+            now,
+            service,
+            versions: &versions,
+        });
         let Some(place) = placed.filter(|place| fleet.take_permit(&place.target, now)) else {
             let waiting = batch.waiting_items();
             let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
@@ -533,15 +543,16 @@
         let reason = decide_move(&view)?;
         let versions = self.submission.min_version..=u64::MAX;
         let assigned = HashMap::new();
-        let excluded = Some(&self.target);
-        let other = fleet.place(
-            &self.service,
-            &self.model,
-            &versions,
-            &assigned,
-            excluded,
+        let other = fleet.place(&PlaceRequest {
+            assigned: &assigned,
+            dc: &shared.settings.dc,
+            excluded: Some(&self.target),
+            host: stable_hash(shared.settings.host.as_str().as_bytes()),
+            model: &self.model,
             now,
-        )?;
+            service: &self.service,
+            versions: &versions,
+        })?;
         let paces = other.pace.zip(view.median_ms);
         let faster = paces.is_none_or(|(pace, median)| pace < median * MOVE_PACE_FACTOR);
         (faster && !self.submission.single_version).then_some(reason)
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -1,9 +1,11 @@
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
     net::SocketAddr,
     ops::RangeInclusive,
 };
 
+use godwitspool_request::{rendezvous_weight, stable_hash};
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
@@ -38,6 +40,12 @@
 /// A target whose interval between events exceeds the median by this factor gets items only if no
 /// other target can take them.
 const SLOW_FACTOR: f64 = 1.6;
+/// Number of other hosts up to which the least loaded of all targets is chosen for an item: so few
+/// hardly choose the same target between two reports.
+const FEW_HOSTS: usize = 8;
+/// Minimum number of targets among which the least loaded one is chosen: two are enough to keep the
+/// load even, however late the reports are.
+const MIN_SAMPLE: usize = 2;
 /// Number of consecutive failures from which on a target isn't relied on to continue a text.
 const UNRELIABLE_FAILURES: u32 = 2;
 /// Weight of the newest interval between events in a target's pace.
@@ -108,6 +116,27 @@
     pub kept_until: Option<Millis>,
 }
 
+/// What [`Fleet::place`] needs to know of an item and its host.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceRequest<'a> {
+    /// Model that each target is assigned to.
+    pub assigned: &'a HashMap<TargetName, ModelName>,
+    /// Data centre of the host.
+    pub dc: &'a Dc,
+    /// Target that must not be chosen.
+    pub excluded: Option<&'a TargetName>,
+    /// Hash of the host's name, by which hosts break ties differently.
+    pub host: u64,
+    /// Model that must serve the item.
+    pub model: &'a ModelName,
+    /// Current time.
+    pub now: Millis,
+    /// Service whose targets may run the item.
+    pub service: &'a ServiceName,
+    /// Versions of the model that may serve the item.
+    pub versions: &'a RangeInclusive<u64>,
+}
+
 /// The target that was chosen for an item.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -166,6 +195,11 @@
         self.paused_until <= now && self.total_running(now) < slots
     }
 
+    /// Returns the target's weight for a host, by which the host breaks ties between targets.
+    fn tie_weight(&self, host: u64) -> u64 {
+        rendezvous_weight(host, stable_hash(self.entry.name.as_str().as_bytes()))
+    }
+
     /// Returns whether only a permit is missing, which may be asked for now.
     fn lacks_permit(&self, now: Millis) -> bool {
         self.limited
@@ -495,45 +529,53 @@
         })
     }
 
-    /// Chooses the target for an item of a batch, other than `excluded`: it must have one of the
-    /// `versions` and a free slot, and must not be paused. Targets that aren't slow are preferred,
-    /// then targets that are assigned to the model; among equals the least loaded one is chosen. None
-    /// is chosen by stale entries.
+    /// Chooses the target for an item of a batch: it must have one of the versions and a free slot,
+    /// and must not be paused. Targets that aren't slow are preferred, then targets that are assigned
+    /// to the model; among equals the least loaded one is chosen. None is chosen by stale entries.
     ///
     /// Load pattern: a step submits some sixty items at the same time. Items for which there is no
     /// free slot wait at this host, where their order can still change, instead of in a target's
-    /// queue.
-    pub fn place(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        versions: &RangeInclusive<u64>,
-        assigned: &HashMap<TargetName, ModelName>,
-        excluded: Option<&TargetName>,
-        now: Millis,
-    ) -> Option<Placement> {
+    /// queue. Hundreds of hosts choose at the same time by reports that are up to 500 ms late, so
+    /// targets of equal load are tried in an order that differs between hosts.
+    pub fn place(&self, request: &PlaceRequest<'_>) -> Option<Placement> {
         if self.freshness.basis() == Basis::Stale {
             return None;
         }
-        let median = self.median_pace(service, now);
-        let fitting = self.usable(service).into_iter().filter_map(|target| {
-            let (version, expected) = target.version(model, now)?;
-            let fits = target.fits_item(model, versions, now)
-                && target.has_permit(now)
-                && Some(&target.entry.name) != excluded;
-            let pace = target
-                .pace
-                .filter(|(_, at)| now - *at < MAX_PACE_AGE)
-                .map(|(pace, _)| pace);
-            fits.then_some((target, expected.then_some(version), pace))
-        });
-        let best = fitting.min_by_key(|(target, _, pace)| {
-            let own = assigned.get(&target.entry.name) == Some(model);
-            let load = target.total_running(now) * 100 / target.entry.slots.max(1);
+        let now = request.now;
+        let median = self.median_pace(request.service, now);
+        let fitting = self
+            .usable(request.service)
+            .into_iter()
+            .filter_map(|target| {
+                let (version, expected) = target.version(request.model, now)?;
+                let fits = target.fits_item(request.model, request.versions, now)
+                    && target.has_permit(now)
+                    && Some(&target.entry.name) != request.excluded;
+                let pace = target
+                    .pace
+                    .filter(|(_, at)| now - *at < MAX_PACE_AGE)
+                    .map(|(pace, _)| pace);
+                fits.then_some((target, expected.then_some(version), pace))
+            });
+        let class = |(target, _, pace): &(&Target, Option<u64>, Option<f64>)| {
+            let own = request.assigned.get(&target.entry.name) == Some(request.model);
             let slow = pace
                 .zip(median)
                 .is_some_and(|(pace, median)| pace > median * SLOW_FACTOR);
-            (slow, !own, load)
+            (slow, !own)
+        };
+        let mut equals: Vec<_> = fitting.collect();
+        let first = equals.iter().map(class).min()?;
+        equals.retain(|candidate| class(candidate) == first);
+        let weight = |target: &Target| Reverse(target.tie_weight(request.host));
+        let count = sample_size(equals.iter().map(|(target, ..)| *target), now);
+        if count < equals.len() {
+            equals.sort_by_key(|(target, ..)| weight(target));
+            equals.truncate(count);
+        }
+        let best = equals.into_iter().min_by_key(|(target, ..)| {
+            let load = target.total_running(now) * 100 / target.entry.slots.max(1);
+            (load, weight(target))
         });
         best.map(|(target, expected, pace)| Placement {
             target: target.entry.name.clone(),
@@ -648,3 +690,21 @@
         assigned
     }
 }
+
+/// Returns among how many of equally good targets the least loaded one is chosen.
+///
+/// Load pattern: hundreds of hosts know each other's choices only by late reports. If each of them
+/// chose the least loaded of all targets, they would all choose the same few.
+fn sample_size<'a>(targets: impl Iterator<Item = &'a Target> + Clone, now: Millis) -> usize {
+    let senders = targets.clone().flat_map(|target| {
+        let reports = target.remote_running.iter();
+        let current = reports.filter(|(_, (_, at))| now - *at < MAX_REPORT_AGE);
+        current.map(|(sender, _)| *sender)
+    });
+    let others = senders.collect::<HashSet<u32>>().len();
+    let count = targets.count();
+    if others <= FEW_HOSTS {
+        return count;
+    }
+    (count * MIN_SAMPLE / others).clamp(MIN_SAMPLE, count.max(MIN_SAMPLE))
+}
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -6,8 +6,9 @@
 
 use godwitspool_host::{
     process::{Notice, RunReport},
-    version::{Fleet, LOAD_TIME, Outcome, TargetEntry},
+    version::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, TargetEntry},
 };
+use godwitspool_request::stable_hash;
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 
 fn entry(name: &str, version: u64) -> TargetEntry {
@@ -31,17 +32,23 @@
     fleet
 }
 
-fn place(fleet: &Fleet, min_version: u64, now: u64) -> Option<String> {
+/// Chooses the target for an item as the host of this name.
+fn place_as(host: &str, fleet: &Fleet, min_version: u64, now: u64) -> Option<Placement> {
     let (service, model) = (ServiceName::from("engine"), ModelName::from("m"));
-    let assigned = fleet.assign_models(&service, std::slice::from_ref(&model));
-    let place = fleet.place(
-        &service,
-        &model,
-        &(min_version..=u64::MAX),
-        &assigned,
-        None,
-        Millis(now),
-    );
+    fleet.place(&PlaceRequest {
+        assigned: &fleet.assign_models(&service, std::slice::from_ref(&model)),
+        dc: &Dc::from("north"),
+        excluded: None,
+        host: stable_hash(host.as_bytes()),
+        model: &model,
+        now: Millis(now),
+        service: &service,
+        versions: &(min_version..=u64::MAX),
+    })
+}
+
+fn place(fleet: &Fleet, min_version: u64, now: u64) -> Option<String> {
+    let place = place_as("h", fleet, min_version, now);
     place.map(|place| place.target.to_string())
 }
 
@@ -148,33 +155,14 @@
     let (name, model) = (TargetName::from("a"), ModelName::from("m"));
     fleet.begin_load(&name, &model, 2, Millis(0));
     assert_eq!(place(&fleet, 1, 100), None);
-    let service = ServiceName::from("engine");
-    let place = fleet
-        .place(
-            &service,
-            &model,
-            &(2..=u64::MAX),
-            &HashMap::new(),
-            None,
-            LOAD_TIME,
-        )
-        .unwrap();
+    let place = place_as("h", &fleet, 2, LOAD_TIME.0).unwrap();
     assert_eq!(
         place.expected,
         Some(2),
         "the request names the expected version, which the target checks"
     );
     fleet.observe_version(&name, &model, 2);
-    let place = fleet
-        .place(
-            &service,
-            &model,
-            &(2..=u64::MAX),
-            &HashMap::new(),
-            None,
-            LOAD_TIME,
-        )
-        .unwrap();
+    let place = place_as("h", &fleet, 2, LOAD_TIME.0).unwrap();
     assert_eq!(place.expected, None);
 }
 
@@ -292,3 +280,63 @@
     fleet.freshness.advance(Millis(4_001), None);
     assert!(!chosen(&fleet), "a failed read ages as well");
 }
+
+/// Hundreds of hosts start items at the same time, by reports that are up to 500 ms late. Guards against
+/// an order of equals that all hosts share: they would all send their items to the first target.
+#[test]
+fn hosts_with_late_reports_choose_different_targets() {
+    const HOSTS: usize = 300;
+    const ROUNDS: usize = 12;
+    const ROUND_MS: u64 = 100;
+    /// Rounds for which an item runs. The items of all hosts together take half of the slots.
+    const RUN_ROUNDS: usize = 4;
+    /// Maximum number of rounds by which a report is late.
+    const LATE_ROUNDS: usize = 5;
+    const SLOTS: u32 = 8;
+    let entries = (0..HOSTS).map(|number| TargetEntry {
+        slots: SLOTS,
+        ..entry(&format!("t{number}"), 1)
+    });
+    // All hosts hear the same reports, so one fleet stands for what they know of each other. A host
+    // knows its own runs at once.
+    let mut fleet = fleet(entries);
+    let mut number = 0;
+    let mut report = |fleet: &mut Fleet, host: usize, runs: &[TargetName], now: u64| {
+        number += 1;
+        let mut running: HashMap<TargetName, u32> = HashMap::new();
+        for target in runs {
+            *running.entry(target.clone()).or_default() += 1;
+        }
+        let report = RunReport {
+            sender: host as u32,
+            number,
+            running: running.into_iter().collect(),
+            ..RunReport::default()
+        };
+        fleet.apply_report(&report, Millis(now));
+    };
+    let mut history: Vec<Vec<Vec<TargetName>>> = Vec::new();
+    let mut largest = 0;
+    for round in 0..ROUNDS {
+        let now = round as u64 * ROUND_MS;
+        let mut runs = history.last().cloned().unwrap_or(vec![Vec::new(); HOSTS]);
+        for (host, runs) in runs.iter_mut().enumerate() {
+            if runs.len() == RUN_ROUNDS {
+                runs.remove(0);
+            }
+            report(&mut fleet, host, runs, now);
+            let place = place_as(&format!("h{host}"), &fleet, 1, now);
+            runs.extend(place.map(|place| place.target));
+            let heard = round.checked_sub(host % (LATE_ROUNDS + 1) + 1);
+            let heard = heard.map_or(&[][..], |heard| &history[heard][host]);
+            report(&mut fleet, host, heard, now);
+        }
+        let mut counts: HashMap<&TargetName, u32> = HashMap::new();
+        for target in runs.iter().flatten() {
+            *counts.entry(target).or_default() += 1;
+        }
+        largest = largest.max(counts.into_values().max().unwrap_or_default());
+        history.push(runs);
+    }
+    assert!(largest <= 2 * SLOTS, "{largest} items at one target");
+}
--- a/crates/godwitspool-request/src/lib.rs
+++ b/crates/godwitspool-request/src/lib.rs
@@ -42,7 +42,7 @@
     Suspects, split_blame,
 };
 pub use refusal::{Reason, Refusal};
-pub use rendezvous::{homes, stable_hash};
+pub use rendezvous::{homes, stable_hash, weight as rendezvous_weight};
 pub use resume::{AnswerAssembler, StreamToken, TokenOutcome};
 pub use retry::{Attempts, RetryBudget, RetryDecision, RetryReason};
 pub use silence::{ConnectionAction, ConnectionState, IdleTimeout, Wait, check_idle_connections};
--- a/crates/godwitspool-request/src/rendezvous.rs
+++ b/crates/godwitspool-request/src/rendezvous.rs
@@ -14,7 +14,13 @@
 }
 
 /// Combines a key's hash and a member's hash into the member's weight for the key.
-pub(crate) fn weight(key: u64, member: u64) -> u64 {
+///
+/// ```
+/// use godwitspool_request::rendezvous_weight;
+///
+/// assert_ne!(rendezvous_weight(1, 2), rendezvous_weight(2, 2));
+/// ```
+pub fn weight(key: u64, member: u64) -> u64 {
     let mut mixed = key ^ member.rotate_left(32);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
