Placement: a target's own speed apart from disturbances of it

Change: TargetSpeed keeps two estimates for each start of a target, fed by record_pace: its own interval (mean over periods of a second, two minutes of work, half forgotten after five minutes without observations) and the fast one as before. The influence of the load is learnt over all targets of a service. The choice of targets still uses the fast estimate only.

Tested: speeds (1, 1, 1.3), (0.7, 0.7, 1.7) and (0.8, 1, 1.2) with 2.5 times the interval for a seventh of the time are told apart within 15% at each second of a cycle; a load influence of 0 and of 0.07 is found within 0.03.

--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -9,7 +9,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Basis, Freshness, Leaving, Limited};
+use super::{Basis, Freshness, Leaving, Limited, TargetSpeed};
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -35,8 +35,6 @@
 const REPORT_RETENTION: Millis = Millis(60_000);
 /// Age after which another host's report of its running requests is ignored.
 const MAX_REPORT_AGE: Millis = Millis(500);
-/// Age after which a target's pace is ignored, so that a target that was slow is tried again.
-const MAX_PACE_AGE: Millis = Millis(3_000);
 /// A target whose interval between events exceeds the median by this factor gets items only if no
 /// other target can take them.
 const SLOW_FACTOR: f64 = 1.6;
@@ -48,8 +46,6 @@
 const MIN_SAMPLE: usize = 2;
 /// Number of consecutive failures from which on a target isn't relied on to continue a text.
 const UNRELIABLE_FAILURES: u32 = 2;
-/// Weight of the newest interval between events in a target's pace.
-const PACE_SMOOTHING: f64 = 0.2;
 
 /// The entry with which a target registers itself in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -104,9 +100,8 @@
     pub paused_until: Millis,
     /// Smoothed latency of its responses, in milliseconds.
     pub latency_ms: f64,
-    /// Smoothed interval between a stream's events in milliseconds, and the time of the last
-    /// update.
-    pub pace: Option<(f64, Millis)>,
+    /// Observed speed of this start of the target.
+    pub speed: TargetSpeed,
     /// Last load that the target has begun: model, version and time.
     pub loading: Option<(ModelName, u64, Millis)>,
     /// The limit that it has named to this host, if its newest response named one.
@@ -252,7 +247,7 @@
                     failures: 0,
                     paused_until: Millis::default(),
                     latency_ms: INITIAL_LATENCY_MS,
-                    pace: None,
+                    speed: TargetSpeed::default(),
                     loading: None,
                     limited: None,
                     kept_until: None,
@@ -496,20 +491,19 @@
     /// Records the interval between two events of a stream.
     pub fn record_pace(&mut self, name: &TargetName, interval_ms: f64, now: Millis) {
         if let Some(target) = self.targets.get_mut(name) {
-            let known = target.pace.filter(|(_, at)| now - *at < MAX_PACE_AGE);
-            let pace = known.map_or(interval_ms, |(pace, _)| {
-                pace + PACE_SMOOTHING * (interval_ms - pace)
-            });
-            target.pace = Some((pace, now));
+            let running = target.total_running(now);
+            target.speed.record(interval_ms, running, now);
         }
     }
 
     /// Returns the median interval between events at a service's targets, in milliseconds.
     pub fn median_pace(&self, service: &ServiceName, now: Millis) -> Option<f64> {
         let usable = self.usable(service).into_iter();
-        let candidates =
-            usable.filter_map(|target| target.pace.filter(|(_, at)| now - *at < MAX_PACE_AGE));
-        median_pace(candidates.map(|(pace, _)| pace).collect())
+        median_pace(
+            usable
+                .filter_map(|target| target.speed.recent_ms(now))
+                .collect(),
+        )
     }
 
     /// Returns whether a usable target serves this version of a model now, busy or not.
@@ -551,10 +545,7 @@
                 let fits = target.fits_item(request.model, request.versions, now)
                     && target.has_permit(now)
                     && Some(&target.entry.name) != request.excluded;
-                let pace = target
-                    .pace
-                    .filter(|(_, at)| now - *at < MAX_PACE_AGE)
-                    .map(|(pace, _)| pace);
+                let pace = target.speed.recent_ms(now);
                 fits.then_some((target, expected.then_some(version), pace))
             });
         let class = |(target, _, pace): &(&Target, Option<u64>, Option<f64>)| {
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limit;
 mod mirror;
+mod speed;
 mod suspects;
 
 pub use configuration::{
@@ -21,6 +22,7 @@
 pub use leaving::Leaving;
 pub use limit::{Limited, Limiter, Permit};
 pub use mirror::{Fetched, Mirror, MirrorChange};
+pub use speed::{SpeedEstimate, TargetSpeed, load_slope};
 pub use suspects::{
     Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
 };
