Placement: items go where they are expected to end first

Cause: items went to any target that was not slow in the last seconds, whatever was left of them, and the first placement of a long item knew nothing of natural speeds.

Change: Fleet::place compares the time that the rest of an item takes at each target: events left times the expected interval, tokens to read, distance. Targets within 15% count as equal, among which the least loaded one is chosen as before. The next item of a wanted group waits up to 500 ms for a faster target that is full if it ends sooner there, and leaves the free slot to the shortest wanted item or to one that isn't wanted. Lengths come from the hint, corrected by what the route's items have shown. Dialect::prompt reads the prompt's tokens and parts.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -7,6 +7,7 @@
 
 mod epoch;
 mod event_buffer;
+mod lengths;
 mod order;
 mod owner;
 mod pace;
@@ -21,7 +22,8 @@
 
 pub use epoch::next_epoch;
 pub use event_buffer::EventBuffer;
-pub use order::{order_items, predicted_tokens};
+pub use lengths::{EVENT_TOKENS, RouteLengths};
+pub use order::{order_items, predicted_tokens, wanted_items};
 pub use owner::{Owner, StoredBatch, read_stored};
 pub use pace::{Move, Pace, RunView, decide_move, median_pace};
 pub use progress::{save_progress, save_running};
@@ -117,6 +119,15 @@
     pub scorer: Option<ScoreCall>,
 }
 
+/// The prompt of an item, as far as its header fields tell.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Prompt {
+    /// Number of tokens, 0 if it isn't told.
+    pub tokens: u64,
+    /// Identifier and number of tokens of each part at its beginning that other prompts may share.
+    pub parts: Vec<(String, u64)>,
+}
+
 impl ItemSpec {
     /// Returns the fingerprint of the item in batches of a workspace and host.
     pub fn fingerprint(&self, workspace: &Workspace, host: &str) -> Fingerprint {
--- a/crates/godwitspool-host/src/batch/order.rs
+++ b/crates/godwitspool-host/src/batch/order.rs
@@ -35,6 +35,15 @@
 /// assert_eq!(order_items(&submission), [2, 1, 0]);
 /// ```
 pub fn order_items(submission: &Submission) -> Vec<usize> {
+    rank_items(submission).0
+}
+
+/// Returns how many items of [`order_items`], from its beginning, are of the wanted groups.
+pub fn wanted_items(submission: &Submission) -> usize {
+    rank_items(submission).1
+}
+
+fn rank_items(submission: &Submission) -> (Vec<usize>, usize) {
     let mut ranked: Vec<(u64, usize, Vec<usize>)> = groups(&submission.items)
         .into_values()
         .map(|items| {
@@ -48,11 +57,12 @@
     ranked.sort_by_key(|(longest, first, _)| (*longest, *first));
     let wanted = (submission.wanted_groups as usize).min(ranked.len());
     let rest = ranked.split_off(wanted);
+    let wanted_items = ranked.iter().map(|(_, _, items)| items.len()).sum();
     let longest_first = ranked.into_iter().rev();
     let mut order = Vec::with_capacity(submission.items.len());
     for (_, _, mut items) in longest_first.chain(rest) {
         items.sort_by_key(|item| std::cmp::Reverse(predicted_tokens(submission, *item)));
         order.extend(items);
     }
-    order
+    (order, wanted_items)
 }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -4,8 +4,8 @@
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
-    Batch, EventBuffer, Move, OwnedPartition, Pace, RunFailure, RunView, Submission, Verdict,
-    claimant, decide_move, reward::RewardCall,
+    Batch, EVENT_TOKENS, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure,
+    RunView, Submission, Verdict, claimant, decide_move, reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
@@ -13,7 +13,9 @@
     lease_clock,
     process::{Shared, TargetStart},
     store::Topic,
-    version::{Basis, CHOICE_LIFETIME, Configuration, Outcome, PlaceRequest},
+    version::{
+        Basis, CHOICE_LIFETIME, Configuration, Fleet, Outcome, PlaceRequest, Placement, Work,
+    },
 };
 
 /// Idle timeout of a run whose response has begun. A target stops sending for about a second while
@@ -39,6 +41,8 @@
     runs: Vec<Run>,
     /// Reward calls in progress.
     calls: Vec<RewardCall>,
+    /// Lengths of completed items, from which those of others are estimated.
+    lengths: RouteLengths,
     /// Time of the last check for stalled and slow runs.
     last_check: Millis,
     /// Number of batches that wait for a newer configuration.
@@ -70,6 +74,16 @@
     service: ServiceName,
 }
 
+/// The outcome of an attempt to start an item.
+enum Start {
+    /// The item waits for a faster target, and a shorter one may start.
+    Deferred,
+    /// No target can run the item now.
+    NoRoom,
+    /// The item runs.
+    Run(Box<Run>),
+}
+
 /// The state of a run after its socket was served.
 enum Step {
     Active,
@@ -99,6 +113,7 @@
             shared,
             held: 0,
             last_check: Millis::ZERO,
+            lengths: RouteLengths::default(),
             runs: Vec::new(),
             calls: Vec::new(),
         }
@@ -244,44 +259,53 @@
                     held += 1;
                     continue;
                 }
-                loop {
-                    let item = match batch.next_item(now) {
-                        Ok(item) => item,
+                'batch: loop {
+                    let items = match batch.next_items(now) {
+                        Ok(items) => items,
                         Err(soonest) => {
                             waiting |= soonest.is_some();
                             break;
                         }
                     };
                     let submission = Arc::clone(&batch.submission);
-                    let spec = &submission.items[item];
-                    let print = || spec.fingerprint(&submission.workspace, &submission.host);
-                    let claimant = claimant(&self.shared, &submission.id);
-                    if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
-                        batch.postpone(item, now + pause);
-                        continue;
+                    for (item, ahead) in items {
+                        let spec = &submission.items[item];
+                        let print = || spec.fingerprint(&submission.workspace, &submission.host);
+                        let claimant = claimant(&self.shared, &submission.id);
+                        if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
+                            batch.postpone(item, now + pause);
+                            continue 'batch;
+                        }
+                        let Some(route) = configuration.route(&submission.host, &submission.prefix)
+                        else {
+                            log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up: its route is gone");
+                            dropped.push(batch.finish(item, false));
+                            continue 'batch;
+                        };
+                        let Some(service) = route.service(rand::random()).cloned() else {
+                            break 'batch;
+                        };
+                        match self.start(&configuration, &service, batch, (item, ahead), now) {
+                            Start::Run(run) => {
+                                batch.start(item);
+                                started.push(Run {
+                                    part: *number,
+                                    epoch: part.epoch,
+                                    ..*run
+                                });
+                                continue 'batch;
+                            }
+                            Start::Deferred => waiting = true,
+                            Start::NoRoom => {
+                                waiting = true;
+                                // The operators' record of this version may not have arrived yet.
+                                let (model, oldest) = (&submission.model, submission.min_version);
+                                self.shared.learn_version(model, oldest, "a batch");
+                                break 'batch;
+                            }
+                        }
                     }
-                    let Some(route) = configuration.route(&submission.host, &submission.prefix)
-                    else {
-                        log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up: its route is gone");
-                        dropped.push(batch.finish(item, false));
-                        continue;
-                    };
-                    let Some(service) = route.service(rand::random()).cloned() else {
-                        break;
-                    };
-                    let Some(run) = self.start(&configuration, &service, batch, item, now) else {
-                        waiting = true;
-                        // The operators' record of this version may not have arrived yet.
-                        let (model, oldest) = (&submission.model, submission.min_version);
-                        self.shared.learn_version(model, oldest, "a batch");
-                        break;
-                    };
-                    batch.items[item].state = super::ItemState::Running;
-                    started.push(Run {
-                        part: *number,
-                        epoch: part.epoch,
-                        ..run
-                    });
+                    break;
                 }
             }
             for finished in dropped {
@@ -297,14 +321,16 @@
         waiting
     }
 
+    /// Starts a run of an item, given with the number of wanted items that go before it.
     fn start(
         &self,
         configuration: &Configuration,
         service: &ServiceName,
         batch: &mut Batch,
-        index: usize,
+        item: (usize, Option<usize>),
         now: Millis,
-    ) -> Option<Run> {
+    ) -> Start {
+        let (index, ahead) = item;
         let shared = &self.shared;
         let submission = Arc::clone(&batch.submission);
         let spec = &submission.items[index];
@@ -313,25 +339,17 @@
             .get(service)
             .map(|service| &service.models[..]);
         let model = submission.model.clone();
-        let newest = shared.newest_version(&model);
         let mut fleet = shared.fleet();
         let assigned = fleet.assign_models(service, models.unwrap_or_default());
-        let pinned = batch.pinned_version(index);
-        if let Some(version) = pinned
-            && !fleet.has_version(service, &model, version, now)
-            && newest > version
-        {
-            log::info!(
-                batch:% = submission.id, item:% = spec.id, version,
-                events:? = batch.items[index].progress.last_event;
-                "output discarded: no target has its version any more"
-            );
-            batch.discard_output(index);
-        }
+        discard_stranded(shared, &fleet, service, batch, (index, now));
         let pinned = batch.pinned_version(index);
         let oldest = pinned.unwrap_or(submission.min_version);
         let versions = oldest..=pinned.unwrap_or(u64::MAX);
-        let progress = &batch.items[index].progress;
+        let work = Work {
+            ahead: ahead.unwrap_or_default(),
+            patient: ahead.is_some(),
+            ..work_left(&self.lengths, shared, batch, index)
+        };
         let placed = fleet.place(&PlaceRequest {
             assigned: &assigned,
             dc: &shared.settings.dc,
@@ -341,14 +359,20 @@
             now,
             service,
             versions: &versions,
+            work,
         });
-        let Some(place) = placed.filter(|place| fleet.take_permit(&place.target, now)) else {
+        let permitted = |place: &Placement| place.defer || fleet.take_permit(&place.target, now);
+        let Some(place) = placed.filter(permitted) else {
             let waiting = batch.waiting_items();
             let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
             drop(fleet);
             shared.permits.want(lacking);
-            return None;
+            return Start::NoRoom;
         };
+        if place.defer && batch.defer(index, now) {
+            return Start::Deferred;
+        }
+        let progress = &batch.items[index].progress;
         let (name, address, born) = (place.target, place.address, place.born);
         let entries_ms = shared.observe_entry_age(&fleet);
         let context = ForwardContext {
@@ -365,17 +389,20 @@
                 log::warn!(target_name:% = name, error:%; "can't connect to a target");
                 fleet.start(&name);
                 fleet.finish(&name, Outcome::Failed, now);
-                return None;
+                return Start::NoRoom;
             }
         };
         fleet.start(&name);
         drop(fleet);
         log::info!(
             batch:% = submission.id, item:% = spec.id, target_name:% = name,
-            resume_after:? = progress.last_event, failures = batch.items[index].failures, entries_ms;
+            resume_after:? = progress.last_event, failures = batch.items[index].failures, entries_ms,
+            events = work.events.round(), expected_ms = place.run_ms.round(),
+            own_ms = place.speed.own_ms.round(), recent_ms = place.speed.recent_ms.round(),
+            deferred_ms = batch.items[index].deferred_since.map_or(0, |since| (now - since).0);
             "item starts"
         );
-        Some(Run {
+        Start::Run(Box::new(Run {
             part: 0,
             epoch: 0,
             item: index,
@@ -395,7 +422,7 @@
             pace: Pace::default(),
             service: service.clone(),
             submission,
-        })
+        }))
     }
 
     /// Serves the sockets of all runs, and drops the runs whose batch has ended or whose partition
@@ -419,13 +446,19 @@
                 run.record_end(&shared, false);
                 continue;
             };
-            let end = match run.step(&shared, batch, check_due, now) {
+            let end = match run.step(&shared, &self.lengths, batch, check_due, now) {
                 Step::Active => {
                     active.push(run);
                     continue;
                 }
                 Step::Ended(end) => end,
             };
+            if matches!(end, RunEnd::Completed) {
+                let events = batch.items[run.item].progress.last_event;
+                let hint = run.submission.items[run.item].hint;
+                let events = events.unwrap_or_default();
+                self.lengths.record(&run.submission, hint, events);
+            }
             let finished = run.end(&shared, batch, &end, now);
             if let (Some(finished), Some(part)) = (finished, parts.get_mut(&run.part)) {
                 part.send_result(finished);
@@ -438,7 +471,14 @@
 }
 
 impl Run {
-    fn step(&mut self, shared: &Shared, batch: &mut Batch, check_due: bool, now: Millis) -> Step {
+    fn step(
+        &mut self,
+        shared: &Shared,
+        lengths: &RouteLengths,
+        batch: &mut Batch,
+        check_due: bool,
+        now: Millis,
+    ) -> Step {
         let progress = self.exchange.advance();
         let failed = |failure, outcome| Step::Ended(RunEnd::Failed(failure, outcome));
         if !self.head_read
@@ -486,7 +526,7 @@
         }
         match progress {
             Ok(Progress::Pending) if !check_due => Step::Active,
-            Ok(Progress::Pending) => self.check_stall(shared, batch, now),
+            Ok(Progress::Pending) => self.check_stall(shared, lengths, batch, now),
             Ok(Progress::Done) => self.done(shared, batch, now),
             Err(error) => {
                 let spec = &self.submission.items[self.item];
@@ -501,9 +541,15 @@
         }
     }
 
-    fn check_stall(&self, shared: &Shared, batch: &Batch, now: Millis) -> Step {
+    fn check_stall(
+        &self,
+        shared: &Shared,
+        lengths: &RouteLengths,
+        batch: &Batch,
+        now: Millis,
+    ) -> Step {
         let silent = now - self.last_data;
-        if let Some(reason) = self.check_move(shared, batch, now) {
+        if let Some(reason) = self.check_move(shared, lengths, batch, now) {
             let spec = &self.submission.items[self.item];
             log::info!(
                 item:% = spec.id, target_name:% = self.target, reason:?, silent_ms = silent.0,
@@ -531,7 +577,13 @@
 
     /// Returns why the run should move to another target; `None` if it should stay, no fast enough
     /// target has a free slot, or its output must come from a single version.
-    fn check_move(&self, shared: &Shared, batch: &Batch, now: Millis) -> Option<Move> {
+    fn check_move(
+        &self,
+        shared: &Shared,
+        lengths: &RouteLengths,
+        batch: &Batch,
+        now: Millis,
+    ) -> Option<Move> {
         let fleet = shared.fleet();
         let view = RunView {
             answering: self.head_read,
@@ -552,9 +604,10 @@
             now,
             service: &self.service,
             versions: &versions,
+            work: work_left(lengths, shared, batch, self.item),
         })?;
-        let paces = other.pace.zip(view.median_ms);
-        let faster = paces.is_none_or(|(pace, median)| pace < median * MOVE_PACE_FACTOR);
+        let median = view.median_ms.unwrap_or(f64::MAX);
+        let faster = other.speed.recent_ms < median * MOVE_PACE_FACTOR;
         (faster && !self.submission.single_version).then_some(reason)
     }
 
@@ -709,6 +762,44 @@
     }
 }
 
+/// Discards the partial output of an item, given with the current time, if its version can't continue
+/// it: no target serves that version any more, and there is a newer one.
+fn discard_stranded(
+    shared: &Shared,
+    fleet: &Fleet,
+    service: &ServiceName,
+    batch: &mut Batch,
+    (index, now): (usize, Millis),
+) {
+    let submission = Arc::clone(&batch.submission);
+    let model = &submission.model;
+    if let Some(version) = batch.pinned_version(index)
+        && !fleet.has_version(service, model, version, now)
+        && shared.newest_version(model) > version
+    {
+        log::info!(
+            batch:% = submission.id, item:% = submission.items[index].id, version,
+            events:? = batch.items[index].progress.last_event;
+            "output discarded: no target has its version any more"
+        );
+        batch.discard_output(index);
+    }
+}
+
+/// Returns the work that is left of an item.
+fn work_left(lengths: &RouteLengths, shared: &Shared, batch: &Batch, index: usize) -> Work {
+    let submission = &batch.submission;
+    let spec = &submission.items[index];
+    let done = batch.items[index].progress.last_event.unwrap_or_default();
+    let prompt = shared.dialect.prompt(spec);
+    Work {
+        events: lengths.events_left(submission, spec.hint, done),
+        tokens: prompt.tokens as f64 + done as f64 * EVENT_TOKENS,
+        usual_events: lengths.usual(submission),
+        ..Work::default()
+    }
+}
+
 /// Returns whether lines without an event hold anything but comments.
 fn is_text(lines: &[u8]) -> bool {
     let mut lines = lines.split(|byte| *byte == b'\n');
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -3,7 +3,7 @@
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::{ItemResult, RewardOutcome, Submission, groups, order_items};
+use super::{ItemResult, RewardOutcome, Submission, groups, order_items, wanted_items};
 
 /// Delay before an item is retried after a run failed. Refused items are not delayed, since the
 /// refusing target is paused itself.
@@ -15,6 +15,9 @@
 /// platform considers an item forgotten, and much longer than the second that a target needs to
 /// restart. It doesn't grow: a sound item that ran on targets that crashed is owed as much as any.
 const SUSPECT_BACKOFF: Millis = Millis(4_500);
+/// Maximum time for which an item waits for a faster target: by then the slot that was expected has gone
+/// to another host's item. It is short compared with the seconds within which a step is due.
+const MAX_DEFERRAL: Millis = Millis(500);
 /// Time without a read after which a complete batch that its caller hasn't ended is removed. Without it the
 /// store would fill up with the batches of callers that have gone.
 const ABANDONED_AFTER: Duration = Duration::from_mins(15);
@@ -90,6 +93,8 @@
     pub empty_runs: u32,
     /// Number of moves to another target.
     pub moves: u32,
+    /// Since when the item waits for a faster target although a slower one has a free slot.
+    pub deferred_since: Option<Millis>,
     /// Partial output.
     pub progress: ItemProgress,
     /// Number of the last event that the store holds, or may hold; `None` if nothing was saved.
@@ -202,6 +207,8 @@
     pub read_ms: u64,
     /// Indexes of the items in the order in which they start.
     order: Vec<usize>,
+    /// Number of items of the wanted groups, which are the first in the order.
+    wanted: usize,
     /// Number of each item's group.
     group_numbers: Vec<usize>,
 }
@@ -217,6 +224,7 @@
             empty_runs: 0,
             rejections: 0,
             moves: 0,
+            deferred_since: None,
             progress: ItemProgress::default(),
             saved_event: None,
             saved_complete: false,
@@ -239,6 +247,7 @@
         }
         Self {
             order: order_items(&submission),
+            wanted: wanted_items(&submission),
             group_numbers,
             read_ms: submission.received_ms,
             submission,
@@ -348,6 +357,52 @@
         Err(soonest)
     }
 
+    /// Returns the items of which one may start now, in the order in which they are tried: the next
+    /// one; if that waits for a faster target, the shortest of the wanted groups; and then the next one
+    /// of the other groups. Each comes with the number of wanted items that go before it, `None` if it
+    /// isn't wanted itself.
+    ///
+    /// Load pattern: targets differ in speed, and a free slot at a slow one is of use to items that don't
+    /// decide when the step is complete.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::next_item`].
+    pub fn next_items(&self, now: Millis) -> Result<Vec<(usize, Option<usize>)>, Option<Millis>> {
+        let next = self.next_item(now)?;
+        let may_start = |index: &&usize| {
+            let item = &self.items[**index];
+            !item.progress.complete
+                && matches!(item.state, ItemState::Waiting { not_before } if not_before <= now)
+        };
+        let (wanted, others) = self.order.split_at(self.wanted);
+        let ready = wanted.iter().filter(may_start).count();
+        if ready == 0 {
+            return Ok(vec![(next, None)]);
+        }
+        let mut items = vec![(next, Some(0))];
+        let shortest = wanted.iter().rev().find(may_start);
+        if let Some(shortest) = shortest.filter(|shortest| **shortest != next) {
+            items.push((*shortest, Some(ready - 1)));
+        }
+        let other = others.iter().find(may_start);
+        items.extend(other.map(|other| (*other, None)));
+        Ok(items)
+    }
+
+    /// Records that an item waits for a faster target although a slower one has a free slot. Returns
+    /// whether it may go on to wait.
+    pub fn defer(&mut self, item: usize, now: Millis) -> bool {
+        let since = *self.items[item].deferred_since.get_or_insert(now);
+        now - since < MAX_DEFERRAL
+    }
+
+    /// Records that an item runs.
+    pub fn start(&mut self, item: usize) {
+        self.items[item].state = ItemState::Running;
+        self.items[item].deferred_since = None;
+    }
+
     /// Has a waiting item start no sooner than at the given time.
     pub fn postpone(&mut self, item: usize, not_before: Millis) {
         self.items[item].state = ItemState::Waiting { not_before };
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -6,7 +6,7 @@
 use godwitspool_types::{Key, ModelName, ServiceName, TargetName, Workspace};
 
 use crate::{
-    batch::{ItemSpec, ResultPage, ScoreCall, Submission},
+    batch::{ItemSpec, Prompt, ResultPage, ScoreCall, Submission},
     http::{Request, Response},
     version::{Configuration, Route, TargetEntry},
 };
@@ -175,6 +175,9 @@
         context: &ForwardContext<'_>,
     ) -> Request;
 
+    /// Reads what the header fields of an item tell of its prompt.
+    fn prompt(&self, item: &ItemSpec) -> Prompt;
+
     /// Returns the request of a reward call. It carries no key and no workspace.
     fn score_request(&self, call: &ScoreCall, context: &ForwardContext<'_>) -> Request;
 
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -9,7 +9,7 @@
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Basis, Freshness, Leaving, Limited, TargetSpeed};
+use super::{Basis, Freshness, Leaving, Limited, SpeedEstimate, TargetSpeed, load_slope};
 use crate::{batch::median_pace, process::RunReport};
 
 /// Expected time from an order until a target has loaded the version: 0.9 s for the load itself as
@@ -35,9 +35,24 @@
 const REPORT_RETENTION: Millis = Millis(60_000);
 /// Age after which another host's report of its running requests is ignored.
 const MAX_REPORT_AGE: Millis = Millis(500);
-/// A target whose interval between events exceeds the median by this factor gets items only if no
-/// other target can take them.
-const SLOW_FACTOR: f64 = 1.6;
+/// Interval between events of targets of which nothing is known. All of them count as equal, so it only
+/// weighs the time for events against that for reading.
+const UNKNOWN_INTERVAL_MS: f64 = 40.0;
+/// Speed at which targets read prompts, in tokens per millisecond: some hundred, by the targets' makers.
+const TOKENS_PER_MS: f64 = 300.0;
+/// Cost of a target in another data centre in milliseconds: a round trip on the users' links.
+const REMOTE_MS: f64 = 3.0;
+/// How much sooner an item has to end at a target of another model, which the item takes from that
+/// model's step.
+const FOREIGN_FACTOR: f64 = 1.6;
+/// Targets whose expected ends differ by less than this factor count as equal: estimates of the speed
+/// differ as much by chance.
+const EQUAL_FACTOR: f64 = 1.15;
+/// Factor by which an item has to end sooner at another target to wait for it: the wait is a guess.
+const MIN_DEFER_GAIN: f64 = 1.25;
+/// Items of all hosts that want a slot that gets free, for each one of this host: a trainer's next step,
+/// at another host, may wait for the same targets.
+const COMPETITION: f64 = 2.0;
 /// Number of other hosts up to which the least loaded of all targets is chosen for an item: so few
 /// hardly choose the same target between two reports.
 const FEW_HOSTS: usize = 8;
@@ -130,6 +145,23 @@
     pub service: &'a ServiceName,
     /// Versions of the model that may serve the item.
     pub versions: &'a RangeInclusive<u64>,
+    /// What is left of the item.
+    pub work: Work,
+}
+
+/// The work that is left of an item, as far as it is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Number of items of this host that wait for the same targets and go before this one.
+    pub ahead: usize,
+    /// Expected number of events.
+    pub events: f64,
+    /// Whether the item may wait for a target that is full, if it would end sooner there.
+    pub patient: bool,
+    /// Number of tokens that the target has to read first: the prompt, and the output so far.
+    pub tokens: f64,
+    /// Mean number of events of an item.
+    pub usual_events: f64,
 }
 
 /// The target that was chosen for an item.
@@ -144,8 +176,12 @@
     /// Version that the target should have loaded by now; `None` if its entry or a response
     /// has confirmed the version.
     pub expected: Option<u64>,
-    /// Smoothed interval between its events in milliseconds, if known.
-    pub pace: Option<f64>,
+    /// Time that the rest of the item is expected to take there, in milliseconds.
+    pub run_ms: f64,
+    /// Expected interval between its events.
+    pub speed: SpeedEstimate,
+    /// Whether the item is expected to end sooner if it waits for a target that is full now.
+    pub defer: bool,
 }
 
 /// All known targets, from which the target of each request is chosen. Callers provide the time and
@@ -524,56 +560,92 @@
     }
 
     /// Chooses the target for an item of a batch: it must have one of the versions and a free slot,
-    /// and must not be paused. Targets that aren't slow are preferred, then targets that are assigned
-    /// to the model; among equals the least loaded one is chosen. None is chosen by stale entries.
+    /// and must not be paused. The one at which the item is expected to end first is chosen, by the
+    /// events that are left, the target's speed, the tokens to be read, and the distance. Among those
+    /// about as good, targets of the own model come first, then the least loaded one. None is chosen by
+    /// stale entries.
     ///
     /// Load pattern: a step submits some sixty items at the same time. Items for which there is no
     /// free slot wait at this host, where their order can still change, instead of in a target's
-    /// queue. Hundreds of hosts choose at the same time by reports that are up to 500 ms late, so
-    /// targets of equal load are tried in an order that differs between hosts.
+    /// queue. Targets differ in speed by nature, and a step is complete when the longest items are.
+    /// Such an item waits for a fast target that will be free soon ([`Placement::defer`]) and leaves
+    /// the slow one to a short item. Hundreds of hosts choose at the same time by reports that are up to
+    /// 500 ms late, so targets that are about as good are tried in an order that differs between hosts.
     pub fn place(&self, request: &PlaceRequest<'_>) -> Option<Placement> {
         if self.freshness.basis() == Basis::Stale {
             return None;
         }
-        let now = request.now;
-        let median = self.median_pace(request.service, now);
-        let fitting = self
-            .usable(request.service)
-            .into_iter()
-            .filter_map(|target| {
-                let (version, expected) = target.version(request.model, now)?;
-                let fits = target.fits_item(request.model, request.versions, now)
-                    && target.has_permit(now)
-                    && Some(&target.entry.name) != request.excluded;
-                let pace = target.speed.recent_ms(now);
-                fits.then_some((target, expected.then_some(version), pace))
-            });
-        let class = |(target, _, pace): &(&Target, Option<u64>, Option<f64>)| {
+        let (now, work) = (request.now, &request.work);
+        let usable = self.usable(request.service);
+        let speeds = usable.iter().map(|target| &target.speed);
+        let slope = load_slope(speeds.clone());
+        let median = median_pace(speeds.filter_map(TargetSpeed::own_ms).collect());
+        let median = median.unwrap_or(UNKNOWN_INTERVAL_MS);
+        let mut free = Vec::new();
+        let mut full = Vec::new();
+        for target in usable {
+            if Some(&target.entry.name) == request.excluded || target.paused_until > now {
+                continue;
+            }
+            let Some((version, expected)) = target.version(request.model, now) else {
+                continue;
+            };
+            if !request.versions.contains(&version) {
+                continue;
+            }
+            let running = target.total_running(now);
+            let is_full = running >= target.entry.slots;
+            if !is_full && !target.has_permit(now) {
+                continue;
+            }
+            let speed = target.speed.estimate(median, slope, running + 1, now);
+            let distance = if target.entry.dc == *request.dc {
+                0.0
+            } else {
+                REMOTE_MS
+            };
+            let run_ms = speed.run_ms(work.events) + work.tokens / TOKENS_PER_MS + distance;
             let own = request.assigned.get(&target.entry.name) == Some(request.model);
-            let slow = pace
-                .zip(median)
-                .is_some_and(|(pace, median)| pace > median * SLOW_FACTOR);
-            (slow, !own)
-        };
-        let mut equals: Vec<_> = fitting.collect();
-        let first = equals.iter().map(class).min()?;
-        equals.retain(|candidate| class(candidate) == first);
-        let weight = |target: &Target| Reverse(target.tie_weight(request.host));
-        let count = sample_size(equals.iter().map(|(target, ..)| *target), now);
-        if count < equals.len() {
-            equals.sort_by_key(|(target, ..)| weight(target));
-            equals.truncate(count);
+            let candidate = Candidate {
+                target,
+                expected: expected.then_some(version),
+                running,
+                speed,
+                run_ms,
+                cost: if own { run_ms } else { run_ms * FOREIGN_FACTOR },
+                own,
+            };
+            if is_full {
+                full.push(candidate);
+            } else {
+                free.push(candidate);
+            }
         }
-        let best = equals.into_iter().min_by_key(|(target, ..)| {
-            let load = target.total_running(now) * 100 / target.entry.slots.max(1);
-            (load, weight(target))
-        });
-        best.map(|(target, expected, pace)| Placement {
-            target: target.entry.name.clone(),
-            address: target.entry.address,
-            born: target.entry.born,
-            expected,
-            pace,
+        let costs = free.iter().map(|candidate| candidate.cost);
+        let least = costs.min_by(f64::total_cmp)?;
+        free.retain(|candidate| candidate.cost <= least * EQUAL_FACTOR);
+        let own = free.iter().any(|candidate| candidate.own);
+        free.retain(|candidate| candidate.own == own);
+        let weight = |candidate: &Candidate<'_>| Reverse(candidate.target.tie_weight(request.host));
+        let count = sample_size(free.iter().map(|candidate| candidate.target), now);
+        if count < free.len() {
+            free.sort_by_key(weight);
+            free.truncate(count);
+        }
+        let best = free.into_iter().min_by_key(|candidate| {
+            let entry = &candidate.target.entry;
+            let load = candidate.running * 100 / entry.slots.max(1);
+            (load, entry.dc != *request.dc, weight(candidate))
+        })?;
+        let entry = &best.target.entry;
+        Some(Placement {
+            target: entry.name.clone(),
+            address: entry.address,
+            born: entry.born,
+            expected: best.expected,
+            run_ms: best.run_ms,
+            speed: best.speed,
+            defer: work.patient && ends_sooner(&full, work, best.run_ms),
         })
     }
 
@@ -682,6 +754,42 @@
     }
 }
 
+/// A target that may run an item, in [`Fleet::place`].
+struct Candidate<'a> {
+    target: &'a Target,
+    /// The version that it should have loaded by now.
+    expected: Option<u64>,
+    /// Number of requests that run at it.
+    running: u32,
+    speed: SpeedEstimate,
+    /// Time that the rest of the item takes there.
+    run_ms: f64,
+    /// The same, weighted by what it costs others.
+    cost: f64,
+    /// Whether it is assigned to the item's model.
+    own: bool,
+}
+
+/// Returns whether an item that waits for a slot of a faster target that is full now is expected to end
+/// sooner than in `run_ms` from now.
+fn ends_sooner(full: &[Candidate<'_>], work: &Work, run_ms: f64) -> bool {
+    let faster = full
+        .iter()
+        .filter(|candidate| candidate.own && candidate.run_ms * MIN_DEFER_GAIN < run_ms);
+    let (mut slots_per_ms, mut sum_ms, mut count) = (0.0, 0.0, 0.0);
+    for candidate in faster {
+        let usual_ms = candidate.speed.own_ms * work.usual_events.max(1.0);
+        slots_per_ms += f64::from(candidate.running) / usual_ms.max(1.0);
+        sum_ms += candidate.run_ms;
+        count += 1.0;
+    }
+    if count == 0.0 {
+        return false;
+    }
+    let wait_ms = (work.ahead as f64 + 1.0) * COMPETITION / slots_per_ms;
+    (wait_ms + sum_ms / count) * MIN_DEFER_GAIN < run_ms
+}
+
 /// Returns among how many of equally good targets the least loaded one is chosen.
 ///
 /// Load pattern: hundreds of hosts know each other's choices only by late reports. If each of them
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -16,7 +16,7 @@
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
 pub use fingerprint::Fingerprint;
-pub use fleet::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, Target, TargetEntry};
+pub use fleet::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, Target, TargetEntry, Work};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
 pub use leaving::Leaving;
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use godwitspool_host::{
     process::{Notice, RunReport},
-    version::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, TargetEntry},
+    version::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, TargetEntry, Work},
 };
 use godwitspool_request::stable_hash;
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
@@ -44,6 +44,11 @@
         now: Millis(now),
         service: &service,
         versions: &(min_version..=u64::MAX),
+        work: Work {
+            events: 20.0,
+            usual_events: 20.0,
+            ..Work::default()
+        },
     })
 }
 
