--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod limit;
 mod mirror;
+mod speed;
 mod suspects;
 
 pub use cold::{Cold, ColdBound, ColdRule};
@@ -19,13 +20,14 @@
 };
 pub use evacuation::Evacuations;
 pub use fingerprint::Fingerprint;
-pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
+pub use fleet::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, Target, TargetEntry, Work};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
 pub use leaving::Leaving;
 use limit::{BURST, PERMIT_LIFETIME};
 pub use limit::{Limited, Limiter, Permit, PermitNeed};
 pub use mirror::{Fetched, Mirror, MirrorChange};
+pub use speed::{SpeedEstimate, TargetSpeed, load_slope};
 pub use suspects::{
     Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
 };
--- a/crates/godwitspool-host/tests/evacuation.rs
+++ b/crates/godwitspool-host/tests/evacuation.rs
@@ -33,7 +33,17 @@
     let (service, model) = (ServiceName::from("s"), ModelName::from("m"));
     let (dc, now) = (Dc::from("north"), Millis(0));
     let assigned = HashMap::new();
-    let placed = fleet.place(&service, &model, &(1..=1), &assigned, None, now);
+    let placed = fleet.place(&PlaceRequest {
+        assigned: &assigned,
+        dc: &dc,
+        excluded: None,
+        host: 1,
+        model: &model,
+        now,
+        service: &service,
+        versions: &(1..=1),
+        work: Work::default(),
+    });
     let mut names: Vec<TargetName> = placed.map(|place| place.target).into_iter().collect();
     let targets = fleet.choose(&service, &dc, &[], now).into_iter();
     let targets = targets
