--- a/crates/godwitspool-host/tests/evacuation.rs
+++ b/crates/godwitspool-host/tests/evacuation.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 
-use godwitspool_host::version::{Basis, Fleet, Freshness, TargetEntry};
+use godwitspool_host::version::{Basis, Fleet, Freshness, PlaceRequest, TargetEntry, Work};
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 
 fn entry(name: &str, dc: &str) -> TargetEntry {
