--- a/crates/godwitspool-host/tests/cold.rs
+++ b/crates/godwitspool-host/tests/cold.rs
@@ -202,7 +202,7 @@
     let after = fleet.get(&name("a")).unwrap();
     assert_eq!(after.latency_ms.to_bits(), before.latency_ms.to_bits());
     assert_eq!(after.paused_until, before.paused_until);
-    assert_eq!(after.pace, None);
+    assert_eq!(after.speed.recent_ms(Millis(100)), None);
 }
 
 /// Callers would wait for permits and slow responses although a warm target is free.
--- a/crates/godwitspool-host/tests/placement.rs
+++ b/crates/godwitspool-host/tests/placement.rs
@@ -98,6 +98,7 @@
                 draining: false,
                 models: (0..TRAINERS).map(|trainer| (model(trainer), 1)).collect(),
                 born: 1,
+                cold_left: Millis::ZERO,
             });
         }
         let models: Vec<ModelName> = (0..TRAINERS).map(model).collect();
