Fleet: targets in the order of their names, so that no choice sorts them

Cause: usable() sorted all targets of a service for each item, reward call, and check of a running item. Change: the map is ordered; decisions are unchanged.

--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     ops::RangeInclusive,
 };
@@ -128,7 +128,8 @@
 /// the locking.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
-    targets: HashMap<TargetName, Target>,
+    /// Ordered by name, which is the order in which [`Self::usable`] returns them.
+    targets: BTreeMap<TargetName, Target>,
     /// Number and time of each other host's newest report.
     reports: HashMap<u32, (u64, Millis)>,
     /// How current the entries are.
@@ -275,11 +276,9 @@
     /// Returns the targets of a service that their entries don't say to drain, ordered by name.
     fn registered(&self, service: &ServiceName) -> Vec<&Target> {
         let targets = self.targets.values();
-        let mut registered: Vec<&Target> = targets
+        targets
             .filter(|target| target.entry.service == *service && !target.entry.draining)
-            .collect();
-        registered.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
-        registered
+            .collect()
     }
 
     /// Returns whether a target has said in a response that it leaves.
