Fleet: a report of another host looks at its own targets only

Cause: each report removed its sender from all targets; about a thousand reports per second come in. Change: the names of the sender's last report are kept. What a silent sender reported is removed after the 60 s for which its number is kept; it used to stay. The test of the replacement fails on the earlier code at the silent sender only by what is kept, not by what counts.

--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -124,14 +124,23 @@
     pub pace: Option<f64>,
 }
 
+/// The newest report of another host.
+#[derive(Clone, Debug)]
+struct KnownReport {
+    number: u64,
+    at: Millis,
+    /// Targets of the report, at which the sender's runs are counted.
+    targets: Vec<TargetName>,
+}
+
 /// All known targets, from which the target of each request is chosen. Callers provide the time and
 /// the locking.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     /// Ordered by name, which is the order in which [`Self::usable`] returns them.
     targets: BTreeMap<TargetName, Target>,
-    /// Number and time of each other host's newest report.
-    reports: HashMap<u32, (u64, Millis)>,
+    /// Each other host's newest report, by sender.
+    reports: HashMap<u32, KnownReport>,
     /// How current the entries are.
     pub freshness: Freshness,
     /// Targets that have said in a response that they leave.
@@ -438,22 +447,44 @@
     /// Applies another host's report of its running requests, unless a newer one has already
     /// arrived.
     pub fn apply_report(&mut self, report: &RunReport, now: Millis) {
-        let newest = self.reports.get(&report.sender).map(|(number, _)| *number);
+        let newest = self.reports.get(&report.sender).map(|known| known.number);
         if newest.is_some_and(|newest| newest > report.number) {
             return;
         }
-        self.reports
-            .retain(|_, (_, at)| now - *at < REPORT_RETENTION);
-        self.reports.insert(report.sender, (report.number, now));
+        // Only targets of the sender's last report are looked at: there may be thousands of targets, and
+        // a thousand reports per second.
+        let targets = &mut self.targets;
+        let mut forget = |sender: u32, names: &[TargetName]| {
+            for name in names {
+                if let Some(target) = targets.get_mut(name) {
+                    target.remote_running.remove(&sender);
+                }
+            }
+        };
+        self.reports.retain(|sender, known| {
+            let recent = now - known.at < REPORT_RETENTION;
+            if !recent {
+                forget(*sender, &known.targets);
+            }
+            recent
+        });
+        let known = self.reports.entry(report.sender);
+        let known = known.or_insert_with(|| KnownReport {
+            number: report.number,
+            at: now,
+            targets: Vec::new(),
+        });
         // A datagram with the number of the newest report continues it.
         if newest != Some(report.number) {
-            for target in self.targets.values_mut() {
-                target.remote_running.remove(&report.sender);
-            }
+            forget(report.sender, &known.targets);
+            known.targets.clear();
         }
+        known.number = report.number;
+        known.at = now;
         for (name, count) in &report.running {
-            if let Some(target) = self.targets.get_mut(name) {
+            if let Some(target) = targets.get_mut(name) {
                 target.remote_running.insert(report.sender, (*count, now));
+                known.targets.push(name.clone());
             }
         }
     }
--- a/crates/godwitspool-host/tests/reports.rs
+++ b/crates/godwitspool-host/tests/reports.rs
@@ -103,3 +103,58 @@
     assert_eq!(received.running.len(), report.running.len());
     assert_eq!(received.named, report.named);
 }
+
+/// Guards against runs that are counted for ever: a report replaces all of the sender's last one, and of no
+/// other sender's, also after a long silence and at a target that has started again.
+#[test]
+fn a_report_replaces_the_last_one_of_its_sender() {
+    let entry = |name: &str, born| TargetEntry {
+        name: TargetName::from(name),
+        service: ServiceName::from("engine"),
+        address: ([127, 0, 0, 1], 80).into(),
+        dc: Dc::from("north"),
+        slots: 4,
+        draining: false,
+        models: HashMap::from([(ModelName::from("m"), 1)]),
+        born,
+    };
+    let mut fleet = Fleet::default();
+    for name in ["a", "b"] {
+        fleet.apply(entry(name, 10));
+    }
+    let report = |sender, number, running: &[(&str, u32)]| RunReport {
+        sender,
+        number,
+        running: running
+            .iter()
+            .map(|(name, count)| (TargetName::from(*name), *count))
+            .collect(),
+        ..RunReport::default()
+    };
+    let running = |fleet: &Fleet, now| {
+        ["a", "b"].map(|name| {
+            fleet
+                .get(&TargetName::from(name))
+                .unwrap()
+                .total_running(Millis(now))
+        })
+    };
+    fleet.apply_report(&report(7, 1, &[("a", 3)]), Millis(0));
+    fleet.apply_report(&report(7, 1, &[("b", 1)]), Millis(1));
+    fleet.apply_report(&report(8, 1, &[("a", 1)]), Millis(2));
+    assert_eq!(running(&fleet, 10), [4, 1]);
+    fleet.apply_report(&report(7, 2, &[("b", 2)]), Millis(20));
+    assert_eq!(running(&fleet, 20), [1, 2]);
+    fleet.apply(entry("b", 20));
+    fleet.apply_report(&report(7, 3, &[("b", 1)]), Millis(30));
+    assert_eq!(running(&fleet, 30), [1, 1]);
+    // Another sender reports after this one was silent for more than a minute.
+    fleet.apply_report(&report(9, 1, &[("a", 1)]), Millis(70_000));
+    let target = fleet.get(&TargetName::from("b")).unwrap();
+    assert!(
+        target.remote_running.is_empty(),
+        "an entry of a silent sender is kept"
+    );
+    fleet.apply_report(&report(7, 4, &[("a", 2)]), Millis(70_010));
+    assert_eq!(running(&fleet, 70_010), [3, 0]);
+}
