Runner: the assignment of models is kept until targets or models change

Cause: each item that starts had the models of all targets assigned again, with the batches and the fleet locked. Change: Assignments keeps them by a revision of the fleet, which grows with each change to the usable targets. What is assigned is unchanged.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -12,7 +12,7 @@
     lease_clock,
     process::{Shared, TargetStart},
     store::Topic,
-    version::{Basis, CHOICE_LIFETIME, Configuration, Outcome},
+    version::{Assignments, Basis, CHOICE_LIFETIME, Configuration, Outcome},
 };
 
 /// Idle timeout of a run whose response has begun. A target stops sending for about a second while
@@ -42,6 +42,7 @@
     last_check: Millis,
     /// Number of batches that wait for a newer configuration.
     held: usize,
+    assignments: Assignments,
 }
 
 /// A run: one attempt to run an item at a target.
@@ -96,6 +97,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
+            assignments: Assignments::default(),
             held: 0,
             last_check: Millis::ZERO,
             runs: Vec::new(),
@@ -228,16 +230,17 @@
 
     /// Starts the items that may start now; returns whether any item is left waiting.
     fn start_items(&mut self) -> bool {
-        let Some(configuration) = self.shared.configuration() else {
+        let shared = Arc::clone(&self.shared);
+        let Some(configuration) = shared.configuration() else {
             return false;
         };
         let mut waiting = false;
-        let now = self.shared.clock.now();
+        let now = shared.clock.now();
         let mut started = Vec::new();
         let mut held = 0_usize;
-        let mut parts = self.shared.owned_batches.lock();
+        let mut parts = shared.owned_batches.lock();
         for (number, part) in &mut *parts {
-            if is_stale(&self.shared, *number, part) {
+            if is_stale(&shared, *number, part) {
                 waiting = true;
                 continue;
             }
@@ -259,8 +262,8 @@
                     let submission = Arc::clone(&batch.submission);
                     let spec = &submission.items[item];
                     let print = || spec.fingerprint(&submission.workspace, &submission.host);
-                    let claimant = claimant(&self.shared, &submission.id);
-                    if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
+                    let claimant = claimant(&shared, &submission.id);
+                    if let Some(pause) = shared.suspicion.pause(print, &claimant) {
                         batch.postpone(item, now + pause);
                         continue;
                     }
@@ -277,7 +280,7 @@
                         waiting = true;
                         // The operators' record of this version may not have arrived yet.
                         let (model, oldest) = (&submission.model, submission.min_version);
-                        self.shared.learn_version(model, oldest, "a batch");
+                        shared.learn_version(model, oldest, "a batch");
                         break;
                     };
                     batch.items[item].state = super::ItemState::Running;
@@ -302,7 +305,7 @@
     }
 
     fn start(
-        &self,
+        &mut self,
         configuration: &Configuration,
         service: &ServiceName,
         batch: &mut Batch,
@@ -319,7 +322,8 @@
         let model = submission.model.clone();
         let newest = shared.newest_version(&model);
         let mut fleet = shared.fleet();
-        let assigned = fleet.assign_models(service, models.unwrap_or_default());
+        let models = models.unwrap_or_default();
+        let assigned = self.assignments.of(&fleet, service, models);
         let pinned = batch.pinned_version(index);
         if let Some(version) = pinned
             && !fleet.has_version(service, &model, version, now)
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -141,6 +141,8 @@
     targets: BTreeMap<TargetName, Target>,
     /// Each other host's newest report, by sender.
     reports: HashMap<u32, KnownReport>,
+    /// Number of changes so far to which targets are usable for which service.
+    revision: u64,
     /// How current the entries are.
     pub freshness: Freshness,
     /// Targets that have said in a response that they leave.
@@ -217,6 +219,10 @@
                     let newest = entry.models.entry(model.clone()).or_default();
                     *newest = (*newest).max(*version);
                 }
+                let known = &target.entry;
+                if known.service != entry.service || known.draining != entry.draining {
+                    self.revision += 1;
+                }
                 target.entry = entry;
                 target.kept_until = None;
                 true
@@ -235,6 +241,7 @@
                     entry,
                 };
                 self.targets.insert(target.entry.name.clone(), target);
+                self.revision += 1;
                 true
             }
         }
@@ -250,6 +257,7 @@
             }
             _ => {
                 self.targets.remove(name);
+                self.revision += 1;
             }
         }
     }
@@ -265,10 +273,16 @@
             .collect();
         for name in &gone {
             self.targets.remove(name);
+            self.revision += 1;
         }
         gone
     }
 
+    /// Returns a number that grows with each change to which targets [`Self::usable`] returns.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the target with this name, if it is known.
     pub fn get(&self, name: &TargetName) -> Option<&Target> {
         self.targets.get(name)
@@ -300,6 +314,7 @@
     pub fn observe_leaving(&mut self, name: &TargetName, born: u64, now: Millis) -> bool {
         let news = self.leaving.observe(name, born, now);
         if news {
+            self.revision += 1;
             let targets = &self.targets;
             self.leaving.prune(|name| targets.contains_key(name), now);
         }
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! State that is replaced by newer versions: the configuration, the targets, and mirrors of the
 //! store's keyed partitions.
 
+mod assignments;
 mod configuration;
 mod fingerprint;
 mod fleet;
@@ -11,6 +12,7 @@
 mod mirror;
 mod suspects;
 
+pub use assignments::{AssignedModels, Assignments};
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use godwitspool_host::{
     process::{Notice, RunReport},
-    version::{Fleet, LOAD_TIME, Outcome, TargetEntry},
+    version::{Assignments, Fleet, LOAD_TIME, Outcome, TargetEntry},
 };
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
 
@@ -292,3 +292,52 @@
     fleet.freshness.advance(Millis(4_001), None);
     assert!(!chosen(&fleet), "a failed read ages as well");
 }
+
+/// Guards against items that are placed by an assignment of models that is out of date: whatever changes the
+/// usable targets, what is kept equals what would be computed.
+#[test]
+fn kept_assignments_follow_every_change() {
+    let (service, models) = (
+        ServiceName::from("engine"),
+        ["m", "n", "o"].map(ModelName::from),
+    );
+    let names: Vec<String> = (0..20).map(|number| format!("target-{number}")).collect();
+    let mut fleet = fleet(names.iter().map(|name| entry(name, 1)));
+    let mut assignments = Assignments::default();
+    let mut assert_same = |fleet: &Fleet, models: &[ModelName]| {
+        let kept = assignments.of(fleet, &service, models);
+        assert_eq!(*kept, fleet.assign_models(&service, models));
+        kept
+    };
+    let first = assert_same(&fleet, &models);
+    fleet.apply(entry("target-3", 2));
+    let again = assert_same(&fleet, &models);
+    assert!(
+        std::sync::Arc::ptr_eq(&first, &again),
+        "a heartbeat changes nothing"
+    );
+    let name = TargetName::from("target-5");
+    let mut changed = entry("target-5", 1);
+    changed.draining = true;
+    fleet.apply(changed);
+    assert!(!assert_same(&fleet, &models).contains_key(&name));
+    fleet.apply(entry("target-5", 1));
+    assert!(assert_same(&fleet, &models).contains_key(&name));
+    let mut changed = entry("target-6", 1);
+    changed.service = ServiceName::from("other");
+    fleet.apply(changed);
+    assert_same(&fleet, &models);
+    assert!(fleet.observe_leaving(&"target-7".into(), 10, Millis(0)));
+    assert_same(&fleet, &models);
+    let mut restarted = entry("target-7", 1);
+    restarted.born = 20;
+    fleet.apply(restarted);
+    assert_same(&fleet, &models);
+    fleet.remove(&"target-8".into(), None);
+    assert_same(&fleet, &models);
+    fleet.remove(&"target-9".into(), Some(Millis(100)));
+    assert_same(&fleet, &models);
+    fleet.expire(Millis(100));
+    assert_eq!(assert_same(&fleet, &models).len(), 17);
+    assert_same(&fleet, &models[..2]);
+}
