--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -14,7 +14,8 @@
     process::{Shared, TargetStart},
     store::Topic,
     version::{
-        Basis, CHOICE_LIFETIME, Configuration, Fleet, Outcome, PlaceRequest, Placement, Work,
+        Assignments, Basis, CHOICE_LIFETIME, Configuration, Fleet, Outcome, PlaceRequest,
+        Placement, Work,
     },
 };
 
@@ -47,6 +48,7 @@
     last_check: Millis,
     /// Number of batches that wait for a newer configuration.
     held: usize,
+    assignments: Assignments,
 }
 
 /// A run: one attempt to run an item at a target.
@@ -113,6 +115,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
+            assignments: Assignments::default(),
             held: 0,
             last_check: Millis::ZERO,
             lengths: RouteLengths::default(),
@@ -246,16 +249,17 @@
 
     /// Starts the items that may start now; returns whether any item is left waiting.
     fn start_items(&mut self) -> bool {
-        let Some(configuration) = self.shared.configuration() else {
+        let shared = Arc::clone(&self.shared);
+        let Some(configuration) = shared.configuration() else {
             return false;
         };
         let mut waiting = false;
-        let now = self.shared.clock.now();
+        let now = shared.clock.now();
         let mut started = Vec::new();
         let mut held = 0_usize;
-        let mut parts = self.shared.owned_batches.lock();
+        let mut parts = shared.owned_batches.lock();
         for (number, part) in &mut *parts {
-            if is_stale(&self.shared, *number, part) {
+            if is_stale(&shared, *number, part) {
                 waiting = true;
                 continue;
             }
@@ -278,8 +282,8 @@
                     for (item, ahead) in items {
                         let spec = &submission.items[item];
                         let print = || spec.fingerprint(&submission.workspace, &submission.host);
-                        let claimant = claimant(&self.shared, &submission.id);
-                        if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
+                        let claimant = claimant(&shared, &submission.id);
+                        if let Some(pause) = shared.suspicion.pause(print, &claimant) {
                             batch.postpone(item, now + pause);
                             continue 'batch;
                         }
@@ -307,7 +311,7 @@
                                 waiting = true;
                                 // The operators' record of this version may not have arrived yet.
                                 let (model, oldest) = (&submission.model, submission.min_version);
-                                self.shared.learn_version(model, oldest, "a batch");
+                                shared.learn_version(model, oldest, "a batch");
                                 break 'batch;
                             }
                         }
@@ -330,7 +334,7 @@
 
     /// Starts a run of an item, given with the number of wanted items that go before it.
     fn start(
-        &self,
+        &mut self,
         configuration: &Configuration,
         service: &ServiceName,
         batch: &mut Batch,
@@ -347,7 +351,8 @@
             .map(|service| &service.models[..]);
         let model = submission.model.clone();
         let mut fleet = shared.fleet();
-        let assigned = fleet.assign_models(service, models.unwrap_or_default());
+        let models = models.unwrap_or_default();
+        let assigned = self.assignments.of(&fleet, service, models);
         discard_stranded(shared, &fleet, service, batch, (index, now));
         let pinned = batch.pinned_version(index);
         let oldest = pinned.unwrap_or(submission.min_version);
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -1,6 +1,6 @@
 use std::{
     cmp::Reverse,
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     ops::RangeInclusive,
 };
@@ -194,13 +194,25 @@
     pub defer: bool,
 }
 
+/// The newest report of another host.
+#[derive(Clone, Debug)]
+struct KnownReport {
+    number: u64,
+    at: Millis,
+    /// Targets of the report, at which the sender's runs are counted.
+    targets: Vec<TargetName>,
+}
+
 /// All known targets, from which the target of each request is chosen. Callers provide the time and
 /// the locking.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
-    targets: HashMap<TargetName, Target>,
-    /// Number and time of each other host's newest report.
-    reports: HashMap<u32, (u64, Millis)>,
+    /// Ordered by name, which is the order in which [`Self::usable`] returns them.
+    targets: BTreeMap<TargetName, Target>,
+    /// Each other host's newest report, by sender.
+    reports: HashMap<u32, KnownReport>,
+    /// Number of changes so far to which targets are usable for which service.
+    revision: u64,
     /// How current the entries are.
     pub freshness: Freshness,
     /// How current the operators' records are, if a bound on evacuations is set.
@@ -299,6 +311,10 @@
                     let newest = entry.models.entry(model.clone()).or_default();
                     *newest = (*newest).max(*version);
                 }
+                let known = &target.entry;
+                if known.service != entry.service || known.draining != entry.draining {
+                    self.revision += 1;
+                }
                 target.entry = entry;
                 target.kept_until = None;
                 true
@@ -318,6 +334,7 @@
                     entry,
                 };
                 self.targets.insert(target.entry.name.clone(), target);
+                self.revision += 1;
                 true
             }
         }
@@ -333,6 +350,7 @@
             }
             _ => {
                 self.targets.remove(name);
+                self.revision += 1;
             }
         }
     }
@@ -348,10 +366,16 @@
             .collect();
         for name in &gone {
             self.targets.remove(name);
+            self.revision += 1;
         }
         gone
     }
 
+    /// Returns a number that grows with each change to which targets [`Self::usable`] returns.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the target with this name, if it is known.
     pub fn get(&self, name: &TargetName) -> Option<&Target> {
         self.targets.get(name)
@@ -369,12 +393,10 @@
     /// of a target starts here, so targets in evacuated data centres are left out here.
     fn registered(&self, service: &ServiceName) -> Vec<&Target> {
         let targets = self.targets.values();
-        let mut registered: Vec<&Target> = targets
+        targets
             .filter(|target| target.entry.service == *service && !target.entry.draining)
             .filter(|target| !self.evacuations.includes(&target.entry.dc))
-            .collect();
-        registered.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
-        registered
+            .collect()
     }
 
     /// Returns whether a target has said in a response that it leaves.
@@ -387,6 +409,7 @@
     pub fn observe_leaving(&mut self, name: &TargetName, born: u64, now: Millis) -> bool {
         let news = self.leaving.observe(name, born, now);
         if news {
+            self.revision += 1;
             let targets = &self.targets;
             self.leaving.prune(|name| targets.contains_key(name), now);
         }
@@ -416,6 +439,7 @@
     /// Whether the targets of a restored data centre are cold isn't known, so they are taken as cold.
     pub fn set_evacuated(&mut self, dc: &Dc, active: bool, now: Millis) -> (bool, usize) {
         let news = self.evacuations.set(dc, active);
+        self.revision += u64::from(news);
         let targets = self.targets.values_mut();
         let concerned = targets.filter(|target| target.entry.dc == *dc);
         let mut count = 0;
@@ -672,22 +696,44 @@
     /// Applies another host's report of its running requests, unless a newer one has already
     /// arrived.
     pub fn apply_report(&mut self, report: &RunReport, now: Millis) {
-        let newest = self.reports.get(&report.sender).map(|(number, _)| *number);
+        let newest = self.reports.get(&report.sender).map(|known| known.number);
         if newest.is_some_and(|newest| newest > report.number) {
             return;
         }
-        self.reports
-            .retain(|_, (_, at)| now - *at < REPORT_RETENTION);
-        self.reports.insert(report.sender, (report.number, now));
+        // Only targets of the sender's last report are looked at: there may be thousands of targets, and
+        // a thousand reports per second.
+        let targets = &mut self.targets;
+        let mut forget = |sender: u32, names: &[TargetName]| {
+            for name in names {
+                if let Some(target) = targets.get_mut(name) {
+                    target.remote_running.remove(&sender);
+                }
+            }
+        };
+        self.reports.retain(|sender, known| {
+            let recent = now - known.at < REPORT_RETENTION;
+            if !recent {
+                forget(*sender, &known.targets);
+            }
+            recent
+        });
+        let known = self.reports.entry(report.sender);
+        let known = known.or_insert_with(|| KnownReport {
+            number: report.number,
+            at: now,
+            targets: Vec::new(),
+        });
         // A datagram with the number of the newest report continues it.
         if newest != Some(report.number) {
-            for target in self.targets.values_mut() {
-                target.remote_running.remove(&report.sender);
-            }
+            forget(report.sender, &known.targets);
+            known.targets.clear();
         }
+        known.number = report.number;
+        known.at = now;
         for (name, count) in &report.running {
-            if let Some(target) = self.targets.get_mut(name) {
+            if let Some(target) = targets.get_mut(name) {
                 target.remote_running.insert(report.sender, (*count, now));
+                known.targets.push(name.clone());
             }
         }
     }
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! State that is replaced by newer versions: the configuration, the targets, and mirrors of the
 //! store's keyed partitions.
 
+mod assignments;
 mod cold;
 mod configuration;
 mod evacuation;
@@ -14,6 +15,7 @@
 mod speed;
 mod suspects;
 
+pub use assignments::{AssignedModels, Assignments};
 pub use cold::{Cold, ColdBound, ColdRule};
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
