--- a/crates/godwitspool-host/src/duty/load_limit.rs
+++ b/crates/godwitspool-host/src/duty/load_limit.rs
@@ -101,6 +101,12 @@
             .max(MIN_LIMIT)
     }
 
+    /// Returns whether the storage of weights bears fewer loads than a service with this number of targets
+    /// would begin.
+    pub fn is_scarce(&self, targets: usize) -> bool {
+        self.most(targets) < targets / TARGETS_PER_LOAD
+    }
+
     /// Records an order.
     pub fn begin(&mut self, target: TargetName, model: ModelName, version: u64, now: Millis) {
         let recent = self.pending.iter().rev();
@@ -116,6 +122,11 @@
         });
     }
 
+    /// Leaves the loads of the past out of account: targets' entries couldn't be read, so no load was shown.
+    pub fn disregard(&mut self, now: Millis) {
+        self.counted_from = self.counted_from.max(now);
+    }
+
     /// Counts the loads that are finished or due. `shown` returns the version of a model that a target's
     /// entry shows, `None` if the target is gone or hasn't accepted the order.
     pub fn update(&mut self, now: Millis, shown: impl Fn(&TargetName, &ModelName) -> Option<u64>) {
--- a/crates/godwitspool-host/src/duty/loads.rs
+++ b/crates/godwitspool-host/src/duty/loads.rs
@@ -40,6 +40,8 @@
     pub mode: LoadMode,
     /// Maximum number of concurrent loads.
     pub most: usize,
+    /// Whether that is fewer than the service would use, so that its models compete for loads.
+    pub scarce: bool,
     /// Current time.
     pub now: Millis,
 }
@@ -130,11 +132,11 @@
             candidates.push((need, up_to_date + rank, newest - at, target, model));
         }
     }
-    // Among equal needs the model with the fewest targets for its next step comes first, so that the
-    // models share loads that are scarce.
+    // While loads are scarce, the model with the fewest targets for its next step comes first among equal
+    // needs. Otherwise models whose versions are named most often would get all of them.
     candidates.sort_by(|a, b| {
         let rank = |(need, up_to_date, ..): &(Need, usize, u64, &Target, &ModelName)| match need {
-            Need::Next => (*need, *up_to_date),
+            Need::Next if view.scarce => (*need, *up_to_date),
             _ => (*need, 0),
         };
         let order = rank(a).cmp(&rank(b)).then(b.2.cmp(&a.2));
--- a/crates/godwitspool-host/src/process/duties.rs
+++ b/crates/godwitspool-host/src/process/duties.rs
@@ -22,6 +22,9 @@
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of an order to a target.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Age of the targets' entries from which on they don't tell whether loads take too long. They are read
+/// several times per second.
+const MAX_ENTRY_AGE: Millis = Millis(1_500);
 /// Delay from the end of a window until its counts are frozen. Hosts append their counts within a
 /// second after the end.
 const FREEZE_DELAY_MS: u64 = 3_000;
@@ -276,6 +279,10 @@
                     .map(|(model, version)| (model.clone(), *version))
                     .collect();
                 let limit = self.limits.entry(name.clone()).or_default();
+                let age = fleet.freshness.age();
+                if age.is_none_or(|age| age > MAX_ENTRY_AGE) {
+                    limit.disregard(now);
+                }
                 limit.update(now, |target, model| {
                     let accepted = loading.get(target).is_some_and(|load| load.version > 0);
                     let target = fleet.get(target).filter(|_| accepted)?;
@@ -284,6 +291,7 @@
                 let targets = fleet.usable(name);
                 let planned = plan_loads(&LoadView {
                     most: limit.most(targets.len()),
+                    scarce: limit.is_scarce(targets.len()),
                     targets,
                     assigned: &fleet.assign_models(name, &service.models),
                     newest_versions: &named,
--- a/crates/godwitspool-host/tests/load_limit.rs
+++ b/crates/godwitspool-host/tests/load_limit.rs
@@ -104,6 +104,7 @@
         let targets = fleet.usable(&service);
         let orders = plan_loads(&LoadView {
             most: most(&mut limit, targets.len()),
+            scarce: limit.is_scarce(targets.len()),
             targets,
             assigned: &assigned,
             newest_versions: &named,
--- a/crates/godwitspool-host/tests/loads.rs
+++ b/crates/godwitspool-host/tests/loads.rs
@@ -84,6 +84,7 @@
             loading: &loading,
             mode: LoadMode::Continue,
             most: CONCURRENT_LOADS,
+            scarce: false,
             now,
         });
         for order in orders {
@@ -148,6 +149,7 @@
         loading: &HashMap::new(),
         mode: LoadMode::Continue,
         most: CONCURRENT_LOADS,
+        scarce: false,
         now: Millis(10_000),
     });
     assert_eq!(orders.len(), CONCURRENT_LOADS);
@@ -188,6 +190,7 @@
             loading: &loading,
             mode: LoadMode::Continue,
             most: CONCURRENT_LOADS,
+            scarce: false,
             now,
         });
         for order in orders {
