--- a/crates/godwitspool-host/tests/load_limit.rs
+++ b/crates/godwitspool-host/tests/load_limit.rs
@@ -39,20 +39,7 @@
     at_once: usize,
     mut most: impl FnMut(&mut LoadLimit, usize) -> usize,
 ) -> usize {
-    let mut fleet = Fleet::default();
-    for number in 0..targets {
-        fleet.apply(TargetEntry {
-            name: TargetName::from(format!("t{number}")),
-            service: ServiceName::from("engine"),
-            address: ([127, 0, 0, 1], 80).into(),
-            dc: Dc::from("north"),
-            slots: 6,
-            draining: false,
-            models: (0..MODELS).map(|number| (model(number), 1)).collect(),
-            born: 1,
-            cold_left: Millis(0),
-        });
-    }
+    let mut fleet = fleet(targets);
     let service = ServiceName::from("engine");
     let models: Vec<ModelName> = (0..MODELS).map(model).collect();
     let assigned = fleet.assign_models(&service, &models);
@@ -143,6 +130,24 @@
     least
 }
 
+fn fleet(targets: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..targets {
+        fleet.apply(TargetEntry {
+            name: TargetName::from(format!("t{number}")),
+            service: ServiceName::from("engine"),
+            address: ([127, 0, 0, 1], 80).into(),
+            dc: Dc::from("north"),
+            slots: 6,
+            draining: false,
+            models: (0..MODELS).map(|number| (model(number), 1)).collect(),
+            born: 1,
+            cold_left: Millis(0),
+        });
+    }
+    fleet
+}
+
 fn model(number: usize) -> ModelName {
     ModelName::from(format!("m{number}"))
 }
