Runner: only runs whose sockets are ready are served

Cause: each step read the sockets of all runs, so an event of one run cost a system call for every other one.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, io, iter, net::SocketAddr, sync::Arc, time::Duration};
 
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
@@ -8,7 +8,7 @@
 };
 use crate::{
     dialect::ForwardContext,
-    http::{CallError, Connection, Exchange, Progress, wait},
+    http::{CallError, Connection, Exchange, Interest, Progress, wait},
     lease_clock,
     process::{Shared, TargetStart},
     store::Topic,
@@ -117,8 +117,8 @@
             let active = !self.runs.is_empty() || !self.calls.is_empty();
             let check_due = (waiting || active).then_some(CHECK_INTERVAL);
             let due = [check_due, report_due].into_iter().flatten().min();
-            self.wait(due.map(Millis::duration))?;
-            self.advance();
+            let ready = self.wait(due.map(Millis::duration))?;
+            self.advance(&ready);
             self.advance_calls();
         }
     }
@@ -138,14 +138,16 @@
         shared.reports.send(shared, shared.incarnation, running)
     }
 
-    fn wait(&self, timeout: Option<Duration>) -> io::Result<()> {
+    /// Waits until a socket is ready, and returns for each run whether its socket is.
+    fn wait(&self, timeout: Option<Duration>) -> io::Result<Vec<bool>> {
         let mut sockets = vec![self.shared.owned_batches.waker.socket()];
         sockets.extend(self.runs.iter().map(|run| run.exchange.socket()));
         sockets.extend(self.calls.iter().map(|call| call.exchange().socket()));
         let activity = &self.shared.runner_activity;
-        activity.wait(|| wait(&sockets, timeout))?;
+        let events = activity.wait(|| wait(&sockets, timeout))?;
         self.shared.owned_batches.waker.clear();
-        Ok(())
+        let runs = events.into_iter().skip(1).take(self.runs.len());
+        Ok(runs.map(|event| event != Interest::default()).collect())
     }
 
     /// Starts the reward calls that may start now; returns whether any is left waiting.
@@ -397,9 +399,9 @@
         })
     }
 
-    /// Serves the sockets of all runs, and drops the runs whose batch has ended or whose partition
-    /// this host no longer owns.
-    fn advance(&mut self) {
+    /// Serves the sockets of the runs that are `ready`, and drops the runs whose batch has ended or whose
+    /// partition this host no longer owns. All runs are served when their stalls are checked.
+    fn advance(&mut self, ready: &[bool]) {
         let now = self.shared.clock.now();
         let shared = Arc::clone(&self.shared);
         let mut parts = shared.owned_batches.lock();
@@ -408,7 +410,8 @@
             self.last_check = now;
         }
         let mut active = Vec::with_capacity(self.runs.len());
-        for mut run in std::mem::take(&mut self.runs) {
+        let ready = ready.iter().chain(iter::repeat(&true));
+        for (mut run, is_ready) in std::mem::take(&mut self.runs).into_iter().zip(ready) {
             let part = parts
                 .get_mut(&run.part)
                 .filter(|part| part.epoch == run.epoch);
@@ -418,6 +421,11 @@
                 run.record_end(&shared, false);
                 continue;
             };
+            // Each event of one run would otherwise cost a read of every other run's socket.
+            if !is_ready && !check_due {
+                active.push(run);
+                continue;
+            }
             let end = match run.step(&shared, batch, check_due, now) {
                 Step::Active => {
                     active.push(run);
