Admission: ranks, a guaranteed share, refusals of a stalled queue

Cause: `Admission` knew no priorities, judged a queue that stands still by the pace of its starts, judged a new queue by the pace of an earlier one, and named a fixed delay to callers that it refused after a wait.

Change: the most urgent rank starts first, then the workspace that was served least for its share; a workspace below a quarter of the mean share goes before more urgent ones. A queue without a start for twice the mean time of a request counts as stalled and is expected to stand for as long again. Refusals name the time until the queue has room, at most 10 s, and `Refusal::spread` lengthens it by a random part. A request that reached no target no longer counts in the mean time of requests. The entry spreads its refusals too; its rank is always 0.

--- a/crates/godwitspool-entry/src/request/dispatch.rs
+++ b/crates/godwitspool-entry/src/request/dispatch.rs
@@ -163,6 +163,7 @@
         state.waiters.insert(work.id, waiter);
         let ticket = Ticket {
             deadline: work.deadline,
+            rank: 0,
             request: work.id,
             share: work.share,
             workspace: work.caller.workspace.clone(),
@@ -195,6 +196,7 @@
     /// Ends an admitted request, which held its slot for `held`.
     pub(crate) fn finish(&self, work: &Work, held: Millis, now: Millis) {
         let workspace = work.caller.workspace.clone();
+        let held = Some(held);
         let done = AdmissionEvent::Done { held, workspace };
         self.lock().handle_event(&work.caller.service, done, now);
     }
@@ -337,7 +339,9 @@
             let admission = self.admissions.entry(service.clone()).or_default();
             for action in admission.decide(event, free, now) {
                 match action {
-                    AdmissionAction::Refuse(id, refusal) => self.notify(id, Err(refusal)),
+                    AdmissionAction::Refuse(id, refusal) => {
+                        self.notify(id, Err(refusal.spread(rand::random())));
+                    }
                     AdmissionAction::Start(id) => {
                         next = Some(self.start(id, room, now));
                     }
@@ -363,7 +367,7 @@
         let unassigned = assigned.is_none();
         self.notify(request, assigned.ok_or(Reason::NoTarget.into()));
         if unassigned {
-            let held = Millis::ZERO;
+            let held = None;
             return AdmissionEvent::Done { held, workspace };
         }
         AdmissionEvent::Tick
--- a/crates/godwitspool-measure/src/serving/fleet.rs
+++ b/crates/godwitspool-measure/src/serving/fleet.rs
@@ -165,6 +165,7 @@
         self.hosts[host].pending.insert(request, job);
         let ticket = Ticket {
             deadline: Millis(self.now + deadline_ms),
+            rank: 0,
             request,
             share: 1,
             workspace: Workspace::from(format!("w{workspace}")),
@@ -249,7 +250,7 @@
             self.hosts[job.host].targets.end(self.ids[engine]);
             if let Some(workspace) = job.workspace {
                 let done = AdmissionEvent::Done {
-                    held: Millis(self.now - job.started),
+                    held: Some(Millis(self.now - job.started)),
                     workspace: Workspace::from(format!("w{workspace}")),
                 };
                 ended = self.run_admission(job.host, done);
--- a/crates/godwitspool-request/src/admission.rs
+++ b/crates/godwitspool-request/src/admission.rs
@@ -11,6 +11,8 @@
 pub struct Ticket {
     /// Time by which the answer must be complete.
     pub deadline: Millis,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
     /// Identifier by which the actions refer to the request.
     pub request: RequestId,
     /// Weight of the workspace in fair queueing; 0 counts as 1.
@@ -26,8 +28,8 @@
     Arrive(Ticket),
     /// A started request ended.
     Done {
-        /// How long the request held its slot.
-        held: Millis,
+        /// How long the request held its slot; `None` if it reached no target.
+        held: Option<Millis>,
         /// Workspace of the request.
         workspace: Workspace,
     },
@@ -49,6 +51,7 @@
 /// The waiting and running requests of one workspace.
 #[derive(Clone, Debug, Default)]
 struct Flow {
+    /// Waiting requests by rank, and by arrival within a rank.
     queue: VecDeque<Ticket>,
     running: u32,
     /// Slot time received, in milliseconds divided by the share; it decays with [`HALF_LIFE`].
@@ -60,13 +63,26 @@
 
 /// Half-life of the slot time that a workspace has received.
 const HALF_LIFE: Millis = Millis(10_000);
+/// A workspace whose slot time for its share is below the mean divided by this goes before more urgent
+/// ones, so that no rank starves.
+const GUARANTEE_DIVISOR: f64 = 4.0;
+/// Number of mean times of a request without a start after which the queue counts as stalled. Slots that
+/// were taken together become free together, and requests take unequal times.
+const STALL_FACTOR: f64 = 2.0;
+/// Maximum delay that a refusal names. The pace of the last seconds says nothing about later ones.
+const MAX_RETRY_AFTER: Millis = HALF_LIFE;
 /// Weight of a new value in a moving mean.
 const MEAN_SMOOTHING: f64 = 0.1;
 
 /// Admission of the interactive requests of one service.
 ///
-/// The next request to start is taken from the workspace with the least slot time for its share. A
-/// request is refused immediately if the estimated wait leaves too little time before its deadline.
+/// The next request to start is one of the most urgent rank, of the workspace with the least slot time
+/// for its share. Workspaces with less than a quarter of the mean slot time for their share go before
+/// more urgent ones. A request is refused immediately if the estimated wait leaves too little time before
+/// its deadline.
+///
+/// Load patterns: one workspace sends many times its share; urgent workspaces send more than there are
+/// slots for; a burst that exceeds what can be served in time; targets that never get free.
 ///
 /// ```
 /// use godwitspool_request::{Admission, AdmissionAction, AdmissionEvent, Ticket};
@@ -75,6 +91,7 @@
 /// let mut admission = Admission::default();
 /// let ticket = Ticket {
 ///     deadline: Millis(1_000),
+///     rank: 0,
 ///     request: RequestId(1),
 ///     share: 1,
 ///     workspace: Workspace::from("weddings"),
@@ -91,6 +108,8 @@
     interval_ms: f64,
     /// Time of the last start, if requests have been waiting since.
     started: Option<Millis>,
+    /// Since when requests have been waiting without a start.
+    stuck_since: Option<Millis>,
     waiting: usize,
 }
 
@@ -122,6 +141,9 @@
         }
         if self.waiting == 0 {
             self.started = None;
+            self.stuck_since = None;
+            // The next queue may have another cause and another pace.
+            self.interval_ms = 0.0;
         }
         actions
     }
@@ -144,43 +166,73 @@
         actions: &mut Vec<AdmissionAction>,
     ) {
         let request = ticket.request;
-        let mut refuse = |reason: Reason, after: Option<Millis>| {
-            let mut refusal = Refusal::from(reason);
-            refusal.retry_after = after.or(refusal.retry_after);
-            actions.push(AdmissionAction::Refuse(request, refusal));
-        };
         if self.waiting >= Self::MAX_WAITING {
-            return refuse(Reason::QueueFull, None);
+            let refusal = refuse(Reason::QueueFull, self.drain_time(now));
+            return actions.push(AdmissionAction::Refuse(request, refusal));
         }
         if (self.waiting as u32) >= free {
-            let wait = self.estimate(&ticket.workspace, ticket.share);
+            let wait = self.estimate(&ticket, now);
             if now + wait + Millis(self.held_ms as u64) > ticket.deadline {
-                return refuse(Reason::DeadlineUnreachable, Some(wait));
+                let refusal = refuse(Reason::DeadlineUnreachable, wait);
+                return actions.push(AdmissionAction::Refuse(request, refusal));
             }
         }
         let flow = self.flows.entry(ticket.workspace.clone()).or_default();
         flow.share = ticket.share.max(1);
-        flow.queue.push_back(ticket);
+        let behind = flow.count_urgent(ticket.rank);
+        flow.queue.insert(behind, ticket);
         self.waiting += 1;
+        self.stuck_since.get_or_insert(now);
     }
 
     /// Estimates how long the next request of a workspace would wait.
     ///
-    /// Ahead of it are the waiting requests of its own workspace, and those of other workspaces
-    /// that start in the meantime according to their shares.
-    fn estimate(&self, workspace: &Workspace, share: u32) -> Millis {
-        let own = self.flows.get(workspace).map_or(0, |flow| flow.queue.len()) as f64 + 1.0;
-        let share = f64::from(share.max(1));
-        let others: f64 = self
+    /// Ahead of it are the waiting requests of its own workspace, the more urgent ones of the others,
+    /// and those of the same rank that start in the meantime according to their shares. It waits no
+    /// longer than the guarantee of a quarter of the mean share allows.
+    fn estimate(&self, ticket: &Ticket, now: Millis) -> Millis {
+        let own = self.flows.get(&ticket.workspace);
+        let own = own.map_or(0, |flow| flow.count_urgent(ticket.rank)) as f64 + 1.0;
+        let share = f64::from(ticket.share.max(1));
+        let others = self
             .flows
             .iter()
-            .filter(|(name, _)| *name != workspace)
-            .map(|(_, flow)| (flow.queue.len() as f64).min(own * f64::from(flow.share) / share))
-            .sum();
-        Millis(((own + others) * self.start_interval()) as u64)
+            .filter(|(name, flow)| **name != ticket.workspace && !flow.queue.is_empty());
+        let (mut ahead, mut competing) = (own, 1.0);
+        for (_, flow) in others {
+            let not_later = flow.count_urgent(ticket.rank);
+            let earlier = ticket.rank.checked_sub(1);
+            let earlier = earlier.map_or(0, |rank| flow.count_urgent(rank));
+            let equal = (not_later - earlier) as f64;
+            ahead += earlier as f64 + equal.min(own * f64::from(flow.share) / share);
+            competing += 1.0;
+        }
+        let guaranteed = own * competing * GUARANTEE_DIVISOR;
+        Millis((ahead.min(guaranteed) * self.pace(now)) as u64)
+    }
+
+    /// Returns how long the waiting requests take to start.
+    fn drain_time(&self, now: Millis) -> Millis {
+        Millis((self.waiting as f64 * self.pace(now)) as u64)
+    }
+
+    /// Returns the expected time between two starts, in milliseconds. A queue that has stalled is
+    /// expected to stand for as long again.
+    fn pace(&self, now: Millis) -> f64 {
+        self.start_interval().max(self.stalled_ms(now))
     }
 
-    /// Returns the expected time between two starts, in milliseconds.
+    /// Returns for how long the queue has stood still, 0 if a gap of that length is usual.
+    fn stalled_ms(&self, now: Millis) -> f64 {
+        let stuck = self.stuck_since.map_or(0, |since| (now - since).0) as f64;
+        if stuck > STALL_FACTOR * self.start_interval().max(self.held_ms) {
+            stuck
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the mean time between two starts, in milliseconds.
     fn start_interval(&self) -> f64 {
         if self.interval_ms > 0.0 {
             self.interval_ms
@@ -189,10 +241,12 @@
         }
     }
 
-    fn finish(&mut self, held: Millis, workspace: &Workspace, now: Millis) {
-        let held_ms = held.0 as f64;
+    fn finish(&mut self, held: Option<Millis>, workspace: &Workspace, now: Millis) {
+        let held_ms = held.unwrap_or_default().0 as f64;
         let expected = self.held_ms;
-        update_mean(&mut self.held_ms, held_ms);
+        if held.is_some() {
+            update_mean(&mut self.held_ms, held_ms);
+        }
         if let Some(flow) = self.flows.get_mut(workspace) {
             flow.running = flow.running.saturating_sub(1);
             flow.settle(now);
@@ -214,39 +268,80 @@
 
     /// Refuses waiting requests that can no longer be answered before their deadline.
     fn expire(&mut self, now: Millis, actions: &mut Vec<AdmissionAction>) {
-        let latest = now + Millis(self.held_ms as u64);
+        let latest = now + Millis((self.held_ms + self.stalled_ms(now)) as u64);
+        let mut expired = Vec::new();
         for flow in self.flows.values_mut() {
             flow.queue.retain(|ticket| {
                 let alive = ticket.deadline > latest;
                 if !alive {
-                    let refusal = Refusal::from(Reason::QueueExpired);
-                    actions.push(AdmissionAction::Refuse(ticket.request, refusal));
-                    self.waiting -= 1;
+                    expired.push(ticket.request);
                 }
                 alive
             });
         }
+        if expired.is_empty() {
+            return;
+        }
+        // The last of those that stay starts after this time, and one that comes back after it.
+        let drain_time = self.drain_time(now);
+        self.waiting -= expired.len();
+        let refusal = refuse(Reason::QueueExpired, drain_time);
+        let refusals = expired
+            .into_iter()
+            .map(|request| AdmissionAction::Refuse(request, refusal));
+        actions.extend(refusals);
     }
 
     fn start(&mut self, now: Millis) -> Option<RequestId> {
-        let waiting = self
-            .flows
-            .values_mut()
-            .filter(|flow| !flow.queue.is_empty());
-        let flow = waiting.min_by(|one, other| one.decayed(now).total_cmp(&other.decayed(now)))?;
+        if self.waiting == 0 {
+            return None;
+        }
+        let least = self.least_served(now)?;
+        let flow = self.flows.get_mut(&least)?;
         let ticket = flow.queue.pop_front()?;
         flow.settle(now);
         flow.served += self.held_ms.max(1.0) / f64::from(flow.share);
         flow.running += 1;
         self.waiting -= 1;
+        self.stuck_since = Some(now);
         if let Some(before) = self.started.replace(now) {
             update_mean(&mut self.interval_ms, (now - before).0 as f64);
         }
         Some(ticket.request)
     }
+
+    /// Returns the workspace whose request starts next.
+    fn least_served(&self, now: Millis) -> Option<Workspace> {
+        let mut waiting = self.flows.iter().filter(|(_, flow)| !flow.queue.is_empty());
+        if self.waiting == 1 {
+            return waiting.next().map(|(name, _)| name.clone());
+        }
+        let competing = self.flows.values();
+        let competing = competing.filter(|flow| flow.running > 0 || !flow.queue.is_empty());
+        let (count, total) = competing.fold((0.0, 0.0), |(count, total), flow| {
+            (count + 1.0, total + flow.decayed(now))
+        });
+        let guaranteed = total / f64::max(count, 1.0) / GUARANTEE_DIVISOR;
+        let order = |flow: &Flow| {
+            let served = flow.decayed(now);
+            let rank = flow.queue.front().map(|ticket| ticket.rank);
+            (served >= guaranteed, rank, served)
+        };
+        let ordered = waiting.map(|(name, flow)| (order(flow), name));
+        let least = ordered.min_by(|((met, rank, served), _), (other, _)| {
+            let ranks = (met, rank).cmp(&(&other.0, &other.1));
+            ranks.then(served.total_cmp(&other.2))
+        });
+        least.map(|(_, name)| name.clone())
+    }
 }
 
 impl Flow {
+    /// Returns the number of waiting requests of this rank or a more urgent one.
+    fn count_urgent(&self, rank: u32) -> usize {
+        self.queue.partition_point(|ticket| ticket.rank <= rank)
+    }
+
     fn decayed(&self, now: Millis) -> f64 {
         let halvings = (now - self.settled).0 as f64 / HALF_LIFE.0 as f64;
         self.served * 0.5_f64.powf(halvings)
@@ -258,6 +353,15 @@
     }
 }
 
+/// Returns a refusal whose delay is the time until the queue has room, if that is known.
+fn refuse(reason: Reason, wait: Millis) -> Refusal {
+    let refusal = Refusal::from(reason);
+    if wait == Millis::ZERO {
+        return refusal;
+    }
+    refusal.with_retry(wait.min(MAX_RETRY_AFTER))
+}
+
 fn update_mean(mean: &mut f64, value: f64) {
     if *mean == 0.0 {
         *mean = value;
--- a/crates/godwitspool-request/src/refusal.rs
+++ b/crates/godwitspool-request/src/refusal.rs
@@ -240,6 +240,22 @@
         self
     }
 
+    /// Lengthens the delay by a random part of itself, given as a number in `0.0..=1.0`. Callers
+    /// that are refused together come back over as long a time as they were told to wait.
+    ///
+    /// ```
+    /// use godwitspool_request::{Reason, Refusal};
+    /// use godwitspool_types::Millis;
+    ///
+    /// let refusal = Refusal::from(Reason::QueueFull).with_retry(Millis(400));
+    /// assert_eq!(refusal.spread(0.25).retry_after, Some(Millis(500)));
+    /// ```
+    pub fn spread(mut self, draw: f64) -> Self {
+        let lengthen = |after: Millis| Millis((after.0 as f64 * (1.0 + draw)) as u64);
+        self.retry_after = self.retry_after.map(lengthen);
+        self
+    }
+
     /// Widens the refusal to cover every request with the same idempotency key.
     ///
     /// Until the key's home hosts have confirmed that the key is new, an earlier request with it
--- a/crates/godwitspool-request/tests/admission.rs
+++ b/crates/godwitspool-request/tests/admission.rs
@@ -12,6 +12,7 @@
 fn ticket(request: u128, workspace: &str, deadline: u64) -> Ticket {
     Ticket {
         deadline: Millis(deadline),
+        rank: 0,
         request: RequestId(request),
         share: 1,
         workspace: Workspace::from(workspace),
@@ -24,7 +25,7 @@
 
 fn done(workspace: &str, held: u64) -> AdmissionEvent {
     AdmissionEvent::Done {
-        held: Millis(held),
+        held: Some(Millis(held)),
         workspace: Workspace::from(workspace),
     }
 }
