Host: a queue for callers' requests, with ranks, fair shares and refusals at once

Cause: each request was sent to a target at once, however many ran there. One workspace that sent more took the others' slots, priorities were ignored, and requests without a chance were held until their deadline.

Change: `request/admission.rs` carries `Admission` out in front of `Forward::start_attempt`. `Fleet::room` says for how many requests a service has room; items and reward calls count for at most half of a target's slots. A waiting request watches its caller's socket and the end of the process. `tenants[].priority` is decoded and takes precedence over the route's.

--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -147,7 +147,9 @@
         return respond(caller, status(401));
     };
     if route.kind != RouteKind::Batch {
-        return forward(shared, route, request, call, workspace.as_ref(), caller);
+        let priority = configuration.priority(route, workspace.as_ref());
+        let workspace = workspace.as_ref();
+        return forward(shared, route, request, call, workspace, priority, caller);
     }
     let workspace = workspace.unwrap_or_default();
     match shared.dialect.submission(request, call, route, &workspace) {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -22,7 +22,7 @@
     dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
-    request::DurationEstimates,
+    request::{DurationEstimates, Queues},
     store::{Store, Topic},
     version::{Configuration, Fleet, Leaving, Mirror},
 };
@@ -76,6 +76,8 @@
     pub peers: Peers,
     /// Permits for requests to targets that have named a limit.
     pub permits: Permits,
+    /// Queues of callers' requests.
+    pub queues: Queues,
     /// Requests that are suspected of ending their targets.
     pub suspicion: Suspicion,
     /// Reports of runs, sent to and received from other hosts.
@@ -186,6 +188,7 @@
             "entry_age_seconds",
             "Ages of the targets' entries when a target was chosen",
         );
+        let queues = Queues::new(&metrics);
         let store_calls =
             metrics.counter_by_reason("store_calls", "Calls to the store by way and outcome");
         let call_seconds =
@@ -235,6 +238,7 @@
             change_count: Mutex::default(),
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
+            queues,
             suspicion: Suspicion::new(breaks, suspects),
             pool: Arc::default(),
             store: Arc::new(Relay::new(
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -4,9 +4,10 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_types::{Millis, ServiceName, TargetName, Workspace};
+use godwitspool_request::{Refusal, Ticket};
+use godwitspool_types::{Millis, RequestId, ServiceName, TargetName, Workspace};
 
-use super::may_begin;
+use super::{Admitted, Arrival, may_begin};
 use crate::{
     dialect::{Call, ForwardContext, Reply},
     http::{CallError, Caller, Exchange, Progress, Request, Response, wait},
@@ -72,7 +73,15 @@
     request: &'a Request,
     call: &'a Call,
     workspace: Option<&'a Workspace>,
+    /// Urgency; 0 is the most urgent.
+    priority: u32,
     service: ServiceName,
+    /// Place among the requests that may be sent to the service's targets.
+    admitted: Option<Admitted<'a>>,
+    /// How long the request waited for a target with room, if it did.
+    waited: Option<Duration>,
+    /// Why the queue refused the request.
+    queue_refusal: Option<Refusal>,
     arrived: Instant,
     /// When the request times out.
     due: Instant,
@@ -111,7 +120,8 @@
 }
 
 /// Sends a request to targets of its route's service until one responds, and passes the response to
-/// the caller.
+/// the caller. While no target has room, the request waits according to its `priority`, 0 being the most
+/// urgent, and to what its workspace has been served.
 ///
 /// # Errors
 ///
@@ -122,6 +132,7 @@
     request: &Request,
     call: &Call,
     workspace: Option<&Workspace>,
+    priority: u32,
     caller: &mut Caller,
 ) -> io::Result<Ended> {
     let arrived = Instant::now();
@@ -145,7 +156,11 @@
         request,
         call,
         workspace,
+        priority,
         service,
+        admitted: None,
+        waited: None,
+        queue_refusal: None,
         arrived,
         due: arrived + bound,
         in_flight: Vec::new(),
@@ -164,6 +179,9 @@
     if let Some(claim) = forward.trial.take() {
         shared.suspicion.end_trial(forward.fingerprint(), claim);
     }
+    if let Some(mut admitted) = forward.admitted.take() {
+        admitted.ran = forward.started > 0;
+    }
     if forward.started > 0 {
         shared.observe_duration(&route.name, arrived.elapsed());
     }
@@ -175,7 +193,9 @@
         log::info!(
             request = call.request(), route = route.name, service:% = forward.service,
             tried:? = forward.tried, begun = forward.started, withheld:? = forward.withheld,
-            entries_ms = forward.entries_ms,
+            entries_ms = forward.entries_ms, waited_ms = forward.waited.map(as_ms),
+            queue:? = forward.queue_refusal.map(|refusal| refusal.reason.code()),
+            workspace:? = workspace, priority,
             took_ms = forward.arrived.elapsed().as_millis() as u64, left_ms, ended:?;
             "request not served"
         );
@@ -186,8 +206,11 @@
 
 impl Forward<'_> {
     fn run(&mut self, caller: &mut Caller) -> io::Result<Ended> {
+        if let Some(ended) = self.enter_queue(caller)? {
+            return Ok(ended);
+        }
         let repeatable = self.route.kind == RouteKind::Idempotent;
-        let wait_until = self.due().min(self.arrived + MAX_ENTRY_WAIT);
+        let wait_until = self.due().min(Instant::now() + MAX_ENTRY_WAIT);
         loop {
             if self.in_flight.is_empty() && !self.start_attempt(repeatable) {
                 let stale = self.shared.fleet().freshness.basis() == Basis::Stale;
@@ -244,6 +267,73 @@
         }
     }
 
+    /// Waits until a target has room for the request. Returns how the request ended if it may not be sent
+    /// to any target.
+    fn enter_queue(&mut self, caller: &mut Caller) -> io::Result<Option<Ended>> {
+        let left = self.due().saturating_duration_since(Instant::now());
+        let ticket = Ticket {
+            deadline: self.shared.clock.now() + left.into(),
+            rank: self.priority,
+            request: RequestId::random(),
+            share: 1,
+            workspace: self.workspace.cloned().unwrap_or_default(),
+        };
+        let shared = self.shared;
+        let mut waiting = match shared.queues.arrive(shared, &self.service, ticket) {
+            Arrival::Started(admitted) => {
+                self.admitted = Some(admitted);
+                return Ok(None);
+            }
+            Arrival::Refused(refusal) => return self.respond_refused(caller, refusal).map(Some),
+            Arrival::Waiting(waiting) => waiting,
+        };
+        loop {
+            let decision = waiting.decision();
+            self.waited = Some(waiting.waited());
+            match decision {
+                Some(Ok(admitted)) => {
+                    log::info!(
+                        request = self.call.request(), service:% = self.service, workspace:? = self.workspace,
+                        priority = self.priority, waited_ms = self.waited.map(as_ms);
+                        "request waited for a target"
+                    );
+                    self.admitted = Some(admitted);
+                    return Ok(None);
+                }
+                Some(Err(refusal)) => return self.respond_refused(caller, refusal).map(Some),
+                None => {}
+            }
+            let last_answer = shared.ending.last_answer();
+            self.ends_first = !may_begin(
+                Instant::now(),
+                last_answer,
+                self.due,
+                self.expected_duration(),
+            );
+            if self.ends_first {
+                return self.respond_unserved(caller).map(Some);
+            }
+            let mut sockets = vec![caller.socket(), waiting.socket()];
+            sockets.extend(shared.ending.socket());
+            if wait(&sockets, Some(waiting.interval()))?[0].hangup {
+                return Ok(Some(Ended::CallerLeft));
+            }
+        }
+    }
+
+    fn respond_refused(&mut self, caller: &mut Caller, refusal: Refusal) -> io::Result<Ended> {
+        self.queue_refusal = Some(refusal);
+        let retry_after = refusal.retry_after.unwrap_or_default().duration();
+        caller.respond(&self.shared.dialect.refusal(retry_after))?;
+        Ok(Ended::Refused)
+    }
+
+    /// Returns how long a request of the route is expected to take.
+    fn expected_duration(&self) -> Duration {
+        let expected = self.shared.expected_duration(&self.route.name);
+        expected.or(self.route.goal).unwrap_or(DEFAULT_DURATION)
+    }
+
     /// Returns when the newest attempt counts as stalled and another target is tried, if ever. An
     /// attempt that has sent nothing stalls after the connect timeout; a sent one only if the
     /// request may be repeated, after the hedge delay.
@@ -280,8 +370,7 @@
     /// may not be repeated or has used up its attempts.
     fn start_attempt(&mut self, repeatable: bool) -> bool {
         let max_attempts = self.route.attempts.max(1);
-        let expected = self.shared.expected_duration(&self.route.name);
-        let expected = expected.or(self.route.goal).unwrap_or(DEFAULT_DURATION);
+        let expected = self.expected_duration();
         loop {
             let last_answer = self.shared.ending.last_answer();
             self.ends_first = !may_begin(Instant::now(), last_answer, self.due, expected);
@@ -327,8 +416,11 @@
             }
             self.tried.push(target.clone());
             self.entries_ms = self.shared.observe_entry_age(&fleet);
-            fleet.start(&target);
+            fleet.start_request(&target);
             drop(fleet);
+            if let Some(admitted) = &mut self.admitted {
+                admitted.record_sent();
+            }
             let suspect =
                 (standing != Standing::Clear).then(|| self.shared.suspicion.start_run(&target));
             let context = ForwardContext {
@@ -346,7 +438,9 @@
                     // On a pooled connection this sends the request immediately.
                     let failed = exchange.advance().is_err();
                     if failed && !exchange.was_sent() {
-                        self.shared.fleet().finish(&target, Outcome::Failed, now);
+                        self.shared
+                            .fleet()
+                            .finish_request(&target, Outcome::Failed, now);
                         continue;
                     }
                     self.in_flight.push(Attempt {
@@ -363,7 +457,9 @@
                 }
                 Err(error) => {
                     log::info!(request = self.call.request(), target_name:% = target, error:%; "can't connect to a target");
-                    self.shared.fleet().finish(&target, Outcome::Failed, now);
+                    self.shared
+                        .fleet()
+                        .finish_request(&target, Outcome::Failed, now);
                 }
             }
         }
@@ -671,7 +767,9 @@
 
     fn record_outcome(&self, attempt: &Attempt, outcome: Outcome) {
         let now = self.shared.clock.now();
-        self.shared.fleet().finish(&attempt.target, outcome, now);
+        self.shared
+            .fleet()
+            .finish_request(&attempt.target, outcome, now);
     }
 
     /// Responds when the request can't be sent to any further target.
@@ -729,11 +827,17 @@
             } else {
                 Outcome::Dropped
             };
-            self.shared.fleet().finish(&attempt.target, outcome, now);
+            self.shared
+                .fleet()
+                .finish_request(&attempt.target, outcome, now);
         }
     }
 }
 
+fn as_ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
 /// Returns a target's response without its hop-by-hop fields.
 fn without_hop_by_hop(mut response: Response) -> Response {
     response.headers.remove_hop_by_hop();
--- a/crates/godwitspool-host/src/request/mod.rs
+++ b/crates/godwitspool-host/src/request/mod.rs
@@ -1,8 +1,10 @@
-//! Forwarding of callers' requests to targets, and the decision whether a process that ends soon
+//! Forwarding of callers' requests to targets, their queue, and the decision whether a process that ends soon
 //! begins them.
 
+mod admission;
 mod drain;
 mod forward;
 
+pub use admission::{Admitted, Arrival, Queues, Waiting};
 pub use drain::{DurationEstimates, may_begin};
 pub use forward::{Ended, forward};
--- a/crates/godwitspool-host/src/version/configuration.rs
+++ b/crates/godwitspool-host/src/version/configuration.rs
@@ -20,6 +20,8 @@
     pub keys: HashMap<KeyDigest, Workspace>,
     /// Whether callers need an API key, which is so if workspaces are configured.
     pub require_keys: bool,
+    /// Priorities of workspaces that have one of their own; 0 is the most urgent.
+    pub priorities: HashMap<Workspace, u32>,
 }
 
 /// How a route's requests run, and whether they may be retried.
@@ -60,7 +62,7 @@
     pub timeout: Option<Duration>,
     /// Latency goal, from which the hedging delay is derived; `None` uses a default delay.
     pub goal: Option<Duration>,
-    /// Priority; 0 is the most urgent.
+    /// Priority; 0 is the most urgent. That of the caller's workspace takes precedence.
     pub priority: u32,
     /// Services among which requests are split by weight.
     pub split: Vec<Split>,
@@ -154,6 +156,28 @@
         fitting.max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the priority of a request, 0 for the most urgent: that of its workspace, else that of its
+    /// route.
+    ///
+    /// ```
+    /// use godwitspool_host::version::{Configuration, Route};
+    /// use godwitspool_types::Workspace;
+    ///
+    /// let (weddings, others) = (Workspace::from("weddings"), Workspace::from("others"));
+    /// let configuration = Configuration {
+    ///     priorities: [(weddings.clone(), 2)].into(),
+    ///     ..Configuration::default()
+    /// };
+    /// let route = Route { priority: 1, ..Route::default() };
+    /// assert_eq!(configuration.priority(&route, Some(&weddings)), 2);
+    /// assert_eq!(configuration.priority(&route, Some(&others)), 1);
+    /// assert_eq!(configuration.priority(&route, None), 1);
+    /// ```
+    pub fn priority(&self, route: &Route, workspace: Option<&Workspace>) -> u32 {
+        let own = workspace.and_then(|workspace| self.priorities.get(workspace));
+        own.copied().unwrap_or(route.priority)
+    }
+
     /// Returns the workspace of a key; `None` on open routes and if callers need no keys.
     ///
     /// # Errors
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -86,6 +86,8 @@
     pub entry: TargetEntry,
     /// Number of this host's requests that run at the target.
     pub running: u32,
+    /// Number of callers' requests among them; the others are items and reward calls.
+    pub requests: u32,
     /// Number of other hosts' requests that run at the target and the time of the report, by
     /// sender.
     pub remote_running: HashMap<u32, (u32, Millis)>,
@@ -177,6 +179,13 @@
         self.limited.is_none_or(|limited| limited.has_permit(now))
     }
 
+    /// Returns the number of callers' requests for which the target has room.
+    fn room(&self, now: Millis) -> u32 {
+        let slots = self.entry.slots;
+        let batch = self.total_running(now).saturating_sub(self.requests);
+        slots.saturating_sub(self.requests + batch.min(slots / 2))
+    }
+
     /// Returns the number of requests that run at the target, including those of other hosts.
     pub fn total_running(&self, now: Millis) -> u32 {
         let others = self
@@ -212,8 +221,10 @@
                 true
             }
             _ => {
+                let old = self.targets.get(&entry.name);
                 let target = Target {
-                    running: self.targets.get(&entry.name).map_or(0, |old| old.running),
+                    running: old.map_or(0, |old| old.running),
+                    requests: old.map_or(0, |old| old.requests),
                     remote_running: HashMap::new(),
                     failures: 0,
                     paused_until: Millis::default(),
@@ -305,6 +316,42 @@
         }
     }
 
+    /// Counts a caller's request that was sent to a target.
+    pub fn start_request(&mut self, name: &TargetName) {
+        self.start(name);
+        if let Some(target) = self.targets.get_mut(name) {
+            target.requests += 1;
+        }
+    }
+
+    /// Records how a caller's request ended, as [`Self::finish`] does.
+    pub fn finish_request(&mut self, name: &TargetName, outcome: Outcome, now: Millis) {
+        self.finish(name, outcome, now);
+        if let Some(target) = self.targets.get_mut(name) {
+            target.requests = target.requests.saturating_sub(1);
+        }
+    }
+
+    /// Returns the number of callers' requests for which the targets of a service have room. `None` if
+    /// the service is never full: no target is available, so that requests aren't held back for one,
+    /// or one states no slots.
+    ///
+    /// Load pattern: items of a step fill all slots for minutes, while callers wait for milliseconds.
+    /// Items and reward calls, of this host and of others, therefore take at most half of a target's slots
+    /// from callers.
+    pub fn room(&self, service: &ServiceName, now: Millis) -> Option<u32> {
+        if self.freshness.basis() == Basis::Stale {
+            return None;
+        }
+        let mut available = self.usable(service);
+        available.retain(|target| {
+            target.paused_until <= now && target.limited.is_none_or(|limited| limited.is_open(now))
+        });
+        let bounded = available.iter().all(|target| target.entry.slots > 0);
+        let rooms = available.iter().map(|target| target.room(now));
+        (bounded && !available.is_empty()).then(|| rooms.sum())
+    }
+
     /// Takes a permit for a request from the stock if the target has named a limit. Returns false if
     /// there is none: the request must not be sent.
     #[must_use]
