Host: hedges and retries draw on budgets of their service and workspace

Cause: each idempotent request without a response after 0.4 of its goal was sent to a second target.

Change: `RepeatBudget` builds on `RetryBudget`. Ten successes earn a repeat; a budget holds a tenth of the recent successes, but always up to two. A repeat that answers first is refunded, so that a target that hangs doesn't use the budget up. A hedge leaves one for a failed request. A denied hedge is asked for again after three delays, as a retry. No hedge is sent while requests wait for room. An attempt that didn't run takes nothing.

--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -22,7 +22,7 @@
     dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
-    request::{DurationEstimates, Queues},
+    request::{DurationEstimates, Queues, Repeats},
     store::{Store, Topic},
     version::{Configuration, Fleet, Leaving, Mirror},
 };
@@ -78,6 +78,8 @@
     pub permits: Permits,
     /// Queues of callers' requests.
     pub queues: Queues,
+    /// Budgets for hedges and retries of callers' requests.
+    pub repeats: Repeats,
     /// Requests that are suspected of ending their targets.
     pub suspicion: Suspicion,
     /// Reports of runs, sent to and received from other hosts.
@@ -189,6 +191,7 @@
             "Ages of the targets' entries when a target was chosen",
         );
         let queues = Queues::new(&metrics);
+        let repeats = Repeats::new(&metrics);
         let store_calls =
             metrics.counter_by_reason("store_calls", "Calls to the store by way and outcome");
         let call_seconds =
@@ -239,6 +242,7 @@
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
             queues,
+            repeats,
             suspicion: Suspicion::new(breaks, suspects),
             pool: Arc::default(),
             store: Arc::new(Relay::new(
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_request::{Refusal, Ticket};
+use godwitspool_request::{Refusal, Repeat, Ticket};
 use godwitspool_types::{Millis, RequestId, ServiceName, TargetName, Workspace};
 
 use super::{Admitted, Arrival, may_begin};
@@ -32,6 +32,9 @@
 const HEDGE_GOAL_FRACTION: f64 = 0.4;
 /// Hedge delay on routes without a latency goal. A dropped attempt older than this counts as slow.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
+/// Number of hedge delays after which a late response counts as a target that may hang. The rest of the
+/// caller's time must be enough for another target.
+const HANG_FACTOR: u32 = 3;
 /// Time after which a connection attempt is abandoned and another target is tried. It allows for
 /// several round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
@@ -101,6 +104,11 @@
     withheld: Option<Duration>,
     /// Whether no further target was tried because the process ends too soon.
     ends_first: bool,
+    /// Number of hedge delays after which a sent attempt counts as stalled: 1, or [`HANG_FACTOR`] once
+    /// a hedge was denied.
+    hedge_delays: u32,
+    /// Whether a repeat has been taken from the budgets and not been sent.
+    repeat_taken: bool,
     /// A server error from a target, returned to the caller if no later attempt succeeds.
     fallback: Option<Response>,
 }
@@ -115,6 +123,8 @@
     began: Instant,
     /// Whether the attempt took so long that another one has been allowed.
     stalled: bool,
+    /// Whether the attempt repeats one that another target may be running.
+    repeat: bool,
     /// Mark of the target while a suspected request runs there.
     _suspect: Option<SuspectRun<'a>>,
 }
@@ -172,10 +182,16 @@
         ends_first: false,
         trial: None,
         withheld: None,
+        hedge_delays: 1,
+        repeat_taken: false,
         fallback: None,
     };
     let ended = forward.run(caller);
     forward.abandon_attempts();
+    if forward.repeat_taken {
+        let workspace = forward.charged();
+        shared.repeats.refund(&forward.service, &workspace);
+    }
     if let Some(claim) = forward.trial.take() {
         shared.suspicion.end_trial(forward.fingerprint(), claim);
     }
@@ -240,6 +256,10 @@
             }
             let stall = self.stall_deadline(repeatable);
             if stall.is_some_and(|at| now >= at) {
+                if self.is_hedge_denied(repeatable) {
+                    self.hedge_delays = HANG_FACTOR;
+                    continue;
+                }
                 self.mark_stalled();
                 self.start_attempt(repeatable);
                 continue;
@@ -276,7 +296,7 @@
             rank: self.priority,
             request: RequestId::random(),
             share: 1,
-            workspace: self.workspace.cloned().unwrap_or_default(),
+            workspace: self.charged(),
         };
         let shared = self.shared;
         let mut waiting = match shared.queues.arrive(shared, &self.service, ticket) {
@@ -346,8 +366,52 @@
             .route
             .goal
             .map(|goal| goal.mul_f64(HEDGE_GOAL_FRACTION));
-        (repeatable && newest.exchange.head().is_none())
-            .then(|| newest.began + goal.unwrap_or(HEDGE_DELAY))
+        let delay = goal.unwrap_or(HEDGE_DELAY) * self.hedge_delays;
+        (repeatable && newest.exchange.head().is_none()).then(|| newest.began + delay)
+    }
+
+    /// Takes a hedge from the budgets if the newest attempt was sent. Returns whether that was denied:
+    /// the budget is used up, or requests wait for room at the service's targets.
+    fn is_hedge_denied(&mut self, repeatable: bool) -> bool {
+        let newest = self.in_flight.last();
+        let sent = newest.is_some_and(|newest| newest.exchange.was_sent());
+        let hangs = self.hedge_delays > 1;
+        if !sent || hangs || self.repeat_taken || !self.may_send(repeatable) {
+            return false;
+        }
+        let crowded = self.shared.queues.is_waiting(&self.service);
+        crowded || !self.take_repeat(Repeat::Hedge)
+    }
+
+    /// Takes a repeat from the budgets if none is taken yet. Returns false if the budgets don't allow it.
+    fn take_repeat(&mut self, repeat: Repeat) -> bool {
+        if !self.repeat_taken {
+            let workspace = self.charged();
+            let repeats = &self.shared.repeats;
+            self.repeat_taken = repeats.take(&self.service, &workspace, repeat);
+        }
+        self.repeat_taken
+    }
+
+    /// Returns the number of attempts whose target may have started to process the request.
+    fn count_started(&self) -> u32 {
+        let sent = self
+            .in_flight
+            .iter()
+            .filter(|attempt| attempt.exchange.was_sent())
+            .count();
+        self.started + sent as u32
+    }
+
+    /// Returns whether the request may be sent to a further target, as far as its route is concerned.
+    fn may_send(&self, repeatable: bool) -> bool {
+        let started = self.count_started();
+        started == 0 || (repeatable && started < self.route.attempts.max(1))
+    }
+
+    /// Returns the workspace to which the request is charged.
+    fn charged(&self) -> Workspace {
+        self.workspace.cloned().unwrap_or_default()
     }
 
     /// Marks the attempts in flight as stalled. Those that have sent nothing are closed, so that
@@ -360,6 +424,7 @@
                 pending.push(attempt);
             } else {
                 log::info!(request = self.call.request(), target_name:% = attempt.target; "connecting to a target timed out");
+                self.repeat_taken |= attempt.repeat;
                 self.record_outcome(&attempt, Outcome::Failed);
             }
         }
@@ -369,7 +434,6 @@
     /// Sends the request to another target. Returns false if no target is left, or if the request
     /// may not be repeated or has used up its attempts.
     fn start_attempt(&mut self, repeatable: bool) -> bool {
-        let max_attempts = self.route.attempts.max(1);
         let expected = self.expected_duration();
         loop {
             let last_answer = self.shared.ending.last_answer();
@@ -377,13 +441,7 @@
             if self.ends_first {
                 return false;
             }
-            let sent = self
-                .in_flight
-                .iter()
-                .filter(|attempt| attempt.exchange.was_sent())
-                .count();
-            let started = self.started + sent as u32;
-            if started > 0 && (!repeatable || started >= max_attempts) {
+            if !self.may_send(repeatable) {
                 return false;
             }
             let standing = self.shared.suspicion.standing(|| self.fingerprint());
@@ -408,6 +466,9 @@
                 born,
                 ..
             } = entry;
+            if self.count_started() > 0 && !self.take_repeat(Repeat::Retry) {
+                return false;
+            }
             let mut fleet = self.shared.fleet();
             if !fleet.take_permit(&target, now) {
                 drop(fleet);
@@ -450,6 +511,7 @@
                         exchange,
                         began: Instant::now(),
                         stalled: false,
+                        repeat: std::mem::take(&mut self.repeat_taken),
                         _suspect: suspect,
                     });
                     self.record_start();
@@ -535,6 +597,8 @@
                     if error.was_sent() {
                         self.started += 1;
                         self.started_ms.get_or_insert_with(unix_ms);
+                    } else {
+                        self.repeat_taken |= attempt.repeat;
                     }
                     self.record_failure(&attempt, &error);
                 }
@@ -585,17 +649,22 @@
                 Outcome::Answered(took)
             },
         );
+        let repeat = attempt.repeat;
         let (response, connection) = attempt.exchange.finish();
         if let Some(connection) = connection {
             self.shared.pool.put(attempt.address, connection);
         }
         if refused {
             log::info!(request = self.call.request(), target_name:% = attempt.target, status; "target refused");
+            self.repeat_taken |= repeat;
             return None;
         }
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
         self.record_answer();
+        if status < 500 {
+            self.record_success(repeat);
+        }
         let response = without_hop_by_hop(response);
         let repeatable = self.route.kind == RouteKind::Idempotent;
         if status >= 500 && repeatable && self.started < self.route.attempts.max(1) {
@@ -656,6 +725,7 @@
         self.record_outcome(&attempt, outcome);
         if whole {
             self.record_answer();
+            self.record_success(attempt.repeat);
             caller.end()?;
             let connection = attempt.exchange.finish().1;
             if let Some(connection) = connection {
@@ -755,6 +825,15 @@
         self.shared.suspicion.record_answer(|| self.fingerprint());
     }
 
+    /// Records that the request was served, which earns budget for repeats.
+    fn record_success(&self, repeated: bool) {
+        let now = self.shared.clock.now();
+        let workspace = self.charged();
+        self.shared
+            .repeats
+            .succeed(&self.service, &workspace, repeated, now);
+    }
+
     fn fingerprint(&self) -> Fingerprint {
         let Request {
             method,
--- a/crates/godwitspool-host/src/request/mod.rs
+++ b/crates/godwitspool-host/src/request/mod.rs
@@ -4,7 +4,9 @@
 mod admission;
 mod drain;
 mod forward;
+mod repeats;
 
 pub use admission::{Admitted, Arrival, Queues, Waiting};
 pub use drain::{DurationEstimates, may_begin};
 pub use forward::{Ended, forward};
+pub use repeats::Repeats;
--- a/crates/godwitspool-request/src/lib.rs
+++ b/crates/godwitspool-request/src/lib.rs
@@ -44,7 +44,7 @@
 pub use refusal::{Reason, Refusal};
 pub use rendezvous::{homes, stable_hash};
 pub use resume::{AnswerAssembler, StreamToken, TokenOutcome};
-pub use retry::{Attempts, RetryBudget, RetryDecision, RetryReason};
+pub use retry::{Attempts, Repeat, RepeatBudget, RetryBudget, RetryDecision, RetryReason};
 pub use silence::{ConnectionAction, ConnectionState, IdleTimeout, Wait, check_idle_connections};
 pub use target::{LoadReport, TargetFacts, TargetId};
 pub use targets::{Choice, Need, Targets};
--- a/crates/godwitspool-request/src/retry.rs
+++ b/crates/godwitspool-request/src/retry.rs
@@ -128,8 +128,23 @@
         enough
     }
 
+    /// Returns a retry to the budget.
+    pub fn refund(&mut self) {
+        self.millitokens = (self.millitokens + 1_000).min(Self::MAX_MILLITOKENS);
+    }
+
+    /// Lowers the budget to a maximum, given in retries.
+    pub fn limit(&mut self, max: f64) {
+        let max = (max * 1_000.0) as u32;
+        self.millitokens = self.millitokens.min(max);
+    }
+
     fn has_retry(&self) -> bool {
-        self.millitokens >= 1_000
+        self.has_retries(1)
+    }
+
+    fn has_retries(&self, retries: u32) -> bool {
+        self.millitokens >= retries * 1_000
     }
 }
 
@@ -141,6 +156,99 @@
     }
 }
 
+/// Why a request is sent to a further target although another one may be running it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Repeat {
+    /// The response is late.
+    Hedge,
+    /// An attempt has failed, or its response is so late that the target may hang.
+    Retry,
+}
+
+/// The retry budget of one of many hosts, each of which sees few requests.
+///
+/// It holds at most a tenth of the successes of the last seconds, but always up to two retries: a host
+/// that serves a request every few seconds must be able to repeat one. A repeat that served its request
+/// is refunded, so only repeats in vain use the budget up. A hedge leaves a retry for a failed request,
+/// which has no other chance, while a late one may still be answered.
+///
+/// Load patterns: one target hangs, and hedges to the others succeed; all targets are slow at once, and
+/// hedges double their load in vain.
+///
+/// ```
+/// use godwitspool_request::{Repeat, RepeatBudget};
+/// use godwitspool_types::Millis;
+///
+/// let mut budget = RepeatBudget::default();
+/// assert!(budget.take(Repeat::Hedge));
+/// assert!(!budget.take(Repeat::Hedge));
+/// assert!(budget.take(Repeat::Retry));
+/// assert!(!budget.take(Repeat::Retry));
+/// budget.succeed(true, Millis(100));
+/// assert!(budget.take(Repeat::Retry));
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct RepeatBudget {
+    budget: RetryBudget,
+    /// Number of successes; it decays with [`SUCCESS_HALF_LIFE`].
+    recent: f64,
+    /// When the decay was last applied to `recent`.
+    settled: Millis,
+}
+
+/// Half-life of the number of successes that bounds a [`RepeatBudget`]. Troubles that repeats help
+/// against, such as a crash, are over in less.
+const SUCCESS_HALF_LIFE: Millis = Millis(10_000);
+/// Largest budget in relation to the recent successes, and the least one in retries: one for a hedge
+/// and one for a failed request.
+const SUCCESS_FRACTION: f64 = 0.1;
+const MIN_REPEATS: f64 = 2.0;
+
+impl RepeatBudget {
+    /// Takes a repeat from the budget, or returns `false` if there isn't enough left.
+    pub fn take(&mut self, repeat: Repeat) -> bool {
+        self.allows(repeat) && self.budget.take()
+    }
+
+    /// Returns whether there is enough left for a repeat.
+    pub fn allows(&self, repeat: Repeat) -> bool {
+        self.budget.has_retries(match repeat {
+            Repeat::Hedge => 2,
+            Repeat::Retry => 1,
+        })
+    }
+
+    /// Records a success. `repeated` states that it came from a repeat, which is refunded.
+    pub fn succeed(&mut self, repeated: bool, now: Millis) {
+        let halvings = (now - self.settled).0 as f64 / SUCCESS_HALF_LIFE.0 as f64;
+        self.recent = self.recent * 0.5_f64.powf(halvings) + 1.0;
+        self.settled = now;
+        if repeated {
+            self.budget.refund();
+        }
+        self.budget.succeed();
+        self.budget
+            .limit((self.recent * SUCCESS_FRACTION).max(MIN_REPEATS));
+    }
+
+    /// Returns a repeat that was taken and not sent.
+    pub fn refund(&mut self) {
+        self.budget.refund();
+    }
+}
+
+impl Default for RepeatBudget {
+    fn default() -> Self {
+        let mut budget = RetryBudget::default();
+        budget.limit(MIN_REPEATS);
+        Self {
+            budget,
+            recent: 0.0,
+            settled: Millis::ZERO,
+        }
+    }
+}
+
 /// The state of a request's attempts so far.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Attempts {
--- a/crates/godwitspool-request/tests/retry.rs
+++ b/crates/godwitspool-request/tests/retry.rs
@@ -1,7 +1,8 @@
 //! Retries, retry budgets and circuit breakers.
 
 use godwitspool_request::{
-    AttemptOutcome, Attempts, Breaker, Reason, RetryBudget, RetryDecision, RetryReason,
+    AttemptOutcome, Attempts, Breaker, Reason, Repeat, RepeatBudget, RetryBudget, RetryDecision,
+    RetryReason,
 };
 use godwitspool_types::{Millis, Ran};
 use proptest::prelude::*;
@@ -157,3 +158,43 @@
     (0..3).for_each(|_| breaker.record(AttemptOutcome::Unreachable, Millis(0), &mut rng));
     assert!(!breaker.allows(1, Millis(1)));
 }
+
+/// Returns the hedges and requests of all hosts together in a minute in which each request of 12 a second is
+/// hedged, if its host's budget allows it. The first of `hang` of 6 requests hang at their first target.
+fn hedge_for_a_minute(hosts: usize, hang: u32) -> (u32, u32, u32) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut budgets = vec![RepeatBudget::default(); hosts];
+    let (mut hedges, mut requests, mut unhedged_hangs) = (0, 0, 0);
+    for now in (0..60_000).step_by(83) {
+        let budget = &mut budgets[rng.random_range(0..hosts)];
+        requests += 1;
+        let hangs = rng.random_range(0..6) < hang;
+        let hedged = budget.take(Repeat::Hedge) || (hangs && budget.take(Repeat::Retry));
+        hedges += u32::from(hedged);
+        unhedged_hangs += u32::from(hangs && !hedged);
+        if hedged || !hangs {
+            budget.succeed(hangs, Millis(now));
+        }
+    }
+    (hedges, requests, unhedged_hangs)
+}
+
+/// Guards against hedges that double the load while all targets are slow at once.
+#[rstest]
+#[case(1, 0.12)]
+#[case(11, 0.14)]
+#[case(90, 0.22)]
+fn hedges_in_vain_add_little_load(#[case] hosts: usize, #[case] bound: f64) {
+    let (hedges, requests, _) = hedge_for_a_minute(hosts, 0);
+    let extra = f64::from(hedges) / f64::from(requests);
+    assert!(extra <= bound, "{hedges} hedges of {requests} requests");
+}
+
+/// Guards against a budget that is used up by hedges that serve their requests.
+#[rstest]
+#[case(1)]
+#[case(90)]
+fn requests_to_a_target_that_hangs_are_hedged(#[case] hosts: usize) {
+    let (_, _, unhedged) = hedge_for_a_minute(hosts, 2);
+    assert_eq!(unhedged, 0);
+}
