--- a/crates/godwitspool-host/src/request/admission.rs
+++ b/crates/godwitspool-host/src/request/admission.rs
@@ -166,6 +166,7 @@
                     log::warn!(error:%; "request can't wait for a target");
                     let withdraw = AdmissionEvent::Withdraw(request);
                     queue.decide(withdraw, None, room, shared.clock.now());
+                    self.outcomes.count(Reason::QueueFull.code());
                     Arrival::Refused(delayed(Reason::QueueFull.into()))
                 }
             },
--- a/crates/godwitspool-request/tests/competition.rs
+++ b/crates/godwitspool-request/tests/competition.rs
@@ -302,3 +302,78 @@
     let arrive = AdmissionEvent::Arrive(ticket(9, 0, "a", 9_800));
     assert_eq!(refusals(&admission.decide(arrive, 0, Millis(9_000))), []);
 }
+
+/// Returns the share of their requests that the workspaces other than the large one get in time. Each host
+/// counts its own requests alone against the slots; what exceeds them waits at the targets in the order of
+/// its arrival there.
+fn served_over_hosts(hosts: usize, mut loads: Vec<Load>, seed: u64) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut admissions = vec![Admission::default(); hosts];
+    let mut in_flight = vec![0_u32; hosts];
+    let mut started = BTreeMap::<RequestId, (usize, u64, Load)>::new();
+    let mut queue = std::collections::VecDeque::<(RequestId, u64)>::new();
+    let mut running: Vec<(u64, RequestId, u64)> = Vec::new();
+    let (mut arrived, mut served, mut next) = (0, 0, 0);
+    for load in &mut loads {
+        load.rate /= 1_000.0;
+    }
+    for now in 0..LENGTH {
+        let mut events = Vec::new();
+        running.retain(|(until, id, since)| {
+            if *until == now {
+                let (host, deadline, load) = started[id];
+                in_flight[host] -= 1;
+                served += u32::from(load.workspace != "large" && now <= deadline);
+                let held = Some(Millis(now - since));
+                let workspace = Workspace::from(load.workspace);
+                events.push((host, AdmissionEvent::Done { held, workspace }));
+            }
+            *until != now
+        });
+        for load in &loads {
+            let mut expected = load.rate;
+            while rng.random::<f64>() < expected {
+                expected -= 1.0;
+                next += 1;
+                arrived += u32::from(load.workspace != "large");
+                let host = rng.random_range(0..hosts);
+                started.insert(RequestId(next), (host, now + DEADLINE, *load));
+                let ticket = ticket(next, load.rank, load.workspace, now + DEADLINE);
+                events.push((host, AdmissionEvent::Arrive(ticket)));
+            }
+        }
+        for (host, event) in events {
+            let free = SLOTS.saturating_sub(in_flight[host]);
+            for action in admissions[host].decide(event, free, Millis(now)) {
+                if let AdmissionAction::Start(id) = action {
+                    in_flight[host] += 1;
+                    queue.push_back((id, now));
+                }
+            }
+            assert!(in_flight[host] <= SLOTS);
+        }
+        while running.len() < SLOTS as usize {
+            let Some((id, since)) = queue.pop_front() else {
+                break;
+            };
+            running.push((now + HELD, id, since));
+        }
+    }
+    f64::from(served) / f64::from(arrived)
+}
+
+/// Guards against shares that are lost because hosts don't hear of each other's requests. Hosts together send
+/// at most as many times the slots as there are hosts, which lengthens each request and leaves the shares.
+#[test]
+fn shares_hold_over_hosts_that_hear_nothing_of_each_other() {
+    let share = CAPACITY / 8.0;
+    let loads = || {
+        let mut loads = loads(&["a", "b", "c", "d", "e", "f", "g"], share * 0.9);
+        loads.extend(self::loads(&["large"], share * 8.0));
+        loads
+    };
+    for hosts in [1, 3, 11] {
+        let served = served_over_hosts(hosts, loads(), 1);
+        assert!(served >= 0.97, "{hosts} hosts: {served}");
+    }
+}
--- a/crates/godwitspool-request/tests/retry.rs
+++ b/crates/godwitspool-request/tests/retry.rs
@@ -169,10 +169,10 @@
         let budget = &mut budgets[rng.random_range(0..hosts)];
         requests += 1;
         let hangs = rng.random_range(0..6) < hang;
-        let hedged = budget.take(Repeat::Hedge) || (hangs && budget.take(Repeat::Retry));
-        hedges += u32::from(hedged);
-        unhedged_hangs += u32::from(hangs && !hedged);
-        if hedged || !hangs {
+        let repeated = budget.take(Repeat::Hedge) || (hangs && budget.take(Repeat::Retry));
+        hedges += u32::from(repeated);
+        unhedged_hangs += u32::from(hangs && !repeated);
+        if repeated || !hangs {
             budget.succeed(hangs, Millis(now));
         }
     }
