Admission: a request that finds a free slot is never refused by the mean time

Cause: requests whose deadline was nearer than the mean time of earlier ones were refused even with free slots. Once requests had been held until their deadline, for example by targets that hang, the mean exceeded every deadline, all later requests were refused, and none could correct the mean.

Change: waiting requests are only checked in a shortage.

Test: requests_start_at_free_slots_after_others_were_held_until_their_deadline failed at the second request before.

--- a/crates/godwitspool-request/src/admission.rs
+++ b/crates/godwitspool-request/src/admission.rs
@@ -126,13 +126,18 @@
         now: Millis,
     ) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
+        // A request that finds a free slot starts. The mean time of earlier requests doesn't refuse it,
+        // as no later one could correct that mean.
+        let shortage = self.waiting > 0 || free == 0;
         match event {
             AdmissionEvent::Arrive(ticket) => self.arrive(ticket, free, now, &mut actions),
             AdmissionEvent::Done { held, workspace } => self.finish(held, &workspace, now),
             AdmissionEvent::Withdraw(request) => self.withdraw(request),
             AdmissionEvent::Tick => {}
         }
-        self.expire(now, &mut actions);
+        if shortage {
+            self.expire(now, &mut actions);
+        }
         for _ in 0..free {
             let Some(request) = self.start(now) else {
                 break;
--- a/crates/godwitspool-request/tests/competition.rs
+++ b/crates/godwitspool-request/tests/competition.rs
@@ -377,3 +377,26 @@
         assert!(served >= 0.97, "{hosts} hosts: {served}");
     }
 }
+
+/// Guards against a service that refuses all requests for good after requests were held until their
+/// deadline: with free slots a request starts, however long the earlier ones took.
+#[test]
+fn requests_start_at_free_slots_after_others_were_held_until_their_deadline() {
+    let mut admission = Admission::default();
+    for turn in 0..20 {
+        let now = turn * 1_000;
+        let arrive = AdmissionEvent::Arrive(ticket(turn.into(), 0, "a", now + DEADLINE));
+        assert_eq!(
+            starts(&admission.decide(arrive, 2, Millis(now))).len(),
+            1,
+            "turn {turn}"
+        );
+        let held = Some(Millis(DEADLINE));
+        let workspace = Workspace::from("a");
+        admission.decide(
+            AdmissionEvent::Done { held, workspace },
+            2,
+            Millis(now + DEADLINE),
+        );
+    }
+}
