Admission: a workspace next in turn isn't refused because others wait

Cause: the estimated wait counted a turn of each other workspace that waits, also of those that were served more and come later. A workspace next in turn was refused if as many others waited as its deadline had turns.

Change: the estimate counts the starts by which the others catch up with what this workspace was served.

Tests: the_least_served_workspace_is_not_refused_because_others_wait failed before.

--- a/crates/godwitspool-request/src/admission.rs
+++ b/crates/godwitspool-request/src/admission.rs
@@ -193,12 +193,15 @@
     /// Estimates how long the next request of a workspace would wait.
     ///
     /// Ahead of it are the waiting requests of its own workspace, the more urgent ones of the others,
-    /// and those of the same rank that start in the meantime according to their shares. It waits no
+    /// and those of the same rank whose workspaces are served less for their share until then. It waits no
     /// longer than the guarantee of a quarter of the mean share allows.
     fn estimate(&self, ticket: &Ticket, now: Millis) -> Millis {
-        let own = self.flows.get(&ticket.workspace);
-        let own = own.map_or(0, |flow| flow.count_urgent(ticket.rank)) as f64 + 1.0;
+        let flow = self.flows.get(&ticket.workspace);
+        let own = flow.map_or(0, |flow| flow.count_urgent(ticket.rank)) as f64 + 1.0;
+        // What the workspace will have been served, for its share, when its turn has come.
+        let held_ms = self.held_ms.max(1.0);
         let share = f64::from(ticket.share.max(1));
+        let served = flow.map_or(0.0, |flow| flow.decayed(now)) + own * held_ms / share;
         let others = self
             .flows
             .iter()
@@ -209,7 +212,8 @@
             let earlier = ticket.rank.checked_sub(1);
             let earlier = earlier.map_or(0, |rank| flow.count_urgent(rank));
             let equal = (not_later - earlier) as f64;
-            ahead += earlier as f64 + equal.min(own * f64::from(flow.share) / share);
+            let turns = (served - flow.decayed(now)) * f64::from(flow.share) / held_ms;
+            ahead += earlier as f64 + turns.clamp(0.0, equal);
             competing += 1.0;
         }
         let guaranteed = own * competing * GUARANTEE_DIVISOR;
--- a/crates/godwitspool-request/tests/competition.rs
+++ b/crates/godwitspool-request/tests/competition.rs
@@ -400,3 +400,38 @@
         );
     }
 }
+
+/// Guards against refusals of a workspace that is next in turn because others wait, who were served more.
+#[test]
+fn the_least_served_workspace_is_not_refused_because_others_wait() {
+    let mut admission = Admission::default();
+    let mut next = 0;
+    for (turn, name) in ["a", "b", "c", "d", "e", "f"]
+        .iter()
+        .cycle()
+        .take(24)
+        .enumerate()
+    {
+        let now = turn as u64 * 100;
+        let arrive = AdmissionEvent::Arrive(ticket(turn as u128, 0, name, now + 60_000));
+        admission.decide(arrive, 1, Millis(now));
+        let held = Some(Millis(100));
+        let workspace = Workspace::from(*name);
+        admission.decide(
+            AdmissionEvent::Done { held, workspace },
+            0,
+            Millis(now + 100),
+        );
+    }
+    let now = 2_400;
+    let mut arrive = |name: &str, deadline: u64| {
+        next += 1;
+        let arrive = AdmissionEvent::Arrive(ticket(1_000 + next, 0, name, now + deadline));
+        refusals(&admission.decide(arrive, 0, Millis(now))).len()
+    };
+    for name in ["a", "b", "c", "d", "e", "f"] {
+        assert_eq!(arrive(name, 60_000), 0);
+    }
+    assert_eq!(arrive("small", 250), 0, "it is next in turn");
+    assert_eq!(arrive("a", 250), 1, "it comes after all the others");
+}
