Host: a pause of all targets doesn't release the queue

Cause: with all targets of a service paused it counted as never full, and all waiting requests were sent at once. On a busy machine a connection that takes 40 ms pauses a target. Found by reading, after the test of two slots had failed in 2 of 10 runs at a load average of 20 on 7 cores.

Change: if all targets are paused, their slots bound the requests.

--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -333,8 +333,8 @@
     }
 
     /// Returns the number of callers' requests for which the targets of a service have room. `None` if
-    /// the service is never full: no target is available, so that requests aren't held back for one,
-    /// or one states no slots.
+    /// the service is never full: it has no target to wait for, or one states no slots. Paused targets
+    /// count only if all are paused, since requests then go to them.
     ///
     /// Load pattern: items of a step fill all slots for minutes, while callers wait for milliseconds.
     /// Items and reward calls, of this host and of others, therefore take at most half of a target's slots
@@ -344,9 +344,10 @@
             return None;
         }
         let mut available = self.usable(service);
-        available.retain(|target| {
-            target.paused_until <= now && target.limited.is_none_or(|limited| limited.is_open(now))
-        });
+        available.retain(|target| target.limited.is_none_or(|limited| limited.is_open(now)));
+        if available.iter().any(|target| target.paused_until <= now) {
+            available.retain(|target| target.paused_until <= now);
+        }
         let bounded = available.iter().all(|target| target.entry.slots > 0);
         let rooms = available.iter().map(|target| target.room(now));
         (bounded && !available.is_empty()).then(|| rooms.sum())
