--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -22,7 +22,7 @@
     dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
-    request::DurationEstimates,
+    request::{DurationEstimates, Queues, Repeats},
     store::{Store, Topic},
     version::{ColdRule, Configuration, Fleet, Freshness, Leaving, Mirror},
 };
@@ -80,6 +80,10 @@
     pub peers: Peers,
     /// Permits for requests to targets that have named a limit.
     pub permits: Permits,
+    /// Queues of callers' requests.
+    pub queues: Queues,
+    /// Budgets for hedges and retries of callers' requests.
+    pub repeats: Repeats,
     /// Requests that are suspected of ending their targets.
     pub suspicion: Suspicion,
     /// Reports of runs, sent to and received from other hosts.
@@ -194,6 +198,8 @@
             "Ages of the targets' entries when a target was chosen",
         );
         let relay_metrics = RelayMetrics::new(&metrics);
+        let queues = Queues::new(&metrics);
+        let repeats = Repeats::new(&metrics);
         let own_addresses = [Some(settings.peer), settings.seed]
             .into_iter()
             .flatten()
@@ -246,6 +252,8 @@
             change_count: Mutex::default(),
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
+            queues,
+            repeats,
             suspicion: Suspicion::new(breaks, suspects),
             pool: Arc::default(),
             store: Arc::new(Relay::new(
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -4,9 +4,10 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_types::{Millis, ServiceName, TargetName, Workspace};
+use godwitspool_request::{Refusal, Repeat, Ticket};
+use godwitspool_types::{Millis, RequestId, ServiceName, TargetName, Workspace};
 
-use super::may_begin;
+use super::{Admitted, Arrival, may_begin};
 use crate::{
     dialect::{Call, ForwardContext, Reply},
     http::{CallError, Caller, Exchange, Progress, Request, Response, wait},
@@ -31,6 +32,9 @@
 const HEDGE_GOAL_FRACTION: f64 = 0.4;
 /// Hedge delay on routes without a latency goal. A dropped attempt older than this counts as slow.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
+/// Number of hedge delays after which a late response counts as a target that may hang. The rest of the
+/// caller's time must be enough for another target.
+const HANG_FACTOR: u32 = 3;
 /// Time after which a connection attempt is abandoned and another target is tried. It allows for
 /// several round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
@@ -72,7 +76,15 @@
     request: &'a Request,
     call: &'a Call,
     workspace: Option<&'a Workspace>,
+    /// Urgency; 0 is the most urgent.
+    priority: u32,
     service: ServiceName,
+    /// Place among the requests that may be sent to the service's targets.
+    admitted: Option<Admitted<'a>>,
+    /// How long the request waited for a target with room, if it did.
+    waited: Option<Duration>,
+    /// Why the queue refused the request.
+    queue_refusal: Option<Refusal>,
     arrived: Instant,
     /// When the request times out.
     due: Instant,
@@ -92,6 +104,11 @@
     withheld: Option<Duration>,
     /// Whether no further target was tried because the process ends too soon.
     ends_first: bool,
+    /// Number of hedge delays after which a sent attempt counts as stalled: 1, or [`HANG_FACTOR`] once
+    /// a hedge was denied.
+    hedge_delays: u32,
+    /// Whether a repeat has been taken from the budgets and not been sent.
+    repeat_taken: bool,
     /// A server error from a target, returned to the caller if no later attempt succeeds.
     fallback: Option<Response>,
 }
@@ -106,12 +123,15 @@
     began: Instant,
     /// Whether the attempt took so long that another one has been allowed.
     stalled: bool,
+    /// Whether the attempt repeats one that another target may be running.
+    repeat: bool,
     /// Mark of the target while a suspected request runs there.
     _suspect: Option<SuspectRun<'a>>,
 }
 
 /// Sends a request to targets of its route's service until one responds, and passes the response to
-/// the caller.
+/// the caller. While no target has room, the request waits according to its `priority`, 0 being the most
+/// urgent, and to what its workspace has been served.
 ///
 /// # Errors
 ///
@@ -122,6 +142,7 @@
     request: &Request,
     call: &Call,
     workspace: Option<&Workspace>,
+    priority: u32,
     caller: &mut Caller,
 ) -> io::Result<Ended> {
     let arrived = Instant::now();
@@ -145,7 +166,11 @@
         request,
         call,
         workspace,
+        priority,
         service,
+        admitted: None,
+        waited: None,
+        queue_refusal: None,
         arrived,
         due: arrived + bound,
         in_flight: Vec::new(),
@@ -157,13 +182,22 @@
         ends_first: false,
         trial: None,
         withheld: None,
+        hedge_delays: 1,
+        repeat_taken: false,
         fallback: None,
     };
     let ended = forward.run(caller);
     forward.abandon_attempts();
+    if forward.repeat_taken {
+        let workspace = forward.charged();
+        shared.repeats.refund(&forward.service, &workspace);
+    }
     if let Some(claim) = forward.trial.take() {
         shared.suspicion.end_trial(forward.fingerprint(), claim);
     }
+    if let Some(mut admitted) = forward.admitted.take() {
+        admitted.ran = forward.started > 0;
+    }
     if forward.started > 0 {
         shared.observe_duration(&route.name, arrived.elapsed());
     }
@@ -175,7 +209,9 @@
         log::info!(
             request = call.request(), route = route.name, service:% = forward.service,
             tried:? = forward.tried, begun = forward.started, withheld:? = forward.withheld,
-            entries_ms = forward.entries_ms,
+            entries_ms = forward.entries_ms, waited_ms = forward.waited.map(as_ms),
+            queue:? = forward.queue_refusal.map(|refusal| refusal.reason.code()),
+            workspace:? = workspace, priority,
             took_ms = forward.arrived.elapsed().as_millis() as u64, left_ms, ended:?;
             "request not served"
         );
@@ -186,8 +222,11 @@
 
 impl Forward<'_> {
     fn run(&mut self, caller: &mut Caller) -> io::Result<Ended> {
+        if let Some(ended) = self.enter_queue(caller)? {
+            return Ok(ended);
+        }
         let repeatable = self.route.kind == RouteKind::Idempotent;
-        let wait_until = self.due().min(self.arrived + MAX_ENTRY_WAIT);
+        let wait_until = self.due().min(Instant::now() + MAX_ENTRY_WAIT);
         loop {
             if self.in_flight.is_empty() && !self.start_attempt(repeatable) {
                 let stale = self.shared.fleet().basis() == Basis::Stale;
@@ -217,6 +256,10 @@
             }
             let stall = self.stall_deadline(repeatable);
             if stall.is_some_and(|at| now >= at) {
+                if self.is_hedge_denied(repeatable) {
+                    self.hedge_delays = HANG_FACTOR;
+                    continue;
+                }
                 self.mark_stalled();
                 self.start_attempt(repeatable);
                 continue;
@@ -244,6 +287,73 @@
         }
     }
 
+    /// Waits until a target has room for the request. Returns how the request ended if it may not be sent
+    /// to any target.
+    fn enter_queue(&mut self, caller: &mut Caller) -> io::Result<Option<Ended>> {
+        let left = self.due().saturating_duration_since(Instant::now());
+        let ticket = Ticket {
+            deadline: self.shared.clock.now() + left.into(),
+            rank: self.priority,
+            request: RequestId::random(),
+            share: 1,
+            workspace: self.charged(),
+        };
+        let shared = self.shared;
+        let mut waiting = match shared.queues.arrive(shared, &self.service, ticket) {
+            Arrival::Started(admitted) => {
+                self.admitted = Some(admitted);
+                return Ok(None);
+            }
+            Arrival::Refused(refusal) => return self.respond_refused(caller, refusal).map(Some),
+            Arrival::Waiting(waiting) => waiting,
+        };
+        loop {
+            let decision = waiting.decision();
+            self.waited = Some(waiting.waited());
+            match decision {
+                Some(Ok(admitted)) => {
+                    log::info!(
+                        request = self.call.request(), service:% = self.service, workspace:? = self.workspace,
+                        priority = self.priority, waited_ms = self.waited.map(as_ms);
+                        "request waited for a target"
+                    );
+                    self.admitted = Some(admitted);
+                    return Ok(None);
+                }
+                Some(Err(refusal)) => return self.respond_refused(caller, refusal).map(Some),
+                None => {}
+            }
+            let last_answer = shared.ending.last_answer();
+            self.ends_first = !may_begin(
+                Instant::now(),
+                last_answer,
+                self.due,
+                self.expected_duration(),
+            );
+            if self.ends_first {
+                return self.respond_unserved(caller).map(Some);
+            }
+            let mut sockets = vec![caller.socket(), waiting.socket()];
+            sockets.extend(shared.ending.socket());
+            if wait(&sockets, Some(waiting.interval()))?[0].hangup {
+                return Ok(Some(Ended::CallerLeft));
+            }
+        }
+    }
+
+    fn respond_refused(&mut self, caller: &mut Caller, refusal: Refusal) -> io::Result<Ended> {
+        self.queue_refusal = Some(refusal);
+        let retry_after = refusal.retry_after.unwrap_or_default().duration();
+        caller.respond(&self.shared.dialect.refusal(retry_after))?;
+        Ok(Ended::Refused)
+    }
+
+    /// Returns how long a request of the route is expected to take.
+    fn expected_duration(&self) -> Duration {
+        let expected = self.shared.expected_duration(&self.route.name);
+        expected.or(self.route.goal).unwrap_or(DEFAULT_DURATION)
+    }
+
     /// Returns when the newest attempt counts as stalled and another target is tried, if ever. An
     /// attempt that has sent nothing stalls after the connect timeout; a sent one only if the
     /// request may be repeated, after the hedge delay.
@@ -256,8 +366,52 @@
             .route
             .goal
             .map(|goal| goal.mul_f64(HEDGE_GOAL_FRACTION));
-        (repeatable && newest.exchange.head().is_none())
-            .then(|| newest.began + goal.unwrap_or(HEDGE_DELAY))
+        let delay = goal.unwrap_or(HEDGE_DELAY) * self.hedge_delays;
+        (repeatable && newest.exchange.head().is_none()).then(|| newest.began + delay)
+    }
+
+    /// Takes a hedge from the budgets if the newest attempt was sent. Returns whether that was denied:
+    /// the budget is used up, or requests wait for room at the service's targets.
+    fn is_hedge_denied(&mut self, repeatable: bool) -> bool {
+        let newest = self.in_flight.last();
+        let sent = newest.is_some_and(|newest| newest.exchange.was_sent());
+        let hangs = self.hedge_delays > 1;
+        if !sent || hangs || self.repeat_taken || !self.may_send(repeatable) {
+            return false;
+        }
+        let crowded = self.shared.queues.is_waiting(&self.service);
+        crowded || !self.take_repeat(Repeat::Hedge)
+    }
+
+    /// Takes a repeat from the budgets if none is taken yet. Returns false if the budgets don't allow it.
+    fn take_repeat(&mut self, repeat: Repeat) -> bool {
+        if !self.repeat_taken {
+            let workspace = self.charged();
+            let repeats = &self.shared.repeats;
+            self.repeat_taken = repeats.take(&self.service, &workspace, repeat);
+        }
+        self.repeat_taken
+    }
+
+    /// Returns the number of attempts whose target may have started to process the request.
+    fn count_started(&self) -> u32 {
+        let sent = self
+            .in_flight
+            .iter()
+            .filter(|attempt| attempt.exchange.was_sent())
+            .count();
+        self.started + sent as u32
+    }
+
+    /// Returns whether the request may be sent to a further target, as far as its route is concerned.
+    fn may_send(&self, repeatable: bool) -> bool {
+        let started = self.count_started();
+        started == 0 || (repeatable && started < self.route.attempts.max(1))
+    }
+
+    /// Returns the workspace to which the request is charged.
+    fn charged(&self) -> Workspace {
+        self.workspace.cloned().unwrap_or_default()
     }
 
     /// Marks the attempts in flight as stalled. Those that have sent nothing are closed, so that
@@ -270,6 +424,7 @@
                 pending.push(attempt);
             } else {
                 log::info!(request = self.call.request(), target_name:% = attempt.target; "connecting to a target timed out");
+                self.repeat_taken |= attempt.repeat;
                 self.record_outcome(&attempt, Outcome::Failed);
             }
         }
@@ -279,22 +434,14 @@
     /// Sends the request to another target. Returns false if no target is left, or if the request
     /// may not be repeated or has used up its attempts.
     fn start_attempt(&mut self, repeatable: bool) -> bool {
-        let max_attempts = self.route.attempts.max(1);
-        let expected = self.shared.expected_duration(&self.route.name);
-        let expected = expected.or(self.route.goal).unwrap_or(DEFAULT_DURATION);
+        let expected = self.expected_duration();
         loop {
             let last_answer = self.shared.ending.last_answer();
             self.ends_first = !may_begin(Instant::now(), last_answer, self.due, expected);
             if self.ends_first {
                 return false;
             }
-            let sent = self
-                .in_flight
-                .iter()
-                .filter(|attempt| attempt.exchange.was_sent())
-                .count();
-            let started = self.started + sent as u32;
-            if started > 0 && (!repeatable || started >= max_attempts) {
+            if !self.may_send(repeatable) {
                 return false;
             }
             let standing = self.shared.suspicion.standing(|| self.fingerprint());
@@ -319,6 +466,9 @@
                 born,
                 ..
             } = entry;
+            if self.count_started() > 0 && !self.take_repeat(Repeat::Retry) {
+                return false;
+            }
             let mut fleet = self.shared.fleet();
             if !fleet.take_permit(&target, now) {
                 drop(fleet);
@@ -327,8 +477,11 @@
             }
             self.tried.push(target.clone());
             self.entries_ms = self.shared.observe_entry_age(&fleet);
-            fleet.start(&target);
+            fleet.start_request(&target);
             drop(fleet);
+            if let Some(admitted) = &mut self.admitted {
+                admitted.record_sent();
+            }
             let suspect =
                 (standing != Standing::Clear).then(|| self.shared.suspicion.start_run(&target));
             let context = ForwardContext {
@@ -346,7 +499,9 @@
                     // On a pooled connection this sends the request immediately.
                     let failed = exchange.advance().is_err();
                     if failed && !exchange.was_sent() {
-                        self.shared.fleet().finish(&target, Outcome::Failed, now);
+                        self.shared
+                            .fleet()
+                            .finish_request(&target, Outcome::Failed, now);
                         continue;
                     }
                     self.in_flight.push(Attempt {
@@ -356,6 +511,7 @@
                         exchange,
                         began: Instant::now(),
                         stalled: false,
+                        repeat: std::mem::take(&mut self.repeat_taken),
                         _suspect: suspect,
                     });
                     self.record_start();
@@ -363,7 +519,9 @@
                 }
                 Err(error) => {
                     log::info!(request = self.call.request(), target_name:% = target, error:%; "can't connect to a target");
-                    self.shared.fleet().finish(&target, Outcome::Failed, now);
+                    self.shared
+                        .fleet()
+                        .finish_request(&target, Outcome::Failed, now);
                 }
             }
         }
@@ -443,6 +601,8 @@
                     if error.was_sent() {
                         self.started += 1;
                         self.started_ms.get_or_insert_with(unix_ms);
+                    } else {
+                        self.repeat_taken |= attempt.repeat;
                     }
                     self.record_failure(&attempt, &error);
                 }
@@ -493,17 +653,22 @@
                 Outcome::Answered(took)
             },
         );
+        let repeat = attempt.repeat;
         let (response, connection) = attempt.exchange.finish();
         if let Some(connection) = connection {
             self.shared.pool.put(attempt.address, connection);
         }
         if refused {
             log::info!(request = self.call.request(), target_name:% = attempt.target, status; "target refused");
+            self.repeat_taken |= repeat;
             return None;
         }
         self.started += 1;
         self.started_ms.get_or_insert_with(unix_ms);
         self.record_answer();
+        if status < 500 {
+            self.record_success(repeat);
+        }
         let response = without_hop_by_hop(response);
         let repeatable = self.route.kind == RouteKind::Idempotent;
         if status >= 500 && repeatable && self.started < self.route.attempts.max(1) {
@@ -568,6 +733,7 @@
         self.record_outcome(&attempt, outcome);
         if whole {
             self.record_answer();
+            self.record_success(attempt.repeat);
             caller.end()?;
             let connection = attempt.exchange.finish().1;
             if let Some(connection) = connection {
@@ -667,6 +833,15 @@
         self.shared.suspicion.record_answer(|| self.fingerprint());
     }
 
+    /// Records that the request was served, which earns budget for repeats.
+    fn record_success(&self, repeated: bool) {
+        let now = self.shared.clock.now();
+        let workspace = self.charged();
+        self.shared
+            .repeats
+            .succeed(&self.service, &workspace, repeated, now);
+    }
+
     fn fingerprint(&self) -> Fingerprint {
         let Request {
             method,
@@ -679,7 +854,9 @@
 
     fn record_outcome(&self, attempt: &Attempt, outcome: Outcome) {
         let now = self.shared.clock.now();
-        self.shared.fleet().finish(&attempt.target, outcome, now);
+        self.shared
+            .fleet()
+            .finish_request(&attempt.target, outcome, now);
     }
 
     /// Responds when the request can't be sent to any further target.
@@ -743,11 +920,17 @@
             } else {
                 Outcome::Dropped
             };
-            self.shared.fleet().finish(&attempt.target, outcome, now);
+            self.shared
+                .fleet()
+                .finish_request(&attempt.target, outcome, now);
         }
     }
 }
 
+fn as_ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
 /// Returns a target's response without its hop-by-hop fields.
 fn without_hop_by_hop(mut response: Response) -> Response {
     response.headers.remove_hop_by_hop();
