Settings: the machine's limits are decoded

Change: the [limits] table becomes Settings::resources, checked; missing values are a full core and no known bound. Settings no longer derives Eq, since cores are a fraction.

--- a/crates/godwitspool-host/src/lib.rs
+++ b/crates/godwitspool-host/src/lib.rs
@@ -19,4 +19,4 @@
 pub mod version;
 
 pub use lease_clock::lease_clock;
-pub use settings::{Settings, StoreBounds};
+pub use settings::{Resources, Settings, StoreBounds};
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -3,7 +3,7 @@
 use godwitspool_types::{Dc, HostName};
 
 /// Settings that a host process needs before it reads anything from the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this host, as given in logs and as the holder of duties.
     pub host: HostName,
@@ -43,6 +43,32 @@
     pub end_timeout: Duration,
     /// Limits of the store.
     pub store: StoreBounds,
+    /// What the machine gives this process.
+    pub resources: Resources,
+}
+
+/// What the machine gives a host process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Resources {
+    /// Processor cores: the number of cores times the share of them, 1 by default.
+    pub cores: f64,
+    /// Memory in bytes. `None` if no limit is known.
+    pub memory: Option<u64>,
+    /// Maximum number of open file descriptors. `None` if no limit is known.
+    pub descriptors: Option<u32>,
+    /// Bandwidth of the network in Mbit/s. `None` if no limit is known.
+    pub link_mbps: Option<f64>,
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Self {
+            cores: 1.0,
+            memory: None,
+            descriptors: None,
+            link_mbps: None,
+        }
+    }
 }
 
 /// Limits of the platform's store.
