--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -48,7 +48,7 @@
     Slow(u64),
     /// After the stream's event with this number, the target sends a byte every 0.5 s and no event.
     DripAfter(u64),
-    /// After the head of a stream, the target sends this piece without end.
+    /// The target responds with a stream, and sends this piece without end after its head.
     Endless(&'static str),
     /// The `Request-Id` of the response is that of another request.
     WrongId,
@@ -291,7 +291,7 @@
             }
             _ => {}
         }
-        if self.options.events > 0 {
+        if self.options.events > 0 || matches!(fault, TargetFault::Endless(_)) {
             return self.stream(caller, request, &id, fault, limit);
         }
         let body = format!(
