Batches: a submission is decoded and stored with fewer copies of it

Cause: a submission of 32 MB held its text, the text of its items, the items, their encoding and all records at once; a host of 120 MB reached 120.2 MB, and a removal encoded it all again. Stored records and their order are as before.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -25,7 +25,7 @@
 pub use owner::{Owner, StoredBatch, read_stored};
 pub use pace::{Move, Pace, RunView, decide_move, median_pace};
 pub use progress::{save_progress, save_running};
-pub use record::{BatchRecord, partition_of};
+pub use record::{BatchRecord, EncodedSubmission, partition_of};
 pub use registry::{BatchRegistry, Lookup, OwnedPartition, page};
 pub use reward::{RewardOutcome, call_backoff};
 pub use runner::Runner;
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -93,19 +93,7 @@
     /// Returns the appends that store a submission, in order. The last record of the last append is
     /// the [`Self::Commit`].
     pub fn of_submission(submission: &Submission, bounds: &StoreBounds) -> Vec<Vec<Record>> {
-        let bytes = wire::encode_submission(submission);
-        let size = bounds
-            .record_bytes
-            .saturating_sub(RECORD_OVERHEAD_BYTES)
-            .max(1);
-        let id = &submission.id;
-        let chunks = bytes.chunks(size).enumerate();
-        let mut records: Vec<Record> = chunks
-            .map(|(index, chunk)| Record::new(format!("{id}/b{index:05}"), chunk))
-            .collect();
-        let chunk_count = records.len() as u32;
-        records.push(Record::new(format!("{id}/c"), chunk_count.to_be_bytes()));
-        split_calls(records, bounds)
+        EncodedSubmission::new(submission, bounds).calls().collect()
     }
 
     /// Returns the record that marks a batch as ended.
@@ -120,10 +108,8 @@
         bounds: &StoreBounds,
     ) -> (Vec<Record>, Vec<Record>) {
         let id = &submission.id;
-        let stored = Self::of_submission(submission, bounds)
-            .into_iter()
-            .flatten();
-        let mut batch: Vec<Record> = stored.map(|record| Record::tombstone(record.key)).collect();
+        let stored = EncodedSubmission::new(submission, bounds).into_keys();
+        let mut batch: Vec<Record> = stored.into_iter().map(Record::tombstone).collect();
         batch.push(Record::tombstone(Self::of_end(id).key));
         let result_records = results.iter().enumerate();
         let result_records = result_records
@@ -258,12 +244,87 @@
     }
 }
 
+/// A submission as the store keeps it. It makes the records of one append at a time, since all of them
+/// would be a second copy.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EncodedSubmission {
+    bounds: StoreBounds,
+    bytes: Vec<u8>,
+    id: String,
+}
+
+impl EncodedSubmission {
+    /// Encodes a submission.
+    pub fn new(submission: &Submission, bounds: &StoreBounds) -> Self {
+        Self {
+            bounds: *bounds,
+            bytes: wire::encode_submission(submission),
+            id: submission.id.clone(),
+        }
+    }
+
+    /// Returns the appends that store the submission, as [`BatchRecord::of_submission`] does.
+    pub fn calls(&self) -> impl Iterator<Item = Vec<Record>> {
+        let mut next = 0;
+        std::iter::from_fn(move || {
+            let mut call = Vec::new();
+            let mut used = 0;
+            // The closing record follows the last chunk.
+            while next <= self.chunk_count() {
+                let record = self.record(next);
+                used += call_length(&record);
+                if used > self.bounds.call_bytes && !call.is_empty() {
+                    break;
+                }
+                call.push(record);
+                next += 1;
+            }
+            (!call.is_empty()).then_some(call)
+        })
+    }
+
+    /// Returns the keys of all records.
+    fn into_keys(self) -> Vec<String> {
+        let last = self.chunk_count();
+        (0..=last).map(|index| self.key(index)).collect()
+    }
+
+    fn record(&self, index: usize) -> Record {
+        let size = self.chunk_bytes();
+        let value = self.bytes.chunks(size).nth(index);
+        let count = (self.chunk_count() as u32).to_be_bytes();
+        Record::new(self.key(index), value.unwrap_or(&count))
+    }
+
+    fn key(&self, index: usize) -> String {
+        if index == self.chunk_count() {
+            format!("{}/c", self.id)
+        } else {
+            format!("{}/b{index:05}", self.id)
+        }
+    }
+
+    fn chunk_bytes(&self) -> usize {
+        let size = self.bounds.record_bytes;
+        size.saturating_sub(RECORD_OVERHEAD_BYTES).max(1)
+    }
+
+    fn chunk_count(&self) -> usize {
+        self.bytes.len().div_ceil(self.chunk_bytes())
+    }
+}
+
+/// Returns what a record counts towards [`StoreBounds::call_bytes`].
+fn call_length(record: &Record) -> usize {
+    record.value.as_ref().map_or(0, Vec::len) + RECORD_OVERHEAD_BYTES
+}
+
 /// Splits records into appends that stay within [`StoreBounds::call_bytes`].
 pub fn split_calls(records: Vec<Record>, bounds: &StoreBounds) -> Vec<Vec<Record>> {
     let mut calls: Vec<Vec<Record>> = vec![Vec::new()];
     let mut used = 0;
     for record in records {
-        let length = record.value.as_ref().map_or(0, Vec::len) + RECORD_OVERHEAD_BYTES;
+        let length = call_length(&record);
         if used + length > bounds.call_bytes {
             calls.push(Vec::new());
             used = 0;
