Host: clients can't make it use more than its machine has

Cause: the server buffered every body that callers sent, each attempt copied it twice, connections and threads had no bound, and each received piece restarted the body's timeout. Change: a server takes memory from a ledger before buffers grow. Beyond it the least deserving request is refused with 503 before it was read whole, or a response that stands still is closed (http/budget.rs). Connections are bounded in all and by address; the least deserving is closed for a new one. Bodies and readers below 8 KB/s are ended. Attempts share the body. The shares follow from [limits], or from the checked [godwitspool] settings; without [limits] nothing is bounded. glibc keeps two heaps and no large mappings, and gives memory back after a crowd.

--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -2,6 +2,7 @@
     io,
     net::SocketAddr,
     os::fd::{AsFd, BorrowedFd},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -20,11 +21,13 @@
 /// Maximum size of the body bytes that are held at a time. A longer body is treated as malformed unless
 /// it is taken as it arrives.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of a request body that is copied behind the head, so that both leave in one packet.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Maximum keep-alive timeout of a peer that is used; a larger one makes no difference.
 const MAX_KEEP_ALIVE: Duration = Duration::from_hours(1);
 /// Number of bytes after which [`Exchange::advance`] returns, so that a peer that sends without end
-/// doesn't keep the thread from its deadline and its other sockets.
-const MAX_ADVANCE_BYTES: usize = 1024 * 1024;
+/// doesn't keep the thread from its deadline and its other sockets, and what it holds is counted in time.
+const MAX_ADVANCE_BYTES: usize = 256 * 1024;
 
 /// Why an exchange failed.
 #[derive(Debug, Snafu)]
@@ -101,7 +104,10 @@
     connecting: bool,
     decoder: Option<BodyDecoder>,
     method: String,
+    /// Head of the request, with its body if that is small.
     output: Vec<u8>,
+    /// Body of the request that follows, shared with other exchanges of the same request.
+    body: Arc<Vec<u8>>,
     response: Response,
     sent: usize,
     skipped: bool,
@@ -118,7 +124,26 @@
 impl Exchange {
     /// Prepares a request to be sent on a connection. Nothing is sent before
     /// [`advance`](Self::advance).
-    pub fn new(mut connection: Connection, request: &Request) -> Self {
+    pub fn new(connection: Connection, request: &Request) -> Self {
+        Self::start(connection, request, request.encode(), Arc::default())
+    }
+
+    /// Prepares a request whose body other exchanges share; that of `request` itself isn't sent.
+    pub fn with_body(connection: Connection, request: &Request, body: Arc<Vec<u8>>) -> Self {
+        let mut output = request.encode_head(body.len());
+        if body.len() > MAX_COPIED_BYTES {
+            return Self::start(connection, request, output, body);
+        }
+        output.extend_from_slice(&body);
+        Self::start(connection, request, output, Arc::default())
+    }
+
+    fn start(
+        mut connection: Connection,
+        request: &Request,
+        output: Vec<u8>,
+        body: Arc<Vec<u8>>,
+    ) -> Self {
         let connecting = connection.requests == 0;
         connection.requests += 1;
         connection.in_exchange = true;
@@ -127,7 +152,8 @@
             connecting,
             decoder: None,
             method: request.method.clone(),
-            output: request.encode(),
+            output,
+            body,
             response: Response::default(),
             sent: 0,
             skipped: false,
@@ -162,7 +188,7 @@
     pub fn socket(&self) -> (BorrowedFd<'_>, Interest) {
         let interest = Interest {
             read: !self.connecting,
-            write: self.sent < self.output.len(),
+            write: self.sent < self.output.len() + self.body.len(),
             hangup: false,
         };
         (self.connection.as_fd(), interest)
@@ -178,6 +204,11 @@
         std::mem::take(&mut self.response.body)
     }
 
+    /// Returns the number of bytes of the response's body that are held.
+    pub fn held(&self) -> usize {
+        self.response.body.len()
+    }
+
     /// Returns whether any byte of the request has been sent.
     pub fn was_sent(&self) -> bool {
         self.sent > 0
@@ -237,8 +268,15 @@
             let source = io::ErrorKind::TimedOut.into();
             return Err(CallError::Connect { source });
         }
-        while self.sent < self.output.len() && self.decoder.is_none() && self.failure.is_none() {
-            match self.connection.send(&self.output[self.sent..]) {
+        while self.decoder.is_none() && self.failure.is_none() {
+            let unsent = match self.sent.checked_sub(self.output.len()) {
+                Some(of_body) => &self.body[of_body..],
+                None => &self.output[self.sent..],
+            };
+            if unsent.is_empty() {
+                break;
+            }
+            match self.connection.send(unsent) {
                 Ok(0) => break,
                 Ok(sent) => {
                     self.sent += sent;
@@ -312,7 +350,7 @@
         let restored = !self.own_timeouts || self.connection.set_kernel_timeouts(true).is_ok();
         let reusable = done
             && restored
-            && self.sent == self.output.len()
+            && self.sent == self.output.len() + self.body.len()
             && self.connection.input.is_empty()
             && !self.skipped
             && !self.response.headers.lists("connection", "close");
--- a/crates/godwitspool-host/src/http/message.rs
+++ b/crates/godwitspool-host/src/http/message.rs
@@ -123,11 +123,17 @@
 
     /// Returns the bytes of the request, with a `Content-Length` field.
     pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = format!("{} {} HTTP/1.1\r\n", self.method, self.target).into_bytes();
-        encode_fields(&mut bytes, &self.headers, Some(self.body.len()));
+        let mut bytes = self.encode_head(self.body.len());
         bytes.extend_from_slice(&self.body);
         bytes
     }
+
+    /// Returns the bytes of the request's head, with a `Content-Length` field of the given length.
+    pub fn encode_head(&self, length: usize) -> Vec<u8> {
+        let mut bytes = format!("{} {} HTTP/1.1\r\n", self.method, self.target).into_bytes();
+        encode_fields(&mut bytes, &self.headers, Some(length));
+        bytes
+    }
 }
 
 /// A response; `body` is complete unless the response is streamed.
@@ -159,9 +165,19 @@
 
     /// Returns the bytes of the response, with a `Content-Length` field.
     pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = self.encode_head(false);
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Returns the bytes of the response's head, with a `Content-Length` field, and with the field that
+    /// announces that the connection is closed if `close` is set.
+    pub fn encode_head(&self, close: bool) -> Vec<u8> {
         let mut bytes = status_line(self.status);
+        if close {
+            bytes.extend_from_slice(b"Connection: close\r\n");
+        }
         encode_fields(&mut bytes, &self.headers, Some(self.body.len()));
-        bytes.extend_from_slice(&self.body);
         bytes
     }
 
--- a/crates/godwitspool-host/src/http/mod.rs
+++ b/crates/godwitspool-host/src/http/mod.rs
@@ -3,18 +3,24 @@
 //! Sockets are non-blocking, and [`wait`] polls several of them together. A thread that waits for a
 //! target can therefore notice that the caller of the request has disconnected.
 
+mod budget;
 mod connection;
 mod decode;
 mod exchange;
+mod limits;
 mod message;
 mod open_connection;
 mod pool;
 mod server;
 mod wait;
 
+pub use budget::{
+    COVERED_BYTES, Candidate, LARGE_BYTES, Ledger, choose_closed, choose_refused, is_too_slow,
+};
 pub use connection::{Connection, Received};
 pub use decode::{BodyDecoder, ChunkState, DecodeError, decode_request, decode_response};
 pub use exchange::{CallError, Exchange, Progress};
+pub use limits::{Limited, Limits};
 pub use message::{Headers, Request, Response};
 pub use open_connection::{OpenConnection, Phase};
 pub use pool::Pool;
--- a/crates/godwitspool-host/src/http/open_connection.rs
+++ b/crates/godwitspool-host/src/http/open_connection.rs
@@ -1,12 +1,17 @@
 use std::{
     io::{self, Write},
-    net::{Shutdown, TcpStream},
-    sync::{Arc, PoisonError},
+    net::{IpAddr, Shutdown, TcpStream},
+    sync::{
+        Arc, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
 use godwitspool_sync::{Mutex, MutexGuard};
+use godwitspool_types::Millis;
 
-use super::Response;
+use super::{Candidate, Response};
+use crate::lease_clock;
 
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -32,17 +37,89 @@
 pub struct OpenConnection {
     socket: Arc<TcpStream>,
     phase: Mutex<Phase>,
+    address: IpAddr,
+    /// Number of requests that have been answered.
+    answered: AtomicU64,
+    /// When the request began, by the lease clock in milliseconds.
+    began: AtomicU64,
+    /// Bytes of the server's memory budget that the connection holds.
+    held: AtomicUsize,
+    /// When bytes last went in either direction, by the same clock.
+    progressed: AtomicU64,
 }
 
 impl OpenConnection {
     /// Wraps the socket of a connection that waits for its first request.
-    pub fn new(socket: Arc<TcpStream>) -> Self {
+    pub fn new(socket: Arc<TcpStream>, address: IpAddr) -> Self {
+        let now = lease_clock();
         Self {
             socket,
             phase: Mutex::default(),
+            address,
+            answered: AtomicU64::new(0),
+            began: AtomicU64::new(now.0),
+            held: AtomicUsize::new(0),
+            progressed: AtomicU64::new(now.0),
         }
     }
 
+    /// Returns the caller's address.
+    pub fn address(&self) -> IpAddr {
+        self.address
+    }
+
+    /// Returns the number of bytes of the memory budget that the connection holds.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::SeqCst)
+    }
+
+    /// Sets the number of bytes of the memory budget that the connection holds, and returns the previous
+    /// one.
+    pub fn set_held(&self, bytes: usize) -> usize {
+        self.held.swap(bytes, Ordering::SeqCst)
+    }
+
+    /// Records that bytes went in either direction.
+    pub fn record_progress(&self) {
+        self.progressed.store(lease_clock().0, Ordering::Relaxed);
+    }
+
+    /// Returns what decides whether the connection is ended in favour of another one.
+    pub fn candidate(&self, number: u64, now: Millis) -> Candidate {
+        let age = |since: &AtomicU64| Millis(now.0.saturating_sub(since.load(Ordering::Relaxed)));
+        Candidate {
+            number,
+            address: self.address,
+            phase: self.phase(),
+            bytes: self.held(),
+            answered: self.answered.load(Ordering::Relaxed),
+            age: age(&self.began),
+            quiet: age(&self.progressed),
+        }
+    }
+
+    /// Ends the connection in favour of another one, unless its request is being handled: refuses a
+    /// request that hasn't been read whole, and wakes the connection's thread. Returns whether it was
+    /// ended.
+    pub fn end(&self, refusal: &Response) -> bool {
+        let mut current = self.lock();
+        if matches!(*current, Phase::Handling | Phase::Closed) {
+            return false;
+        }
+        if *current == Phase::Reading {
+            let bytes = refusal.clone().with("Connection", "close").encode();
+            // A caller that doesn't read has its connection closed all the same.
+            if let Err(error) = (&*self.socket).write(&bytes) {
+                log::debug!(error:%; "can't send a refusal");
+            }
+        }
+        *current = Phase::Closed;
+        if let Err(error) = self.socket.shutdown(Shutdown::Both) {
+            log::debug!(error:%; "can't shut a connection down");
+        }
+        true
+    }
+
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
         *self.lock()
@@ -54,7 +131,14 @@
         if *current == Phase::Closed {
             return false;
         }
+        match phase {
+            Phase::Idle => drop(self.answered.fetch_add(1, Ordering::Relaxed)),
+            Phase::Reading => self.began.store(lease_clock().0, Ordering::Relaxed),
+            Phase::Handling | Phase::Responding | Phase::Closed => {}
+        }
         *current = phase;
+        drop(current);
+        self.record_progress();
         true
     }
 
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::HashMap,
-    io,
-    net::{SocketAddr, TcpListener},
+    io::{self, Write},
+    net::{IpAddr, SocketAddr, TcpListener},
     os::fd::{AsFd, BorrowedFd},
     sync::{
         Arc, PoisonError,
@@ -11,13 +11,16 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_sync::{Mutex, MutexGuard};
+use godwitspool_sync::{Condvar, Mutex, MutexGuard};
 use snafu::Snafu;
+use socket2::SockRef;
 
 use super::{
-    BodyDecoder, Connection, DecodeError, Interest, OpenConnection, Phase, Received, Request,
-    Response, Waker, decode_request, wait,
+    BodyDecoder, COVERED_BYTES, Candidate, Connection, DecodeError, Interest, Ledger, Limited,
+    Limits, OpenConnection, Phase, Received, Request, Response, Waker, choose_closed,
+    choose_refused, decode_request, is_too_slow, wait,
 };
+use crate::{lease_clock, memory};
 
 /// Stack size of a connection's thread. Handlers keep no large values on the stack.
 const STACK_BYTES: usize = 256 * 1024;
@@ -27,6 +30,16 @@
 /// Delay after a failed accept, so that running out of file descriptors doesn't cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Maximum time that a request waits for memory which others are giving up: their threads have to notice
+/// it, on a machine that may be busy.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time that a new connection waits for one that is being closed in its favour.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// First size of the buffer of a body whose length isn't known, and the least by which it grows.
+const BODY_STEP_BYTES: usize = 16 * 1024;
+/// Time that a response may take however slow its reader is. Beyond it the minimum rate applies.
+const SEND_GRACE: Duration = Duration::from_secs(15);
+
 /// Limits on the size of requests and on the time taken to send them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Bounds {
@@ -66,6 +79,12 @@
         /// HTTP status of the response.
         status: u16,
     },
+    /// The server has no memory for the request, or it arrives too slowly.
+    #[snafu(display("request refused by the limit of {}", limited.as_str()))]
+    Limited {
+        /// The limit that was reached.
+        limited: Limited,
+    },
 }
 
 impl From<DecodeError> for ReadError {
@@ -87,15 +106,76 @@
     bounds: Box<BoundsSource>,
     /// Whether the accept thread is still running.
     accepting: AtomicBool,
-    connections: Mutex<HashMap<u64, Arc<OpenConnection>>>,
+    connections: Mutex<Connections>,
+    /// Notified when a connection has been closed.
+    closed: Condvar,
+    /// The memory that requests and responses hold.
+    ledger: Mutex<Ledger>,
+    /// Notified when memory is given back.
+    freed: Condvar,
+    limits: Limits,
     /// Number of the next connection, which is its key in `connections`.
     next_number: AtomicU64,
-    draining: Arc<AtomicBool>,
+    draining: AtomicBool,
     handler: Box<Handler>,
     /// Becomes readable when the listener and idle connections must be closed.
     stop: Waker,
 }
 
+/// The open connections.
+#[derive(Debug, Default)]
+struct Connections {
+    by_address: HashMap<IpAddr, usize>,
+    by_number: HashMap<u64, Arc<OpenConnection>>,
+}
+
+impl Connections {
+    fn insert(&mut self, number: u64, open: Arc<OpenConnection>) {
+        *self.by_address.entry(open.address()).or_default() += 1;
+        self.by_number.insert(number, open);
+    }
+
+    fn remove(&mut self, number: u64) {
+        let Some(open) = self.by_number.remove(&number) else {
+            return;
+        };
+        if let Some(count) = self.by_address.get_mut(&open.address()) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_address.remove(&open.address());
+            }
+        }
+    }
+
+    fn count_of(&self, address: IpAddr) -> usize {
+        self.by_address.get(&address).copied().unwrap_or_default()
+    }
+}
+
+/// A connection while a thread serves it. Dropping it gives back what the connection holds.
+#[derive(Debug)]
+struct Served {
+    number: u64,
+    open: Arc<OpenConnection>,
+    server: Arc<Inner>,
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.server.release(&self.open);
+        self.server.connections().remove(self.number);
+        self.server.closed.notify_all();
+    }
+}
+
+impl std::fmt::Debug for Inner {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Inner")
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 impl std::fmt::Debug for Server {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Server")
@@ -115,16 +195,38 @@
         address: SocketAddr,
         bounds: impl Fn() -> Bounds + Send + Sync + 'static,
         handler: impl Fn(&mut Caller, Request) -> io::Result<()> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_limited(address, Limits::default(), bounds, handler)
+    }
+
+    /// The same, with limits on what all clients together may make the server use.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound or the accept thread can't be started.
+    pub fn start_limited(
+        address: SocketAddr,
+        limits: Limits,
+        bounds: impl Fn() -> Bounds + Send + Sync + 'static,
+        handler: impl Fn(&mut Caller, Request) -> io::Result<()> + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
+        if let Some(bytes) = limits.receive_buffer {
+            // Accepted sockets inherit it.
+            SockRef::from(&listener).set_recv_buffer_size(bytes)?;
+        }
         let address = listener.local_addr()?;
         let inner = Arc::new(Inner {
             bounds: Box::new(bounds),
             accepting: AtomicBool::new(true),
             connections: Mutex::default(),
+            closed: Condvar::new(),
+            ledger: Mutex::new(Ledger::new(limits.memory)),
+            freed: Condvar::new(),
+            limits,
             next_number: AtomicU64::new(0),
-            draining: Arc::default(),
+            draining: AtomicBool::new(false),
             handler: Box::new(handler),
             stop: Waker::new()?,
         });
@@ -145,7 +247,7 @@
 
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
-        self.inner.connections().len()
+        self.inner.connections().by_number.len()
     }
 
     /// Returns whether the server has stopped accepting and all connections are closed. Until then,
@@ -170,8 +272,13 @@
     /// with `refusal` to those that haven't been read whole, with status 504 to those that have and
     /// may have taken effect. Responses that have begun are left to their handlers.
     pub fn respond_last(&self, refusal: &Response) -> LastResponses {
-        let connections: Vec<Arc<OpenConnection>> =
-            self.inner.connections().values().cloned().collect();
+        let connections: Vec<Arc<OpenConnection>> = self
+            .inner
+            .connections()
+            .by_number
+            .values()
+            .cloned()
+            .collect();
         let mut responses = LastResponses::default();
         for connection in connections {
             let sent = connection.respond_last(|phase| match phase {
@@ -208,11 +315,131 @@
 }
 
 impl Inner {
-    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<OpenConnection>>> {
+    fn connections(&self) -> MutexGuard<'_, Connections> {
         let connections = self.connections.lock();
         connections.unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the open connections as the choice of one to end needs them.
+    fn candidates(&self) -> Vec<Candidate> {
+        let open: Vec<_> = {
+            let connections = self.connections();
+            let numbered = connections.by_number.iter();
+            numbered
+                .map(|(number, open)| (*number, Arc::clone(open)))
+                .collect()
+        };
+        let now = lease_clock();
+        let candidates = open.iter();
+        candidates
+            .map(|(number, open)| open.candidate(*number, now))
+            .collect()
+    }
+
+    /// Ends a connection in favour of another one. Returns whether it was ended.
+    fn end(&self, number: u64, limited: Limited) -> bool {
+        let open = self.connections().by_number.get(&number).cloned();
+        let ended = open.is_some_and(|open| open.end(&self.limits.refusal));
+        if ended {
+            (self.limits.observe)(limited);
+        }
+        ended
+    }
+
+    /// Takes memory so that a connection holds at least `bytes` until its request is answered. Ends less
+    /// deserving connections if they hold what is missing, and waits until they have given it back.
+    fn hold(&self, number: u64, open: &OpenConnection, bytes: usize) -> bool {
+        let held = open.held();
+        if bytes <= held.max(COVERED_BYTES) {
+            return true;
+        }
+        let missing = bytes - held;
+        let due = Instant::now() + MEMORY_TIMEOUT;
+        let mut ledger = self.ledger();
+        loop {
+            if ledger.take(missing, bytes) {
+                open.set_held(bytes);
+                return true;
+            }
+            drop(ledger);
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() || open.phase() == Phase::Closed || !self.make_room(number, missing) {
+                return false;
+            }
+            let full = |ledger: &mut Ledger| !ledger.fits(missing, bytes);
+            let wait = left.min(CLOSE_TIMEOUT);
+            let waited = self.freed.wait_timeout_while(self.ledger(), wait, full);
+            ledger = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Ends a connection that holds memory, unless those that are ended already hold enough. Returns
+    /// whether memory will be given back.
+    fn make_room(&self, asking: u64, missing: usize) -> bool {
+        let candidates = self.candidates();
+        let closed = candidates
+            .iter()
+            .filter(|candidate| candidate.phase == Phase::Closed);
+        if closed.map(|candidate| candidate.bytes).sum::<usize>() >= missing {
+            return true;
+        }
+        // One that isn't ended has made progress meanwhile, and another one is chosen next time.
+        choose_refused(&candidates, asking).is_some_and(|chosen| {
+            chosen != asking && {
+                self.end(chosen, Limited::Memory);
+                true
+            }
+        })
+    }
+
+    /// Gives back the memory that a connection holds.
+    fn release(&self, open: &OpenConnection) {
+        let held = open.set_held(0);
+        if held == 0 {
+            return;
+        }
+        let gone = self.ledger().give(held);
+        self.freed.notify_all();
+        if gone {
+            memory::trim();
+        }
+    }
+
+    /// Waits until there is a place for another connection of an address, and closes the least deserving
+    /// one for it. Returns whether there is one.
+    fn make_place(&self, address: IpAddr) -> bool {
+        let due = Instant::now() + CLOSE_TIMEOUT;
+        let mut closing = false;
+        let mut connections = self.connections();
+        loop {
+            let all = connections.by_number.len() >= self.limits.connections;
+            let own = connections.count_of(address) >= self.limits.per_address;
+            if !all && !own {
+                return true;
+            }
+            if !closing {
+                drop(connections);
+                let chosen = choose_closed(&self.candidates(), own.then_some(address));
+                closing = chosen.is_some_and(|chosen| self.end(chosen, Limited::Connections));
+                if !closing {
+                    return false;
+                }
+                connections = self.connections();
+                continue;
+            }
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let waited = self.closed.wait_timeout(connections, left);
+            connections = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         let readable = Interest {
             read: true,
@@ -247,7 +474,14 @@
     }
 
     fn spawn_connection(self: &Arc<Self>, socket: std::net::TcpStream, peer: SocketAddr) {
-        let server = Arc::clone(self);
+        if !self.make_place(peer.ip()) {
+            (self.limits.observe)(Limited::Connections);
+            let refusal = self.limits.refusal.clone().with("Connection", "close");
+            if let Err(error) = (&socket).write(&refusal.encode()) {
+                log::debug!(error:%, peer:%; "can't refuse a connection");
+            }
+            return;
+        }
         let connection = match Connection::accepted(socket) {
             Ok(connection) => connection,
             Err(error) => {
@@ -256,63 +490,29 @@
             }
         };
         let number = self.next_number.fetch_add(1, Ordering::SeqCst);
-        let open = Arc::new(OpenConnection::new(connection.socket()));
+        let open = Arc::new(OpenConnection::new(connection.socket(), peer.ip()));
         self.connections().insert(number, Arc::clone(&open));
+        let served = Served {
+            number,
+            open,
+            server: Arc::clone(self),
+        };
         let spawned = thread::Builder::new()
             .name("caller".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || {
-                server.serve_connection(connection, open);
-                server.connections().remove(&number);
-            });
+            .spawn(move || serve_connection(connection, served));
         if let Err(error) = spawned {
-            self.connections().remove(&number);
             log::warn!(error:%, peer:%; "can't start a thread for a connection");
         }
     }
 
-    fn serve_connection(&self, connection: Connection, open: Arc<OpenConnection>) {
-        let mut caller = Caller {
-            close: false,
-            connection,
-            draining: Arc::clone(&self.draining),
-            open,
-        };
-        loop {
-            let request = match self.read_request(&mut caller.connection, &caller.open) {
-                Ok(request) => request,
-                Err(ReadError::Ended) => return,
-                Err(ReadError::Refused { status }) => {
-                    caller.close = true;
-                    let answer = Response::new(status, Vec::new());
-                    if let Err(error) = caller.respond(&answer) {
-                        log::debug!(error:%, status; "can't send an error response");
-                    }
-                    return;
-                }
-            };
-            caller.close = self.draining.load(Ordering::SeqCst)
-                || request.headers.lists("connection", "close");
-            if !caller.open.enter(Phase::Handling) {
-                return;
-            }
-            let handled = (self.handler)(&mut caller, request);
-            if let Err(error) = handled {
-                log::debug!(error:%; "can't send a response");
-                return;
-            }
-            if caller.close || !caller.open.enter(Phase::Idle) {
-                return;
-            }
-        }
-    }
-
     /// Waits for a request and reads it with its body.
     fn read_request(
         &self,
         connection: &mut Connection,
-        open: &OpenConnection,
+        served: &Served,
     ) -> Result<Request, ReadError> {
+        let open = &served.open;
         let idle_since = Instant::now();
         while connection.input.is_empty() {
             let bounds = (self.bounds)();
@@ -349,10 +549,26 @@
             return Err(ReadError::Refused { status: 413 });
         }
         if !decoder.is_done() && request.headers.lists("expect", "100-continue") {
-            let sent = send_all(connection, b"HTTP/1.1 100 Continue\r\n\r\n");
+            let sent = self.send_all(connection, open, b"HTTP/1.1 100 Continue\r\n\r\n");
             sent.ok().ok_or(ReadError::Ended)?;
         }
+        let whole = match decoder {
+            BodyDecoder::Length(length) => length,
+            _ => bounds.body_bytes.saturating_add(BODY_STEP_BYTES),
+        };
+        let body_began = Instant::now();
         loop {
+            let needed = request.body.len() + connection.input.len().min(whole);
+            if needed > request.body.capacity() {
+                let capacity = (needed + needed / 4 + BODY_STEP_BYTES)
+                    .min(whole)
+                    .max(needed);
+                if !self.hold(served.number, open, capacity) {
+                    let limited = Limited::Memory;
+                    return Err(ReadError::Limited { limited });
+                }
+                request.body.reserve_exact(capacity - request.body.len());
+            }
             decoder.decode(&mut connection.input, &mut request.body)?;
             if request.body.len() > bounds.body_bytes {
                 return Err(ReadError::Refused { status: 413 });
@@ -363,9 +579,47 @@
             if !self.receive(connection, bounds.idle_timeout, false)? {
                 return Err(ReadError::Refused { status: 408 });
             }
+            open.record_progress();
+            let (received, elapsed) = (request.body.len(), body_began.elapsed());
+            if is_too_slow(received, elapsed, bounds.idle_timeout, self.limits.rate) {
+                let limited = Limited::Rate;
+                return Err(ReadError::Limited { limited });
+            }
         }
     }
 
+    /// Sends bytes. Fails if the caller disconnects, accepts none for too long, or is too slow.
+    fn send_all(
+        &self,
+        connection: &mut Connection,
+        open: &OpenConnection,
+        bytes: &[u8],
+    ) -> io::Result<()> {
+        let began = Instant::now();
+        let mut done = 0;
+        while done < bytes.len() {
+            let sent = connection.send(&bytes[done..])?;
+            done += sent;
+            if sent > 0 {
+                open.record_progress();
+                continue;
+            }
+            let writable = Interest {
+                write: true,
+                ..Interest::default()
+            };
+            let ready = wait(&[(connection.as_fd(), writable)], Some(SEND_TIMEOUT))?;
+            if !ready[0].write {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            if is_too_slow(done, began.elapsed(), SEND_GRACE, self.limits.rate) {
+                (self.limits.observe)(Limited::Rate);
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+        }
+        Ok(())
+    }
+
     /// Waits for bytes and receives them. Returns false if none arrive within the timeout. When
     /// `idle` is set, stopping the server ends the wait.
     fn receive(
@@ -402,15 +656,13 @@
     /// Whether the connection is closed after the response.
     pub close: bool,
     connection: Connection,
-    /// Whether the server drains.
-    draining: Arc<AtomicBool>,
-    open: Arc<OpenConnection>,
+    served: Served,
 }
 
 impl Caller {
     /// Returns whether the server has responded in place of the handler.
     pub fn is_answered(&self) -> bool {
-        self.open.phase() == Phase::Closed
+        self.served.open.phase() == Phase::Closed
     }
 
     /// Sends a complete response.
@@ -420,18 +672,58 @@
     /// Fails if the caller has disconnected or accepts no bytes.
     pub fn respond(&mut self, response: &Response) -> io::Result<()> {
         self.start_response()?;
-        if self.close {
-            let response = response.clone().with("Connection", "close");
-            return send_all(&mut self.connection, &response.encode());
+        let mut head = response.encode_head(self.close);
+        if response.body.len() <= COVERED_BYTES {
+            // Both leave in one packet.
+            head.extend_from_slice(&response.body);
+            return self.send(&head);
+        }
+        if !self.hold(self.held() + response.body.len()) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        self.send(&head)?;
+        self.send(&response.body)
+    }
+
+    /// Takes memory from the server's budget so that this request holds at least `bytes` until it is
+    /// answered. Returns false if there is none; the connection is closed after the next response then.
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        let Served {
+            number,
+            open,
+            server,
+        } = &self.served;
+        let held = server.hold(*number, open, bytes);
+        if !held {
+            (server.limits.observe)(Limited::Memory);
+            self.close = true;
+        }
+        held
+    }
+
+    /// Returns the number of bytes of the server's budget that this request holds.
+    pub fn held(&self) -> usize {
+        self.served.open.held()
+    }
+
+    fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let Served { open, server, .. } = &self.served;
+        server.send_all(&mut self.connection, open, bytes)
+    }
+
+    /// Sends an error response and closes the connection.
+    fn refuse(&mut self, response: &Response) {
+        self.close = true;
+        if let Err(error) = self.respond(response) {
+            log::debug!(error:%, status = response.status; "can't send an error response");
         }
-        send_all(&mut self.connection, &response.encode())
     }
 
     /// Records that the response begins. Fails if the server has sent the last one itself.
     fn start_response(&mut self) -> io::Result<()> {
         // The server may have started to drain while the request was handled.
-        self.close |= self.draining.load(Ordering::SeqCst);
-        if self.open.enter(Phase::Responding) {
+        self.close |= self.served.server.draining.load(Ordering::SeqCst);
+        if self.served.open.enter(Phase::Responding) {
             Ok(())
         } else {
             Err(io::ErrorKind::ConnectionAborted.into())
@@ -449,7 +741,7 @@
         if self.close {
             response.headers.push("Connection", "close");
         }
-        send_all(&mut self.connection, &response.encode_chunked_head())
+        self.send(&response.encode_chunked_head())
     }
 
     /// Sends a chunk of the body. Empty chunks are left out, since they would end the body.
@@ -464,7 +756,7 @@
         let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
         chunk.extend_from_slice(bytes);
         chunk.extend_from_slice(b"\r\n");
-        send_all(&mut self.connection, &chunk)
+        self.send(&chunk)
     }
 
     /// Ends a chunked body.
@@ -473,7 +765,7 @@
     ///
     /// Fails if the caller has disconnected or accepts no bytes.
     pub fn end(&mut self) -> io::Result<()> {
-        send_all(&mut self.connection, b"0\r\n\r\n")
+        self.send(b"0\r\n\r\n")
     }
 
     /// Returns the socket with an interest in hangup, to notice that the caller disconnects.
@@ -486,20 +778,41 @@
     }
 }
 
-fn send_all(connection: &mut Connection, mut bytes: &[u8]) -> io::Result<()> {
-    while !bytes.is_empty() {
-        let sent = connection.send(bytes)?;
-        bytes = &bytes[sent..];
-        if sent == 0 {
-            let writable = Interest {
-                write: true,
-                ..Interest::default()
-            };
-            let ready = wait(&[(connection.as_fd(), writable)], Some(SEND_TIMEOUT))?;
-            if !ready[0].write {
-                return Err(io::ErrorKind::TimedOut.into());
+fn serve_connection(connection: Connection, accepted: Served) {
+    let mut caller = Caller {
+        close: false,
+        connection,
+        served: accepted,
+    };
+    let server = Arc::clone(&caller.served.server);
+    loop {
+        let request = match server.read_request(&mut caller.connection, &caller.served) {
+            Ok(request) => request,
+            Err(ReadError::Ended) => return,
+            Err(ReadError::Refused { status }) => {
+                caller.refuse(&Response::new(status, Vec::new()));
+                return;
+            }
+            Err(ReadError::Limited { limited }) => {
+                (server.limits.observe)(limited);
+                server.release(&caller.served.open);
+                caller.refuse(&server.limits.refusal);
+                return;
             }
+        };
+        caller.close =
+            server.draining.load(Ordering::SeqCst) || request.headers.lists("connection", "close");
+        if !caller.served.open.enter(Phase::Handling) {
+            return;
+        }
+        let handled = (server.handler)(&mut caller, request);
+        server.release(&caller.served.open);
+        if let Err(error) = handled {
+            log::debug!(error:%; "can't send a response");
+            return;
+        }
+        if caller.close || !caller.served.open.enter(Phase::Idle) {
+            return;
         }
     }
-    Ok(())
 }
--- a/crates/godwitspool-host/src/lib.rs
+++ b/crates/godwitspool-host/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod duty;
 pub mod http;
 mod lease_clock;
+pub mod memory;
 pub mod process;
 pub mod request;
 mod settings;
@@ -19,4 +20,4 @@
 pub mod version;
 
 pub use lease_clock::lease_clock;
-pub use settings::{Resources, Settings, StoreBounds};
+pub use settings::{ClientLimits, Resources, Settings, StoreBounds};
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -8,7 +8,10 @@
 
 use super::{Drained, RETRY_AFTER_END, Shared, peers, permits::PERMIT_PATH, relay::RELAY_PATH};
 use crate::{
-    batch::{BatchRecord, Lookup, ResultPage, Submission, page, partition_of, read_stored},
+    batch::{
+        BatchRecord, EncodedSubmission, Lookup, ResultPage, Submission, page, partition_of,
+        read_stored,
+    },
     dialect::{Call, CallKind},
     http::{Caller, Request, Response},
     request::{Ended, forward, may_begin},
@@ -44,7 +47,7 @@
 /// # Errors
 ///
 /// Fails if the caller has disconnected.
-pub fn serve(shared: &Arc<Shared>, caller: &mut Caller, request: &Request) -> io::Result<()> {
+pub fn serve(shared: &Arc<Shared>, caller: &mut Caller, request: Request) -> io::Result<()> {
     serve_from(shared, caller, request, Origin::Caller)
 }
 
@@ -53,12 +56,12 @@
 /// # Errors
 ///
 /// Fails if the other host has disconnected.
-pub fn serve_peer(shared: &Arc<Shared>, caller: &mut Caller, request: &Request) -> io::Result<()> {
+pub fn serve_peer(shared: &Arc<Shared>, caller: &mut Caller, request: Request) -> io::Result<()> {
     if request.path() == RELAY_PATH {
-        return caller.respond(&shared.store.serve(request));
+        return caller.respond(&shared.store.serve(&request));
     }
     if request.path() == PERMIT_PATH {
-        return caller.respond(&shared.permits.serve(shared, request));
+        return caller.respond(&shared.permits.serve(shared, &request));
     }
     serve_from(shared, caller, request, Origin::Host)
 }
@@ -66,11 +69,11 @@
 fn serve_from(
     shared: &Arc<Shared>,
     caller: &mut Caller,
-    request: &Request,
+    request: Request,
     origin: Origin,
 ) -> io::Result<()> {
     let began = Instant::now();
-    let call = shared.dialect.call(request);
+    let call = shared.dialect.call(&request);
     let ended = answer(shared, caller, request, &call, origin);
     let took_ms = began.elapsed().as_millis() as u64;
     // What the server has answered itself is counted there.
@@ -106,7 +109,7 @@
 fn answer(
     shared: &Arc<Shared>,
     caller: &mut Caller,
-    request: &Request,
+    mut request: Request,
     call: &Call,
     origin: Origin,
 ) -> io::Result<Ended> {
@@ -131,7 +134,7 @@
             shared,
             call,
             origin,
-            request,
+            request: &request,
             workspace,
         };
         let kind = match call.kind {
@@ -150,17 +153,25 @@
         return forward(shared, route, request, call, workspace.as_ref(), caller);
     }
     let workspace = workspace.unwrap_or_default();
-    match shared.dialect.submission(request, call, route, &workspace) {
+    // Three bytes of an item for each four of its text; nothing else is as large.
+    let decoded = request.body.len() / 4 * 3;
+    if !caller.hold(request.body.capacity() + decoded) {
+        return respond(caller, shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
+    }
+    let submission = shared.dialect.submission(&request, call, route, &workspace);
+    // The decoded items take its place.
+    request.body = Vec::new();
+    match submission {
         Ok(mut submission) => {
             submission.configuration = configuration.version;
             let batch_call = BatchCall {
                 shared,
                 call,
                 origin,
-                request,
+                request: &request,
                 workspace: Some(workspace),
             };
-            let submit = |call: &BatchCall<'_>| call.submit(&configuration, &submission);
+            let submit = |call: &BatchCall<'_>| call.submit(&configuration, submission);
             respond(caller, batch_call.timed(&route.name, submit))
         }
         Err(reason) => {
@@ -236,18 +247,21 @@
     }
 
     /// Stores a batch and acknowledges it with 202.
-    fn submit(&self, configuration: &Configuration, submission: &Submission) -> Response {
-        if let Some(reason) = check_scorers(configuration, submission) {
+    fn submit(&self, configuration: &Configuration, mut submission: Submission) -> Response {
+        if let Some(reason) = check_scorers(configuration, &submission) {
             log::info!(batch:% = submission.id, configuration = configuration.version, reason; "batch refused");
             return self.shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE);
         }
         let parts = self.shared.settings.store.parts;
-        let calls = BatchRecord::of_submission(submission, &self.shared.settings.store);
         let part = partition_of(&submission.id, parts);
-        let stored = self.append_records(part, &calls);
+        let items = submission.items.len();
+        let encoded = EncodedSubmission::new(&submission, &self.shared.settings.store);
+        // The encoded submission takes its place.
+        submission.items = Vec::new();
+        let stored = self.append_records(part, encoded.calls());
         log::info!(
             batch:% = submission.id, step = submission.step, model:% = submission.model,
-            items = submission.items.len(), min_version = submission.min_version, partition = part, stored:?,
+            items, min_version = submission.min_version, partition = part, stored:?,
             configuration = configuration.version;
             "batch submitted"
         );
@@ -257,7 +271,7 @@
     /// Stores a record that ends a batch, and acknowledges it with 200.
     fn end_batch(&self, batch: &str) -> Response {
         let part = partition_of(batch, self.shared.settings.store.parts);
-        let stored = self.append_records(part, &[vec![BatchRecord::of_end(batch)]]);
+        let stored = self.append_records(part, [vec![BatchRecord::of_end(batch)]]);
         log::info!(batch, partition = part, stored:?; "batch end requested");
         self.acknowledge(&stored, 200)
     }
@@ -280,7 +294,7 @@
     fn append_records(
         &self,
         part: u32,
-        calls: &[Vec<crate::store::Record>],
+        calls: impl IntoIterator<Item = Vec<crate::store::Record>>,
     ) -> Result<(), StoreError> {
         let due = self.due();
         let mut unknown = None;
@@ -289,7 +303,7 @@
                 let append = self
                     .shared
                     .store
-                    .append(Topic::Batches, part, records, None);
+                    .append(Topic::Batches, part, &records, None);
                 let Err(error) = append else {
                     break;
                 };
--- a/crates/godwitspool-host/src/process/host.rs
+++ b/crates/godwitspool-host/src/process/host.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Adapters, DrainPlan, Drained, RETRY_AFTER_END, Shared, calls,
+    clients::{Listener, limits},
     duties::{DutyLease, DutyRunner, append_usage},
     membership::Membership,
     tails,
@@ -18,6 +19,7 @@
     Settings,
     batch::{Runner, save_running},
     http::{Bounds, Caller, Request, Response, Server},
+    memory,
     store::Topic,
 };
 
@@ -51,14 +53,18 @@
             member = shared.member, version = env!("CARGO_PKG_VERSION");
             "host starts"
         );
-        let front = serve(&shared, settings.front, true, calls::serve)?;
+        if settings.resources.memory.is_some() {
+            memory::keep_little();
+        }
+        let front = serve(&shared, settings.front, Listener::Front, calls::serve)?;
         let mut other_servers = vec![
-            serve(&shared, settings.ready, false, answer_ready)?,
-            serve(&shared, settings.metrics, false, answer_metrics)?,
-            serve(&shared, settings.peer, false, calls::serve_peer)?,
+            serve(&shared, settings.ready, Listener::Status, answer_ready)?,
+            serve(&shared, settings.metrics, Listener::Status, answer_metrics)?,
+            serve(&shared, settings.peer, Listener::Peers, calls::serve_peer)?,
         ];
         if let Some(seed) = settings.seed {
-            other_servers.push(serve(&shared, seed, false, calls::serve_peer)?);
+            let seeds = serve(&shared, seed, Listener::Peers, calls::serve_peer)?;
+            other_servers.push(seeds);
         }
         for topic in [Topic::Operator, Topic::Targets] {
             spawn(&shared, "tail", move |shared| tails::follow(&shared, topic))?;
@@ -157,20 +163,22 @@
     }
 }
 
-/// Starts a server. Only if `use_configured` is set do the bounds of the configuration apply to it.
+/// Starts a server. The bounds of the configuration apply to the front only.
 fn serve(
     shared: &Arc<Shared>,
     address: SocketAddr,
-    use_configured: bool,
-    handle: impl Fn(&Arc<Shared>, &mut Caller, &Request) -> io::Result<()> + Send + Sync + 'static,
+    listener: Listener,
+    handle: impl Fn(&Arc<Shared>, &mut Caller, Request) -> io::Result<()> + Send + Sync + 'static,
 ) -> io::Result<Server> {
+    let limits = limits(shared, listener);
     let (handler_shared, bounds_shared) = (Arc::clone(shared), Arc::clone(shared));
     let bounds = move || {
-        let configuration = bounds_shared.configuration().filter(|_| use_configured);
+        let configuration = bounds_shared.configuration();
+        let configuration = configuration.filter(|_| listener == Listener::Front);
         configuration.map_or_else(Bounds::default, |configuration| configuration.bounds)
     };
-    Server::start(address, bounds, move |caller, request| {
-        handle(&handler_shared, caller, &request)
+    Server::start_limited(address, limits, bounds, move |caller, request| {
+        handle(&handler_shared, caller, request)
     })
 }
 
@@ -189,12 +197,12 @@
     })
 }
 
-fn answer_ready(shared: &Arc<Shared>, caller: &mut Caller, _: &Request) -> io::Result<()> {
+fn answer_ready(shared: &Arc<Shared>, caller: &mut Caller, _: Request) -> io::Result<()> {
     let status = if shared.is_ready() { 200 } else { 503 };
     caller.respond(&Response::new(status, Vec::new()))
 }
 
-fn answer_metrics(shared: &Arc<Shared>, caller: &mut Caller, _: &Request) -> io::Result<()> {
+fn answer_metrics(shared: &Arc<Shared>, caller: &mut Caller, _: Request) -> io::Result<()> {
     let text = shared.metrics.text();
     caller.respond(&Response::new(200, text).with("Content-Type", "text/plain; version=0.0.4"))
 }
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -3,6 +3,7 @@
 
 mod activity;
 mod calls;
+mod clients;
 mod drained;
 mod duties;
 mod ending;
@@ -19,6 +20,7 @@
 mod usage;
 
 pub use activity::{Activity, StallDetector};
+pub use clients::ClientShare;
 pub use drained::Drained;
 pub use ending::{DrainPlan, Ending, RETRY_AFTER_END};
 pub use host::Host;
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -90,6 +90,8 @@
     pub answers: CounterByReason,
     /// Durations of requests in seconds.
     pub answer_seconds: Histogram,
+    /// Number of connections that a limit on clients has ended, by limit.
+    pub limited: CounterByReason,
     /// Number of requests that ended while the process drained, by outcome.
     pub drained: CounterByReason,
     /// The end of the process.
@@ -162,6 +164,10 @@
             "drained_requests",
             "Requests that ended while the process drained, by how they ended",
         );
+        let limited = metrics.counter_by_reason(
+            "limited_clients",
+            "Connections that a limit on clients has ended, by limit",
+        );
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let leavings = metrics.counter_by_reason(
@@ -220,6 +226,7 @@
             answers,
             answer_seconds,
             drained,
+            limited,
             ending: Ending::new()?,
             durations: Mutex::default(),
             runs,
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -1,6 +1,7 @@
 use std::{
     io,
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -9,7 +10,7 @@
 use super::may_begin;
 use crate::{
     dialect::{Call, ForwardContext, Reply},
-    http::{CallError, Caller, Exchange, Progress, Request, Response, wait},
+    http::{COVERED_BYTES, CallError, Caller, Exchange, Progress, Request, Response, wait},
     lease_clock,
     process::{Admission, RETRY_AFTER_END, Shared, SuspectRun, TargetStart, unix_ms},
     version::{
@@ -69,7 +70,10 @@
 struct Forward<'a> {
     shared: &'a Shared,
     route: &'a Route,
+    /// The request without its body.
     request: &'a Request,
+    /// Its body, which all attempts share.
+    body: Arc<Vec<u8>>,
     call: &'a Call,
     workspace: Option<&'a Workspace>,
     service: ServiceName,
@@ -119,12 +123,13 @@
 pub fn forward(
     shared: &Shared,
     route: &Route,
-    request: &Request,
+    mut request: Request,
     call: &Call,
     workspace: Option<&Workspace>,
     caller: &mut Caller,
 ) -> io::Result<Ended> {
     let arrived = Instant::now();
+    let body = Arc::new(std::mem::take(&mut request.body));
     let bounds = [
         call.deadline
             .map(|left| left.saturating_sub(DELIVERY_RESERVE)),
@@ -142,7 +147,8 @@
     let mut forward = Forward {
         shared,
         route,
-        request,
+        request: &request,
+        body,
         call,
         workspace,
         service,
@@ -208,6 +214,16 @@
                 caller.respond(&answer)?;
                 return Ok(Ended::Answered(answer.status));
             }
+            let held: usize = self
+                .in_flight
+                .iter()
+                .map(|attempt| attempt.exchange.held())
+                .sum();
+            if held > COVERED_BYTES && !caller.hold(self.body.capacity() + held) {
+                log::info!(request = self.call.request(), held; "no memory for a response");
+                caller.respond(&Response::new(502, Vec::new()))?;
+                return Ok(Ended::Failed(502));
+            }
             if self.in_flight.is_empty() {
                 continue;
             }
@@ -341,7 +357,8 @@
             let request = self.shared.dialect.forward_request(self.request, &context);
             match self.shared.pool.connect(address) {
                 Ok(connection) => {
-                    let mut exchange = Exchange::new(connection, &request)
+                    let body = Arc::clone(&self.body);
+                    let mut exchange = Exchange::with_body(connection, &request, body)
                         .begin_by(lease_clock() + CHOICE_LIFETIME);
                     // On a pooled connection this sends the request immediately.
                     let failed = exchange.advance().is_err();
@@ -660,13 +677,8 @@
     }
 
     fn fingerprint(&self) -> Fingerprint {
-        let Request {
-            method,
-            target,
-            body,
-            ..
-        } = self.request;
-        Fingerprint::new(self.workspace, method, &self.call.host, target, body)
+        let Request { method, target, .. } = self.request;
+        Fingerprint::new(self.workspace, method, &self.call.host, target, &self.body)
     }
 
     fn record_outcome(&self, attempt: &Attempt, outcome: Outcome) {
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -45,6 +45,21 @@
     pub store: StoreBounds,
     /// What the machine gives this process.
     pub resources: Resources,
+    /// What clients may make this process use, where it isn't derived from the resources.
+    pub clients: ClientLimits,
+}
+
+/// What clients may make a host process use. Values that aren't set are derived from the [`Resources`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClientLimits {
+    /// Bytes of memory that requests and responses may hold together.
+    pub memory: Option<u64>,
+    /// Number of open connections.
+    pub connections: Option<u32>,
+    /// Number of open connections from one address.
+    pub per_address: Option<u32>,
+    /// Minimum rate of a body or response in bytes per second.
+    pub rate: Option<u64>,
 }
 
 /// What the machine gives a host process.
