--- a/crates/godwitspool-host/src/http/pool.rs
+++ b/crates/godwitspool-host/src/http/pool.rs
@@ -20,11 +20,15 @@
 pub struct Pool {
     idle: Mutex<Idle>,
     interval: Duration,
+    /// Maximum number of idle connections in all.
+    limit: usize,
 }
 
 #[derive(Debug)]
 struct Idle {
     connections: HashMap<SocketAddr, Vec<Connection>>,
+    /// Number of connections.
+    count: usize,
     swept_at: Instant,
 }
 
@@ -40,14 +44,24 @@
     pub fn new(interval: Duration) -> Self {
         let idle = Idle {
             connections: HashMap::new(),
+            count: 0,
             swept_at: Instant::now(),
         };
         Self {
             idle: Mutex::new(idle),
             interval,
+            limit: usize::MAX,
         }
     }
 
+    /// Returns the pool with a maximum number of idle connections in all, so that they leave descriptors
+    /// to those in use.
+    #[must_use]
+    pub fn with_limit(mut self, limit: usize) -> Self {
+        self.limit = limit;
+        self
+    }
+
     /// Returns an idle connection, or starts a new one.
     ///
     /// # Errors
@@ -63,14 +77,17 @@
     /// Takes an idle connection that can carry another request, and closes those that can't.
     pub fn take(&self, address: SocketAddr) -> Option<Connection> {
         loop {
-            let mut connection = self.lock().connections.get_mut(&address)?.pop()?;
+            let mut pool = self.lock();
+            let mut connection = pool.connections.get_mut(&address)?.pop()?;
+            pool.count -= 1;
+            drop(pool);
             if connection.is_reusable() {
                 return Some(connection);
             }
         }
     }
 
-    /// Returns a connection to the pool, or closes it if the address has the maximum of idle ones. Now
+    /// Returns a connection to the pool, or closes it if the maximum of idle ones is reached. Now
     /// and then, closes the connections that can't be used any more: nobody asks for those to addresses
     /// that are gone.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
@@ -78,20 +95,26 @@
         if pool.swept_at.elapsed() >= self.interval {
             pool.sweep();
         }
+        if pool.count >= self.limit {
+            return;
+        }
         let idle = pool.connections.entry(address).or_default();
         if idle.len() < MAX_IDLE_PER_ADDRESS {
             idle.push(connection);
+            pool.count += 1;
         }
     }
 
     /// Closes all idle connections to an address.
     pub fn close(&self, address: SocketAddr) {
-        self.lock().connections.remove(&address);
+        let mut pool = self.lock();
+        let closed = pool.connections.remove(&address).unwrap_or_default();
+        pool.count -= closed.len();
     }
 
     /// Returns the number of idle connections.
     pub fn idle_connections(&self) -> usize {
-        self.lock().connections.values().map(Vec::len).sum()
+        self.lock().count
     }
 
     fn lock(&self) -> MutexGuard<'_, Idle> {
@@ -106,5 +129,6 @@
             idle.retain_mut(Connection::is_reusable);
             !idle.is_empty()
         });
+        self.count = self.connections.values().map(Vec::len).sum();
     }
 }
--- a/crates/godwitspool-host/src/process/clients.rs
+++ b/crates/godwitspool-host/src/process/clients.rs
@@ -106,6 +106,11 @@
     }
 }
 
+/// Returns the maximum number of idle connections to targets and other hosts: a quarter of the sockets.
+pub(super) fn max_idle_connections(resources: &Resources) -> usize {
+    sockets(resources).map_or(usize::MAX, |sockets| sockets as usize / 4)
+}
+
 /// Returns the number of descriptors for sockets and pipes.
 fn sockets(resources: &Resources) -> Option<u32> {
     let descriptors = resources.descriptors?;
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,8 +13,8 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, Relay, UsageCounts, peers::Peers, permits::Permits, relay::RelayMetrics,
-    reports::Reports, suspicion::Suspicion,
+    Activity, Ending, Relay, UsageCounts, clients::max_idle_connections, peers::Peers,
+    permits::Permits, relay::RelayMetrics, reports::Reports, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -243,7 +243,7 @@
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
             suspicion: Suspicion::new(breaks, suspects),
-            pool: Arc::default(),
+            pool: Arc::new(Pool::default().with_limit(max_idle_connections(&settings.resources))),
             store: Arc::new(Relay::new(
                 adapters.store,
                 &settings.seeds,
--- a/crates/godwitspool-host/tests/budget.rs
+++ b/crates/godwitspool-host/tests/budget.rs
@@ -17,8 +17,8 @@
 use godwitspool_host::{
     ClientLimits, Resources,
     http::{
-        Bounds, Caller, Candidate, Ledger, Limited, Limits, Phase, Request, Response, Server,
-        choose_closed, choose_refused,
+        Bounds, Caller, Candidate, Connection, Ledger, Limited, Limits, Phase, Pool, Request,
+        Response, Server, choose_closed, choose_refused,
     },
     process::ClientShare,
 };
@@ -265,3 +265,21 @@
     }
     assert!(server.open_connections() <= 1);
 }
+
+/// Guards against idle connections to many targets that take the descriptors of those in use.
+#[test]
+fn idle_connections_stay_under_their_bound_and_leave_room_once_used() {
+    let servers = [(); 3].map(|()| serve(Limits::default()));
+    let pool = Pool::default().with_limit(2);
+    let put = |server: &Server| {
+        let connection = Connection::connect(server.address()).unwrap();
+        pool.put(server.address(), connection);
+    };
+    servers.iter().for_each(put);
+    assert_eq!(pool.idle_connections(), 2);
+    pool.close(servers[0].address());
+    put(&servers[2]);
+    assert_eq!(pool.idle_connections(), 2);
+    assert!(pool.take(servers[2].address()).is_some());
+    assert_eq!(pool.idle_connections(), 1);
+}
