--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,8 +13,9 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, PlaceMetrics, Relay, UsageCounts, is_standby, peers::Peers, permits::Permits,
-    relay::RelayMetrics, reports::Reports, standby::standby_name, suspicion::Suspicion,
+    Activity, Ending, PlaceMetrics, Relay, UsageCounts, clients::max_idle_connections, is_standby,
+    peers::Peers, permits::Permits, relay::RelayMetrics, reports::Reports, standby::standby_name,
+    suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -99,6 +100,8 @@
     pub answers: CounterByReason,
     /// Durations of requests in seconds.
     pub answer_seconds: Histogram,
+    /// Number of connections that a limit on clients has ended, by limit.
+    pub limited: CounterByReason,
     /// Number of requests that ended while the process drained, by outcome.
     pub drained: CounterByReason,
     /// The end of the process.
@@ -173,6 +176,10 @@
             "drained_requests",
             "Requests that ended while the process drained, by how they ended",
         );
+        let limited = metrics.counter_by_reason(
+            "limited_clients",
+            "Connections that a limit on clients has ended, by limit",
+        );
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let leavings = metrics.counter_by_reason(
@@ -204,11 +211,6 @@
             .into_iter()
             .flatten()
             .collect();
-        let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
-        if let Some(evacuate) = settings.evacuate {
-            fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
-        }
-        fleet.leaving = Leaving::new(settings.drain.into());
         let incarnation = rand::random::<u32>();
         let mut member = format!("{}#{incarnation:08x}", settings.peer);
         if is_standby(&settings.resources, &settings.store) {
@@ -228,7 +230,7 @@
             duties_activity: Activity::default(),
             runner_activity: Activity::default(),
             duties: adapters.duties,
-            fleet: Mutex::new(fleet),
+            fleet: Mutex::new(empty_fleet(&settings)),
             incarnation,
             member,
             reports: Reports::open(settings.peer),
@@ -237,6 +239,7 @@
             answers,
             answer_seconds,
             drained,
+            limited,
             ending: Ending::new()?,
             durations: Mutex::default(),
             runs,
@@ -255,7 +258,7 @@
             queues,
             repeats,
             suspicion: Suspicion::new(breaks, suspects),
-            pool: Arc::default(),
+            pool: Arc::new(Pool::default().with_limit(max_idle_connections(&settings.resources))),
             store: Arc::new(Relay::new(
                 adapters.store,
                 &settings.seeds,
@@ -438,6 +441,16 @@
     }
 }
 
+/// Returns a fleet without targets, with the bounds on the age of what it knows.
+fn empty_fleet(settings: &Settings) -> Fleet {
+    let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
+    if let Some(evacuate) = settings.evacuate {
+        fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
+    }
+    fleet.leaving = Leaving::new(settings.drain.into());
+    fleet
+}
+
 /// Returns the maximum age of entries by which a target is chosen. The rest of the time for which a
 /// leaving target serves on is for connecting and sending.
 fn max_entry_age(drain: Duration) -> Duration {
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -50,20 +50,46 @@
     pub end_timeout: Duration,
     /// Limits of the store.
     pub store: StoreBounds,
-    /// What the machine gives the process.
+    /// What the machine gives this process.
     pub resources: Resources,
+    /// What clients may make this process use, where it isn't derived from the resources.
+    pub clients: ClientLimits,
 }
 
-/// What the machine gives the process.
+/// What clients may make a host process use. Values that aren't set are derived from the [`Resources`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClientLimits {
+    /// Bytes of memory that requests and responses may hold together.
+    pub memory: Option<u64>,
+    /// Number of open connections.
+    pub connections: Option<u32>,
+    /// Number of open connections from one address.
+    pub per_address: Option<u32>,
+    /// Minimum rate of a body or response in bytes per second.
+    pub rate: Option<u64>,
+}
+
+/// What the machine gives a host process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Resources {
-    /// Processor time in cores, 1.0 by default.
+    /// Processor cores: the number of cores times the share of them, 1 by default.
     pub cores: f64,
+    /// Memory in bytes. `None` if no limit is known.
+    pub memory: Option<u64>,
+    /// Maximum number of open file descriptors. `None` if no limit is known.
+    pub descriptors: Option<u32>,
+    /// Bandwidth of the network in Mbit/s. `None` if no limit is known.
+    pub link_mbps: Option<f64>,
 }
 
 impl Default for Resources {
     fn default() -> Self {
-        Self { cores: 1.0 }
+        Self {
+            cores: 1.0,
+            memory: None,
+            descriptors: None,
+            link_mbps: None,
+        }
     }
 }
 
--- a/crates/godwitspool-host/tests/standby.rs
+++ b/crates/godwitspool-host/tests/standby.rs
@@ -80,7 +80,11 @@
         max_writes,
         ..StoreBounds::default()
     };
-    assert_eq!(is_standby(&Resources { cores }, &store), expected);
+    let resources = Resources {
+        cores,
+        ..Resources::default()
+    };
+    assert_eq!(is_standby(&resources, &store), expected);
 }
 
 /// Guards against batches that nobody runs after all large hosts have ended, and against small hosts that
