Batches: hints of a step are relative until its route's lengths are known

Cause: an owner that has seen no completed item took four tokens for an event. Events of that route have about 75, so items were expected to take minutes and any wait for a fast target paid. Change: until lengths are known, an item is expected to be as much longer than the mean as its hint is.

--- a/crates/godwitspool-host/src/batch/lengths.rs
+++ b/crates/godwitspool-host/src/batch/lengths.rs
@@ -76,10 +76,13 @@
         };
         let hint = hint.max(1) as f64;
         let known = route.filter(|route| route.ratios.len() >= MIN_LENGTHS);
-        known.map_or(left_of(hint / EVENT_TOKENS, done), |route| {
-            let ratio = (done as f64 / hint * RATIO_SCALE) as u64;
-            route.ratios.expected_remaining(ratio) / RATIO_SCALE * hint
-        })
+        let Some(route) = known else {
+            // How many tokens an event has isn't known yet, but which items are long is.
+            let mean = mean_hint(submission).unwrap_or(hint);
+            return left_of(UNKNOWN_EVENTS * hint / mean, done);
+        };
+        let ratio = (done as f64 / hint * RATIO_SCALE) as u64;
+        route.ratios.expected_remaining(ratio) / RATIO_SCALE * hint
     }
 
     /// Returns the mean number of events of a route's items.
@@ -98,6 +101,15 @@
     }
 }
 
+/// Returns the mean hint of a batch's items, if any has one.
+fn mean_hint(submission: &Submission) -> Option<f64> {
+    let hints = submission.items.iter().filter_map(|item| item.hint);
+    let (count, sum) = hints.fold((0.0, 0.0), |(count, sum), hint| {
+        (count + 1.0, sum + hint.max(1) as f64)
+    });
+    (count > 0.0).then(|| sum / count)
+}
+
 /// Returns what is left of an expected length. An output that has outgrown it is expected to double.
 fn left_of(expected: f64, done: u64) -> f64 {
     let done = done as f64;
