Clients' limits: the kernel's send buffers are bounded too

Cause: what a reader that doesn't read leaves unsent stays with the kernel, up to several megabytes for each connection. Change: 64 KB for both directions on machines with known memory.

--- a/crates/godwitspool-host/src/http/limits.rs
+++ b/crates/godwitspool-host/src/http/limits.rs
@@ -13,9 +13,9 @@
     pub per_address: usize,
     /// Minimum rate of a body in bytes per second, on average beyond the idle timeout. 0 allows any.
     pub rate: u64,
-    /// Size of the kernel's buffer for what a connection has received and nobody has read. `None` leaves
-    /// it to the kernel, which takes several megabytes for a fast connection.
-    pub receive_buffer: Option<usize>,
+    /// Size of the kernel's buffers for what a connection has received and nobody has read, and for what its
+    /// caller hasn't accepted. `None` leaves them to the kernel, which takes several megabytes for each.
+    pub buffer: Option<usize>,
     /// Response to a request that is refused before it was handled.
     pub refusal: Response,
     /// Called for each connection that a limit has ended.
@@ -30,7 +30,7 @@
             connections: usize::MAX,
             per_address: usize::MAX,
             rate: 0,
-            receive_buffer: None,
+            buffer: None,
             refusal: Response::new(503, Vec::new()),
             observe: Arc::new(|_| {}),
         }
@@ -44,7 +44,7 @@
             .field("connections", &self.connections)
             .field("per_address", &self.per_address)
             .field("rate", &self.rate)
-            .field("receive_buffer", &self.receive_buffer)
+            .field("buffer", &self.buffer)
             .finish_non_exhaustive()
     }
 }
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -214,9 +214,10 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
-        if let Some(bytes) = limits.receive_buffer {
-            // Accepted sockets inherit it.
+        if let Some(bytes) = limits.buffer {
+            // Accepted sockets inherit both.
             SockRef::from(&listener).set_recv_buffer_size(bytes)?;
+            SockRef::from(&listener).set_send_buffer_size(bytes)?;
         }
         let address = listener.local_addr()?;
         let inner = Arc::new(Inner {
--- a/crates/godwitspool-host/src/memory.rs
+++ b/crates/godwitspool-host/src/memory.rs
@@ -2,7 +2,8 @@
 
 /// Size from which an allocation is a mapping of its own, which the system gets back when it is freed.
 /// glibc raises this size to that of the largest mapping that was freed, up to 32 MB, after which bodies
-/// lie in its heaps and stay there. Bodies of ordinary requests are smaller and need no mapping.
+/// lie in its heaps and stay there. Bodies of ordinary requests are smaller and need no mapping. With
+/// 1 MB, a crowd of bodies of 900 KB took 113 MB of a host of 120 MB rather than 81.
 #[cfg(target_env = "gnu")]
 const MAPPED_BYTES: i32 = 256 * 1024;
 /// Number of the allocator's heaps. Each keeps what its threads once used, and the default is eight for
--- a/crates/godwitspool-host/src/process/clients.rs
+++ b/crates/godwitspool-host/src/process/clients.rs
@@ -18,10 +18,10 @@
 /// Bytes of each client connection besides the memory budget: its thread's stack, buffers, and what the
 /// kernel has received for it.
 const CONNECTION_BYTES: u64 = 128 * 1024;
-/// Size of the kernel's receive buffer as it is set; the kernel doubles it for its own use. At a round
-/// trip of 1 ms it still lets a connection send 512 Mbit/s. With half of it, bodies of 64 KB and more
+/// Size of the kernel's buffers in each direction as it is set; the kernel doubles it for its own use. At a round
+/// trip of 1 ms it still lets a connection carry 512 Mbit/s. With half of it, bodies of 64 KB and more
 /// cost more processor time on loopback.
-const RECEIVE_BUFFER: usize = 64 * 1024;
+const SOCKET_BUFFER: usize = 64 * 1024;
 /// Descriptors of a machine that are reserved for files.
 const FILES: u32 = 200;
 /// Connections of a port for probes, which come once a second from few places.
@@ -139,7 +139,7 @@
         connections: share.connections,
         per_address: share.per_address,
         rate: settings.clients.rate.unwrap_or(rate),
-        receive_buffer: resources.memory.map(|_| RECEIVE_BUFFER),
+        buffer: resources.memory.map(|_| SOCKET_BUFFER),
         refusal: shared.dialect.refusal(RETRY_AFTER_LIMIT),
         observe: Arc::new(move |limit: Limited| {
             limited.count(limit.as_str());
