Standbys: the example names cores only

Cause: resources have more fields since clients' limits were merged. Change: the example takes the others from the default. Tested: examples pass.

--- a/crates/godwitspool-host/src/process/standby.rs
+++ b/crates/godwitspool-host/src/process/standby.rs
@@ -29,9 +29,10 @@
 /// use godwitspool_host::{Resources, StoreBounds, process::is_standby};
 ///
 /// let store = StoreBounds { max_writes: 1_500, ..StoreBounds::default() };
-/// assert!(is_standby(&Resources { cores: 0.09 }, &store));
-/// assert!(!is_standby(&Resources { cores: 0.2 }, &store));
-/// assert!(!is_standby(&Resources { cores: 0.09 }, &StoreBounds::default()));
+/// let resources = |cores| Resources { cores, ..Resources::default() };
+/// assert!(is_standby(&resources(0.09), &store));
+/// assert!(!is_standby(&resources(0.2), &store));
+/// assert!(!is_standby(&resources(0.09), &StoreBounds::default()));
 /// ```
 pub fn is_standby(resources: &Resources, store: &StoreBounds) -> bool {
     resources.cores < MIN_CORES && store.max_writes >= MIN_WRITES
