Leaving the data centre: one decision for requests and reward calls

Cause: `Fleet::choose` counted targets of other data centres as 1.5 times slower, whatever the link, the load or the size. A target that looked slow once got no more requests and so was never measured again, one that was never measured counted as 20 ms whatever the service takes, and hosts that knew nothing all chose the first name. Reward calls left their data centre for any less loaded target.

Change: `version/trip.rs` decides whether a request leaves (`saving`), what the trip costs (`Trip`, `Trips::cost_ms`) and which share of a service's load leaves for each data centre (`Spill`). A free slot here is used unless the request takes 1.5 times as long. A share grows only beyond a margin of 10 ms and while the neighbour has slots to spare. Round trips come from the times in which connections are opened. Latencies fade after 3 s, and a target is tried again after 30 s. Ties are broken by a hash of host and target. Requests that leave, their bytes and the time that this saves are counted, and changes of a share by 0.1 are logged.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -112,8 +112,11 @@
         let timeout = route.timeout.map_or(CALL_TIMEOUT, Millis::from);
         let timeout = timeout.min(CALL_TIMEOUT);
         let mut fleet = shared.fleet();
-        let placed = fleet.place_call(&service, &shared.settings.dc, now);
-        let placed = placed.map(|target| target.entry.clone());
+        let waiting = batch.next_calls(now).0.len();
+        let cargo = fleet.trips.mean_cargo(&service);
+        let placed = fleet.place_call_for(&service, &shared.settings.dc, waiting, &cargo, now);
+        let departure = placed.and_then(|choice| choice.departure);
+        let placed = placed.map(|choice| choice.target.entry.clone());
         let Some(TargetEntry {
             name: target,
             address,
@@ -121,7 +124,6 @@
             ..
         }) = placed.filter(|entry| fleet.take_permit(&entry.name, now))
         else {
-            let waiting = batch.next_calls(now).0.len();
             let lacking = fleet.lacking_for_call(&service, waiting, now);
             drop(fleet);
             shared.permits.want(lacking);
@@ -130,6 +132,9 @@
         shared.observe_entry_age(&fleet);
         fleet.start(&target);
         drop(fleet);
+        if let Some((reason, saved_ms)) = departure {
+            shared.count_departure(reason, saved_ms);
+        }
         let context = ForwardContext {
             target: &target,
             workspace: None,
@@ -214,6 +219,9 @@
         };
         let reply = shared.dialect.reply(head);
         shared.observe_reply(&self.target, self.born, &reply, "reward call");
+        let call = self.submission.items[self.item].scorer.as_ref();
+        let sizes = call.map(|call| (call.body.len(), head.body.len()));
+        shared.observe_exchange(&self.target, &self.exchange, sizes);
         if !self.is_own_response(shared) {
             return RewardOutcome::Broken;
         }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -449,6 +449,7 @@
             self.last_data = now;
             let reply = shared.dialect.reply(head);
             shared.observe_reply(&self.target, self.born, &reply, "item");
+            shared.observe_exchange(&self.target, &self.exchange, None);
             let spec = &self.submission.items[self.item];
             if reply.id.as_deref() != Some(&spec.id) {
                 log::warn!(item:% = spec.id, target_name:% = self.target, answered:? = reply.id; "response belongs to another request");
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -104,6 +104,8 @@
     output: Vec<u8>,
     response: Response,
     sent: usize,
+    /// Time in which the connection was opened, if it was for this exchange.
+    connect_time: Option<Duration>,
     skipped: bool,
     /// Error of the socket. The socket reports it once and then looks as if the peer had closed it.
     failure: Option<io::ErrorKind>,
@@ -130,6 +132,7 @@
             output: request.encode(),
             response: Response::default(),
             sent: 0,
+            connect_time: None,
             skipped: false,
             failure: None,
             malformed: None,
@@ -183,6 +186,12 @@
         self.sent > 0
     }
 
+    /// Returns the time in which the connection was opened; `None` if it isn't open yet, or was before the
+    /// exchange. It is at least one round trip to the peer.
+    pub fn connect_time(&self) -> Option<Duration> {
+        self.connect_time
+    }
+
     /// Sends and receives as much as possible without blocking.
     ///
     /// # Errors
@@ -242,6 +251,9 @@
                 Ok(0) => break,
                 Ok(sent) => {
                     self.sent += sent;
+                    if self.connecting {
+                        self.connect_time = Some(self.connection.idle_since.elapsed());
+                    }
                     self.connecting = false;
                 }
                 Err(source) if source.kind() == io::ErrorKind::NotConnected => break,
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod shared;
 mod suspicion;
 mod tails;
+mod trips;
 mod usage;
 
 pub use activity::{Activity, StallDetector};
@@ -29,4 +30,5 @@
 pub use shared::{Adapters, Shared, unix_ms};
 pub use suspicion::{Admission, SuspectRun, Suspicion, TargetStart};
 pub use tails::read_wait;
+pub use trips::TripMetrics;
 pub use usage::UsageCounts;
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,8 +13,8 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, PlaceMetrics, Relay, UsageCounts, peers::Peers, permits::Permits,
-    relay::RelayMetrics, reports::Reports, suspicion::Suspicion,
+    Activity, Ending, PlaceMetrics, Relay, TripMetrics, UsageCounts, peers::Peers,
+    permits::Permits, relay::RelayMetrics, reports::Reports, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -113,6 +113,8 @@
     pub leavings: CounterByReason,
     /// Metrics of evacuated data centres and cold targets.
     pub places: PlaceMetrics,
+    /// Metrics of work that leaves the data centre.
+    pub trips: TripMetrics,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -200,11 +202,6 @@
             .into_iter()
             .flatten()
             .collect();
-        let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
-        if let Some(evacuate) = settings.evacuate {
-            fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
-        }
-        fleet.leaving = Leaving::new(settings.drain.into());
         let incarnation = rand::random::<u32>();
         let member = format!("{}#{incarnation:08x}", settings.peer);
         Ok(Self {
@@ -221,11 +218,12 @@
             duties_activity: Activity::default(),
             runner_activity: Activity::default(),
             duties: adapters.duties,
-            fleet: Mutex::new(fleet),
+            fleet: Mutex::new(new_fleet(&settings, incarnation)),
             incarnation,
             member,
             reports: Reports::open(settings.peer),
             places: PlaceMetrics::new(&metrics),
+            trips: TripMetrics::new(&metrics),
             metrics,
             answers,
             answer_seconds,
@@ -454,3 +452,15 @@
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
     age.unwrap_or_default().as_millis() as u64
 }
+
+/// Creates the fleet of a process that knows no target yet.
+fn new_fleet(settings: &Settings, incarnation: u32) -> Fleet {
+    let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
+    if let Some(evacuate) = settings.evacuate {
+        fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
+    }
+    fleet.leaving = Leaving::new(settings.drain.into());
+    fleet.trips.seed = u64::from(incarnation);
+    fleet.trips.price = settings.remote_price;
+    fleet
+}
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -13,7 +13,8 @@
     lease_clock,
     process::{Admission, RETRY_AFTER_END, Shared, SuspectRun, TargetStart, unix_ms},
     version::{
-        Basis, CHOICE_LIFETIME, Fingerprint, Outcome, Route, RouteKind, Standing, TargetEntry,
+        Basis, CHOICE_LIFETIME, Cargo, Departure, Fingerprint, Outcome, Route, RouteKind, Standing,
+        TargetEntry,
     },
 };
 
@@ -96,6 +97,15 @@
     fallback: Option<Response>,
 }
 
+/// The target that was chosen for an attempt.
+struct Chosen {
+    entry: TargetEntry,
+    /// Whether the service has other sound targets; only looked up for suspected requests.
+    others: bool,
+    /// Why the request leaves the data centre, and the time that it saves, in milliseconds.
+    departure: Option<(Departure, f64)>,
+}
+
 /// An attempt at one target.
 struct Attempt<'a> {
     target: TargetName,
@@ -302,9 +312,14 @@
                 return false;
             }
             let now = self.shared.clock.now();
-            let Some((entry, others)) = self.choose(standing, now) else {
+            let Some(chosen) = self.choose(standing, now) else {
                 return false;
             };
+            let Chosen {
+                entry,
+                others,
+                departure,
+            } = chosen;
             if standing != Standing::Clear {
                 if !self.admit(&entry.name, others) {
                     return false;
@@ -329,6 +344,9 @@
             self.entries_ms = self.shared.observe_entry_age(&fleet);
             fleet.start(&target);
             drop(fleet);
+            if let Some((reason, saved_ms)) = departure {
+                self.shared.count_departure(reason, saved_ms);
+            }
             let suspect =
                 (standing != Standing::Clear).then(|| self.shared.suspicion.start_run(&target));
             let context = ForwardContext {
@@ -369,19 +387,27 @@
         }
     }
 
-    /// Chooses the target of the next attempt, if possible apart from suspected requests. Also returns
-    /// whether the service has other sound targets.
-    fn choose(&self, standing: Standing, now: Millis) -> Option<(TargetEntry, bool)> {
+    /// Chooses the target of the next attempt, if possible apart from suspected requests.
+    fn choose(&self, standing: Standing, now: Millis) -> Option<Chosen> {
         let (service, dc) = (&self.service, &self.shared.settings.dc);
         let avoided = self.shared.suspicion.avoided(standing);
-        let fleet = self.shared.fleet();
+        let mut fleet = self.shared.fleet();
+        self.shared.update_spill(&mut fleet, service);
+        let cargo = Cargo {
+            bytes_out: self.request.body.len() as f64,
+            ..fleet.trips.mean_cargo(service)
+        };
         let apart = (!avoided.is_empty())
             .then(|| [&self.tried[..], &avoided[..]].concat())
-            .and_then(|left_out| fleet.choose(service, dc, &left_out, now));
-        let chosen = apart.or_else(|| fleet.choose(service, dc, &self.tried, now))?;
+            .and_then(|left_out| fleet.choose_for(service, dc, &left_out, &cargo, now));
+        let chosen = apart.or_else(|| fleet.choose_for(service, dc, &self.tried, &cargo, now))?;
         let others = standing != Standing::Clear
-            && fleet.has_sound_besides(service, &chosen.entry.name, now);
-        Some((chosen.entry.clone(), others))
+            && fleet.has_sound_besides(service, &chosen.target.entry.name, now);
+        Some(Chosen {
+            entry: chosen.target.entry.clone(),
+            others,
+            departure: chosen.departure,
+        })
     }
 
     /// Returns whether the request, which is suspected, may run on a target now. Waits for its trial.
@@ -493,6 +519,13 @@
                 Outcome::Answered(took)
             },
         );
+        let received = attempt.exchange.head().map_or(0, |head| head.body.len());
+        let sizes = (self.request.body.len(), received);
+        self.shared.observe_exchange(
+            &attempt.target,
+            &attempt.exchange,
+            (!refused).then_some(sizes),
+        );
         let (response, connection) = attempt.exchange.finish();
         if let Some(connection) = connection {
             self.shared.pool.put(attempt.address, connection);
@@ -558,7 +591,11 @@
         // The stream may last longer than its window can be reported.
         self.count_usage();
         caller.begin(&head)?;
-        let ended = self.relay_stream(caller, &mut attempt);
+        let mut received = 0;
+        let ended = self.relay_stream(caller, &mut attempt, &mut received);
+        let sizes = (self.request.body.len(), received);
+        self.shared
+            .observe_exchange(&attempt.target, &attempt.exchange, Some(sizes));
         let whole = matches!(ended, Ok(Ended::Answered(_)));
         let outcome = if whole {
             Outcome::Answered(attempt.began.elapsed().as_secs_f64() * 1_000.0)
@@ -581,11 +618,18 @@
         ended.map(Some)
     }
 
-    /// Relays the chunks of a stream as they arrive.
-    fn relay_stream(&mut self, caller: &mut Caller, attempt: &mut Attempt) -> io::Result<Ended> {
+    /// Relays the chunks of a stream as they arrive, and adds their sizes to `received`.
+    fn relay_stream(
+        &mut self,
+        caller: &mut Caller,
+        attempt: &mut Attempt,
+        received: &mut usize,
+    ) -> io::Result<Ended> {
         loop {
             let progress = attempt.exchange.advance();
-            caller.chunk(&attempt.exchange.take_body())?;
+            let chunk = attempt.exchange.take_body();
+            *received += chunk.len();
+            caller.chunk(&chunk)?;
             match progress {
                 Ok(Progress::Done) => return Ok(Ended::Answered(200)),
                 Ok(Progress::Pending) => {}
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -48,6 +48,9 @@
     pub batch_ttl: Duration,
     /// Maximum time from the acknowledgement of a batch's end until an item of it may reach a target.
     pub end_timeout: Duration,
+    /// Milliseconds of a caller's time that a megabyte between data centres is worth; 0 if time alone
+    /// decides whether a request leaves its data centre.
+    pub remote_price: f64,
     /// Limits of the store.
     pub store: StoreBounds,
 }
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod mirror;
 mod suspects;
+mod trip;
 
 pub use cold::{Cold, ColdBound, ColdRule};
 pub use configuration::{
@@ -19,7 +20,7 @@
 };
 pub use evacuation::Evacuations;
 pub use fingerprint::Fingerprint;
-pub use fleet::{Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
+pub use fleet::{Choice, Departure, Fleet, LOAD_TIME, Outcome, Placement, Target, TargetEntry};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
 pub use leaving::Leaving;
@@ -29,3 +30,5 @@
 pub use suspects::{
     Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
 };
+use trip::MARGIN_MS;
+pub use trip::{Cargo, Offer, ShareChange, Spill, Trip, Trips, saving};
