Leaving the data centre: fewer bytes, connect timeouts by link

Cause: a surplus overshot, because reports of free slots that are 2 s late turned it to and fro and requests left for savings below the margin. A link of 60 ms each way could never be used: a connection was given up after 40 ms.

Change: only this host's own requests decide whether a slot is free here, each request that leaves saves more than the margin, and the factor up to which a free slot is used is 1.75. Connections to another data centre get three measured round trips, 150 ms before one was measured and 40 ms at least. Requests that can't be served here prefer targets with a slot to spare.

--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -33,7 +33,7 @@
 /// Hedge delay on routes without a latency goal. A dropped attempt older than this counts as slow.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a connection attempt is abandoned and another target is tried. It allows for
-/// several round trips between data centres.
+/// several round trips between close data centres; [`Trips`](crate::version::Trips) has longer ones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
 /// Retry delay sent to the caller after all targets refused or failed. By then, a target's pause
 /// after a refusal has ended, or its replacement has started.
@@ -114,6 +114,8 @@
     address: SocketAddr,
     exchange: Exchange,
     began: Instant,
+    /// Time after which the attempt is abandoned if it has sent nothing.
+    connect_timeout: Duration,
     /// Whether the attempt took so long that another one has been allowed.
     stalled: bool,
     /// Mark of the target while a suspected request runs there.
@@ -260,7 +262,7 @@
     fn stall_deadline(&self, repeatable: bool) -> Option<Instant> {
         let newest = self.in_flight.last().filter(|newest| !newest.stalled)?;
         if !newest.exchange.was_sent() {
-            return Some(newest.began + CONNECT_TIMEOUT);
+            return Some(newest.began + newest.connect_timeout);
         }
         let goal = self
             .route
@@ -332,6 +334,7 @@
                 name: target,
                 address,
                 born,
+                dc,
                 ..
             } = entry;
             let mut fleet = self.shared.fleet();
@@ -343,6 +346,8 @@
             self.tried.push(target.clone());
             self.entries_ms = self.shared.observe_entry_age(&fleet);
             fleet.start(&target);
+            let home = &self.shared.settings.dc;
+            let connect_timeout = fleet.trips.connect_timeout(home, &dc, CONNECT_TIMEOUT);
             drop(fleet);
             if let Some((reason, saved_ms)) = departure {
                 self.shared.count_departure(reason, saved_ms);
@@ -373,6 +378,7 @@
                         address,
                         exchange,
                         began: Instant::now(),
+                        connect_timeout,
                         stalled: false,
                         _suspect: suspect,
                     });
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -37,7 +37,7 @@
 const LATENCY_MEMORY: Millis = Millis(1_000);
 /// Maximum weight of the newest response, which a host with few callers reaches: by the usual weight it would
 /// learn of a queue after some ten seconds.
-const MAX_LATENCY_SMOOTHING: f64 = 0.4;
+const MAX_LATENCY_SMOOTHING: f64 = 0.25;
 /// Assumed latency of a target that has not responded yet.
 const INITIAL_LATENCY_MS: f64 = 20.0;
 /// Age after which a target's latency fades, as its pace does.
@@ -704,17 +704,12 @@
             .into_iter()
             .partition(|candidate| candidate.target.entry.dc == *dc);
         let Some(home) = self.best(&here) else {
-            let away = self.best(&there)?;
+            let away = self.best_spare(&there, now)?;
             return Some(away.leave(Departure::NoTarget, 0.0));
         };
-        let fitter: Vec<Candidate<'_>> = there
-            .iter()
-            .filter(|away| away.order < home.order)
-            .copied()
-            .collect();
-        let spare = fitter.iter().filter(|away| away.target.has_spare_slot(now));
-        let spare: Vec<Candidate<'_>> = spare.copied().collect();
-        if let Some(away) = self.best(&spare).or_else(|| self.best(&fitter)) {
+        let fitter = there.iter().filter(|away| away.order < home.order);
+        let fitter: Vec<Candidate<'_>> = fitter.copied().collect();
+        if let Some(away) = self.best_spare(&fitter, now) {
             return Some(away.leave(Departure::Unfit, 0.0));
         }
         let offer = offer_here(&here, &home, now);
@@ -831,6 +826,15 @@
         best.copied()
     }
 
+    /// Returns the best candidate of those with a slot to spare, or else of all.
+    fn best_spare<'a>(&self, candidates: &[Candidate<'a>], now: Millis) -> Option<Candidate<'a>> {
+        let spare = candidates
+            .iter()
+            .filter(|candidate| candidate.target.has_spare_slot(now));
+        let spare: Vec<Candidate<'a>> = spare.copied().collect();
+        self.best(&spare).or_else(|| self.best(candidates))
+    }
+
     /// Returns what each other data centre offers a request that could stay, the fastest one first, with
     /// its best target. Only targets that are as fit as the best one here count.
     fn offers<'a>(
@@ -1153,7 +1157,9 @@
     }
 }
 
-/// Returns what the own data centre offers a request, whose best target is `home`.
+/// Returns what the own data centre offers a request, whose best target is `home`. Other hosts' requests
+/// don't count: their reports may be 2 s late, by which a surplus turned to and fro in replays, and a queue
+/// shows in this host's own responses.
 fn offer_here(here: &[Candidate<'_>], home: &Candidate<'_>, now: Millis) -> Offer {
     let as_fit = here
         .iter()
@@ -1162,7 +1168,7 @@
         dc: home.target.entry.dc.clone(),
         free: as_fit
             .map(|candidate| candidate.target)
-            .any(|target| target.paused_until <= now && target.has_free_slot(now)),
+            .any(|target| target.paused_until <= now && target.running < target.slots()),
         time_ms: home.time_ms,
     }
 }
--- a/crates/godwitspool-host/src/version/trip.rs
+++ b/crates/godwitspool-host/src/version/trip.rs
@@ -1,6 +1,6 @@
 //! Whether a request leaves its host's data centre, and how much of a service's load does.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use godwitspool_types::{Dc, Millis, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
@@ -14,11 +14,10 @@
 /// A share grows only if leaving saves a caller this time: half of the 20 ms that a short request takes.
 /// Estimates from few responses differ by less than that.
 pub(super) const MARGIN_MS: f64 = 10.0;
-/// A free slot in the own data centre is used unless the request takes longer by this factor than
-/// elsewhere, as the factor on the latency of remote targets was before there was a decision. Reports of
-/// free slots are up to 2 s old, and callers' requests aren't reported, so a factor of 2 left callers in
-/// queues of a busy data centre.
-const SLOW_FACTOR: f64 = 1.5;
+/// While this host has a slot left here, requests stay unless they take longer by this factor than
+/// elsewhere. Factors below 1.75 let more bytes leave at half load and serve callers a few milliseconds
+/// sooner in overload; at 2 callers wait longer in the queues of an overloaded data centre.
+const SLOW_FACTOR: f64 = 1.75;
 /// Change of a share per second if leaving saves, or costs, all of the time that a request takes here; less
 /// in proportion if it saves less. At 0.5 per second a queue of a second builds up before a surplus has left.
 const CHANGE_PER_S: f64 = 10.0;
@@ -35,6 +34,11 @@
 const MIN_SHARE: f64 = 0.01;
 /// Time for which a draw holds if no request is sent.
 const DRAW_MS: u64 = 50;
+/// Connect timeout for a data centre to which no connection was opened yet: a link of 60 ms each way takes
+/// 120 ms.
+const UNKNOWN_LINK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Number of round trips that a connect timeout allows for, because a packet may be delayed.
+const CONNECT_ROUND_TRIPS: f64 = 3.0;
 /// Weight of the newest exchange in the mean sizes of a service's requests and responses.
 const SIZE_SMOOTHING: f64 = 0.1;
 
@@ -123,7 +127,8 @@
 pub struct Offer {
     /// The data centre.
     pub dc: Dc,
-    /// Whether a target has a free slot; for a remote data centre, one that it can spare.
+    /// Whether a target isn't filled by this host's own requests; for a remote data centre, whether one has
+    /// a slot to spare by all reports.
     pub free: bool,
     /// Expected time until the response, with the trip, in milliseconds.
     pub time_ms: f64,
@@ -286,8 +291,8 @@
         changes
     }
 
-    /// Returns the data centre for which a request leaves, and the time that it saves; `None` if it
-    /// stays. `draw` is a number in `0.0..1.0` that differs by request and host.
+    /// Returns the data centre for which a request leaves, and the time that it saves, which is more than the
+    /// margin; `None` if it stays. `draw` is a number in `0.0..1.0` that differs by request and host.
     pub fn decide<'a>(
         &self,
         service: &ServiceName,
@@ -299,7 +304,7 @@
         for there in offers {
             end += self.share(service, &there.dc);
             if draw < end {
-                let saved = saving(here, there).filter(|saved| *saved > 0.0);
+                let saved = saving(here, there).filter(|saved| *saved > MARGIN_MS);
                 return saved.map(|saved| (there, saved));
             }
         }
@@ -370,6 +375,37 @@
         })
     }
 
+    /// Returns how long a host in one data centre waits for a connection to another one, if it waits for
+    /// `nearby` inside its own. A link that was never measured may be a long one; a cut one costs each
+    /// caller this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use godwitspool_host::version::Trips;
+    /// use godwitspool_types::{Dc, Millis};
+    ///
+    /// let (here, there, far) = (Dc::from("here"), Dc::from("there"), Dc::from("far"));
+    /// let nearby = Duration::from_millis(40);
+    /// let mut trips = Trips::default();
+    /// assert_eq!(trips.connect_timeout(&here, &there, nearby).as_millis(), 150);
+    /// trips.observe_connect(&there, 2.8, Millis(0));
+    /// trips.observe_connect(&far, 120.0, Millis(0));
+    /// assert_eq!(trips.connect_timeout(&here, &there, nearby), nearby);
+    /// assert_eq!(trips.connect_timeout(&here, &far, nearby).as_millis(), 360);
+    /// assert_eq!(trips.connect_timeout(&here, &here, nearby), nearby);
+    /// ```
+    pub fn connect_timeout(&self, from: &Dc, to: &Dc, nearby: Duration) -> Duration {
+        if from == to {
+            return nearby;
+        }
+        let link = self.links.get(to).map(Shortest::get);
+        let timeout = link.map_or(UNKNOWN_LINK_TIMEOUT, |link_ms| {
+            Duration::from_secs_f64(link_ms * CONNECT_ROUND_TRIPS / 1_000.0)
+        });
+        timeout.max(nearby)
+    }
+
     /// Records the sizes of a request of a service and of its response.
     pub fn observe_sizes(&mut self, service: &ServiceName, bytes_out: usize, bytes_in: usize) {
         let (bytes_out, bytes_in) = (bytes_out as f64, bytes_in as f64);
