Leaving the data centre: a surplus is spread evenly over neighbours

Cause: the room for growth was used up in the order of the data centres' names, so the first neighbour of an overloaded one got most of a surplus. Hosts with few requests kept the surplus away long after the queue had gone, because they sent too little here to see that.

Change: the room is divided before it is used, and at most 0.8 of a service's load leaves in place of 0.95.

Tested: `cargo test -p godwitspool-host`.

--- a/crates/godwitspool-host/src/version/trip.rs
+++ b/crates/godwitspool-host/src/version/trip.rs
@@ -1,6 +1,9 @@
 //! Whether a request leaves its host's data centre, and how much of a service's load does.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use godwitspool_types::{Dc, Millis, ServiceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
@@ -28,8 +31,9 @@
 const UPDATE_INTERVAL: Millis = Millis(100);
 /// Maximum time that counts for the growth of a share: what was seen earlier may have changed since.
 const MAX_UPDATE_GAP: Millis = Millis(2_000);
-/// Maximum of a service's shares together: the rest shows how long requests take here.
-const MAX_TOTAL: f64 = 0.95;
+/// Maximum of a service's shares together: the rest shows how long requests take here. At 0.95, hosts with 4
+/// requests per second kept the surplus away long after the queue here had gone.
+const MAX_TOTAL: f64 = 0.8;
 /// A share below this counts as 0.
 const MIN_SHARE: f64 = 0.01;
 /// Time for which a draw holds if no request is sent.
@@ -179,7 +183,7 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Shares {
-    by_dc: HashMap<Dc, f64>,
+    by_dc: BTreeMap<Dc, f64>,
     /// Shares as they were reported last.
     reported: HashMap<Dc, f64>,
     updated_at: Millis,
@@ -261,19 +265,19 @@
         dcs.extend(offers.iter().map(|there| there.dc.clone()));
         dcs.sort();
         dcs.dedup();
+        let total: f64 = shares.by_dc.values().sum();
+        let growing = growing.max(1) as f64;
+        // Divided before it is used up, so that no data centre is preferred for its name.
+        let room = (MAX_TOTAL - total).max(0.0) / growing;
         let mut changes = Vec::new();
         for dc in dcs {
-            let total: f64 = shares.by_dc.values().sum();
             let before = shares.by_dc.get(&dc).copied().unwrap_or_default();
             let offer = offers.iter().find(|there| there.dc == dc);
             let saved_ms = offer.and_then(|there| saving(here, there));
             let is_spare = offer.is_some_and(|there| there.free);
             let change = share_change(saved_ms, here.time_ms, before, elapsed);
             let share = match change {
-                growth if growth > 0.0 && is_spare => {
-                    let room = (MAX_TOTAL - total).max(0.0);
-                    before + (growth / growing.max(1) as f64).min(room)
-                }
+                growth if growth > 0.0 && is_spare => before + (growth / growing).min(room),
                 growth if growth > 0.0 => before,
                 fall => Some(before + fall)
                     .filter(|left| *left >= MIN_SHARE)
