Leaving the data centre: count waiting calls only if they matter

Cause: each start of a reward call counted the calls that wait in its batch, so a burst cost the square of its size.

Change: they are counted only if no target in the own data centre can be used, as before.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -112,7 +112,7 @@
         let timeout = route.timeout.map_or(CALL_TIMEOUT, Millis::from);
         let timeout = timeout.min(CALL_TIMEOUT);
         let mut fleet = shared.fleet();
-        let waiting = batch.next_calls(now).0.len();
+        let waiting = || batch.next_calls(now).0.len();
         let cargo = fleet.trips.mean_cargo(&service);
         let placed = fleet.place_call_for(&service, &shared.settings.dc, waiting, &cargo, now);
         let departure = placed.and_then(|choice| choice.departure);
@@ -124,7 +124,7 @@
             ..
         }) = placed.filter(|entry| fleet.take_permit(&entry.name, now))
         else {
-            let lacking = fleet.lacking_for_call(&service, waiting, now);
+            let lacking = fleet.lacking_for_call(&service, waiting(), now);
             drop(fleet);
             shared.permits.want(lacking);
             return None;
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -1010,12 +1010,12 @@
     /// Chooses the target for a reward call as [`Self::place_call_for`] does, if no other call waits.
     pub fn place_call(&self, service: &ServiceName, dc: &Dc, now: Millis) -> Option<&Target> {
         let cargo = self.trips.mean_cargo(service);
-        let choice = self.place_call_for(service, dc, 0, &cargo, now);
+        let choice = self.place_call_for(service, dc, || 0, &cargo, now);
         choice.map(|choice| choice.target)
     }
 
-    /// Chooses the target for a reward call of a host in `dc` at which `waiting` other calls wait: the
-    /// least loaded one there that isn't paused and has less than half of its slots in use. A call leaves
+    /// Chooses the target for a reward call of a host in `dc` at which `waiting` other calls wait, which is
+    /// only asked for if no target there can be used: the least loaded one there that isn't paused and has less than half of its slots in use. A call leaves
     /// the data centre if no target there can be used, or if it saves more than a margin against waiting
     /// for one. None is chosen by stale entries.
     ///
@@ -1025,7 +1025,7 @@
         &self,
         service: &ServiceName,
         dc: &Dc,
-        waiting: usize,
+        waiting: impl FnOnce() -> usize,
         cargo: &Cargo,
         now: Millis,
     ) -> Option<Choice<'_>> {
@@ -1061,7 +1061,7 @@
         };
         // A place becomes free at the latest when the calls that run have ended.
         let places: u32 = here.iter().map(|here| here.target.call_slots()).sum();
-        let rounds = (waiting as f64 + 1.0) / f64::from(places.max(1));
+        let rounds = (waiting() as f64 + 1.0) / f64::from(places.max(1));
         let saved_ms = home.time_ms * (1.0 + rounds) - away.time_ms;
         (saved_ms > MARGIN_MS).then(|| away.leave(Departure::Busy, saved_ms))
     }
--- a/crates/godwitspool-host/tests/trip.rs
+++ b/crates/godwitspool-host/tests/trip.rs
@@ -240,7 +240,7 @@
     let mut fleet = pair(60.0);
     answer(&mut fleet, "home", 25.0, 0);
     let place = |fleet: &Fleet, waiting| {
-        let choice = fleet.place_call_for(&service, &dc, waiting, &cargo, Millis(100));
+        let choice = fleet.place_call_for(&service, &dc, || waiting, &cargo, Millis(100));
         choice.map(|choice| choice.target.entry.name.to_string())
     };
     assert_eq!(place(&fleet, 0).as_deref(), Some("home"));
