--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -19,6 +19,7 @@
 mod standby;
 mod suspicion;
 mod tails;
+mod trips;
 mod usage;
 
 pub use activity::{Activity, StallDetector};
@@ -33,4 +34,5 @@
 pub use standby::{Listing, Standby, StandbyChange, is_standby};
 pub use suspicion::{Admission, SuspectRun, Suspicion, TargetStart};
 pub use tails::read_wait;
+pub use trips::TripMetrics;
 pub use usage::UsageCounts;
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,9 +13,9 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, PlaceMetrics, Relay, UsageCounts, clients::max_idle_connections, is_standby,
-    peers::Peers, permits::Permits, relay::RelayMetrics, reports::Reports, standby::standby_name,
-    suspicion::Suspicion,
+    Activity, Ending, PlaceMetrics, Relay, TripMetrics, UsageCounts, clients::max_idle_connections,
+    is_standby, peers::Peers, permits::Permits, relay::RelayMetrics, reports::Reports,
+    standby::standby_name, suspicion::Suspicion,
 };
 use crate::{
     Settings,
@@ -121,6 +121,8 @@
     pub leavings: CounterByReason,
     /// Metrics of evacuated data centres and cold targets.
     pub places: PlaceMetrics,
+    /// Metrics of work that leaves the data centre.
+    pub trips: TripMetrics,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -205,8 +207,6 @@
             "Ages of the targets' entries when a target was chosen",
         );
         let relay_metrics = RelayMetrics::new(&metrics);
-        let queues = Queues::new(&metrics);
-        let repeats = Repeats::new(&metrics);
         let own_addresses = [Some(settings.peer), settings.seed]
             .into_iter()
             .flatten()
@@ -230,11 +230,14 @@
             duties_activity: Activity::default(),
             runner_activity: Activity::default(),
             duties: adapters.duties,
-            fleet: Mutex::new(empty_fleet(&settings)),
+            fleet: Mutex::new(new_fleet(&settings, incarnation)),
             incarnation,
             member,
             reports: Reports::open(settings.peer),
             places: PlaceMetrics::new(&metrics),
+            trips: TripMetrics::new(&metrics),
+            queues: Queues::new(&metrics),
+            repeats: Repeats::new(&metrics),
             metrics,
             answers,
             answer_seconds,
@@ -255,8 +258,6 @@
             change_count: Mutex::default(),
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
-            queues,
-            repeats,
             suspicion: Suspicion::new(breaks, suspects),
             pool: Arc::new(Pool::default().with_limit(max_idle_connections(&settings.resources))),
             store: Arc::new(Relay::new(
@@ -441,16 +442,6 @@
     }
 }
 
-/// Returns a fleet without targets, with the bounds on the age of what it knows.
-fn empty_fleet(settings: &Settings) -> Fleet {
-    let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
-    if let Some(evacuate) = settings.evacuate {
-        fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
-    }
-    fleet.leaving = Leaving::new(settings.drain.into());
-    fleet
-}
-
 /// Returns the maximum age of entries by which a target is chosen. The rest of the time for which a
 /// leaving target serves on is for connecting and sending.
 fn max_entry_age(drain: Duration) -> Duration {
@@ -473,3 +464,15 @@
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
     age.unwrap_or_default().as_millis() as u64
 }
+
+/// Creates the fleet of a process that knows no target yet.
+fn new_fleet(settings: &Settings, incarnation: u32) -> Fleet {
+    let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
+    if let Some(evacuate) = settings.evacuate {
+        fleet.operator_freshness = Freshness::new(max_operator_age(evacuate).into());
+    }
+    fleet.leaving = Leaving::new(settings.drain.into());
+    fleet.trips.seed = u64::from(incarnation);
+    fleet.trips.price = settings.remote_price;
+    fleet
+}
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -15,7 +15,8 @@
     lease_clock,
     process::{Admission, RETRY_AFTER_END, Shared, SuspectRun, TargetStart, unix_ms},
     version::{
-        Basis, CHOICE_LIFETIME, Fingerprint, Outcome, Route, RouteKind, Standing, TargetEntry,
+        Basis, CHOICE_LIFETIME, Cargo, Departure, Fingerprint, Outcome, Route, RouteKind, Standing,
+        TargetEntry,
     },
 };
 
@@ -37,7 +38,7 @@
 /// caller's time must be enough for another target.
 const HANG_FACTOR: u32 = 3;
 /// Time after which a connection attempt is abandoned and another target is tried. It allows for
-/// several round trips between data centres.
+/// several round trips between close data centres; [`Trips`](crate::version::Trips) has longer ones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
 /// Retry delay sent to the caller after all targets refused or failed. By then, a target's pause
 /// after a refusal has ended, or its replacement has started.
@@ -117,6 +118,15 @@
     fallback: Option<Response>,
 }
 
+/// The target that was chosen for an attempt.
+struct Chosen {
+    entry: TargetEntry,
+    /// Whether the service has other sound targets; only looked up for suspected requests.
+    others: bool,
+    /// Why the request leaves the data centre, and the time that it saves, in milliseconds.
+    departure: Option<(Departure, f64)>,
+}
+
 /// An attempt at one target.
 struct Attempt<'a> {
     target: TargetName,
@@ -125,6 +135,8 @@
     address: SocketAddr,
     exchange: Exchange,
     began: Instant,
+    /// Time after which the attempt is abandoned if it has sent nothing.
+    connect_timeout: Duration,
     /// Whether the attempt took so long that another one has been allowed.
     stalled: bool,
     /// Whether the attempt repeats one that another target may be running.
@@ -376,7 +388,7 @@
     fn stall_deadline(&self, repeatable: bool) -> Option<Instant> {
         let newest = self.in_flight.last().filter(|newest| !newest.stalled)?;
         if !newest.exchange.was_sent() {
-            return Some(newest.began + CONNECT_TIMEOUT);
+            return Some(newest.began + newest.connect_timeout);
         }
         let goal = self
             .route
@@ -465,9 +477,14 @@
                 return false;
             }
             let now = self.shared.clock.now();
-            let Some((entry, others)) = self.choose(standing, now) else {
+            let Some(chosen) = self.choose(standing, now) else {
                 return false;
             };
+            let Chosen {
+                entry,
+                others,
+                departure,
+            } = chosen;
             if standing != Standing::Clear {
                 if !self.admit(&entry.name, others) {
                     return false;
@@ -476,87 +493,116 @@
                     continue;
                 }
             }
-            let TargetEntry {
-                name: target,
-                address,
-                born,
-                ..
-            } = entry;
             if self.count_started() > 0 && !self.take_repeat(Repeat::Retry) {
                 return false;
             }
-            let mut fleet = self.shared.fleet();
-            if !fleet.take_permit(&target, now) {
-                drop(fleet);
-                self.shared.permits.acquire(self.shared, &target);
+            if !self.shared.fleet().take_permit(&entry.name, now) {
+                self.shared.permits.acquire(self.shared, &entry.name);
                 continue;
             }
-            self.tried.push(target.clone());
-            self.entries_ms = self.shared.observe_entry_age(&fleet);
-            fleet.start_request(&target);
-            drop(fleet);
-            if let Some(admitted) = &mut self.admitted {
-                admitted.record_sent();
-            }
-            let suspect =
-                (standing != Standing::Clear).then(|| self.shared.suspicion.start_run(&target));
-            let context = ForwardContext {
-                target: &target,
-                workspace: self.workspace,
-                remaining: Some(self.due().saturating_duration_since(Instant::now())),
-                resume_after: None,
-                version: None,
-            };
-            let request = self.shared.dialect.forward_request(self.request, &context);
-            match self.shared.pool.connect(address) {
-                Ok(connection) => {
-                    let body = Arc::clone(&self.body);
-                    let mut exchange = Exchange::with_body(connection, &request, body)
-                        .begin_by(lease_clock() + CHOICE_LIFETIME);
-                    // On a pooled connection this sends the request immediately.
-                    let failed = exchange.advance().is_err();
-                    if failed && !exchange.was_sent() {
-                        self.shared
-                            .fleet()
-                            .finish_request(&target, Outcome::Failed, now);
-                        continue;
-                    }
-                    self.in_flight.push(Attempt {
-                        target,
-                        born,
-                        address,
-                        exchange,
-                        began: Instant::now(),
-                        stalled: false,
-                        repeat: std::mem::take(&mut self.repeat_taken),
-                        _suspect: suspect,
-                    });
-                    self.record_start();
-                    return true;
-                }
-                Err(error) => {
-                    log::info!(request = self.call.request(), target_name:% = target, error:%; "can't connect to a target");
+            let suspected = standing != Standing::Clear;
+            if self.start_attempt_at(entry, departure, suspected, now) {
+                return true;
+            }
+        }
+    }
+
+    /// Sends the request to a target for which it has a permit if one is needed. Returns false if the
+    /// target can't be connected to.
+    fn start_attempt_at(
+        &mut self,
+        entry: TargetEntry,
+        departure: Option<(Departure, f64)>,
+        suspected: bool,
+        now: Millis,
+    ) -> bool {
+        let TargetEntry {
+            name: target,
+            address,
+            born,
+            dc,
+            ..
+        } = entry;
+        self.tried.push(target.clone());
+        let mut fleet = self.shared.fleet();
+        self.entries_ms = self.shared.observe_entry_age(&fleet);
+        fleet.start_request(&target);
+        let home = &self.shared.settings.dc;
+        let connect_timeout = fleet.trips.connect_timeout(home, &dc, CONNECT_TIMEOUT);
+        drop(fleet);
+        if let Some(admitted) = &mut self.admitted {
+            admitted.record_sent();
+        }
+        if let Some((reason, saved_ms)) = departure {
+            self.shared.count_departure(reason, saved_ms);
+        }
+        let suspect = suspected.then(|| self.shared.suspicion.start_run(&target));
+        let context = ForwardContext {
+            target: &target,
+            workspace: self.workspace,
+            remaining: Some(self.due().saturating_duration_since(Instant::now())),
+            resume_after: None,
+            version: None,
+        };
+        let request = self.shared.dialect.forward_request(self.request, &context);
+        match self.shared.pool.connect(address) {
+            Ok(connection) => {
+                let body = Arc::clone(&self.body);
+                let mut exchange = Exchange::with_body(connection, &request, body)
+                    .begin_by(lease_clock() + CHOICE_LIFETIME);
+                // On a pooled connection this sends the request immediately.
+                let failed = exchange.advance().is_err();
+                if failed && !exchange.was_sent() {
                     self.shared
                         .fleet()
                         .finish_request(&target, Outcome::Failed, now);
+                    return false;
                 }
+                self.in_flight.push(Attempt {
+                    target,
+                    born,
+                    address,
+                    exchange,
+                    began: Instant::now(),
+                    connect_timeout,
+                    stalled: false,
+                    repeat: std::mem::take(&mut self.repeat_taken),
+                    _suspect: suspect,
+                });
+                self.record_start();
+                true
+            }
+            Err(error) => {
+                log::info!(request = self.call.request(), target_name:% = target, error:%; "can't connect to a target");
+                self.shared
+                    .fleet()
+                    .finish_request(&target, Outcome::Failed, now);
+                false
             }
         }
     }
 
-    /// Chooses the target of the next attempt, if possible apart from suspected requests. Also returns
-    /// whether the service has other sound targets.
-    fn choose(&self, standing: Standing, now: Millis) -> Option<(TargetEntry, bool)> {
+    /// Chooses the target of the next attempt, if possible apart from suspected requests.
+    fn choose(&self, standing: Standing, now: Millis) -> Option<Chosen> {
         let (service, dc) = (&self.service, &self.shared.settings.dc);
         let avoided = self.shared.suspicion.avoided(standing);
-        let fleet = self.shared.fleet();
+        let mut fleet = self.shared.fleet();
+        self.shared.update_spill(&mut fleet, service);
+        let cargo = Cargo {
+            bytes_out: self.request.body.len() as f64,
+            ..fleet.trips.mean_cargo(service)
+        };
         let apart = (!avoided.is_empty())
             .then(|| [&self.tried[..], &avoided[..]].concat())
-            .and_then(|left_out| fleet.choose(service, dc, &left_out, now));
-        let chosen = apart.or_else(|| fleet.choose(service, dc, &self.tried, now))?;
+            .and_then(|left_out| fleet.choose_for(service, dc, &left_out, &cargo, now));
+        let chosen = apart.or_else(|| fleet.choose_for(service, dc, &self.tried, &cargo, now))?;
         let others = standing != Standing::Clear
-            && fleet.has_sound_besides(service, &chosen.entry.name, now);
-        Some((chosen.entry.clone(), others))
+            && fleet.has_sound_besides(service, &chosen.target.entry.name, now);
+        Some(Chosen {
+            entry: chosen.target.entry.clone(),
+            others,
+            departure: chosen.departure,
+        })
     }
 
     /// Returns whether the request, which is suspected, may run on a target now. Waits for its trial.
@@ -671,6 +717,13 @@
             },
         );
         let repeat = attempt.repeat;
+        let received = attempt.exchange.head().map_or(0, |head| head.body.len());
+        let sizes = (self.body.len(), received);
+        self.shared.observe_exchange(
+            &attempt.target,
+            &attempt.exchange,
+            (!refused).then_some(sizes),
+        );
         let (response, connection) = attempt.exchange.finish();
         if let Some(connection) = connection {
             self.shared.pool.put(attempt.address, connection);
@@ -740,7 +793,11 @@
         // The stream may last longer than its window can be reported.
         self.count_usage();
         caller.begin(&head)?;
-        let ended = self.relay_stream(caller, &mut attempt);
+        let mut received = 0;
+        let ended = self.relay_stream(caller, &mut attempt, &mut received);
+        let sizes = (self.request.body.len(), received);
+        self.shared
+            .observe_exchange(&attempt.target, &attempt.exchange, Some(sizes));
         let whole = matches!(ended, Ok(Ended::Answered(_)));
         let outcome = if whole {
             Outcome::Answered(attempt.began.elapsed().as_secs_f64() * 1_000.0)
@@ -764,11 +821,18 @@
         ended.map(Some)
     }
 
-    /// Relays the chunks of a stream as they arrive.
-    fn relay_stream(&mut self, caller: &mut Caller, attempt: &mut Attempt) -> io::Result<Ended> {
+    /// Relays the chunks of a stream as they arrive, and adds their sizes to `received`.
+    fn relay_stream(
+        &mut self,
+        caller: &mut Caller,
+        attempt: &mut Attempt,
+        received: &mut usize,
+    ) -> io::Result<Ended> {
         loop {
             let progress = attempt.exchange.advance();
-            caller.chunk(&attempt.exchange.take_body())?;
+            let chunk = attempt.exchange.take_body();
+            *received += chunk.len();
+            caller.chunk(&chunk)?;
             match progress {
                 Ok(Progress::Done) => return Ok(Ended::Answered(200)),
                 Ok(Progress::Pending) => {}
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -14,6 +14,7 @@
 mod mirror;
 mod speed;
 mod suspects;
+mod trip;
 
 pub use assignments::{AssignedModels, Assignments};
 pub use cold::{Cold, ColdBound, ColdRule};
@@ -22,7 +23,10 @@
 };
 pub use evacuation::Evacuations;
 pub use fingerprint::Fingerprint;
-pub use fleet::{Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, Target, TargetEntry, Work};
+pub use fleet::{
+    Choice, Departure, Fleet, LOAD_TIME, Outcome, PlaceRequest, Placement, Target, TargetEntry,
+    Work,
+};
 pub use freshness::{Basis, CHOICE_LIFETIME, Freshness};
 pub use lapse::Lapse;
 pub use leaving::Leaving;
@@ -33,3 +37,5 @@
 pub use suspects::{
     Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
 };
+use trip::MARGIN_MS;
+pub use trip::{Cargo, Offer, ShareChange, Spill, Trip, Trips, saving};
