--- a/crates/godwitspool-cli/src/command.rs
+++ b/crates/godwitspool-cli/src/command.rs
@@ -1,6 +1,10 @@
 //! Parses the command line.
 
-use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
+use std::{
+    ffi::OsString,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 
 use godwitspool_types::{KeyDigest, Workspace};
 use lexopt::{
@@ -14,6 +18,8 @@
 godwitspool COMMAND
 
   check DIR                   checks an operators' folder and shows which settings override others
+  check FILE [--against FILE] checks a platform's configuration, a JSON file, and shows the
+                              difference to the one in force
   publish DIR [--dry-run]     publishes a folder, or only shows the difference to what is in force
   key issue WORKSPACE         issues a key and shows it once
   key withdraw DIGEST         withdraws a key by its digest, permanently
@@ -29,10 +35,11 @@
   --platform URL      the platform, for commands that read or write its log
   --steward IP:PORT   a steward to read from in place of the platform's log
   --daemon IP:PORT    the operator address of a daemon; may be given several times
+  --format json       findings and differences of check FILE as JSON
   --by NAME           name of the operator who publishes; \"operator\" by default
   --help, --version
 
-Exit status: 0 done, 1 failed, 2 findings in the folder or on the command line.";
+Exit status: 0 done, 1 failed, 2 findings or a wrong command line.";
 
 /// The platform's log, and optionally a steward from which the log is read instead.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -47,6 +54,11 @@
     Check {
         folder: PathBuf,
     },
+    CheckFile {
+        file: PathBuf,
+        in_force: Option<PathBuf>,
+        json: bool,
+    },
     Drain {
         daemons: Vec<SocketAddr>,
     },
@@ -104,8 +116,10 @@
 /// Options and positional arguments, before the command is known.
 #[derive(Default)]
 struct RawArguments {
+    against: Option<PathBuf>,
     daemons: Vec<SocketAddr>,
     dry_run: bool,
+    json: bool,
     operator: Option<String>,
     platform: Option<String>,
     steward: Option<SocketAddr>,
@@ -122,9 +136,11 @@
             match argument {
                 Short('h') | Long("help") => return Ok(None),
                 Short('V') | Long("version") => parsed.version = true,
+                Long("against") => parsed.against = Some(parser.value()?.into()),
                 Long("by") => parsed.operator = Some(parser.value()?.string()?),
                 Long("daemon") => parsed.daemons.push(parser.value()?.parse()?),
                 Long("dry-run") => parsed.dry_run = true,
+                Long("format") => parsed.json = parse_format(&parser.value()?.string()?)?,
                 Long("platform") => parsed.platform = Some(parser.value()?.string()?),
                 Long("steward") => parsed.steward = Some(parser.value()?.parse()?),
                 Value(value) => parsed.values.push(value.string()?),
@@ -141,6 +157,14 @@
         let values: Vec<_> = self.values.iter().map(String::as_str).collect();
         Ok(match values.as_slice() {
             [] | ["help"] => Command::Help,
+            ["check", file] if is_json(file) => Command::CheckFile {
+                file: file.into(),
+                in_force: self.against,
+                json: self.json,
+            },
+            ["check", _] if self.json || self.against.is_some() => {
+                return usage_error("--against and --format json need a file ending in .json");
+            }
             ["check", folder] => Command::Check {
                 folder: folder.into(),
             },
@@ -204,6 +228,20 @@
     }
 }
 
+fn is_json(path: &str) -> bool {
+    let extension = Path::new(path).extension();
+    extension.is_some_and(|extension| extension.eq_ignore_ascii_case("json"))
+}
+
+/// Returns whether the format is JSON.
+fn parse_format(name: &str) -> Result<bool, CliError> {
+    match name {
+        "json" => Ok(true),
+        "text" => Ok(false),
+        other => usage_error(format!("unknown format {other:?}, expected json or text")),
+    }
+}
+
 fn parse_digest(text: &str) -> Result<KeyDigest, CliError> {
     KeyDigest::try_from(text.to_owned()).or_else(usage_error)
 }
--- a/crates/godwitspool-cli/src/difference.rs
+++ b/crates/godwitspool-cli/src/difference.rs
@@ -1,12 +1,15 @@
 //! The difference between two configurations, field by field.
 
-use std::{collections::BTreeMap, fmt};
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+};
 
-use godwitspool_version::Configuration;
+use serde::Serialize;
 use serde_json::Value;
 
 /// A field that differs; a missing value means that the field was added or removed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub(crate) struct Difference {
     path: String,
     old: Option<String>,
@@ -25,8 +28,9 @@
     }
 }
 
-/// Returns the fields that differ, sorted by path.
-pub(crate) fn difference(old: &Configuration, new: &Configuration) -> Vec<Difference> {
+/// Returns the fields that differ, sorted by path. Items of lists are compared by name, so their order
+/// counts only among items of the same name.
+pub(crate) fn difference(old: &Value, new: &Value) -> Vec<Difference> {
     let (old, new) = (fields(old), fields(new));
     let paths = old
         .keys()
@@ -43,19 +47,27 @@
     differences
 }
 
-fn fields(configuration: &Configuration) -> BTreeMap<String, String> {
+fn fields(value: &Value) -> BTreeMap<String, String> {
     let mut fields = BTreeMap::new();
-    let value = serde_json::to_value(configuration).unwrap_or_default();
-    flatten("", &value, &mut fields);
+    flatten("", value, &mut fields);
     fields
 }
 
 fn flatten(path: &str, value: &Value, fields: &mut BTreeMap<String, String>) {
     match value {
         Value::Array(items) => {
+            let mut counts = HashMap::new();
             for item in items {
-                let name = item.get("digest").unwrap_or(item);
-                flatten(&join(path, &text(name)), item, fields);
+                let names = ["digest", "name", "service"];
+                let name = names.iter().find_map(|name| item.get(name));
+                let name = name.unwrap_or(item);
+                let mut name = text(name);
+                let count: &mut u32 = counts.entry(name.clone()).or_default();
+                *count += 1;
+                if *count > 1 {
+                    name = format!("{name}#{count}");
+                }
+                flatten(&join(path, &name), item, fields);
             }
         }
         Value::Object(entries) => {
--- a/crates/godwitspool-cli/src/error.rs
+++ b/crates/godwitspool-cli/src/error.rs
@@ -22,7 +22,9 @@
     #[snafu(display("{source}"), context(false))]
     InForce { source: CatchUpError },
     #[snafu(display("{}: {source}", path.display()))]
-    Lines { path: PathBuf, source: io::Error },
+    File { path: PathBuf, source: io::Error },
+    #[snafu(display("{text}"))]
+    Findings { text: String },
     #[snafu(display("no line names {name:?}"))]
     NoLine { name: String },
     #[snafu(display("{what} had no effect: {why}"))]
@@ -41,7 +43,7 @@
     /// Returns the exit status of the process.
     pub(crate) fn status(&self) -> u8 {
         match self {
-            Self::Arguments { .. } | Self::Folder { .. } => FINDINGS_STATUS,
+            Self::Arguments { .. } | Self::Findings { .. } | Self::Folder { .. } => FINDINGS_STATUS,
             _ => FAILURE_STATUS,
         }
     }
--- a/crates/godwitspool-cli/src/lib.rs
+++ b/crates/godwitspool-cli/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 //!
 //! [`run`] runs one command and returns its exit status: 0 on success, 1 when the command failed, 2
-//! for findings in the folder or errors on the command line.
+//! for findings or errors on the command line.
 //!
 //! ```
 //! let mut out = Vec::new();
@@ -10,6 +10,7 @@
 //! assert!(out.starts_with(b"godwitspool "));
 //! ```
 
+mod check;
 mod command;
 mod daemons;
 mod difference;
@@ -45,6 +46,11 @@
 fn execute(command: Command, out: &mut impl Write) -> Result<(), CliError> {
     match command {
         Command::Check { folder } => publish::check(&folder, out),
+        Command::CheckFile {
+            file,
+            in_force,
+            json,
+        } => check::check_file(&file, in_force.as_deref(), json, out),
         Command::Drain { daemons } => daemons::drain(&daemons, out),
         Command::Explain { subject, daemons } => daemons::explain(&subject, &daemons, out),
         Command::ExplainLines { subject, files } => timeline::explain(&subject, &files, out),
--- a/crates/godwitspool-cli/src/publish.rs
+++ b/crates/godwitspool-cli/src/publish.rs
@@ -4,6 +4,7 @@
 
 use godwitspool_process::folder::{self, Folder};
 use godwitspool_version::{Configuration, ConfigurationChange, Publish, Record, RecordBody};
+use serde_json::Value;
 
 use crate::{command::LogAccess, difference::difference, error::CliError};
 
@@ -45,7 +46,7 @@
     let replica = log.read()?;
     let old = replica.fold().configuration();
     let new = with_keys_in_force(folder.configuration, old);
-    let differences = difference(old, &new);
+    let differences = difference(&fields(old), &fields(&new));
     for difference in &differences {
         writeln!(out, "{difference}")?;
     }
@@ -78,6 +79,10 @@
     Ok(())
 }
 
+fn fields(configuration: &Configuration) -> Value {
+    serde_json::to_value(configuration).unwrap_or_default()
+}
+
 fn load(path: &Path) -> Result<Folder, CliError> {
     folder::load(path).map_err(|findings| CliError::Folder { findings })
 }
--- a/crates/godwitspool-cli/src/timeline.rs
+++ b/crates/godwitspool-cli/src/timeline.rs
@@ -16,7 +16,7 @@
 use log_line::{LogLine, names_in};
 use snafu::ResultExt;
 
-use crate::error::{CliError, LinesSnafu};
+use crate::error::{CliError, FileSnafu};
 
 /// Time before the subject's first line and after its last one in which context lines are shown
 /// too. It is longer than a target's entry takes to expire.
@@ -220,9 +220,9 @@
 fn read_lines(path: &Path, mut visit: impl FnMut(LogLine)) -> Result<(), CliError> {
     let name = path.file_stem().unwrap_or_default().to_string_lossy();
     let mut host: Arc<str> = Arc::from(&*name);
-    let file = File::open(path).context(LinesSnafu { path })?;
+    let file = File::open(path).context(FileSnafu { path })?;
     for text in BufReader::new(file).split(b'\n') {
-        let text = text.context(LinesSnafu { path })?;
+        let text = text.context(FileSnafu { path })?;
         let Some(line) = LogLine::read(&String::from_utf8_lossy(&text), &host) else {
             continue;
         };
--- a/crates/godwitspool-cli/tests/cli.rs
+++ b/crates/godwitspool-cli/tests/cli.rs
@@ -317,3 +317,82 @@
     assert_eq!(done.status, 2);
     assert!(done.errors.contains(expected), "{}", done.errors);
 }
+
+/// A platform's configuration without findings, of version 1.
+const CONFIGURATION: &str = r#"{
+  "version": 1,
+  "routes": [
+    {"name": "desk", "host": "a.example", "path_prefix": "/", "kind": "idempotent",
+     "service": "plain", "goal_ms": 150, "timeout_ms": 2000}
+  ],
+  "services": [{"name": "plain"}],
+  "tenants": [{"name": "w", "api_keys": ["secret"]}]
+}"#;
+
+/// Guards against a check of the platform's configuration that scripts can't tell from a failure, and
+/// against findings without a place or what to do.
+#[test]
+fn a_platform_configuration_is_checked_against_the_one_in_force() {
+    let new = CONFIGURATION
+        .replace("2000", "100")
+        .replace("secret", "other");
+    let files = [("old.json", CONFIGURATION), ("new.json", new.as_str())];
+    let path = folder("platform-configuration", &files);
+    let old = path.join("old.json").display().to_string();
+    let new = path.join("new.json").display().to_string();
+
+    assert_eq!(succeed(&["check", &old]), "no findings\n");
+
+    let done = run(&["check", &new, "--against", &old]);
+    assert_eq!(done.status, 2, "{}{}", done.out, done.errors);
+    assert!(
+        done.out.contains("~ routes.desk.timeout_ms: 2000 -> 100\n"),
+        "{}",
+        done.out
+    );
+    assert!(done.out.contains("- tenants.w.api_keys."), "{}", done.out);
+    assert!(!done.out.contains("secret"), "{}", done.out);
+    let finding = format!(
+        "{new}:5:56: the timeout of route desk, 100 ms, is below its goal of 150 ms; raise the \
+         timeout or lower the goal\n"
+    );
+    assert!(done.errors.contains(&finding), "{}", done.errors);
+    assert!(done.errors.contains("raise the version"), "{}", done.errors);
+
+    let done = run(&["check", &new, "--against", &old, "--format", "json"]);
+    assert_eq!(done.status, 2);
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    assert_eq!(report["findings"].as_array().unwrap().len(), 2, "{report}");
+    let finding = &report["findings"][1];
+    assert_eq!(finding["line"], 5);
+    assert_eq!(finding["column"], 56);
+    assert_eq!(finding["action"], "raise the timeout or lower the goal");
+    assert_eq!(report["differences"][0]["path"], "routes.desk.timeout_ms");
+
+    let done = run(&["check", &old, "--against", &old]);
+    assert_eq!(
+        (done.out.as_str(), done.status),
+        ("0 fields differ\nno findings\n", 0)
+    );
+
+    let missing = path.join("missing.json").display().to_string();
+    assert_eq!(run(&["check", &missing]).status, 1);
+    let folder = path.display().to_string();
+    assert_eq!(run(&["check", &folder, "--format", "json"]).status, 2);
+}
+
+/// Guards against a difference that leaves out a change of one of several items with the same name.
+#[test]
+fn items_of_the_same_name_are_compared_each() {
+    let old = r#"{"version": 1, "services": [{"name": "s"}], "routes": [
+        {"name": "r", "host": "a", "path_prefix": "/a/", "kind": "idempotent", "service": "s"},
+        {"name": "r", "host": "a", "path_prefix": "/b/", "kind": "idempotent", "service": "s"}]}"#;
+    let new = old.replace("/a/", "/c/").replace("1,", "2,");
+    let path = folder("same-names", &[("old.json", old), ("new.json", &new)]);
+    let old = path.join("old.json").display().to_string();
+    let new = path.join("new.json").display().to_string();
+    assert_eq!(
+        succeed(&["check", &new, "--against", &old]),
+        "~ routes.r.path_prefix: /a/ -> /c/\n~ version: 1 -> 2\n2 fields differ\nno findings\n"
+    );
+}
