--- a/crates/godwitspool-cli/src/command.rs
+++ b/crates/godwitspool-cli/src/command.rs
@@ -18,8 +18,7 @@
 godwitspool COMMAND
 
   check DIR                   checks an operators' folder and shows which settings override others
-  check FILE [--against FILE] checks a platform's configuration, a JSON file, and shows the
-                              difference to the one in force
+  check FILE.json             checks a platform's configuration
   publish DIR [--dry-run]     publishes a folder, or only shows the difference to what is in force
   key issue WORKSPACE         issues a key and shows it once
   key withdraw DIGEST         withdraws a key by its digest, permanently
@@ -35,7 +34,8 @@
   --platform URL      the platform, for commands that read or write its log
   --steward IP:PORT   a steward to read from in place of the platform's log
   --daemon IP:PORT    the operator address of a daemon; may be given several times
-  --format json       findings and differences of check FILE as JSON
+  --against PATH      the folder or file in force, to which check shows the difference
+  --format json       findings and differences of check as JSON
   --by NAME           name of the operator who publishes; \"operator\" by default
   --help, --version
 
@@ -51,14 +51,16 @@
 /// A parsed command.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Command {
-    Check {
-        folder: PathBuf,
-    },
     CheckFile {
         file: PathBuf,
         in_force: Option<PathBuf>,
         json: bool,
     },
+    CheckFolder {
+        folder: PathBuf,
+        in_force: Option<PathBuf>,
+        json: bool,
+    },
     Drain {
         daemons: Vec<SocketAddr>,
     },
@@ -162,11 +164,10 @@
                 in_force: self.against,
                 json: self.json,
             },
-            ["check", _] if self.json || self.against.is_some() => {
-                return usage_error("--against and --format json need a file ending in .json");
-            }
-            ["check", folder] => Command::Check {
+            ["check", folder] => Command::CheckFolder {
                 folder: folder.into(),
+                in_force: self.against,
+                json: self.json,
             },
             ["drain"] => Command::Drain {
                 daemons: self.daemons()?,
--- a/crates/godwitspool-cli/src/lib.rs
+++ b/crates/godwitspool-cli/src/lib.rs
@@ -45,12 +45,16 @@
 
 fn execute(command: Command, out: &mut impl Write) -> Result<(), CliError> {
     match command {
-        Command::Check { folder } => publish::check(&folder, out),
         Command::CheckFile {
             file,
             in_force,
             json,
         } => check::check_file(&file, in_force.as_deref(), json, out),
+        Command::CheckFolder {
+            folder,
+            in_force,
+            json,
+        } => check::check_folder(&folder, in_force.as_deref(), json, out),
         Command::Drain { daemons } => daemons::drain(&daemons, out),
         Command::Explain { subject, daemons } => daemons::explain(&subject, &daemons, out),
         Command::ExplainLines { subject, files } => timeline::explain(&subject, &files, out),
--- a/crates/godwitspool-cli/src/publish.rs
+++ b/crates/godwitspool-cli/src/publish.rs
@@ -1,4 +1,4 @@
-//! Checks a configuration folder and publishes it.
+//! Publishes a configuration folder.
 
 use std::{io::Write, path::Path};
 
@@ -8,32 +8,6 @@
 
 use crate::{command::LogAccess, difference::difference, error::CliError};
 
-/// Checks a folder and prints which settings override others.
-pub(crate) fn check(path: &Path, out: &mut impl Write) -> Result<(), CliError> {
-    let folder = load(path)?;
-    for replaced in &folder.overrides {
-        writeln!(out, "{replaced}")?;
-    }
-    let Configuration {
-        classes,
-        dcs,
-        services,
-        trainers,
-        workspaces,
-        ..
-    } = &folder.configuration;
-    writeln!(
-        out,
-        "no findings: {} data centres, {} services, {} classes, {} workspaces, {} trainers",
-        dcs.len(),
-        services.len(),
-        classes.len(),
-        workspaces.len(),
-        trainers.len()
-    )?;
-    Ok(())
-}
-
 /// Publishes a folder, or with `dry_run` only prints the difference to the configuration in force.
 pub(crate) fn publish(
     path: &Path,
@@ -79,7 +53,8 @@
     Ok(())
 }
 
-fn fields(configuration: &Configuration) -> Value {
+/// Returns the fields of a configuration for a difference.
+pub(crate) fn fields(configuration: &Configuration) -> Value {
     serde_json::to_value(configuration).unwrap_or_default()
 }
 
--- a/crates/godwitspool-cli/tests/cli.rs
+++ b/crates/godwitspool-cli/tests/cli.rs
@@ -377,8 +377,58 @@
 
     let missing = path.join("missing.json").display().to_string();
     assert_eq!(run(&["check", &missing]).status, 1);
-    let folder = path.display().to_string();
-    assert_eq!(run(&["check", &folder, "--format", "json"]).status, 2);
+}
+
+/// Guards against entries of a folder that never take effect passing the check, and against such a
+/// folder, which may be in use, no longer being published.
+#[test]
+fn unused_entries_of_a_folder_are_findings_of_the_check_only() {
+    let old = "services:\n  a: {kind: plain}\nworkspaces:\n  v: {services: {a: a}}\n";
+    let digest = "a".repeat(64);
+    let keys = format!("keys: [{{digest: {digest}}}]");
+    let new = format!(
+        "services:\n  a: {{kind: plain}}\n  b: {{kind: plain}}\nworkspaces:\n  \
+         v: {{services: {{a: a}}, rate: 9/s, {keys}}}\n  w: {{{keys}}}\n  \
+         x: {{keys: [{{digest: {digest}, withdrawn: true}}]}}\n"
+    );
+    let old = folder("in-force", &[("10.yaml", old)])
+        .display()
+        .to_string();
+    let new = folder("unused", &[("10.yaml", &new)]).display().to_string();
+
+    let done = run(&["check", &new, "--against", &old]);
+    assert_eq!(done.status, 2, "{}{}", done.out, done.errors);
+    assert!(
+        done.out.contains("~ workspaces.v.rate_per_s: 200 -> 9\n"),
+        "{}",
+        done.out
+    );
+    let places: Vec<_> = done.errors.lines().map(|line| &line[..11]).collect();
+    assert_eq!(places, ["10.yaml:3:3", "10.yaml:6:3"], "{}", done.errors);
+    assert!(
+        done.errors.contains("names the service b;"),
+        "{}",
+        done.errors
+    );
+    assert!(
+        done.errors.contains("belongs to v and to w;"),
+        "{}",
+        done.errors
+    );
+
+    let done = run(&["check", &new, "--format", "json"]);
+    assert_eq!(done.status, 2);
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    assert_eq!(report["findings"][0]["line"], 3, "{report}");
+
+    let missing = format!("{old}-missing");
+    let done = run(&["check", &new, "--against", &missing, "--format", "json"]);
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    assert_eq!(report["findings"][0]["file"], missing, "{report}");
+
+    let (_platform, url) = platform();
+    let out = succeed(&["publish", &new, "--platform", &url]);
+    assert!(out.contains("in force"), "{out}");
 }
 
 /// Guards against a difference that leaves out a change of one of several items with the same name.
--- a/crates/godwitspool-process/src/folder.rs
+++ b/crates/godwitspool-process/src/folder.rs
@@ -61,6 +61,9 @@
     pub configuration: Configuration,
     /// Values that a later file replaced, in the order in which they were replaced.
     pub overrides: Vec<Override>,
+    /// Entries that never take effect. They don't keep the folder from being published, since folders
+    /// in use may have some.
+    pub unused: Findings,
 }
 
 /// A value that a later file replaced.
@@ -128,9 +131,11 @@
     let draft = read::read(&joined, &names);
     findings.extend(draft.findings);
     findings.extend(check::check(&draft.configuration, &draft.places));
+    let unused = check::unused(&draft.configuration, &draft.places);
     Findings::from(findings).into_result(Folder {
         configuration: draft.configuration,
         overrides,
+        unused: Findings::from(unused),
     })
 }
 
--- a/crates/godwitspool-process/src/folder/check.rs
+++ b/crates/godwitspool-process/src/folder/check.rs
@@ -1,5 +1,7 @@
 //! Checks of the joined configuration: missing values and values that contradict each other.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use godwitspool_types::{Finding, Place};
 use godwitspool_version::{Configuration, ServiceKind};
 
@@ -21,6 +23,18 @@
     checker.findings
 }
 
+/// Returns findings for entries of a joined configuration that never take effect.
+pub(super) fn unused(configuration: &Configuration, places: &Places) -> Vec<Finding> {
+    let mut checker = Checker {
+        configuration,
+        findings: Vec::new(),
+        places,
+    };
+    checker.shared_keys();
+    checker.unnamed_services();
+    checker.findings
+}
+
 struct Checker<'a> {
     configuration: &'a Configuration,
     findings: Vec<Finding>,
@@ -90,6 +104,50 @@
         }
     }
 
+    fn shared_keys(&mut self) {
+        let mut owners = BTreeMap::new();
+        for (name, rules) in &self.configuration.workspaces {
+            for key in rules.keys.iter().filter(|key| !key.withdrawn) {
+                if let Some(owner) = owners.insert(key.digest, name) {
+                    let place = self.places.of("workspaces", name.as_str());
+                    let message = format!(
+                        "key {} belongs to {owner} and to {name}; remove it from one of them",
+                        key.digest
+                    );
+                    self.report(place, message);
+                }
+            }
+        }
+    }
+
+    fn unnamed_services(&mut self) {
+        let Configuration {
+            open_routes,
+            services,
+            trainers,
+            workspaces,
+            ..
+        } = self.configuration;
+        let by_workspaces = workspaces
+            .values()
+            .flat_map(|rules| rules.services.values());
+        let by_workspaces = by_workspaces.map(|named| &named.service);
+        let by_trainers = trainers.values();
+        let by_trainers = by_trainers.flat_map(|trainer| [&trainer.service, &trainer.scorer]);
+        let named: BTreeSet<_> = by_workspaces
+            .chain(by_trainers)
+            .chain(open_routes)
+            .collect();
+        for name in services.keys().filter(|name| !named.contains(name)) {
+            let place = self.places.of("services", name.as_str());
+            let message = format!(
+                "no workspace, trainer or open route names the service {name}; name it in one of them \
+                 or remove it"
+            );
+            self.report(place, message);
+        }
+    }
+
     fn trainers(&mut self) {
         for (name, trainer) in &self.configuration.trainers {
             let place = self.places.of("trainers", name.as_str());
