--- a/crates/godwitspool-cli/src/publish.rs
+++ b/crates/godwitspool-cli/src/publish.rs
@@ -1,38 +1,13 @@
-//! Checks a configuration folder and publishes it.
+//! Publishes a configuration folder.
 
 use std::{io::Write, path::Path};
 
 use godwitspool_process::folder::{self, Folder};
 use godwitspool_version::{Configuration, ConfigurationChange, Publish, Record, RecordBody};
+use serde_json::Value;
 
 use crate::{command::LogAccess, difference::difference, error::CliError};
 
-/// Checks a folder and prints which settings override others.
-pub(crate) fn check(path: &Path, out: &mut impl Write) -> Result<(), CliError> {
-    let folder = load(path)?;
-    for replaced in &folder.overrides {
-        writeln!(out, "{replaced}")?;
-    }
-    let Configuration {
-        classes,
-        dcs,
-        services,
-        trainers,
-        workspaces,
-        ..
-    } = &folder.configuration;
-    writeln!(
-        out,
-        "no findings: {} data centres, {} services, {} classes, {} workspaces, {} trainers",
-        dcs.len(),
-        services.len(),
-        classes.len(),
-        workspaces.len(),
-        trainers.len()
-    )?;
-    Ok(())
-}
-
 /// Publishes a folder, or with `dry_run` only prints the difference to the configuration in force.
 pub(crate) fn publish(
     path: &Path,
@@ -45,7 +20,7 @@
     let replica = log.read()?;
     let old = replica.fold().configuration();
     let new = with_keys_in_force(folder.configuration, old);
-    let differences = difference(old, &new);
+    let differences = difference(&fields(old), &fields(&new));
     for difference in &differences {
         writeln!(out, "{difference}")?;
     }
@@ -78,6 +53,11 @@
     Ok(())
 }
 
+/// Returns the fields of a configuration for a difference.
+pub(crate) fn fields(configuration: &Configuration) -> Value {
+    serde_json::to_value(configuration).unwrap_or_default()
+}
+
 fn load(path: &Path) -> Result<Folder, CliError> {
     folder::load(path).map_err(|findings| CliError::Folder { findings })
 }
--- a/crates/godwitspool-cli/tests/cli.rs
+++ b/crates/godwitspool-cli/tests/cli.rs
@@ -317,3 +317,132 @@
     assert_eq!(done.status, 2);
     assert!(done.errors.contains(expected), "{}", done.errors);
 }
+
+/// A platform's configuration without findings, of version 1.
+const CONFIGURATION: &str = r#"{
+  "version": 1,
+  "routes": [
+    {"name": "desk", "host": "a.example", "path_prefix": "/", "kind": "idempotent",
+     "service": "plain", "goal_ms": 150, "timeout_ms": 2000}
+  ],
+  "services": [{"name": "plain"}],
+  "tenants": [{"name": "w", "api_keys": ["secret"]}]
+}"#;
+
+/// Guards against a check of the platform's configuration that scripts can't tell from a failure, and
+/// against findings without a place or what to do.
+#[test]
+fn a_platform_configuration_is_checked_against_the_one_in_force() {
+    let new = CONFIGURATION
+        .replace("2000", "100")
+        .replace("secret", "other");
+    let files = [("old.json", CONFIGURATION), ("new.json", new.as_str())];
+    let path = folder("platform-configuration", &files);
+    let old = path.join("old.json").display().to_string();
+    let new = path.join("new.json").display().to_string();
+
+    assert_eq!(succeed(&["check", &old]), "no findings\n");
+
+    let done = run(&["check", &new, "--against", &old]);
+    assert_eq!(done.status, 2, "{}{}", done.out, done.errors);
+    assert!(
+        done.out.contains("~ routes.desk.timeout_ms: 2000 -> 100\n"),
+        "{}",
+        done.out
+    );
+    assert!(done.out.contains("- tenants.w.api_keys."), "{}", done.out);
+    assert!(!done.out.contains("secret"), "{}", done.out);
+    let finding = format!(
+        "{new}:5:56: the timeout of route desk, 100 ms, is below its goal of 150 ms; raise the \
+         timeout or lower the goal\n"
+    );
+    assert!(done.errors.contains(&finding), "{}", done.errors);
+    assert!(done.errors.contains("raise the version"), "{}", done.errors);
+
+    let done = run(&["check", &new, "--against", &old, "--format", "json"]);
+    assert_eq!(done.status, 2);
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    assert_eq!(report["findings"].as_array().unwrap().len(), 2, "{report}");
+    let finding = &report["findings"][1];
+    assert_eq!(finding["line"], 5);
+    assert_eq!(finding["column"], 56);
+    assert_eq!(finding["action"], "raise the timeout or lower the goal");
+    assert_eq!(report["differences"][0]["path"], "routes.desk.timeout_ms");
+
+    let done = run(&["check", &old, "--against", &old]);
+    assert_eq!(
+        (done.out.as_str(), done.status),
+        ("0 fields differ\nno findings\n", 0)
+    );
+
+    let missing = path.join("missing.json").display().to_string();
+    assert_eq!(run(&["check", &missing]).status, 1);
+}
+
+/// Guards against entries of a folder that never take effect passing the check, and against such a
+/// folder, which may be in use, no longer being published.
+#[test]
+fn unused_entries_of_a_folder_are_findings_of_the_check_only() {
+    let old = "services:\n  a: {kind: plain}\nworkspaces:\n  v: {services: {a: a}}\n";
+    let digest = "a".repeat(64);
+    let keys = format!("keys: [{{digest: {digest}}}]");
+    let new = format!(
+        "services:\n  a: {{kind: plain}}\n  b: {{kind: plain}}\nworkspaces:\n  \
+         v: {{services: {{a: a}}, rate: 9/s, {keys}}}\n  w: {{{keys}}}\n  \
+         x: {{keys: [{{digest: {digest}, withdrawn: true}}]}}\n"
+    );
+    let old = folder("in-force", &[("10.yaml", old)])
+        .display()
+        .to_string();
+    let new = folder("unused", &[("10.yaml", &new)]).display().to_string();
+
+    let done = run(&["check", &new, "--against", &old]);
+    assert_eq!(done.status, 2, "{}{}", done.out, done.errors);
+    assert!(
+        done.out.contains("~ workspaces.v.rate_per_s: 200 -> 9\n"),
+        "{}",
+        done.out
+    );
+    let places: Vec<_> = done.errors.lines().map(|line| &line[..11]).collect();
+    assert_eq!(places, ["10.yaml:3:3", "10.yaml:6:3"], "{}", done.errors);
+    assert!(
+        done.errors.contains("names the service b;"),
+        "{}",
+        done.errors
+    );
+    assert!(
+        done.errors.contains("belongs to v and to w;"),
+        "{}",
+        done.errors
+    );
+
+    let done = run(&["check", &new, "--format", "json"]);
+    assert_eq!(done.status, 2);
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    assert_eq!(report["findings"][0]["line"], 3, "{report}");
+
+    let missing = format!("{old}-missing");
+    let done = run(&["check", &new, "--against", &missing, "--format", "json"]);
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    assert_eq!(report["findings"][0]["file"], missing, "{report}");
+
+    let (_platform, url) = platform();
+    let out = succeed(&["publish", &new, "--platform", &url]);
+    assert!(out.contains("in force"), "{out}");
+}
+
+/// Guards against a difference that leaves out a change of one of several items with the same name.
+#[test]
+fn items_of_the_same_name_are_compared_each() {
+    let old = r#"{"version": 1, "services": [{"name": "s"}], "routes": [
+        {"name": "r", "host": "a", "path_prefix": "/a/", "kind": "idempotent", "service": "s"},
+        {"name": "r", "host": "a", "path_prefix": "/b/", "kind": "idempotent", "service": "s"}]}"#;
+    let new = old.replace("/a/", "/c/").replace("1,", "2,");
+    let path = folder("same-names", &[("old.json", old), ("new.json", &new)]);
+    let old = path.join("old.json").display().to_string();
+    let new = path.join("new.json").display().to_string();
+    assert_eq!(
+        succeed(&["check", &new, "--against", &old]),
+        "~ routes.r.path_prefix: /a/ -> /c/\n~ version: 1 -> 2\n2 fields differ\nno findings\n"
+    );
+}
