Placement: a run moves if its rest ends much sooner elsewhere

Cause: a run moved once its interval exceeded 1.8 times the median, also if it was nearly done or ahead of its group. It then waited as any other item, so that under load its slot went to another one.

Change: decide_move compares the expected time left here with that at the best free target, which reads the prompt and the output again and starts the present event over. A move must save a second and 40%, counted from when the rest of the group ends. Silence and queueing stay as reasons. Interrupted items go on before any other item starts. RunView carries the three times, the log line names them, and godwitspool_moves_total and godwitspool_placements_total count the decisions.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -25,7 +25,7 @@
 pub use lengths::{EVENT_TOKENS, RouteLengths};
 pub use order::{order_items, predicted_tokens, wanted_items};
 pub use owner::{Owner, StoredBatch, read_stored};
-pub use pace::{Move, Pace, RunView, decide_move, median_pace};
+pub use pace::{Move, Pace, RunView, decide_move, may_move, median_pace};
 pub use progress::{save_progress, save_running};
 pub use record::{BatchRecord, partition_of};
 pub use registry::{BatchRegistry, Lookup, OwnedPartition, page};
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Batch, EVENT_TOKENS, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure,
-    RunView, Submission, Verdict, claimant, decide_move, reward::RewardCall,
+    RunView, Submission, Verdict, claimant, decide_move, may_move, reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
@@ -28,9 +28,9 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Timeout for connecting to a target: several round trips between data centres.
 const CONNECT_TIMEOUT: Millis = Millis(300);
-/// A run moves only to a target whose interval between events is below this multiple of the median,
-/// or unknown.
-const MOVE_PACE_FACTOR: f64 = 1.5;
+/// Interval between checks whether a run would end sooner elsewhere. It is short compared with the least
+/// time that a move saves.
+const LOOK_INTERVAL: Millis = Millis(300);
 /// Interval between checks for stalled runs, and for targets for the waiting items.
 const CHECK_INTERVAL: Millis = Millis(100);
 
@@ -67,6 +67,8 @@
     ended_in_noise: bool,
     began: Millis,
     last_data: Millis,
+    /// When it was last weighed whether another target would be faster.
+    last_look: Millis,
     head_read: bool,
     /// Whether the connection broke off behind the request.
     broke_off: bool,
@@ -74,6 +76,29 @@
     service: ServiceName,
 }
 
+/// What the starts of a batch's items share, and what comes of them.
+struct Round<'a> {
+    configuration: &'a Configuration,
+    now: Millis,
+    started: Vec<Run>,
+    /// Results of items that were given up.
+    dropped: Vec<super::Finished>,
+}
+
+/// What came of an item that was tried.
+enum Tried {
+    /// The item waits for a faster target.
+    Deferred,
+    /// No target can run the item now.
+    NoRoom,
+    /// The item's route leads to no service.
+    NoService,
+    /// The item was given up or held back.
+    Passed,
+    /// The item runs.
+    Started,
+}
+
 /// The outcome of an attempt to start an item.
 enum Start {
     /// The item waits for a faster target, and a shorter one may start.
@@ -247,69 +272,50 @@
         let mut started = Vec::new();
         let mut held = 0_usize;
         let mut parts = self.shared.owned_batches.lock();
+        let mut open: Vec<(u32, String)> = Vec::new();
         for (number, part) in &mut *parts {
             if is_stale(&self.shared, *number, part) {
                 waiting = true;
                 continue;
             }
-            let mut dropped = Vec::new();
-            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
-                if !batch.submission.runs_under(configuration.version) {
+            for batch in part.batches.values().filter(|batch| batch.is_open()) {
+                if batch.submission.runs_under(configuration.version) {
+                    open.push((*number, batch.submission.id.clone()));
+                } else {
                     waiting = true;
                     held += 1;
-                    continue;
-                }
-                'batch: loop {
-                    let items = match batch.next_items(now) {
-                        Ok(items) => items,
-                        Err(soonest) => {
-                            waiting |= soonest.is_some();
-                            break;
-                        }
-                    };
-                    let submission = Arc::clone(&batch.submission);
-                    for (item, ahead) in items {
-                        let spec = &submission.items[item];
-                        let print = || spec.fingerprint(&submission.workspace, &submission.host);
-                        let claimant = claimant(&self.shared, &submission.id);
-                        if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
-                            batch.postpone(item, now + pause);
-                            continue 'batch;
-                        }
-                        let Some(route) = configuration.route(&submission.host, &submission.prefix)
-                        else {
-                            log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up: its route is gone");
-                            dropped.push(batch.finish(item, false));
-                            continue 'batch;
-                        };
-                        let Some(service) = route.service(rand::random()).cloned() else {
-                            break 'batch;
-                        };
-                        match self.start(&configuration, &service, batch, (item, ahead), now) {
-                            Start::Run(run) => {
-                                batch.start(item);
-                                started.push(Run {
-                                    part: *number,
-                                    epoch: part.epoch,
-                                    ..*run
-                                });
-                                continue 'batch;
-                            }
-                            Start::Deferred => waiting = true,
-                            Start::NoRoom => {
-                                waiting = true;
-                                // The operators' record of this version may not have arrived yet.
-                                let (model, oldest) = (&submission.model, submission.min_version);
-                                self.shared.learn_version(model, oldest, "a batch");
-                                break 'batch;
-                            }
-                        }
-                    }
-                    break;
                 }
             }
-            for finished in dropped {
-                part.send_result(finished);
+        }
+        for fresh in [false, true] {
+            for (number, id) in &open {
+                let Some(part) = parts.get_mut(number) else {
+                    continue;
+                };
+                let epoch = part.epoch;
+                let Some(batch) = part.batches.get_mut(id) else {
+                    continue;
+                };
+                let mut round = Round {
+                    configuration: &configuration,
+                    now,
+                    started: Vec::new(),
+                    dropped: Vec::new(),
+                };
+                waiting |= if fresh {
+                    self.start_fresh(&mut round, batch)
+                } else {
+                    self.start_interrupted(&mut round, batch)
+                };
+                let runs = round.started.into_iter().map(|run| Run {
+                    part: *number,
+                    epoch,
+                    ..run
+                });
+                started.extend(runs);
+                for finished in round.dropped {
+                    part.send_result(finished);
+                }
             }
         }
         drop(parts);
@@ -321,6 +327,80 @@
         waiting
     }
 
+    /// Starts the items of a batch that were interrupted; returns whether any is left waiting.
+    fn start_interrupted(&self, round: &mut Round<'_>, batch: &mut Batch) -> bool {
+        let mut waiting = false;
+        for item in batch.interrupted(round.now) {
+            match self.try_item(round, batch, (item, None)) {
+                Tried::Passed | Tried::Started => {}
+                Tried::Deferred => waiting = true,
+                // Only a target with the version of its output can take such an item.
+                Tried::NoRoom if batch.pinned_version(item).is_some() => waiting = true,
+                Tried::NoRoom | Tried::NoService => return true,
+            }
+        }
+        waiting
+    }
+
+    /// Starts the items of a batch that have no partial output; returns whether any is left waiting.
+    fn start_fresh(&self, round: &mut Round<'_>, batch: &mut Batch) -> bool {
+        'next: loop {
+            let items = match batch.next_items(round.now) {
+                Ok(items) => items,
+                Err(soonest) => return soonest.is_some(),
+            };
+            for item in items {
+                match self.try_item(round, batch, item) {
+                    Tried::Passed | Tried::Started => continue 'next,
+                    Tried::Deferred => {}
+                    Tried::NoRoom => return true,
+                    Tried::NoService => return false,
+                }
+            }
+            return true;
+        }
+    }
+
+    /// Starts an item, given with the number of wanted items that go before it, if it may run now.
+    fn try_item(
+        &self,
+        round: &mut Round<'_>,
+        batch: &mut Batch,
+        (item, ahead): (usize, Option<usize>),
+    ) -> Tried {
+        let submission = Arc::clone(&batch.submission);
+        let spec = &submission.items[item];
+        let print = || spec.fingerprint(&submission.workspace, &submission.host);
+        let claimant = claimant(&self.shared, &submission.id);
+        if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
+            batch.postpone(item, round.now + pause);
+            return Tried::Passed;
+        }
+        let configuration = round.configuration;
+        let Some(route) = configuration.route(&submission.host, &submission.prefix) else {
+            log::warn!(batch:% = submission.id, item:% = spec.id; "item given up: its route is gone");
+            round.dropped.push(batch.finish(item, false));
+            return Tried::Passed;
+        };
+        let Some(service) = route.service(rand::random()).cloned() else {
+            return Tried::NoService;
+        };
+        match self.start(configuration, &service, batch, (item, ahead), round.now) {
+            Start::Run(run) => {
+                batch.start(item);
+                round.started.push(*run);
+                Tried::Started
+            }
+            Start::Deferred => Tried::Deferred,
+            Start::NoRoom => {
+                // The operators' record of this version may not have arrived yet.
+                let (model, oldest) = (&submission.model, submission.min_version);
+                self.shared.learn_version(model, oldest, "a batch");
+                Tried::NoRoom
+            }
+        }
+    }
+
     /// Starts a run of an item, given with the number of wanted items that go before it.
     fn start(
         &self,
@@ -373,7 +453,7 @@
             return Start::Deferred;
         }
         let progress = &batch.items[index].progress;
-        let (name, address, born) = (place.target, place.address, place.born);
+        let (name, address, born) = (place.target.clone(), place.address, place.born);
         let entries_ms = shared.observe_entry_age(&fleet);
         let context = ForwardContext {
             target: &name,
@@ -394,6 +474,10 @@
         };
         fleet.start(&name);
         drop(fleet);
+        shared.placements.count(place.kind());
+        if batch.items[index].deferred_since.is_some() {
+            shared.placements.count("deferred");
+        }
         log::info!(
             batch:% = submission.id, item:% = spec.id, target_name:% = name,
             resume_after:? = progress.last_event, failures = batch.items[index].failures, entries_ms,
@@ -417,6 +501,7 @@
             ended_in_noise: false,
             began: now,
             last_data: now,
+            last_look: now,
             head_read: false,
             broke_off: false,
             pace: Pace::default(),
@@ -542,20 +627,23 @@
     }
 
     fn check_stall(
-        &self,
+        &mut self,
         shared: &Shared,
         lengths: &RouteLengths,
         batch: &Batch,
         now: Millis,
     ) -> Step {
         let silent = now - self.last_data;
-        if let Some(reason) = self.check_move(shared, lengths, batch, now) {
+        if let Some((reason, view)) = self.check_move(shared, lengths, batch, now) {
             let spec = &self.submission.items[self.item];
             log::info!(
                 item:% = spec.id, target_name:% = self.target, reason:?, silent_ms = silent.0,
-                between_ms = self.pace.interval_ms, events = self.pace.events;
+                between_ms = self.pace.interval_ms, events = self.pace.events,
+                here_ms = view.here_ms.round(), there_ms:? = view.there_ms.map(f64::round),
+                group_ms = view.group_ms.round();
                 "run moves"
             );
+            shared.moves.count(reason.as_str());
             let outcome = match reason {
                 Move::Slow => Outcome::Dropped,
                 Move::Queued | Move::Silent => Outcome::Stalled,
@@ -575,28 +663,49 @@
         Step::Ended(RunEnd::Failed(RunFailure::Broken, Outcome::Failed))
     }
 
-    /// Returns why the run should move to another target; `None` if it should stay, no fast enough
-    /// target has a free slot, or its output must come from a single version.
+    /// Returns why the run should move to another target, and what was weighed; `None` if it should
+    /// stay, no other target has a free slot, or its output must come from a single version.
     fn check_move(
-        &self,
+        &mut self,
         shared: &Shared,
         lengths: &RouteLengths,
         batch: &Batch,
         now: Millis,
-    ) -> Option<Move> {
+    ) -> Option<(Move, RunView)> {
+        if self.submission.single_version {
+            return None;
+        }
         let fleet = shared.fleet();
-        let view = RunView {
+        let mut view = RunView {
             answering: self.head_read,
             silent: now - self.last_data,
             pace: self.pace,
             median_ms: fleet.median_pace(&self.service, now),
             moves: batch.items[self.item].moves,
+            here_ms: 0.0,
+            there_ms: None,
+            group_ms: 0.0,
         };
-        let reason = decide_move(&view)?;
+        let is_stuck = decide_move(&view).is_some();
+        if !is_stuck && now - self.last_look < LOOK_INTERVAL {
+            return None;
+        }
+        self.last_look = now;
+        let work = work_left(lengths, shared, batch, self.item);
+        let (speed, median_ms) = fleet.speed(&self.target, now)?;
+        view.here_ms = speed.observed(self.pace.interval_ms).run_ms(work.events);
+        if !is_stuck {
+            if !batch.is_wanted(self.item) || !may_move(&view) {
+                return None;
+            }
+            view.group_ms = batch.group_events_left(self.item, lengths) * median_ms;
+            if !may_move(&view) {
+                return None;
+            }
+        }
         let versions = self.submission.min_version..=u64::MAX;
-        let assigned = HashMap::new();
         let other = fleet.place(&PlaceRequest {
-            assigned: &assigned,
+            assigned: &HashMap::new(),
             dc: &shared.settings.dc,
             excluded: Some(&self.target),
             host: stable_hash(shared.settings.host.as_str().as_bytes()),
@@ -604,11 +713,14 @@
             now,
             service: &self.service,
             versions: &versions,
-            work: work_left(lengths, shared, batch, self.item),
+            // The event that is being generated starts over.
+            work: Work {
+                events: work.events + 1.0,
+                ..work
+            },
         })?;
-        let median = view.median_ms.unwrap_or(f64::MAX);
-        let faster = other.speed.recent_ms < median * MOVE_PACE_FACTOR;
-        (faster && !self.submission.single_version).then_some(reason)
+        view.there_ms = Some(other.run_ms);
+        Some((decide_move(&view)?, view))
     }
 
     /// Appends the complete events in the buffer to the item's output; returns their number.
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -3,7 +3,9 @@
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::{ItemResult, RewardOutcome, Submission, groups, order_items, wanted_items};
+use super::{
+    ItemResult, RewardOutcome, RouteLengths, Submission, groups, order_items, wanted_items,
+};
 
 /// Delay before an item is retried after a run failed. Refused items are not delayed, since the
 /// refusing target is paused itself.
@@ -125,6 +127,12 @@
         self.progress.complete && matches!(self.state, ItemState::Waiting { .. })
     }
 
+    /// Returns whether the item waits for a target and may start.
+    fn may_start(&self, now: Millis) -> bool {
+        !self.progress.complete
+            && matches!(self.state, ItemState::Waiting { not_before } if not_before <= now)
+    }
+
     fn discard_output(&mut self) {
         self.progress = ItemProgress::default();
     }
@@ -357,8 +365,8 @@
         Err(soonest)
     }
 
-    /// Returns the items of which one may start now, in the order in which they are tried: the next
-    /// one; if that waits for a faster target, the shortest of the wanted groups; and then the next one
+    /// Returns the items without partial output of which one may start now, in the order in which they
+    /// are tried: the next one; if that waits for a faster target, the shortest of the wanted groups; and then the next one
     /// of the other groups. Each comes with the number of wanted items that go before it, `None` if it
     /// isn't wanted itself.
     ///
@@ -367,13 +375,16 @@
     ///
     /// # Errors
     ///
-    /// As [`Self::next_item`].
+    /// If there is none, returns the earliest time at which any waiting item may start, or `None` if no
+    /// item is waiting.
     pub fn next_items(&self, now: Millis) -> Result<Vec<(usize, Option<usize>)>, Option<Millis>> {
-        let next = self.next_item(now)?;
+        let waiting = self.next_item(now).map(|_| Some(now));
         let may_start = |index: &&usize| {
             let item = &self.items[**index];
-            !item.progress.complete
-                && matches!(item.state, ItemState::Waiting { not_before } if not_before <= now)
+            item.may_start(now) && item.progress.last_event.is_none()
+        };
+        let Some(next) = self.order.iter().copied().find(|item| may_start(&item)) else {
+            return Err(waiting.unwrap_or_else(|soonest| soonest));
         };
         let (wanted, others) = self.order.split_at(self.wanted);
         let ready = wanted.iter().filter(may_start).count();
@@ -390,6 +401,40 @@
         Ok(items)
     }
 
+    /// Returns the items that were interrupted and may go on now: they move, or have lost their target.
+    ///
+    /// Load pattern: more items wait than there are slots. An item that is interrupted has given its slot
+    /// up, and would have to wait for the others although little of it may be left.
+    pub fn interrupted(&self, now: Millis) -> Vec<usize> {
+        if self.ended {
+            return Vec::new();
+        }
+        let items = self.order.iter().copied();
+        let began = |item: &usize| self.items[*item].progress.last_event.is_some();
+        items
+            .filter(|item| began(item) && self.items[*item].may_start(now))
+            .collect()
+    }
+
+    /// Returns whether an item is of the groups that the trainer is expected to wait for.
+    pub fn is_wanted(&self, item: usize) -> bool {
+        self.order[..self.wanted].contains(&item)
+    }
+
+    /// Returns the largest number of events that another item of an item's group is expected to need.
+    pub fn group_events_left(&self, item: usize, lengths: &RouteLengths) -> f64 {
+        let group = self.group_numbers[item];
+        let others = self.items.iter().enumerate().filter(|(index, other)| {
+            let open = other.state != ItemState::Done && !other.progress.complete;
+            *index != item && open && self.group_numbers[*index] == group
+        });
+        let events = others.map(|(index, other)| {
+            let done = other.progress.last_event.unwrap_or_default();
+            lengths.events_left(&self.submission, self.submission.items[index].hint, done)
+        });
+        events.fold(0.0, f64::max)
+    }
+
     /// Records that an item waits for a faster target although a slower one has a free slot. Returns
     /// whether it may go on to wait.
     pub fn defer(&mut self, item: usize, now: Millis) -> bool {
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -176,6 +176,8 @@
     /// Version that the target should have loaded by now; `None` if its entry or a response
     /// has confirmed the version.
     pub expected: Option<u64>,
+    /// Whether the target is assigned to the item's model.
+    pub own: bool,
     /// Time that the rest of the item is expected to take there, in milliseconds.
     pub run_ms: f64,
     /// Expected interval between its events.
@@ -184,6 +186,17 @@
     pub defer: bool,
 }
 
+impl Placement {
+    /// Returns the label value in metrics.
+    pub fn kind(&self) -> &'static str {
+        if self.own {
+            "own target"
+        } else {
+            "target of another model"
+        }
+    }
+}
+
 /// All known targets, from which the target of each request is chosen. Callers provide the time and
 /// the locking.
 #[derive(Clone, Debug, Default)]
@@ -577,10 +590,7 @@
         }
         let (now, work) = (request.now, &request.work);
         let usable = self.usable(request.service);
-        let speeds = usable.iter().map(|target| &target.speed);
-        let slope = load_slope(speeds.clone());
-        let median = median_pace(speeds.filter_map(TargetSpeed::own_ms).collect());
-        let median = median.unwrap_or(UNKNOWN_INTERVAL_MS);
+        let (median, slope) = usual_speed(&usable);
         let mut free = Vec::new();
         let mut full = Vec::new();
         for target in usable {
@@ -643,12 +653,22 @@
             address: entry.address,
             born: entry.born,
             expected: best.expected,
+            own: best.own,
             run_ms: best.run_ms,
             speed: best.speed,
             defer: work.patient && ends_sooner(&full, work, best.run_ms),
         })
     }
 
+    /// Returns the interval to expect between the events of a target that runs what it runs now, and the
+    /// median of the service's targets in milliseconds.
+    pub fn speed(&self, name: &TargetName, now: Millis) -> Option<(SpeedEstimate, f64)> {
+        let target = self.targets.get(name)?;
+        let (median, slope) = usual_speed(&self.usable(&target.entry.service));
+        let running = target.total_running(now);
+        Some((target.speed.estimate(median, slope, running, now), median))
+    }
+
     /// Chooses the target for a reward call: the least loaded one that isn't paused and has less than
     /// half of its slots in use, targets of the own data centre first. None is chosen by stale entries.
     ///
@@ -770,6 +790,14 @@
     own: bool,
 }
 
+/// Returns the median of the targets' own intervals between events in milliseconds, and the influence of
+/// one more running request.
+fn usual_speed(targets: &[&Target]) -> (f64, f64) {
+    let speeds = targets.iter().map(|target| &target.speed);
+    let median = median_pace(speeds.clone().filter_map(TargetSpeed::own_ms).collect());
+    (median.unwrap_or(UNKNOWN_INTERVAL_MS), load_slope(speeds))
+}
+
 /// Returns whether an item that waits for a slot of a faster target that is full now is expected to end
 /// sooner than in `run_ms` from now.
 fn ends_sooner(full: &[Candidate<'_>], work: &Work, run_ms: f64) -> bool {
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -109,6 +109,9 @@
             pace,
             median_ms: Some(usual as f64),
             moves: 0,
+            here_ms: (left * slow) as f64,
+            there_ms: Some((reading + left * usual) as f64),
+            group_ms: 0.0,
         };
         if decide_move(&run) == Some(Move::Slow) {
             at += reading + left * usual;
@@ -122,17 +125,66 @@
     );
 }
 
+/// A run that ends as soon as at any other target.
+fn steady() -> RunView {
+    RunView {
+        answering: true,
+        silent: Millis(0),
+        pace: Pace {
+            interval_ms: 40.0,
+            events: 9,
+        },
+        median_ms: Some(40.0),
+        moves: 0,
+        here_ms: 4_000.0,
+        there_ms: Some(4_000.0),
+        group_ms: 0.0,
+    }
+}
+
 #[rstest]
-#[case(RunView { answering: true, silent: Millis(300), pace: Pace { interval_ms: 40.0, events: 9 }, median_ms: Some(40.0), moves: 0 }, None)]
-#[case(RunView { answering: true, silent: Millis(900), pace: Pace { interval_ms: 40.0, events: 9 }, median_ms: Some(40.0), moves: 0 }, Some(Move::Silent))]
-#[case(RunView { answering: true, silent: Millis(900), pace: Pace { interval_ms: 40.0, events: 9 }, median_ms: Some(40.0), moves: 1 }, None)]
-#[case(RunView { answering: false, silent: Millis(900), pace: Pace::default(), median_ms: Some(40.0), moves: 0 }, Some(Move::Queued))]
-#[case(RunView { answering: true, silent: Millis(9_000), pace: Pace::default(), median_ms: None, moves: 9 }, None)]
-fn moves_depend_on_silence_queue_wait_and_pace(
-    #[case] run: RunView,
+#[case(RunView { answering: true, silent: Millis(300), pace: Pace { interval_ms: 40.0, events: 9 }, median_ms: Some(40.0), moves: 0, ..steady() }, None)]
+#[case(RunView { answering: true, silent: Millis(900), pace: Pace { interval_ms: 40.0, events: 9 }, median_ms: Some(40.0), moves: 0, ..steady() }, Some(Move::Silent))]
+#[case(RunView { answering: true, silent: Millis(900), pace: Pace { interval_ms: 40.0, events: 9 }, median_ms: Some(40.0), moves: 1, ..steady() }, None)]
+#[case(RunView { answering: false, silent: Millis(900), pace: Pace::default(), median_ms: Some(40.0), moves: 0, ..steady() }, Some(Move::Queued))]
+#[case(RunView { answering: true, silent: Millis(9_000), pace: Pace::default(), median_ms: None, moves: 9, ..steady() }, None)]
+fn moves_depend_on_silence_and_queue_wait(#[case] run: RunView, #[case] expected: Option<Move>) {
+    assert_eq!(decide_move(&run), expected);
+}
+
+/// A run moves if what is left of it ends much sooner elsewhere. Guards against moves by a ratio of
+/// speeds: of runs that are nearly done, or that their group doesn't wait for.
+#[rstest]
+#[case::much_left(4_000.0, Some(1_600.0), 0.0, 0, Some(Move::Slow))]
+#[case::little_left(800.0, Some(100.0), 0.0, 0, None)]
+#[case::group_is_later(4_000.0, Some(1_600.0), 3_500.0, 0, None)]
+#[case::group_ends_between(4_000.0, Some(500.0), 2_000.0, 0, Some(Move::Slow))]
+#[case::hardly_faster(4_000.0, Some(2_900.0), 0.0, 0, None)]
+#[case::no_other_target(4_000.0, None, 0.0, 0, None)]
+#[case::has_moved_twice(4_000.0, Some(1_600.0), 0.0, 2, None)]
+fn a_slow_run_moves_if_its_rest_ends_much_sooner_elsewhere(
+    #[case] here_ms: f64,
+    #[case] there_ms: Option<f64>,
+    #[case] group_ms: f64,
+    #[case] moves: u32,
     #[case] expected: Option<Move>,
 ) {
+    let run = RunView {
+        moves,
+        here_ms,
+        there_ms,
+        group_ms,
+        ..steady()
+    };
     assert_eq!(decide_move(&run), expected);
+    let beginning = RunView {
+        pace: Pace {
+            events: 2,
+            ..run.pace
+        },
+        ..run
+    };
+    assert_eq!(decide_move(&beginning), None, "its pace isn't known yet");
 }
 
 fn batch(items: usize, attempts: u32) -> Batch {
--- a/crates/godwitspool-host/tests/placement.rs
+++ b/crates/godwitspool-host/tests/placement.rs
@@ -6,7 +6,10 @@
 use std::{collections::HashMap, sync::Arc};
 
 use godwitspool_host::{
-    batch::{Batch, ItemSpec, ItemState, RouteLengths, Submission, groups},
+    batch::{
+        Batch, ItemSpec, ItemState, Move, Pace, RouteLengths, RunFailure, RunView, Submission,
+        decide_move, groups, may_move,
+    },
     version::{Fleet, Outcome, PlaceRequest, TargetEntry, Work},
 };
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
@@ -30,6 +33,7 @@
 /// A target is disturbed for 2 s of 14 s, in which its events take 2.5 times as long.
 const NOISE_FACTOR: f64 = 2.5;
 
+#[derive(Clone)]
 struct Day {
     /// Natural times per event of the targets, in turn, relative to the mean.
     speeds: [f64; 3],
@@ -38,7 +42,8 @@
     load: f64,
     /// Whether speeds are observed.
     learns: bool,
-    seed: u64,
+    /// Whether runs move.
+    moves: bool,
 }
 
 #[derive(Debug, Default)]
@@ -62,8 +67,9 @@
     item: usize,
     target: usize,
     progress: f64,
-    began: u64,
+    /// When the last event arrived.
     last: u64,
+    pace: Pace,
 }
 
 struct Replay {
@@ -86,7 +92,7 @@
 }
 
 impl Replay {
-    fn new(day: Day) -> Self {
+    fn new(day: Day, seed: u64) -> Self {
         let mut fleet = Fleet::default();
         for target in 0..TARGETS {
             fleet.apply(TargetEntry {
@@ -103,7 +109,7 @@
         let models: Vec<ModelName> = (0..TRAINERS).map(model).collect();
         Self {
             assigned: fleet.assign_models(&ServiceName::from("engine"), &models),
-            rng: StdRng::seed_from_u64(day.seed),
+            rng: StdRng::seed_from_u64(seed),
             day,
             fleet,
             lengths: RouteLengths::default(),
@@ -184,11 +190,13 @@
             if done == before {
                 continue;
             }
-            if self.day.learns && run.last > run.began {
+            if self.day.learns && run.pace.events > 0 {
                 let interval = (now - run.last) as f64 / (done - before) as f64;
                 self.fleet
                     .record_pace(&name(run.target), interval, Millis(now));
             }
+            run.pace
+                .push((done - before) as u32, Millis(now - run.last));
             run.last = now;
             for number in before + 1..=done {
                 batch.items[run.item].progress.push(number, b"x");
@@ -219,57 +227,128 @@
         }
     }
 
+    /// Ends the runs that move, as the runner does.
+    fn check_moves(&mut self, now: u64) {
+        let mut index = 0;
+        while index < self.runs.len() {
+            if self.check_move(&self.runs[index], now).is_none() {
+                index += 1;
+                continue;
+            }
+            let run = self.runs.remove(index);
+            self.outcomes.moves += 1.0;
+            let now = Millis(now);
+            self.fleet.finish(&name(run.target), Outcome::Dropped, now);
+            let batch = &mut self.batches[run.batch].0;
+            batch.fail(run.item, RunFailure::Moved, now);
+        }
+    }
+
+    fn check_move(&self, run: &Run, now: u64) -> Option<Move> {
+        let batch = &self.batches[run.batch].0;
+        let work = self.work(batch, run.item);
+        let (speed, median_ms) = self.fleet.speed(&name(run.target), Millis(now))?;
+        let view = RunView {
+            answering: true,
+            silent: Millis(0),
+            pace: run.pace,
+            median_ms: Some(median_ms),
+            moves: batch.items[run.item].moves,
+            here_ms: speed.observed(run.pace.interval_ms).run_ms(work.events),
+            there_ms: None,
+            group_ms: if batch.is_wanted(run.item) {
+                batch.group_events_left(run.item, &self.lengths) * median_ms
+            } else {
+                f64::INFINITY
+            },
+        };
+        if !may_move(&view) {
+            return None;
+        }
+        let there = self.fleet.place(&PlaceRequest {
+            assigned: &HashMap::new(),
+            dc: &Dc::from("north"),
+            excluded: Some(&name(run.target)),
+            host: 1,
+            model: &batch.submission.model,
+            now: Millis(now),
+            service: &ServiceName::from("engine"),
+            versions: &(1..=u64::MAX),
+            work: Work {
+                events: work.events + 1.0,
+                ..work
+            },
+        })?;
+        let there_ms = Some(there.run_ms);
+        decide_move(&RunView { there_ms, ..view })
+    }
+
     fn start_items(&mut self, now: u64) {
-        let service = ServiceName::from("engine");
         let mut open: Vec<usize> = (0..self.batches.len())
             .filter(|batch| self.batches[*batch].0.is_open())
             .collect();
         open.sort_by_key(|batch| &self.batches[*batch].0.submission.id);
+        for index in &open {
+            for item in self.batches[*index].0.interrupted(Millis(now)) {
+                self.start_item(*index, item, None, now);
+            }
+        }
         for index in open {
             'batch: while let Ok(items) = self.batches[index].0.next_items(Millis(now)) {
                 for (item, ahead) in items {
-                    let batch = &self.batches[index].0;
-                    let placed = self.fleet.place(&PlaceRequest {
-                        assigned: &self.assigned,
-                        dc: &Dc::from("north"),
-                        excluded: None,
-                        host: 1,
-                        model: &batch.submission.model,
-                        now: Millis(now),
-                        service: &service,
-                        versions: &(1..=u64::MAX),
-                        work: Work {
-                            ahead: ahead.unwrap_or_default(),
-                            patient: ahead.is_some(),
-                            ..self.work(batch, item)
-                        },
-                    });
-                    let Some(place) = placed else {
-                        break 'batch;
-                    };
-                    let batch = &mut self.batches[index].0;
-                    if place.defer && batch.defer(item, Millis(now)) {
-                        continue;
+                    match self.start_item(index, item, ahead, now) {
+                        Some(true) => continue 'batch,
+                        Some(false) => {}
+                        None => break 'batch,
                     }
-                    batch.start(item);
-                    self.fleet.start(&place.target);
-                    self.outcomes.runs += 1.0;
-                    let target = place.target.as_str()[1..].parse().unwrap();
-                    self.runs.push(Run {
-                        batch: index,
-                        item,
-                        target,
-                        progress: batch.items[item].progress.last_event.unwrap_or_default() as f64,
-                        began: now,
-                        last: now,
-                    });
-                    continue 'batch;
                 }
                 break;
             }
         }
     }
 
+    /// Starts an item if there is room for it. Returns whether it did; `None` if there is none.
+    fn start_item(
+        &mut self,
+        index: usize,
+        item: usize,
+        ahead: Option<usize>,
+        now: u64,
+    ) -> Option<bool> {
+        let batch = &self.batches[index].0;
+        let place = self.fleet.place(&PlaceRequest {
+            assigned: &self.assigned,
+            dc: &Dc::from("north"),
+            excluded: None,
+            host: 1,
+            model: &batch.submission.model,
+            now: Millis(now),
+            service: &ServiceName::from("engine"),
+            versions: &(1..=u64::MAX),
+            work: Work {
+                ahead: ahead.unwrap_or_default(),
+                patient: ahead.is_some(),
+                ..self.work(batch, item)
+            },
+        })?;
+        let batch = &mut self.batches[index].0;
+        if place.defer && batch.defer(item, Millis(now)) {
+            return Some(false);
+        }
+        batch.start(item);
+        self.fleet.start(&place.target);
+        self.outcomes.runs += 1.0;
+        self.runs.push(Run {
+            batch: index,
+            item,
+            target: place.target.as_str()[1..].parse().unwrap(),
+            progress: batch.items[item].progress.last_event.unwrap_or_default() as f64,
+            last: now,
+            pace: Pace::default(),
+        });
+        Some(true)
+    }
+
     /// Ends the steps that are complete or given up, and counts those that are due now.
     fn judge(&mut self, now: u64) {
         for (batch, _, received) in &mut self.batches {
@@ -307,23 +386,19 @@
             }
             self.advance(now);
             self.judge(now);
+            if self.day.moves && tick % 15 == 0 {
+                self.check_moves(now);
+            }
             self.start_items(now);
         }
         self.outcomes
     }
 }
 
-fn replay(speeds: [f64; 3], noise: bool, load: f64, learns: bool) -> Outcomes {
-    let day = |seed| Day {
-        speeds,
-        noise,
-        load,
-        learns,
-        seed,
-    };
+fn replay(day: &Day) -> Outcomes {
     let mut sum = Outcomes::default();
     for seed in 0..SEEDS {
-        let outcomes = Replay::new(day(seed)).run();
+        let outcomes = Replay::new(day.clone(), seed).run();
         for (sum, step) in sum.steps.iter_mut().zip(outcomes.steps) {
             *sum = (sum.0 + step.0, sum.1 + step.1);
         }
@@ -340,7 +415,16 @@
 /// Returns the part of the wanted groups that were whole when they were due, without and with knowledge
 /// of the targets' speeds.
 fn whole_groups(speeds: [f64; 3], noise: bool, load: f64) -> [f64; 2] {
-    [false, true].map(|learns| replay(speeds, noise, load, learns).whole())
+    [false, true].map(|learns| {
+        let day = Day {
+            speeds,
+            noise,
+            load,
+            learns,
+            moves: false,
+        };
+        replay(&day).whole()
+    })
 }
 
 /// Guards against long items that start at targets that are slow by nature, although faster ones will be
@@ -367,3 +451,25 @@
         "{known:.3} after {unknown:.3}"
     );
 }
+
+/// Guards against moves that cost more than they bring: slots that others need, and repeated requests.
+#[rstest]
+#[case::even([1.0; 3], false, 0.01)]
+#[case::uneven([0.6, 1.0, 1.6], true, 0.08)]
+fn moves_are_few_and_make_no_group_late(
+    #[case] speeds: [f64; 3],
+    #[case] noise: bool,
+    #[case] most: f64,
+) {
+    let [without, with] = [false, true].map(|moves| {
+        replay(&Day {
+            speeds,
+            noise,
+            load: 1.3,
+            learns: true,
+            moves,
+        })
+    });
+    assert!(with.whole() > without.whole() - 0.01);
+    assert!(with.moves < with.runs * most, "{with:?}");
+}
