Placement: the order among a host's steps, and items without a run for long

Cause: batches started in the order of partition and identifier, so which step got the slots was chance, and items at the end of an order waited for seconds while others of their step ran.

Change: order_steps: steps that can still be complete when they are due first, among them the one with the least work left, halved for each late step in a row of its trainer. An item without a run for 4 s, while others of its step have run, goes before all others. The deferral is decided before the permit is taken. Counters of steps, lines of steps and their trainer's late steps.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod reward;
 mod runner;
+mod schedule;
 mod state;
 mod stored_results;
 mod wire;
@@ -31,6 +32,7 @@
 pub use registry::{BatchRegistry, Lookup, OwnedPartition, page};
 pub use reward::{RewardOutcome, call_backoff};
 pub use runner::Runner;
+pub use schedule::{DecisionMetrics, MAX_IDLE_MS, StepView, order_steps};
 pub use state::{Batch, Finished, Item, ItemProgress, ItemState, RunFailure, Verdict};
 pub use stored_results::StoredResults;
 
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -1,17 +1,24 @@
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use godwitspool_request::stable_hash;
-use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
+use godwitspool_types::{Millis, ModelName, ServiceName, TargetName, Workspace};
 
 use super::{
     Batch, EVENT_TOKENS, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure,
-    RunView, Submission, Verdict, claimant, decide_move, may_move, reward::RewardCall,
+    RunView, StepView, Submission, Verdict, claimant, decide_move, may_move, order_steps,
+    reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Progress, wait},
     lease_clock,
-    process::{Shared, TargetStart},
+    process::{Shared, TargetStart, unix_ms},
     store::Topic,
     version::{
         Basis, CHOICE_LIFETIME, Configuration, Fleet, Outcome, PlaceRequest, Placement, Work,
@@ -31,6 +38,11 @@
 /// Interval between checks whether a run would end sooner elsewhere. It is short compared with the least
 /// time that a move saves.
 const LOOK_INTERVAL: Millis = Millis(300);
+/// Age at which the order among batches is determined again. It looks at all items, and a step changes
+/// little within this part of the seconds until it is due.
+const ORDER_INTERVAL: Millis = Millis(250);
+/// Events per millisecond of a model without a target, so that its steps come last.
+const MIN_EVENT_RATE: f64 = 1e-6;
 /// Interval between checks for stalled runs, and for targets for the waiting items.
 const CHECK_INTERVAL: Millis = Millis(100);
 
@@ -47,6 +59,11 @@
     last_check: Millis,
     /// Number of batches that wait for a newer configuration.
     held: usize,
+    /// Number of each trainer's last steps in a row that were late, by workspace and model.
+    lost: HashMap<(Workspace, ModelName), u32>,
+    /// The open batches in the order in which their items start, and when it was determined.
+    ordered: Vec<(u32, String)>,
+    ordered_at: Millis,
 }
 
 /// A run: one attempt to run an item at a target.
@@ -76,6 +93,15 @@
     service: ServiceName,
 }
 
+/// The order in which items start: those that have waited too long, those that were interrupted, and then
+/// the others.
+#[derive(Clone, Copy)]
+enum Turn {
+    Idle,
+    Interrupted,
+    Fresh,
+}
+
 /// What the starts of a batch's items share, and what comes of them.
 struct Round<'a> {
     configuration: &'a Configuration,
@@ -137,6 +163,9 @@
         Self {
             shared,
             held: 0,
+            lost: HashMap::new(),
+            ordered: Vec::new(),
+            ordered_at: Millis::ZERO,
             last_check: Millis::ZERO,
             lengths: RouteLengths::default(),
             runs: Vec::new(),
@@ -271,7 +300,8 @@
         let now = self.shared.clock.now();
         let mut started = Vec::new();
         let mut held = 0_usize;
-        let mut parts = self.shared.owned_batches.lock();
+        let shared = Arc::clone(&self.shared);
+        let mut parts = shared.owned_batches.lock();
         let mut open: Vec<(u32, String)> = Vec::new();
         for (number, part) in &mut *parts {
             if is_stale(&self.shared, *number, part) {
@@ -287,7 +317,8 @@
                 }
             }
         }
-        for fresh in [false, true] {
+        self.order_open(&mut open, &mut parts, &configuration, now);
+        for turn in [Turn::Idle, Turn::Interrupted, Turn::Fresh] {
             for (number, id) in &open {
                 let Some(part) = parts.get_mut(number) else {
                     continue;
@@ -302,10 +333,17 @@
                     started: Vec::new(),
                     dropped: Vec::new(),
                 };
-                waiting |= if fresh {
-                    self.start_fresh(&mut round, batch)
-                } else {
-                    self.start_interrupted(&mut round, batch)
+                waiting |= match turn {
+                    Turn::Fresh => self.start_fresh(&mut round, batch),
+                    Turn::Idle => {
+                        let age_ms = unix_ms().saturating_sub(batch.submission.received_ms);
+                        let items = batch.idle_items(age_ms, now);
+                        self.start_each(&mut round, batch, &items)
+                    }
+                    Turn::Interrupted => {
+                        let items = batch.interrupted(now);
+                        self.start_each(&mut round, batch, &items)
+                    }
                 };
                 let runs = round.started.into_iter().map(|run| Run {
                     part: *number,
@@ -327,10 +365,109 @@
         waiting
     }
 
-    /// Starts the items of a batch that were interrupted; returns whether any is left waiting.
-    fn start_interrupted(&self, round: &mut Round<'_>, batch: &mut Batch) -> bool {
+    /// Orders the open batches by the need of their steps, and records which steps were late.
+    fn order_open(
+        &mut self,
+        open: &mut Vec<(u32, String)>,
+        parts: &mut BTreeMap<u32, OwnedPartition>,
+        configuration: &Configuration,
+        now: Millis,
+    ) {
+        let is_current = now - self.ordered_at < ORDER_INTERVAL
+            && self.ordered.len() == open.len()
+            && open.iter().all(|batch| self.ordered.contains(batch));
+        if is_current {
+            open.clone_from(&self.ordered);
+            return;
+        }
+        let at_ms = unix_ms();
+        for batch in parts
+            .values_mut()
+            .flat_map(|part| part.batches.values_mut())
+        {
+            self.judge(batch, at_ms);
+        }
+        if open.len() > 1 {
+            let views: Vec<StepView> = open
+                .iter()
+                .map(|(number, id)| {
+                    let batch = parts.get(number).and_then(|part| part.batches.get(id));
+                    batch.map_or(StepView::default(), |batch| {
+                        self.step_view(batch, configuration, at_ms, now)
+                    })
+                })
+                .collect();
+            let order = order_steps(&views);
+            if order.iter().any(|index| views[*index].lost > 0) || !order.is_sorted() {
+                log::debug!(views:?, order:?; "steps ordered");
+            }
+            *open = order.into_iter().map(|index| open[index].clone()).collect();
+        }
+        self.ordered.clone_from(open);
+        self.ordered_at = now;
+    }
+
+    /// Records whether a step was complete when it was due, once that is known.
+    fn judge(&mut self, batch: &mut Batch, at_ms: u64) {
+        let submission = &batch.submission;
+        if batch.judged || submission.wanted_groups == 0 || submission.due_ms == 0 {
+            return;
+        }
+        let age_ms = at_ms.saturating_sub(submission.received_ms);
+        let whole = batch.whole_groups();
+        let complete = whole >= submission.wanted_groups as usize;
+        if !complete && age_ms < submission.due_ms {
+            return;
+        }
+        if age_ms > submission.due_ms.saturating_mul(2) {
+            // Taken over too late to know.
+            batch.judged = true;
+            return;
+        }
+        let trainer = (submission.workspace.clone(), submission.model.clone());
+        let lost = self.lost.entry(trainer).or_default();
+        *lost = if complete { 0 } else { *lost + 1 };
+        self.shared
+            .decisions
+            .steps
+            .count(if complete { "complete" } else { "late" });
+        log::info!(
+            batch:% = submission.id, step = submission.step, model:% = submission.model, complete,
+            groups = whole, wanted = submission.wanted_groups, age_ms, lost = *lost;
+            "step judged"
+        );
+        batch.judged = true;
+    }
+
+    fn step_view(
+        &self,
+        batch: &Batch,
+        configuration: &Configuration,
+        at_ms: u64,
+        now: Millis,
+    ) -> StepView {
+        let submission = &batch.submission;
+        let age_ms = at_ms.saturating_sub(submission.received_ms);
+        let route = configuration.route(&submission.host, &submission.prefix);
+        let service = route.and_then(|route| route.service(rand::random()));
+        let versions = submission.min_version..=u64::MAX;
+        let rate = service.map_or(0.0, |service| {
+            let fleet = self.shared.fleet();
+            fleet.event_rate(service, &submission.model, &versions, now)
+        });
+        let trainer = (submission.workspace.clone(), submission.model.clone());
+        StepView {
+            due_in_ms: submission.due_ms as f64 - age_ms as f64,
+            lost: self.lost.get(&trainer).copied().unwrap_or_default(),
+            work_ms: batch.events_to_complete(&self.lengths) / rate.max(MIN_EVENT_RATE),
+        }
+    }
+
+    /// Starts these items of a batch; returns whether any is left waiting.
+    fn start_each(&self, round: &mut Round<'_>, batch: &mut Batch, items: &[usize]) -> bool {
         let mut waiting = false;
-        for item in batch.interrupted(round.now) {
+        for item in items {
+            let item = *item;
             match self.try_item(round, batch, (item, None)) {
                 Tried::Passed | Tried::Started => {}
                 Tried::Deferred => waiting = true,
@@ -441,7 +578,10 @@
             versions: &versions,
             work,
         });
-        let permitted = |place: &Placement| place.defer || fleet.take_permit(&place.target, now);
+        if placed.as_ref().is_some_and(|place| place.defer) && batch.defer(index, now) {
+            return Start::Deferred;
+        }
+        let permitted = |place: &Placement| fleet.take_permit(&place.target, now);
         let Some(place) = placed.filter(permitted) else {
             let waiting = batch.waiting_items();
             let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
@@ -449,9 +589,6 @@
             shared.permits.want(lacking);
             return Start::NoRoom;
         };
-        if place.defer && batch.defer(index, now) {
-            return Start::Deferred;
-        }
         let progress = &batch.items[index].progress;
         let (name, address, born) = (place.target.clone(), place.address, place.born);
         let entries_ms = shared.observe_entry_age(&fleet);
@@ -474,9 +611,9 @@
         };
         fleet.start(&name);
         drop(fleet);
-        shared.placements.count(place.kind());
+        shared.decisions.placements.count(place.kind());
         if batch.items[index].deferred_since.is_some() {
-            shared.placements.count("deferred");
+            shared.decisions.placements.count("deferred");
         }
         log::info!(
             batch:% = submission.id, item:% = spec.id, target_name:% = name,
@@ -643,7 +780,7 @@
                 group_ms = view.group_ms.round();
                 "run moves"
             );
-            shared.moves.count(reason.as_str());
+            shared.decisions.moves.count(reason.as_str());
             let outcome = match reason {
                 Move::Slow => Outcome::Dropped,
                 Move::Queued | Move::Silent => Outcome::Stalled,
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ItemResult, RewardOutcome, RouteLengths, Submission, groups, order_items, wanted_items,
+    ItemResult, MAX_IDLE_MS, RewardOutcome, RouteLengths, Submission, groups, order_items,
+    wanted_items,
 };
 
 /// Delay before an item is retried after a run failed. Refused items are not delayed, since the
@@ -95,6 +96,8 @@
     pub empty_runs: u32,
     /// Number of moves to another target.
     pub moves: u32,
+    /// When its last run at this host ended, if it has had one.
+    pub ran_until: Option<Millis>,
     /// Since when the item waits for a faster target although a slower one has a free slot.
     pub deferred_since: Option<Millis>,
     /// Partial output.
@@ -210,6 +213,8 @@
     pub results: Vec<Arc<ItemResult>>,
     /// Whether the caller has ended the batch.
     pub ended: bool,
+    /// Whether it was recorded if the step was complete when it was due.
+    pub judged: bool,
     /// When callers last read the results at this host, or when it took the batch over, in milliseconds
     /// since 1970.
     pub read_ms: u64,
@@ -232,6 +237,7 @@
             empty_runs: 0,
             rejections: 0,
             moves: 0,
+            ran_until: None,
             deferred_since: None,
             progress: ItemProgress::default(),
             saved_event: None,
@@ -257,6 +263,7 @@
             order: order_items(&submission),
             wanted: wanted_items(&submission),
             group_numbers,
+            judged: false,
             read_ms: submission.received_ms,
             submission,
             items,
@@ -416,6 +423,58 @@
             .collect()
     }
 
+    /// Returns the items that have had no run for so long that they must not wait longer while others of
+    /// the step run. `age_ms` is the time since the submission.
+    pub fn idle_items(&self, age_ms: u64, now: Millis) -> Vec<usize> {
+        if self.ended || !self.has_begun() {
+            return Vec::new();
+        }
+        let is_idle = |index: &usize| {
+            let item = &self.items[*index];
+            let idle_ms = item.ran_until.map_or(age_ms, |until| (now - until).0);
+            idle_ms >= MAX_IDLE_MS && item.may_start(now)
+        };
+        self.order.iter().copied().filter(is_idle).collect()
+    }
+
+    /// Returns whether any item of the batch runs or has run.
+    pub fn has_begun(&self) -> bool {
+        self.items.iter().any(|item| {
+            !matches!(item.state, ItemState::Waiting { .. })
+                || item.ran_until.is_some()
+                || item.progress.last_event.is_some()
+        })
+    }
+
+    /// Returns the number of groups that have ended whole.
+    pub fn whole_groups(&self) -> usize {
+        let mut whole = vec![true; self.items.len()];
+        for (item, group) in self.items.iter().zip(&self.group_numbers) {
+            whole[*group] &= item.state == ItemState::Done;
+        }
+        let groups = self.group_numbers.iter().max().map_or(0, |last| last + 1);
+        whole[..groups].iter().filter(|whole| **whole).count()
+    }
+
+    /// Returns how many events the step needs until the wanted number of groups is whole. The groups that
+    /// need least are counted on.
+    pub fn events_to_complete(&self, lengths: &RouteLengths) -> f64 {
+        let groups = self.group_numbers.iter().max().map_or(0, |last| last + 1);
+        let mut left = vec![0.0_f64; groups];
+        for (index, item) in self.items.iter().enumerate() {
+            if item.state == ItemState::Done || item.progress.complete {
+                continue;
+            }
+            let done = item.progress.last_event.unwrap_or_default();
+            let hint = self.submission.items[index].hint;
+            let events = lengths.events_left(&self.submission, hint, done);
+            left[self.group_numbers[index]] += events;
+        }
+        left.sort_by(f64::total_cmp);
+        let wanted = left.iter().take(self.submission.wanted_groups as usize);
+        wanted.sum()
+    }
+
     /// Returns whether an item is of the groups that the trainer is expected to wait for.
     pub fn is_wanted(&self, item: usize) -> bool {
         self.order[..self.wanted].contains(&item)
@@ -495,6 +554,7 @@
     pub fn fail(&mut self, item: usize, failure: RunFailure, now: Millis) -> Verdict {
         let attempts = self.submission.attempts.max(1);
         let item = &mut self.items[item];
+        item.ran_until = Some(now);
         match failure {
             RunFailure::Failed => item.failures += 1,
             RunFailure::Rejected => item.rejections += 1,
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     Settings,
-    batch::BatchRegistry,
+    batch::{BatchRegistry, DecisionMetrics},
     dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
@@ -97,10 +97,8 @@
     durations: Mutex<DurationEstimates>,
     /// Number of runs of batch items by outcome.
     pub runs: CounterByReason,
-    /// Number of moves of runs by reason.
-    pub moves: CounterByReason,
-    /// Number of starts of items by kind of target, and of those that had waited for a faster one.
-    pub placements: CounterByReason,
+    /// Counts of decisions about items and steps.
+    pub decisions: DecisionMetrics,
     /// Durations of completed runs in seconds.
     pub run_seconds: Histogram,
     /// Number of reward calls by outcome.
@@ -167,8 +165,7 @@
             "Requests that ended while the process drained, by how they ended",
         );
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
-        let moves = metrics.counter_by_reason("moves", "Runs that moved, by reason");
-        let placements = metrics.counter_by_reason("placements", "Choices of a target for an item");
+        let decisions = DecisionMetrics::new(&metrics);
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let leavings = metrics.counter_by_reason(
             "targets_leaving",
@@ -229,8 +226,7 @@
             ending: Ending::new()?,
             durations: Mutex::default(),
             runs,
-            moves,
-            placements,
+            decisions,
             run_seconds,
             calls,
             score_seconds,
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -669,6 +669,29 @@
         Some((target.speed.estimate(median, slope, running, now), median))
     }
 
+    /// Returns how many events per millisecond the targets with one of these versions of a model generate
+    /// if all of their slots are in use.
+    pub fn event_rate(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        versions: &RangeInclusive<u64>,
+        now: Millis,
+    ) -> f64 {
+        let usable = self.usable(service);
+        let (median, slope) = usual_speed(&usable);
+        let able = usable.iter().filter(|target| {
+            let version = target.version(model, now);
+            version.is_some_and(|(version, _)| versions.contains(&version))
+        });
+        let rates = able.map(|target| {
+            let slots = target.entry.slots;
+            let speed = target.speed.estimate(median, slope, slots, now);
+            f64::from(slots) / speed.own_ms.max(1.0)
+        });
+        rates.sum()
+    }
+
     /// Chooses the target for a reward call: the least loaded one that isn't paused and has less than
     /// half of its slots in use, targets of the own data centre first. None is chosen by stale entries.
     ///
--- a/crates/godwitspool-host/tests/placement.rs
+++ b/crates/godwitspool-host/tests/placement.rs
@@ -7,8 +7,8 @@
 
 use godwitspool_host::{
     batch::{
-        Batch, ItemSpec, ItemState, Move, Pace, RouteLengths, RunFailure, RunView, Submission,
-        decide_move, groups, may_move,
+        Batch, ItemSpec, ItemState, Move, Pace, RouteLengths, RunFailure, RunView, StepView,
+        Submission, decide_move, groups, may_move, order_steps,
     },
     version::{Fleet, Outcome, PlaceRequest, TargetEntry, Work},
 };
@@ -26,24 +26,30 @@
 /// Mean time between events, at a target's usual load.
 const INTERVAL_MS: f64 = 100.0;
 const MEAN_EVENTS: f64 = 12.5;
+const ORDER_MS: u64 = 240;
 const SEEDS: u64 = 2;
 const GROUP_ITEMS: usize = 8;
 const TICK_MS: u64 = 20;
 const TICKS: u64 = 2_000;
-/// A target is disturbed for 2 s of 14 s, in which its events take 2.5 times as long.
-const NOISE_FACTOR: f64 = 2.5;
+/// Factor of the time per event of a target that is disturbed.
+const NOISE: f64 = 2.5;
 
 #[derive(Clone)]
 struct Day {
     /// Natural times per event of the targets, in turn, relative to the mean.
     speeds: [f64; 3],
-    noise: bool,
+    /// Factor of the time per event of a target that is disturbed: for 2 s of 14 s.
+    noise: f64,
     /// Submitted work as a multiple of what the targets can do.
     load: f64,
     /// Whether speeds are observed.
     learns: bool,
     /// Whether runs move.
     moves: bool,
+    /// Whether steps are ordered by when they are due.
+    schedules: bool,
+    /// Numbers of groups of the trainers' steps relative to the mean.
+    sizes: [f64; TRAINERS],
 }
 
 #[derive(Debug, Default)]
@@ -54,6 +60,8 @@
     groups: (f64, f64),
     runs: f64,
     moves: f64,
+    /// Items without a run for 5 s while others of their step ran.
+    forgotten: f64,
 }
 
 impl Outcomes {
@@ -78,8 +86,14 @@
     fleet: Fleet,
     lengths: RouteLengths,
     batches: Vec<(Batch, Vec<u64>, u64)>,
+    /// Open batches in the order in which their items start.
+    order: Vec<usize>,
+    /// Number of each trainer's last steps that were late.
+    lost: [u32; TRAINERS],
     runs: Vec<Run>,
     outcomes: Outcomes,
+    /// When each item of a step last ran, by the step's identifier.
+    idle_since: HashMap<String, Vec<u64>>,
     rng: StdRng,
 }
 
@@ -114,8 +128,11 @@
             fleet,
             lengths: RouteLengths::default(),
             batches: Vec::new(),
+            order: Vec::new(),
+            lost: [0; TRAINERS],
             runs: Vec::new(),
             outcomes: Outcomes::default(),
+            idle_since: HashMap::new(),
         }
     }
 
@@ -130,7 +147,8 @@
         let rates = self.day.speeds.iter().map(|speed| 1.0 / speed);
         let slots = f64::from(SLOTS) * TARGETS as f64 * rates.sum::<f64>() / 3.0;
         let items = slots * PERIOD_MS as f64 / INTERVAL_MS / MEAN_EVENTS / TRAINERS as f64;
-        let count = (items * self.day.load / GROUP_ITEMS as f64).round() as usize;
+        let count =
+            (items * self.day.load * self.day.sizes[trainer] / GROUP_ITEMS as f64).round() as usize;
         let mut events = Vec::new();
         let mut items = Vec::new();
         for group in 0..count {
@@ -165,8 +183,8 @@
     }
 
     fn interval(&self, target: usize, now: u64) -> f64 {
-        let disturbed = self.day.noise && (now + target as u64 * 5_100) % 14_000 < 2_000;
-        let noise = if disturbed { NOISE_FACTOR } else { 1.0 };
+        let disturbed = (now + target as u64 * 5_100) % 14_000 < 2_000;
+        let noise = if disturbed { self.day.noise } else { 1.0 };
         let running = self.runs.iter().filter(|run| run.target == target).count();
         // A request more makes the others slower; full targets do the most work.
         let loaded = 0.65 + 0.35 * running as f64 / f64::from(SLOTS);
@@ -287,7 +305,28 @@
         let mut open: Vec<usize> = (0..self.batches.len())
             .filter(|batch| self.batches[*batch].0.is_open())
             .collect();
-        open.sort_by_key(|batch| &self.batches[*batch].0.submission.id);
+        if self.day.schedules {
+            // As the runner does, the order is kept for a while.
+            if now.is_multiple_of(ORDER_MS) || open.iter().any(|index| !self.order.contains(index))
+            {
+                let views: Vec<StepView> = open
+                    .iter()
+                    .map(|index| self.view(&self.batches[*index], now))
+                    .collect();
+                let order = order_steps(&views);
+                self.order = order.into_iter().map(|position| open[position]).collect();
+            }
+            let order = self.order.iter().copied();
+            open = order.filter(|index| open.contains(index)).collect();
+            for index in &open {
+                let (batch, _, received) = &self.batches[*index];
+                for item in batch.idle_items(now - received, Millis(now)) {
+                    self.start_item(*index, item, None, now);
+                }
+            }
+        } else {
+            open.sort_by_key(|batch| &self.batches[*batch].0.submission.id);
+        }
         for index in &open {
             for item in self.batches[*index].0.interrupted(Millis(now)) {
                 self.start_item(*index, item, None, now);
@@ -307,6 +346,20 @@
         }
     }
 
+    fn view(&self, (batch, _, received): &(Batch, Vec<u64>, u64), now: u64) -> StepView {
+        let (service, model) = (ServiceName::from("engine"), &batch.submission.model);
+        let versions = 1..=u64::MAX;
+        let rate = self
+            .fleet
+            .event_rate(&service, model, &versions, Millis(now));
+        let trainer: usize = model.as_str()[1..].parse().unwrap();
+        StepView {
+            due_in_ms: DUE_MS as f64 - (now - received) as f64,
+            lost: self.lost[trainer],
+            work_ms: batch.events_to_complete(&self.lengths) / rate,
+        }
+    }
+
     /// Starts an item if there is room for it. Returns whether it did; `None` if there is none.
     fn start_item(
         &mut self,
@@ -367,11 +420,32 @@
                     let step = &mut self.outcomes.steps[trainer];
                     step.0 += 1.0;
                     step.1 += f64::from(complete);
+                    let lost = &mut self.lost[trainer];
+                    *lost = if complete { 0 } else { *lost + 1 };
                     self.outcomes.groups.0 += f64::from(submission.wanted_groups);
                     let counted = whole.min(submission.wanted_groups as usize);
                     self.outcomes.groups.1 += counted as f64;
                 }
             }
+            if !batch.ended && now.is_multiple_of(1_000) {
+                let mut since = self
+                    .idle_since
+                    .get(&submission.id)
+                    .cloned()
+                    .unwrap_or_default();
+                since.resize(batch.items.len(), *received);
+                for (item, since) in batch.items.iter().zip(&mut since) {
+                    if item.state != (ItemState::Running) && item.state != ItemState::Done {
+                        if now - *since >= 5_000 && batch.has_begun() {
+                            self.outcomes.forgotten += 1.0;
+                            *since = now;
+                        }
+                    } else {
+                        *since = now;
+                    }
+                }
+                self.idle_since.insert(submission.id.clone(), since);
+            }
             batch.ended |= complete || age >= GIVE_UP_MS;
         }
     }
@@ -408,13 +482,14 @@
         );
         sum.runs += outcomes.runs;
         sum.moves += outcomes.moves;
+        sum.forgotten += outcomes.forgotten;
     }
     sum
 }
 
 /// Returns the part of the wanted groups that were whole when they were due, without and with knowledge
 /// of the targets' speeds.
-fn whole_groups(speeds: [f64; 3], noise: bool, load: f64) -> [f64; 2] {
+fn whole_groups(speeds: [f64; 3], noise: f64, load: f64) -> [f64; 2] {
     [false, true].map(|learns| {
         let day = Day {
             speeds,
@@ -422,6 +497,8 @@
             load,
             learns,
             moves: false,
+            schedules: false,
+            sizes: [1.0; TRAINERS],
         };
         replay(&day).whole()
     })
@@ -434,7 +511,7 @@
 #[case([0.6, 1.0, 1.6])]
 fn more_groups_are_whole_in_time_if_the_speeds_are_known(#[case] speeds: [f64; 3]) {
     for load in [1.0, 1.6] {
-        let [unknown, known] = whole_groups(speeds, true, load);
+        let [unknown, known] = whole_groups(speeds, NOISE, load);
         assert!(
             known > unknown + 0.02,
             "{load}: {known:.3} after {unknown:.3}"
@@ -445,7 +522,7 @@
 /// Guards against differences that are found where there are none.
 #[test]
 fn the_speeds_of_even_targets_change_nothing() {
-    let [unknown, known] = whole_groups([1.0; 3], false, 1.0);
+    let [unknown, known] = whole_groups([1.0; 3], 1.0, 1.0);
     assert!(
         (known - unknown).abs() < 0.01,
         "{known:.3} after {unknown:.3}"
@@ -454,11 +531,11 @@
 
 /// Guards against moves that cost more than they bring: slots that others need, and repeated requests.
 #[rstest]
-#[case::even([1.0; 3], false, 0.01)]
-#[case::uneven([0.6, 1.0, 1.6], true, 0.08)]
+#[case::even([1.0; 3], 1.0, 0.01)]
+#[case::uneven([0.6, 1.0, 1.6], NOISE, 0.08)]
 fn moves_are_few_and_make_no_group_late(
     #[case] speeds: [f64; 3],
-    #[case] noise: bool,
+    #[case] noise: f64,
     #[case] most: f64,
 ) {
     let [without, with] = [false, true].map(|moves| {
@@ -468,8 +545,30 @@
             load: 1.3,
             learns: true,
             moves,
+            schedules: false,
+            sizes: [1.0; TRAINERS],
         })
     });
     assert!(with.whole() > without.whole() - 0.01);
     assert!(with.moves < with.runs * most, "{with:?}");
 }
+
+/// Steps are submitted at 1.6 times the capacity. Guards against items that wait for most of the time
+/// until their step is given up while others of it run, and against an order that makes whole groups
+/// fewer than the order of arrival of identifiers does.
+#[test]
+fn hardly_an_item_is_forgotten_while_steps_compete() {
+    let [unordered, ordered] = [false, true].map(|schedules| {
+        replay(&Day {
+            speeds: [1.0, 1.0, 1.3],
+            noise: NOISE,
+            load: 1.6,
+            learns: true,
+            moves: true,
+            schedules,
+            sizes: [0.95, 1.05, 0.9, 1.1],
+        })
+    });
+    assert!(ordered.whole() > unordered.whole());
+    assert!(ordered.forgotten * 4.0 < unordered.forgotten);
+}
