Revert "Merge placement: moves by what is left, the order among steps"

Cause: a move had to save 1 s and 40%, and the order among steps let runs that had moved, and idle items, go before all others. Ruled out: moves alone. Change: runs move by the ratio to the median again, and steps start in the order of partition and identifier.

--- a/crates/godwitspool-host/src/batch/pace.rs
+++ b/crates/godwitspool-host/src/batch/pace.rs
@@ -10,12 +10,9 @@
 const MAX_QUEUE_WAIT: Millis = Millis(800);
 /// Number of events from which on a run's smoothed interval is meaningful.
 const MIN_EVENTS: u32 = 4;
-/// Minimum time that a move of a slow run must save, in milliseconds. The times are estimates, and
-/// each move is one more request at the targets.
-const MIN_GAIN_MS: f64 = 1_000.0;
-/// Minimum part of the remaining time that a move of a slow run must save, as for the stragglers of
-/// `godwitspool-rollout`: below it runs move back and forth.
-const MIN_GAIN_RATIO: f64 = 0.4;
+/// A run whose interval exceeds the median by this factor is moved: the other target needs only a
+/// few milliseconds to process the tokens generated so far.
+const SLOW_FACTOR: f64 = 1.8;
 /// Maximum number of moves of an item. Each move doubles the tolerated time without data.
 const MAX_MOVES: u32 = 6;
 /// Weight of the newest interval in the smoothed one.
@@ -59,13 +56,6 @@
     pub median_ms: Option<f64>,
     /// Number of earlier moves of the item.
     pub moves: u32,
-    /// Expected time until the run ends at its target, in milliseconds.
-    pub here_ms: f64,
-    /// Expected time until the item ends if it moves, with reading the prompt and the output so far and
-    /// the time until the first event, in milliseconds; `None` if no other target can run it now.
-    pub there_ms: Option<f64>,
-    /// Expected time until the other items of its group end, in milliseconds.
-    pub group_ms: f64,
 }
 
 /// Why a run is moved.
@@ -75,28 +65,16 @@
     Queued,
     /// The target has stopped sending data.
     Silent,
-    /// The item is expected to end much sooner at another target.
+    /// The target sends events much slower than the median.
     Slow,
 }
 
-impl Move {
-    /// Returns the label value in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Queued => "queued",
-            Self::Silent => "silent",
-            Self::Slow => "slow",
-        }
-    }
-}
-
 /// Decides whether a run moves to another target that has a free slot.
 ///
-/// Load pattern: a group is complete when its longest item is done, while some targets are slow by
-/// nature or disturbed for seconds, are loading weights, or have crashed without closing their
-/// connections. A run that is behind the rest of its group moves if what is left of it ends much
-/// sooner elsewhere, so a run that is nearly done or no later than its group stays even at a slow
-/// target. Each move repeats the reading of the prompt, and is one more request.
+/// Load pattern: a group is complete when its longest item is done, while some targets are slow,
+/// are loading weights, or have crashed without closing their connections. The other target
+/// processes the tokens generated so far within a few milliseconds, so a move costs less than
+/// waiting for a second.
 ///
 /// ```
 /// use godwitspool_host::batch::{Move, Pace, RunView, decide_move};
@@ -108,39 +86,24 @@
 ///     pace: Pace { interval_ms: 160.0, events: 10 },
 ///     median_ms: Some(40.0),
 ///     moves: 0,
-///     here_ms: 3_200.0,
-///     there_ms: Some(850.0),
-///     group_ms: 400.0,
 /// };
 /// assert_eq!(decide_move(&run), Some(Move::Slow));
-/// let behind = RunView { group_ms: 3_000.0, ..run };
-/// assert_eq!(decide_move(&behind), None);
 /// ```
 pub fn decide_move(run: &RunView) -> Option<Move> {
     if run.moves >= MAX_MOVES {
         return None;
     }
-    let scale = 1_u32 << run.moves;
+    let scale = 1 << run.moves;
     if !run.answering {
-        return (run.silent.0 > MAX_QUEUE_WAIT.0 * u64::from(scale)).then_some(Move::Queued);
+        return (run.silent.0 > MAX_QUEUE_WAIT.0 * scale).then_some(Move::Queued);
     }
     let median = run.median_ms.unwrap_or_default();
     let bound = MIN_SILENCE.0.max((median * SILENCE_FACTOR) as u64);
-    if run.silent.0 > bound * u64::from(scale) {
+    if run.silent.0 > bound * scale {
         return Some(Move::Silent);
     }
-    let there_ms = run.there_ms.filter(|_| run.pace.events >= MIN_EVENTS)?;
-    let gain = run.here_ms - there_ms.max(run.group_ms);
-    let least = (MIN_GAIN_MS * f64::from(scale)).max(run.here_ms * MIN_GAIN_RATIO);
-    (gain >= least).then_some(Move::Slow)
-}
-
-/// Returns whether a run may be worth a look for a faster target: it isn't ahead of its group, and has
-/// enough left that a move could pay.
-pub fn may_move(run: &RunView) -> bool {
-    run.pace.events >= MIN_EVENTS
-        && run.moves < MAX_MOVES
-        && run.here_ms - run.group_ms >= MIN_GAIN_MS
+    let reliable = run.pace.events >= MIN_EVENTS && median > 0.0;
+    (reliable && run.pace.interval_ms > median * SLOW_FACTOR).then_some(Move::Slow)
 }
 
 /// Returns the median of the targets' intervals between events.
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -1,24 +1,17 @@
-use std::{
-    collections::{BTreeMap, HashMap},
-    io, iter,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, io, iter, net::SocketAddr, sync::Arc, time::Duration};
 
 use godwitspool_request::stable_hash;
-use godwitspool_types::{Millis, ModelName, ServiceName, TargetName, Workspace};
+use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
     Batch, EVENT_TOKENS, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure,
-    RunView, StepView, Submission, Verdict, claimant, decide_move, may_move, order_steps,
-    reward::RewardCall,
+    RunView, Submission, Verdict, claimant, decide_move, reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Interest, Progress, wait},
     lease_clock,
-    process::{Shared, TargetStart, unix_ms},
+    process::{Shared, TargetStart},
     store::Topic,
     version::{
         Assignments, Basis, CHOICE_LIFETIME, Configuration, Fleet, Outcome, PlaceRequest,
@@ -36,14 +29,9 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Timeout for connecting to a target: several round trips between data centres.
 const CONNECT_TIMEOUT: Millis = Millis(300);
-/// Interval between checks whether a run would end sooner elsewhere. It is short compared with the least
-/// time that a move saves.
-const LOOK_INTERVAL: Millis = Millis(300);
-/// Age at which the order among batches is determined again. It looks at all items, and a step changes
-/// little within this part of the seconds until it is due.
-const ORDER_INTERVAL: Millis = Millis(250);
-/// Events per millisecond of a model without a target, so that its steps come last.
-const MIN_EVENT_RATE: f64 = 1e-6;
+/// A run moves only to a target whose interval between events is below this multiple of the median,
+/// or unknown.
+const MOVE_PACE_FACTOR: f64 = 1.5;
 /// Interval between checks for stalled runs, and for targets for the waiting items.
 const CHECK_INTERVAL: Millis = Millis(100);
 
@@ -61,11 +49,6 @@
     /// Number of batches that wait for a newer configuration.
     held: usize,
     assignments: Assignments,
-    /// Number of each trainer's last steps in a row that were late, by workspace and model.
-    lost: HashMap<(Workspace, ModelName), u32>,
-    /// The open batches in the order in which their items start, and when it was determined.
-    ordered: Vec<(u32, String)>,
-    ordered_at: Millis,
 }
 
 /// A run: one attempt to run an item at a target.
@@ -86,8 +69,6 @@
     ended_in_noise: bool,
     began: Millis,
     last_data: Millis,
-    /// When it was last weighed whether another target would be faster.
-    last_look: Millis,
     head_read: bool,
     /// Whether the connection broke off behind the request.
     broke_off: bool,
@@ -97,38 +78,6 @@
     expected: Option<u64>,
 }
 
-/// The order in which items start: those that have waited too long, those that were interrupted, and then
-/// the others.
-#[derive(Clone, Copy)]
-enum Turn {
-    Idle,
-    Interrupted,
-    Fresh,
-}
-
-/// What the starts of a batch's items share, and what comes of them.
-struct Round<'a> {
-    configuration: &'a Configuration,
-    now: Millis,
-    started: Vec<Run>,
-    /// Results of items that were given up.
-    dropped: Vec<super::Finished>,
-}
-
-/// What came of an item that was tried.
-enum Tried {
-    /// The item waits for a faster target.
-    Deferred,
-    /// No target can run the item now.
-    NoRoom,
-    /// The item's route leads to no service.
-    NoService,
-    /// The item was given up or held back.
-    Passed,
-    /// The item runs.
-    Started,
-}
-
 /// The outcome of an attempt to start an item.
 enum Start {
     /// The item waits for a faster target, and a shorter one may start.
@@ -168,9 +117,6 @@
             shared,
             assignments: Assignments::default(),
             held: 0,
-            lost: HashMap::new(),
-            ordered: Vec::new(),
-            ordered_at: Millis::ZERO,
             last_check: Millis::ZERO,
             lengths: RouteLengths::default(),
             runs: Vec::new(),
@@ -314,59 +260,70 @@
         let mut started = Vec::new();
         let mut held = 0_usize;
         let mut parts = shared.owned_batches.lock();
-        let mut open: Vec<(u32, String)> = Vec::new();
         for (number, part) in &mut *parts {
             if is_stale(&shared, *number, part) {
                 waiting = true;
                 continue;
             }
-            for batch in part.batches.values().filter(|batch| batch.is_open()) {
-                if batch.submission.runs_under(configuration.version) {
-                    open.push((*number, batch.submission.id.clone()));
-                } else {
+            let mut dropped = Vec::new();
+            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+                if !batch.submission.runs_under(configuration.version) {
                     waiting = true;
                     held += 1;
-                }
-            }
-        }
-        self.order_open(&mut open, &mut parts, &configuration, now);
-        for turn in [Turn::Idle, Turn::Interrupted, Turn::Fresh] {
-            for (number, id) in &open {
-                let Some(part) = parts.get_mut(number) else {
                     continue;
-                };
-                let epoch = part.epoch;
-                let Some(batch) = part.batches.get_mut(id) else {
-                    continue;
-                };
-                let mut round = Round {
-                    configuration: &configuration,
-                    now,
-                    started: Vec::new(),
-                    dropped: Vec::new(),
-                };
-                waiting |= match turn {
-                    Turn::Fresh => self.start_fresh(&mut round, batch),
-                    Turn::Idle => {
-                        let age_ms = unix_ms().saturating_sub(batch.submission.received_ms);
-                        let items = batch.idle_items(age_ms, now);
-                        self.start_each(&mut round, batch, &items)
-                    }
-                    Turn::Interrupted => {
-                        let items = batch.interrupted(now);
-                        self.start_each(&mut round, batch, &items)
+                }
+                'batch: loop {
+                    let items = match batch.next_items(now) {
+                        Ok(items) => items,
+                        Err(soonest) => {
+                            waiting |= soonest.is_some();
+                            break;
+                        }
+                    };
+                    let submission = Arc::clone(&batch.submission);
+                    for (item, ahead) in items {
+                        let spec = &submission.items[item];
+                        let print = || spec.fingerprint(&submission.workspace, &submission.host);
+                        let claimant = claimant(&shared, &submission.id);
+                        if let Some(pause) = shared.suspicion.pause(print, &claimant) {
+                            batch.postpone(item, now + pause);
+                            continue 'batch;
+                        }
+                        let Some(route) = configuration.route(&submission.host, &submission.prefix)
+                        else {
+                            log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up: its route is gone");
+                            dropped.push(batch.finish(item, false));
+                            continue 'batch;
+                        };
+                        let Some(service) = route.service(rand::random()).cloned() else {
+                            break 'batch;
+                        };
+                        match self.start(&configuration, &service, batch, (item, ahead), now) {
+                            Start::Run(run) => {
+                                batch.start(item);
+                                started.push(Run {
+                                    part: *number,
+                                    epoch: part.epoch,
+                                    ..*run
+                                });
+                                continue 'batch;
+                            }
+                            Start::Deferred => waiting = true,
+                            Start::NoRoom => {
+                                waiting = true;
+                                // The operators' record of this version may not have arrived yet.
+                                let (model, oldest) = (&submission.model, submission.min_version);
+                                shared.learn_version(model, oldest, "a batch");
+                                break 'batch;
+                            }
+                        }
                     }
-                };
-                let runs = round.started.into_iter().map(|run| Run {
-                    part: *number,
-                    epoch,
-                    ..run
-                });
-                started.extend(runs);
-                for finished in round.dropped {
-                    part.send_result(finished);
+                    break;
                 }
             }
+            for finished in dropped {
+                part.send_result(finished);
+            }
         }
         drop(parts);
         if held != self.held {
@@ -377,179 +334,6 @@
         waiting
     }
 
-    /// Orders the open batches by the need of their steps, and records which steps were late.
-    fn order_open(
-        &mut self,
-        open: &mut Vec<(u32, String)>,
-        parts: &mut BTreeMap<u32, OwnedPartition>,
-        configuration: &Configuration,
-        now: Millis,
-    ) {
-        let is_current = now - self.ordered_at < ORDER_INTERVAL
-            && self.ordered.len() == open.len()
-            && open.iter().all(|batch| self.ordered.contains(batch));
-        if is_current {
-            open.clone_from(&self.ordered);
-            return;
-        }
-        let at_ms = unix_ms();
-        for batch in parts
-            .values_mut()
-            .flat_map(|part| part.batches.values_mut())
-        {
-            self.judge(batch, at_ms);
-        }
-        if open.len() > 1 {
-            let views: Vec<StepView> = open
-                .iter()
-                .map(|(number, id)| {
-                    let batch = parts.get(number).and_then(|part| part.batches.get(id));
-                    batch.map_or(StepView::default(), |batch| {
-                        self.step_view(batch, configuration, at_ms, now)
-                    })
-                })
-                .collect();
-            let order = order_steps(&views);
-            if order.iter().any(|index| views[*index].lost > 0) || !order.is_sorted() {
-                log::debug!(views:?, order:?; "steps ordered");
-            }
-            *open = order.into_iter().map(|index| open[index].clone()).collect();
-        }
-        self.ordered.clone_from(open);
-        self.ordered_at = now;
-    }
-
-    /// Records whether a step was complete when it was due, once that is known.
-    fn judge(&mut self, batch: &mut Batch, at_ms: u64) {
-        let submission = &batch.submission;
-        if batch.judged || submission.wanted_groups == 0 || submission.due_ms == 0 {
-            return;
-        }
-        let age_ms = at_ms.saturating_sub(submission.received_ms);
-        let whole = batch.whole_groups();
-        let complete = whole >= submission.wanted_groups as usize;
-        if !complete && age_ms < submission.due_ms {
-            return;
-        }
-        if age_ms > submission.due_ms.saturating_mul(2) {
-            // Taken over too late to know.
-            batch.judged = true;
-            return;
-        }
-        let trainer = (submission.workspace.clone(), submission.model.clone());
-        let lost = self.lost.entry(trainer).or_default();
-        *lost = if complete { 0 } else { *lost + 1 };
-        self.shared
-            .decisions
-            .steps
-            .count(if complete { "complete" } else { "late" });
-        log::info!(
-            batch:% = submission.id, step = submission.step, model:% = submission.model, complete,
-            groups = whole, wanted = submission.wanted_groups, age_ms, lost = *lost;
-            "step judged"
-        );
-        batch.judged = true;
-    }
-
-    fn step_view(
-        &self,
-        batch: &Batch,
-        configuration: &Configuration,
-        at_ms: u64,
-        now: Millis,
-    ) -> StepView {
-        let submission = &batch.submission;
-        let age_ms = at_ms.saturating_sub(submission.received_ms);
-        let route = configuration.route(&submission.host, &submission.prefix);
-        let service = route.and_then(|route| route.service(rand::random()));
-        let versions = submission.min_version..=u64::MAX;
-        let rate = service.map_or(0.0, |service| {
-            let fleet = self.shared.fleet();
-            fleet.event_rate(service, &submission.model, &versions, now)
-        });
-        let trainer = (submission.workspace.clone(), submission.model.clone());
-        StepView {
-            due_in_ms: submission.due_ms as f64 - age_ms as f64,
-            lost: self.lost.get(&trainer).copied().unwrap_or_default(),
-            work_ms: batch.events_to_complete(&self.lengths) / rate.max(MIN_EVENT_RATE),
-        }
-    }
-
-    /// Starts these items of a batch; returns whether any is left waiting.
-    fn start_each(&mut self, round: &mut Round<'_>, batch: &mut Batch, items: &[usize]) -> bool {
-        let mut waiting = false;
-        for item in items {
-            let item = *item;
-            match self.try_item(round, batch, (item, None)) {
-                Tried::Passed | Tried::Started => {}
-                Tried::Deferred => waiting = true,
-                // Only a target with the version of its output can take such an item.
-                Tried::NoRoom if batch.pinned_version(item).is_some() => waiting = true,
-                Tried::NoRoom | Tried::NoService => return true,
-            }
-        }
-        waiting
-    }
-
-    /// Starts the items of a batch that have no partial output; returns whether any is left waiting.
-    fn start_fresh(&mut self, round: &mut Round<'_>, batch: &mut Batch) -> bool {
-        'next: loop {
-            let items = match batch.next_items(round.now) {
-                Ok(items) => items,
-                Err(soonest) => return soonest.is_some(),
-            };
-            for item in items {
-                match self.try_item(round, batch, item) {
-                    Tried::Passed | Tried::Started => continue 'next,
-                    Tried::Deferred => {}
-                    Tried::NoRoom => return true,
-                    Tried::NoService => return false,
-                }
-            }
-            return true;
-        }
-    }
-
-    /// Starts an item, given with the number of wanted items that go before it, if it may run now.
-    fn try_item(
-        &mut self,
-        round: &mut Round<'_>,
-        batch: &mut Batch,
-        (item, ahead): (usize, Option<usize>),
-    ) -> Tried {
-        let submission = Arc::clone(&batch.submission);
-        let spec = &submission.items[item];
-        let print = || spec.fingerprint(&submission.workspace, &submission.host);
-        let claimant = claimant(&self.shared, &submission.id);
-        if let Some(pause) = self.shared.suspicion.pause(print, &claimant) {
-            batch.postpone(item, round.now + pause);
-            return Tried::Passed;
-        }
-        let configuration = round.configuration;
-        let Some(route) = configuration.route(&submission.host, &submission.prefix) else {
-            log::warn!(batch:% = submission.id, item:% = spec.id; "item given up: its route is gone");
-            round.dropped.push(batch.finish(item, false));
-            return Tried::Passed;
-        };
-        let Some(service) = route.service(rand::random()).cloned() else {
-            return Tried::NoService;
-        };
-        match self.start(configuration, &service, batch, (item, ahead), round.now) {
-            Start::Run(run) => {
-                batch.start(item);
-                round.started.push(*run);
-                Tried::Started
-            }
-            Start::Deferred => Tried::Deferred,
-            Start::NoRoom => {
-                // The operators' record of this version may not have arrived yet.
-                let (model, oldest) = (&submission.model, submission.min_version);
-                self.shared.learn_version(model, oldest, "a batch");
-                Tried::NoRoom
-            }
-        }
-    }
-
     /// Starts a run of an item, given with the number of wanted items that go before it.
     fn start(
         &mut self,
@@ -591,10 +375,7 @@
             versions: &versions,
             work,
         });
-        if placed.as_ref().is_some_and(|place| place.defer) && batch.defer(index, now) {
-            return Start::Deferred;
-        }
-        let permitted = |place: &Placement| fleet.take_permit(&place.target, now);
+        let permitted = |place: &Placement| place.defer || fleet.take_permit(&place.target, now);
         let Some(place) = placed.filter(permitted) else {
             let waiting = batch.waiting_items();
             let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
@@ -602,8 +383,11 @@
             shared.permits.want(lacking);
             return Start::NoRoom;
         };
+        if place.defer && batch.defer(index, now) {
+            return Start::Deferred;
+        }
         let progress = &batch.items[index].progress;
-        let (name, address, born) = (place.target.clone(), place.address, place.born);
+        let (name, address, born) = (place.target, place.address, place.born);
         let entries_ms = shared.observe_entry_age(&fleet);
         let context = ForwardContext {
             target: &name,
@@ -624,10 +408,6 @@
         };
         fleet.start(&name);
         drop(fleet);
-        shared.decisions.placements.count(place.kind());
-        if batch.items[index].deferred_since.is_some() {
-            shared.decisions.placements.count("deferred");
-        }
         log::info!(
             batch:% = submission.id, item:% = spec.id, target_name:% = name,
             resume_after:? = progress.last_event, failures = batch.items[index].failures, entries_ms,
@@ -651,7 +431,6 @@
             ended_in_noise: false,
             began: now,
             last_data: now,
-            last_look: now,
             head_read: false,
             broke_off: false,
             pace: Pace::default(),
@@ -788,23 +567,20 @@
     }
 
     fn check_stall(
-        &mut self,
+        &self,
         shared: &Shared,
         lengths: &RouteLengths,
         batch: &Batch,
         now: Millis,
     ) -> Step {
         let silent = now - self.last_data;
-        if let Some((reason, view)) = self.check_move(shared, lengths, batch, now) {
+        if let Some(reason) = self.check_move(shared, lengths, batch, now) {
             let spec = &self.submission.items[self.item];
             log::info!(
                 item:% = spec.id, target_name:% = self.target, reason:?, silent_ms = silent.0,
-                between_ms = self.pace.interval_ms, events = self.pace.events,
-                here_ms = view.here_ms.round(), there_ms:? = view.there_ms.map(f64::round),
-                group_ms = view.group_ms.round();
+                between_ms = self.pace.interval_ms, events = self.pace.events;
                 "run moves"
             );
-            shared.decisions.moves.count(reason.as_str());
             let outcome = match reason {
                 Move::Slow => Outcome::Dropped,
                 Move::Queued | Move::Silent => Outcome::Stalled,
@@ -824,52 +600,34 @@
         Step::Ended(RunEnd::Failed(RunFailure::Broken, Outcome::Failed))
     }
 
-    /// Returns why the run should move to another target, and what was weighed; `None` if it should
-    /// stay, no other target has a free slot, or its output must come from a single version.
+    /// Returns why the run should move to another target; `None` if it should stay, no fast enough
+    /// target has a free slot, or its output must come from a single version.
     fn check_move(
-        &mut self,
+        &self,
         shared: &Shared,
         lengths: &RouteLengths,
         batch: &Batch,
         now: Millis,
-    ) -> Option<(Move, RunView)> {
-        if self.submission.single_version {
-            return None;
-        }
+    ) -> Option<Move> {
         let fleet = shared.fleet();
-        let mut view = RunView {
+        let view = RunView {
             answering: self.head_read,
             silent: now - self.last_data,
             pace: self.pace,
             median_ms: fleet.median_pace(&self.service, now),
             moves: batch.items[self.item].moves,
-            here_ms: 0.0,
-            there_ms: None,
-            group_ms: 0.0,
         };
-        let is_stuck = decide_move(&view).is_some();
-        // A cold target is slow for a short time only, and a move would read the prompt again.
+        let reason = decide_move(&view)?;
+        // It is slow for a short time only, and a move would read the prompt again.
         let target = fleet.get(&self.target);
         let is_cold = target.is_some_and(|target| target.cold.is_cold(now));
-        if !is_stuck && (is_cold || now - self.last_look < LOOK_INTERVAL) {
+        if is_cold && reason == Move::Slow {
             return None;
         }
-        self.last_look = now;
-        let work = work_left(lengths, shared, batch, self.item);
-        let (speed, median_ms) = fleet.speed(&self.target, now)?;
-        view.here_ms = speed.observed(self.pace.interval_ms).run_ms(work.events);
-        if !is_stuck {
-            if !batch.is_wanted(self.item) || !may_move(&view) {
-                return None;
-            }
-            view.group_ms = batch.group_events_left(self.item, lengths) * median_ms;
-            if !may_move(&view) {
-                return None;
-            }
-        }
         let versions = self.submission.min_version..=u64::MAX;
+        let assigned = HashMap::new();
         let other = fleet.place(&PlaceRequest {
-            assigned: &HashMap::new(),
+            assigned: &assigned,
             dc: &shared.settings.dc,
             excluded: Some(&self.target),
             host: stable_hash(shared.settings.host.as_str().as_bytes()),
@@ -877,14 +635,11 @@
             now,
             service: &self.service,
             versions: &versions,
-            // The event that is being generated starts over.
-            work: Work {
-                events: work.events + 1.0,
-                ..work
-            },
+            work: work_left(lengths, shared, batch, self.item),
         })?;
-        view.there_ms = Some(other.run_ms);
-        Some((decide_move(&view)?, view))
+        let median = view.median_ms.unwrap_or(f64::MAX);
+        let faster = other.speed.recent_ms < median * MOVE_PACE_FACTOR;
+        (faster && !self.submission.single_version).then_some(reason)
     }
 
     /// Appends the complete events in the buffer to the item's output; returns their number.
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -3,10 +3,7 @@
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::{
-    ItemResult, MAX_IDLE_MS, RewardOutcome, RouteLengths, Submission, groups, order_items,
-    wanted_items,
-};
+use super::{ItemResult, RewardOutcome, Submission, groups, order_items, wanted_items};
 
 /// Delay before an item is retried after a run failed. Refused items are not delayed, since the
 /// refusing target is paused itself.
@@ -96,8 +93,6 @@
     pub empty_runs: u32,
     /// Number of moves to another target.
     pub moves: u32,
-    /// When its last run at this host ended, if it has had one.
-    pub ran_until: Option<Millis>,
     /// Since when the item waits for a faster target although a slower one has a free slot.
     pub deferred_since: Option<Millis>,
     /// Partial output.
@@ -130,12 +125,6 @@
         self.progress.complete && matches!(self.state, ItemState::Waiting { .. })
     }
 
-    /// Returns whether the item waits for a target and may start.
-    fn may_start(&self, now: Millis) -> bool {
-        !self.progress.complete
-            && matches!(self.state, ItemState::Waiting { not_before } if not_before <= now)
-    }
-
     fn discard_output(&mut self) {
         self.progress = ItemProgress::default();
     }
@@ -213,8 +202,6 @@
     pub results: Vec<Arc<ItemResult>>,
     /// Whether the caller has ended the batch.
     pub ended: bool,
-    /// Whether it was recorded if the step was complete when it was due.
-    pub judged: bool,
     /// When callers last read the results at this host, or when it took the batch over, in milliseconds
     /// since 1970.
     pub read_ms: u64,
@@ -237,7 +224,6 @@
             empty_runs: 0,
             rejections: 0,
             moves: 0,
-            ran_until: None,
             deferred_since: None,
             progress: ItemProgress::default(),
             saved_event: None,
@@ -263,7 +249,6 @@
             order: order_items(&submission),
             wanted: wanted_items(&submission),
             group_numbers,
-            judged: false,
             read_ms: submission.received_ms,
             submission,
             items,
@@ -372,8 +357,8 @@
         Err(soonest)
     }
 
-    /// Returns the items without partial output of which one may start now, in the order in which they
-    /// are tried: the next one; if that waits for a faster target, the shortest of the wanted groups; and then the next one
+    /// Returns the items of which one may start now, in the order in which they are tried: the next
+    /// one; if that waits for a faster target, the shortest of the wanted groups; and then the next one
     /// of the other groups. Each comes with the number of wanted items that go before it, `None` if it
     /// isn't wanted itself.
     ///
@@ -382,16 +367,13 @@
     ///
     /// # Errors
     ///
-    /// If there is none, returns the earliest time at which any waiting item may start, or `None` if no
-    /// item is waiting.
+    /// As [`Self::next_item`].
     pub fn next_items(&self, now: Millis) -> Result<Vec<(usize, Option<usize>)>, Option<Millis>> {
-        let waiting = self.next_item(now).map(|_| Some(now));
+        let next = self.next_item(now)?;
         let may_start = |index: &&usize| {
             let item = &self.items[**index];
-            item.may_start(now) && item.progress.last_event.is_none()
-        };
-        let Some(next) = self.order.iter().copied().find(|item| may_start(&item)) else {
-            return Err(waiting.unwrap_or_else(|soonest| soonest));
+            !item.progress.complete
+                && matches!(item.state, ItemState::Waiting { not_before } if not_before <= now)
         };
         let (wanted, others) = self.order.split_at(self.wanted);
         let ready = wanted.iter().filter(may_start).count();
@@ -408,92 +390,6 @@
         Ok(items)
     }
 
-    /// Returns the items that were interrupted and may go on now: they move, or have lost their target.
-    ///
-    /// Load pattern: more items wait than there are slots. An item that is interrupted has given its slot
-    /// up, and would have to wait for the others although little of it may be left.
-    pub fn interrupted(&self, now: Millis) -> Vec<usize> {
-        if self.ended {
-            return Vec::new();
-        }
-        let items = self.order.iter().copied();
-        let began = |item: &usize| self.items[*item].progress.last_event.is_some();
-        items
-            .filter(|item| began(item) && self.items[*item].may_start(now))
-            .collect()
-    }
-
-    /// Returns the items that have had no run for so long that they must not wait longer while others of
-    /// the step run. `age_ms` is the time since the submission.
-    pub fn idle_items(&self, age_ms: u64, now: Millis) -> Vec<usize> {
-        if self.ended || !self.has_begun() {
-            return Vec::new();
-        }
-        let is_idle = |index: &usize| {
-            let item = &self.items[*index];
-            let idle_ms = item.ran_until.map_or(age_ms, |until| (now - until).0);
-            idle_ms >= MAX_IDLE_MS && item.may_start(now)
-        };
-        self.order.iter().copied().filter(is_idle).collect()
-    }
-
-    /// Returns whether any item of the batch runs or has run.
-    pub fn has_begun(&self) -> bool {
-        self.items.iter().any(|item| {
-            !matches!(item.state, ItemState::Waiting { .. })
-                || item.ran_until.is_some()
-                || item.progress.last_event.is_some()
-        })
-    }
-
-    /// Returns the number of groups that have ended whole.
-    pub fn whole_groups(&self) -> usize {
-        let mut whole = vec![true; self.items.len()];
-        for (item, group) in self.items.iter().zip(&self.group_numbers) {
-            whole[*group] &= item.state == ItemState::Done;
-        }
-        let groups = self.group_numbers.iter().max().map_or(0, |last| last + 1);
-        whole[..groups].iter().filter(|whole| **whole).count()
-    }
-
-    /// Returns how many events the step needs until the wanted number of groups is whole. The groups that
-    /// need least are counted on.
-    pub fn events_to_complete(&self, lengths: &RouteLengths) -> f64 {
-        let groups = self.group_numbers.iter().max().map_or(0, |last| last + 1);
-        let mut left = vec![0.0_f64; groups];
-        for (index, item) in self.items.iter().enumerate() {
-            if item.state == ItemState::Done || item.progress.complete {
-                continue;
-            }
-            let done = item.progress.last_event.unwrap_or_default();
-            let hint = self.submission.items[index].hint;
-            let events = lengths.events_left(&self.submission, hint, done);
-            left[self.group_numbers[index]] += events;
-        }
-        left.sort_by(f64::total_cmp);
-        let wanted = left.iter().take(self.submission.wanted_groups as usize);
-        wanted.sum()
-    }
-
-    /// Returns whether an item is of the groups that the trainer is expected to wait for.
-    pub fn is_wanted(&self, item: usize) -> bool {
-        self.order[..self.wanted].contains(&item)
-    }
-
-    /// Returns the largest number of events that another item of an item's group is expected to need.
-    pub fn group_events_left(&self, item: usize, lengths: &RouteLengths) -> f64 {
-        let group = self.group_numbers[item];
-        let others = self.items.iter().enumerate().filter(|(index, other)| {
-            let open = other.state != ItemState::Done && !other.progress.complete;
-            *index != item && open && self.group_numbers[*index] == group
-        });
-        let events = others.map(|(index, other)| {
-            let done = other.progress.last_event.unwrap_or_default();
-            lengths.events_left(&self.submission, self.submission.items[index].hint, done)
-        });
-        events.fold(0.0, f64::max)
-    }
-
     /// Records that an item waits for a faster target although a slower one has a free slot. Returns
     /// whether it may go on to wait.
     pub fn defer(&mut self, item: usize, now: Millis) -> bool {
@@ -554,7 +450,6 @@
     pub fn fail(&mut self, item: usize, failure: RunFailure, now: Millis) -> Verdict {
         let attempts = self.submission.attempts.max(1);
         let item = &mut self.items[item];
-        item.ran_until = Some(now);
         match failure {
             RunFailure::Failed => item.failures += 1,
             RunFailure::Rejected => item.rejections += 1,
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -1,7 +1,6 @@
 use std::{
     collections::HashMap,
     fmt, io,
-    net::SocketAddr,
     sync::{
         Arc, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -20,7 +19,7 @@
 };
 use crate::{
     Settings,
-    batch::{BatchRegistry, DecisionMetrics},
+    batch::BatchRegistry,
     dialect::{Dialect, Duties, Reply},
     http::Pool,
     lease_clock,
@@ -110,8 +109,6 @@
     durations: Mutex<DurationEstimates>,
     /// Number of runs of batch items by outcome.
     pub runs: CounterByReason,
-    /// Counts of decisions about items and steps.
-    pub decisions: DecisionMetrics,
     /// Durations of completed runs in seconds.
     pub run_seconds: Histogram,
     /// Number of reward calls by outcome.
@@ -186,7 +183,6 @@
             "Connections that a limit on clients has ended, by limit",
         );
         let runs = metrics.counter_by_reason("runs", "Runs of items by how they ended");
-        let decisions = DecisionMetrics::new(&metrics);
         let run_seconds = metrics.seconds_histogram("run_seconds", "Times of completed runs");
         let leavings = metrics.counter_by_reason(
             "targets_leaving",
@@ -211,6 +207,10 @@
             "Ages of the targets' entries when a target was chosen",
         );
         let relay_metrics = RelayMetrics::new(&metrics);
+        let own_addresses = [Some(settings.peer), settings.seed]
+            .into_iter()
+            .flatten()
+            .collect();
         let incarnation = rand::random::<u32>();
         let mut member = format!("{}#{incarnation:08x}", settings.peer);
         if is_standby(&settings.resources, &settings.store) {
@@ -246,7 +246,6 @@
             ending: Ending::new()?,
             durations: Mutex::default(),
             runs,
-            decisions,
             run_seconds,
             calls,
             score_seconds,
@@ -264,7 +263,7 @@
             store: Arc::new(Relay::new(
                 adapters.store,
                 &settings.seeds,
-                own_addresses(&settings),
+                own_addresses,
                 relay_metrics,
             )),
             usage: UsageCounts::new(settings.usage_window),
@@ -466,12 +465,6 @@
     age.unwrap_or_default().as_millis() as u64
 }
 
-/// Returns the addresses at which other hosts reach this one.
-fn own_addresses(settings: &Settings) -> Vec<SocketAddr> {
-    let addresses = [Some(settings.peer), settings.seed];
-    addresses.into_iter().flatten().collect()
-}
-
 /// Creates the fleet of a process that knows no target yet.
 fn new_fleet(settings: &Settings, incarnation: u32) -> Fleet {
     let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -209,8 +209,6 @@
     /// Version that the target should have loaded by now; `None` if its entry or a response
     /// has confirmed the version.
     pub expected: Option<u64>,
-    /// Whether the target is assigned to the item's model.
-    pub own: bool,
     /// Time that the rest of the item is expected to take there, in milliseconds.
     pub run_ms: f64,
     /// Expected interval between its events.
@@ -280,17 +278,6 @@
     }
 }
 
-impl Placement {
-    /// Returns the label value in metrics.
-    pub fn kind(&self) -> &'static str {
-        if self.own {
-            "own target"
-        } else {
-            "target of another model"
-        }
-    }
-}
-
 /// All known targets, from which the target of each request is chosen. Callers provide the time and
 /// the locking.
 #[derive(Clone, Debug, Default)]
@@ -1155,7 +1142,10 @@
         }
         let (now, work) = (request.now, &request.work);
         let usable = self.usable(request.service);
-        let (median, slope) = usual_speed(&usable);
+        let speeds = usable.iter().map(|target| &target.speed);
+        let slope = load_slope(speeds.clone());
+        let median = median_pace(speeds.filter_map(TargetSpeed::own_ms).collect());
+        let median = median.unwrap_or(UNKNOWN_INTERVAL_MS);
         let mut free = Vec::new();
         let mut full = Vec::new();
         for target in usable {
@@ -1218,45 +1208,12 @@
             address: entry.address,
             born: entry.born,
             expected: best.expected,
-            own: best.own,
             run_ms: best.run_ms,
             speed: best.speed,
             defer: work.patient && ends_sooner(&full, work, best.run_ms),
         })
     }
 
-    /// Returns the interval to expect between the events of a target that runs what it runs now, and the
-    /// median of the service's targets in milliseconds.
-    pub fn speed(&self, name: &TargetName, now: Millis) -> Option<(SpeedEstimate, f64)> {
-        let target = self.targets.get(name)?;
-        let (median, slope) = usual_speed(&self.usable(&target.entry.service));
-        let running = target.total_running(now);
-        Some((target.speed.estimate(median, slope, running, now), median))
-    }
-
-    /// Returns how many events per millisecond the targets with one of these versions of a model generate
-    /// if all of their slots are in use.
-    pub fn event_rate(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        versions: &RangeInclusive<u64>,
-        now: Millis,
-    ) -> f64 {
-        let usable = self.usable(service);
-        let (median, slope) = usual_speed(&usable);
-        let able = usable.iter().filter(|target| {
-            let version = target.version(model, now);
-            version.is_some_and(|(version, _)| versions.contains(&version))
-        });
-        let rates = able.map(|target| {
-            let slots = target.entry.slots;
-            let speed = target.speed.estimate(median, slope, slots, now);
-            f64::from(slots) / speed.own_ms.max(1.0)
-        });
-        rates.sum()
-    }
-
     /// Chooses the target for a reward call as [`Self::place_call_for`] does, if no other call waits.
     pub fn place_call(&self, service: &ServiceName, dc: &Dc, now: Millis) -> Option<&Target> {
         let cargo = self.trips.mean_cargo(service);
@@ -1424,14 +1381,6 @@
     own: bool,
 }
 
-/// Returns the median of the targets' own intervals between events in milliseconds, and the influence of
-/// one more running request.
-fn usual_speed(targets: &[&Target]) -> (f64, f64) {
-    let speeds = targets.iter().map(|target| &target.speed);
-    let median = median_pace(speeds.clone().filter_map(TargetSpeed::own_ms).collect());
-    (median.unwrap_or(UNKNOWN_INTERVAL_MS), load_slope(speeds))
-}
-
 /// Returns whether an item that waits for a slot of a faster target that is full now is expected to end
 /// sooner than in `run_ms` from now.
 fn ends_sooner(full: &[Candidate<'_>], work: &Work, run_ms: f64) -> bool {
--- a/crates/godwitspool-host/src/version/speed.rs
+++ b/crates/godwitspool-host/src/version/speed.rs
@@ -112,27 +112,6 @@
     }
 }
 
-impl SpeedEstimate {
-    /// Returns the estimate for a run whose own events arrive at a smoothed interval, which says more of
-    /// the present than those of the target's other runs.
-    #[must_use]
-    pub fn observed(self, interval_ms: f64) -> Self {
-        Self {
-            recent_ms: if interval_ms > 0.0 && is_disturbed(interval_ms, self.own_ms) {
-                interval_ms
-            } else {
-                self.own_ms
-            },
-            ..self
-        }
-    }
-}
-
-/// Returns whether an interval differs from a target's own by more than chance.
-fn is_disturbed(interval_ms: f64, own_ms: f64) -> bool {
-    interval_ms > own_ms * DISTURBANCE_FACTOR || interval_ms < own_ms / DISTURBANCE_FACTOR
-}
-
 impl TargetSpeed {
     /// Records the interval between two events of a stream, while `running` requests ran at the target.
     pub fn record(&mut self, interval_ms: f64, running: u32, now: Millis) {
@@ -209,8 +188,9 @@
         };
         let loaded = 1.0 + load_slope * (f64::from(running) - usual_load);
         let own_ms = own_ms * loaded.max(1.0 - MAX_LOAD_SLOPE);
-        let recent_ms = self.recent_ms(now);
-        let recent_ms = recent_ms.filter(|recent| is_disturbed(*recent, own_ms));
+        let recent_ms = self.recent_ms(now).filter(|recent| {
+            *recent > own_ms * DISTURBANCE_FACTOR || *recent < own_ms / DISTURBANCE_FACTOR
+        });
         SpeedEstimate {
             own_ms,
             recent_ms: recent_ms.unwrap_or(own_ms),
