Runner: an item that has waited its full time starts only with a permit

Cause: an item that prefers a full target waits up to 500 ms. The check for a permit was passed over for such an item, also when it then started, so a target with a limit or a cold one could get more than its bound. Change: the wait is decided first, and whatever starts takes a permit. Evidence: found by reading; no test covers it.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -375,7 +375,10 @@
             versions: &versions,
             work,
         });
-        let permitted = |place: &Placement| place.defer || fleet.take_permit(&place.target, now);
+        if placed.as_ref().is_some_and(|place| place.defer) && batch.defer(index, now) {
+            return Start::Deferred;
+        }
+        let permitted = |place: &Placement| fleet.take_permit(&place.target, now);
         let Some(place) = placed.filter(permitted) else {
             let waiting = batch.waiting_items();
             let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
@@ -383,9 +386,6 @@
             shared.permits.want(lacking);
             return Start::NoRoom;
         };
-        if place.defer && batch.defer(index, now) {
-            return Start::Deferred;
-        }
         let progress = &batch.items[index].progress;
         let (name, address, born) = (place.target, place.address, place.born);
         let entries_ms = shared.observe_entry_age(&fleet);
