Leaving the data centre: a slow first response isn't believed alone

Cause: a target's first response was its latency.

Change: the first response weighs 0.6 beside the time at an idle target, the next ones 1/2, 1/3 and less. The time at an idle target comes from a mean that assumes nothing.

--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -33,6 +33,9 @@
 const STALLED_BACKOFF: Millis = Millis(400);
 /// Weight of the newest response in a target's smoothed latency, as in TCP's round-trip estimate.
 const LATENCY_SMOOTHING: f64 = 0.125;
+/// Weight of a target's first response beside what is assumed of it. A slow one may be an exception, by which
+/// a target would be passed by for seconds.
+const FIRST_LATENCY_WEIGHT: f64 = 0.6;
 /// Time after which an earlier response has lost most of its weight.
 const LATENCY_MEMORY: Millis = Millis(1_000);
 /// Maximum weight of the newest response, which a host with few callers reaches: by the usual weight it would
@@ -123,6 +126,10 @@
     pub paused_until: Millis,
     /// Smoothed latency of its responses, in milliseconds.
     pub latency_ms: f64,
+    /// Mean latency of its last responses without an assumption for the first ones, in milliseconds.
+    pub mean_ms: f64,
+    /// Number of its responses since it was tried for the first time, or again.
+    pub answers: u32,
     /// When it last responded; `None` if it hasn't.
     pub answered_at: Option<Millis>,
     /// Smoothed interval between a stream's events in milliseconds, and the time of the last
@@ -355,6 +362,8 @@
                     failures: 0,
                     paused_until: Millis::default(),
                     latency_ms: INITIAL_LATENCY_MS,
+                    mean_ms: 0.0,
+                    answers: 0,
                     answered_at: None,
                     pace: None,
                     loading: None,
@@ -558,19 +567,25 @@
                 target.paused_until = Millis::default();
                 // A cold target is slow for a known time, which says nothing of the time after it.
                 if !target.cold.is_cold(now) {
-                    let is_old = |at: &Millis| now.0.saturating_sub(at.0) >= LATENCY_RETRY_AGE.0;
-                    // A first or long missing response counts alone.
-                    if target.answered_at.as_ref().is_none_or(is_old) {
-                        target.latency_ms = ms;
-                    }
+                    let service = &target.entry.service;
                     let before = target.answered_at.unwrap_or(now);
                     let since = Millis(now.0.saturating_sub(before.0));
+                    // One slow response, which may be an exception, isn't enough to know a target by.
+                    if target.answered_at.is_none() || since >= LATENCY_RETRY_AGE {
+                        let idle_ms = self.trips.idle_ms(service);
+                        target.latency_ms = idle_ms.unwrap_or(INITIAL_LATENCY_MS).min(ms);
+                        target.answers = 0;
+                    }
+                    target.answers = target.answers.saturating_add(1);
+                    let answers = f64::from(target.answers);
                     let weight = 1.0 - (-since.seconds() / LATENCY_MEMORY.seconds()).exp();
                     let weight = weight.clamp(LATENCY_SMOOTHING, MAX_LATENCY_SMOOTHING);
+                    let weight = weight.max(1.0 / answers).min(FIRST_LATENCY_WEIGHT);
                     target.latency_ms += weight * (ms - target.latency_ms);
+                    let weight = LATENCY_SMOOTHING.max(1.0 / answers);
+                    target.mean_ms += weight * (ms - target.mean_ms);
+                    self.trips.observe_latency(service, target.mean_ms, now);
                     target.answered_at = Some(now);
-                    let (service, latency) = (&target.entry.service, target.latency_ms);
-                    self.trips.observe_latency(service, latency, now);
                 }
             }
             Outcome::Dropped => {}
