Placement: items stay in the data centre below half load, and the trip is the measured one

Cause: items went to any target that was a little emptier, and a constant of 3 ms stood for every link. Change: among targets about as good, those of the host's data centre come first while they are less than half full. The distance is the measured round trip. By reading, the new test fails on the code before; it was not run there.

--- a/crates/godwitspool-host/src/version/fleet.rs
+++ b/crates/godwitspool-host/src/version/fleet.rs
@@ -68,8 +68,6 @@
 const UNKNOWN_INTERVAL_MS: f64 = 40.0;
 /// Speed at which targets read prompts, in tokens per millisecond: some hundred, by the targets' makers.
 const TOKENS_PER_MS: f64 = 300.0;
-/// Cost of a target in another data centre in milliseconds: a round trip on the users' links.
-const REMOTE_MS: f64 = 3.0;
 /// How much sooner an item has to end at a target of another model, which the item takes from that
 /// model's step.
 const FOREIGN_FACTOR: f64 = 1.6;
@@ -1141,9 +1139,9 @@
 
     /// Chooses the target for an item of a batch: it must have one of the versions and a free slot,
     /// and must not be paused. The one at which the item is expected to end first is chosen, by the
-    /// events that are left, the target's speed, the tokens to be read, and the distance. Among those
-    /// about as good, targets of the own model come first, then the least loaded one. None is chosen by
-    /// stale entries.
+    /// events that are left, the target's speed, the tokens to be read, and the trip. Among those about as
+    /// good, targets of the own model come first, then those of the host's data centre while they are less
+    /// than half full, then the least loaded one. None is chosen by stale entries.
     ///
     /// Load pattern: a step submits some sixty items at the same time. Items for which there is no
     /// free slot wait at this host, where their order can still change, instead of in a target's
@@ -1163,6 +1161,8 @@
         let median = median.unwrap_or(UNKNOWN_INTERVAL_MS);
         let mut free = Vec::new();
         let mut full = Vec::new();
+        // Items of a model have about the same size, so only the link tells data centres apart.
+        let cargo = Cargo::default();
         for target in usable {
             if Some(&target.entry.name) == request.excluded || target.paused_until > now {
                 continue;
@@ -1179,11 +1179,7 @@
                 continue;
             }
             let speed = target.speed.estimate(median, slope, running + 1, now);
-            let distance = if target.entry.dc == *request.dc {
-                0.0
-            } else {
-                REMOTE_MS
-            };
+            let distance = self.trips.cost_ms(request.dc, &target.entry.dc, &cargo);
             let run_ms = speed.run_ms(work.events) + work.tokens / TOKENS_PER_MS + distance;
             let own = request.assigned.get(&target.entry.name) == Some(request.model);
             let candidate = Candidate {
@@ -1214,8 +1210,12 @@
         }
         let best = free.into_iter().min_by_key(|candidate| {
             let entry = &candidate.target.entry;
-            let load = candidate.running * 100 / entry.slots.max(1);
-            (load, entry.dc != *request.dc, weight(candidate))
+            let slots = entry.slots.max(1);
+            let (is_busy, load) = (
+                candidate.running * 2 >= slots,
+                candidate.running * 100 / slots,
+            );
+            (is_busy, entry.dc != *request.dc, load, weight(candidate))
         })?;
         let entry = &best.target.entry;
         Some(Placement {
--- a/crates/godwitspool-host/tests/fleet.rs
+++ b/crates/godwitspool-host/tests/fleet.rs
@@ -399,3 +399,17 @@
     fleet.set_evacuated(&north, false, Millis(100));
     assert_same(&fleet, &models[..2]);
 }
+
+/// Guards against items that cross to another data centre for a slightly emptier target, and against a data
+/// centre that fills up while others are idle.
+#[test]
+fn items_stay_in_the_data_centre_below_half_load() {
+    let mut far = entry("far", 1);
+    far.dc = Dc::from("south");
+    let mut fleet = fleet([entry("near", 1), far]);
+    let placed = |fleet: &Fleet| place_as("h", fleet, 1, 0).map(|place| place.target.to_string());
+    fleet.start(&TargetName::from("near"));
+    assert_eq!(placed(&fleet).as_deref(), Some("near"));
+    fleet.start(&TargetName::from("near"));
+    assert_eq!(placed(&fleet).as_deref(), Some("far"));
+}
