Names: payload of a request that leaves, lowest-priority connections

Cause: read as a newcomer, cargo and deserving aren't the field's terms. Change: names and comments only. Tested: clippy, tests of trip and fleet.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -113,8 +113,8 @@
         let timeout = timeout.min(CALL_TIMEOUT);
         let mut fleet = shared.fleet();
         let waiting = || batch.next_calls(now).0.len();
-        let cargo = fleet.trips.mean_cargo(&service);
-        let placed = fleet.place_call_for(&service, &shared.settings.dc, waiting, &cargo, now);
+        let payload = fleet.trips.mean_payload(&service);
+        let placed = fleet.place_call_for(&service, &shared.settings.dc, waiting, &payload, now);
         let departure = placed.and_then(|choice| choice.departure);
         let placed = placed.map(|choice| choice.target.entry.clone());
         let Some(TargetEntry {
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -412,7 +412,7 @@
         }
     }
 
-    /// Waits until there is a place for another connection of an address, and closes the least deserving
+    /// Waits until there is a place for another connection of an address, and closes the lowest-priority
     /// one for it. Returns whether there is one.
     fn make_place(&self, address: IpAddr) -> bool {
         let due = Instant::now() + CLOSE_TIMEOUT;
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -15,8 +15,8 @@
     lease_clock,
     process::{Admission, RETRY_AFTER_END, Shared, SuspectRun, TargetStart, unix_ms},
     version::{
-        Basis, CHOICE_LIFETIME, Cargo, Departure, Fingerprint, Outcome, Route, RouteKind, Standing,
-        TargetEntry,
+        Basis, CHOICE_LIFETIME, Departure, Fingerprint, Outcome, Payload, Route, RouteKind,
+        Standing, TargetEntry,
     },
 };
 
@@ -588,14 +588,14 @@
         let avoided = self.shared.suspicion.avoided(standing);
         let mut fleet = self.shared.fleet();
         self.shared.update_spill(&mut fleet, service);
-        let cargo = Cargo {
+        let payload = Payload {
             bytes_out: self.request.body.len() as f64,
-            ..fleet.trips.mean_cargo(service)
+            ..fleet.trips.mean_payload(service)
         };
         let apart = (!avoided.is_empty())
             .then(|| [&self.tried[..], &avoided[..]].concat())
-            .and_then(|left_out| fleet.choose_for(service, dc, &left_out, &cargo, now));
-        let chosen = apart.or_else(|| fleet.choose_for(service, dc, &self.tried, &cargo, now))?;
+            .and_then(|left_out| fleet.choose_for(service, dc, &left_out, &payload, now));
+        let chosen = apart.or_else(|| fleet.choose_for(service, dc, &self.tried, &payload, now))?;
         let others = standing != Standing::Clear
             && fleet.has_sound_besides(service, &chosen.target.entry.name, now);
         Some(Chosen {
--- a/crates/godwitspool-host/src/version/fleet/choose.rs
+++ b/crates/godwitspool-host/src/version/fleet/choose.rs
@@ -5,7 +5,7 @@
 use godwitspool_types::{Dc, Millis, ServiceName, TargetName};
 
 use super::{Fleet, INITIAL_LATENCY_MS, Target};
-use crate::version::{Basis, Cargo, MARGIN_MS, Offer, ShareChange};
+use crate::version::{Basis, MARGIN_MS, Offer, Payload, ShareChange};
 
 /// Age from which a target is tried again although it looked slow: a trial costs one request of this host
 /// at a slow target.
@@ -119,8 +119,8 @@
         tried: &[TargetName],
         now: Millis,
     ) -> Option<&Target> {
-        let cargo = self.trips.mean_cargo(service);
-        let choice = self.choose_for(service, dc, tried, &cargo, now);
+        let payload = self.trips.mean_payload(service);
+        let choice = self.choose_for(service, dc, tried, &payload, now);
         choice.map(|choice| choice.target)
     }
 
@@ -136,13 +136,13 @@
         service: &ServiceName,
         dc: &Dc,
         tried: &[TargetName],
-        cargo: &Cargo,
+        payload: &Payload,
         now: Millis,
     ) -> Option<Choice<'_>> {
         if self.basis() == Basis::Stale {
             return None;
         }
-        let candidates = self.candidates(service, dc, tried, cargo, now);
+        let candidates = self.candidates(service, dc, tried, payload, now);
         let (here, there): (Vec<RequestCandidate<'_>>, Vec<RequestCandidate<'_>>) = candidates
             .into_iter()
             .partition(|candidate| candidate.target.entry.dc == *dc);
@@ -181,8 +181,8 @@
         if !self.trips.spill.is_due(service, now) || self.basis() == Basis::Stale {
             return Vec::new();
         }
-        let cargo = self.trips.mean_cargo(service);
-        let candidates = self.candidates(service, dc, &[], &cargo, now);
+        let payload = self.trips.mean_payload(service);
+        let candidates = self.candidates(service, dc, &[], &payload, now);
         let (here, there): (Vec<RequestCandidate<'_>>, Vec<RequestCandidate<'_>>) = candidates
             .into_iter()
             .partition(|candidate| candidate.target.entry.dc == *dc);
@@ -201,7 +201,7 @@
         service: &ServiceName,
         dc: &Dc,
         tried: &[TargetName],
-        cargo: &Cargo,
+        payload: &Payload,
         now: Millis,
     ) -> Vec<RequestCandidate<'_>> {
         let registered = self.registered(service);
@@ -242,7 +242,7 @@
                 warm_first && target.cold.is_cold(now),
                 self.is_leaving(target),
             );
-            let trip = self.trips.cost_ms(dc, &target.entry.dc, cargo);
+            let trip = self.trips.cost_ms(dc, &target.entry.dc, payload);
             (order, work * (1.0 + load) + pause + trip)
         };
         let assessed = candidates.into_iter().map(|target| {
@@ -327,8 +327,8 @@
 
     /// Chooses the target for a reward call as [`Self::place_call_for`] does, if no other call waits.
     pub fn place_call(&self, service: &ServiceName, dc: &Dc, now: Millis) -> Option<&Target> {
-        let cargo = self.trips.mean_cargo(service);
-        let choice = self.place_call_for(service, dc, || 0, &cargo, now);
+        let payload = self.trips.mean_payload(service);
+        let choice = self.place_call_for(service, dc, || 0, &payload, now);
         choice.map(|choice| choice.target)
     }
 
@@ -344,13 +344,13 @@
         service: &ServiceName,
         dc: &Dc,
         waiting: impl FnOnce() -> usize,
-        cargo: &Cargo,
+        payload: &Payload,
         now: Millis,
     ) -> Option<Choice<'_>> {
         if self.basis() == Basis::Stale {
             return None;
         }
-        let candidates = self.candidates(service, dc, &[], cargo, now).into_iter();
+        let candidates = self.candidates(service, dc, &[], payload, now).into_iter();
         let (here, there): (Vec<RequestCandidate<'_>>, Vec<RequestCandidate<'_>>) = candidates
             .filter(|candidate| {
                 candidate.target.paused_until <= now && !self.is_leaving(candidate.target)
--- a/crates/godwitspool-host/src/version/fleet/place.rs
+++ b/crates/godwitspool-host/src/version/fleet/place.rs
@@ -13,7 +13,7 @@
 use super::{Fleet, MAX_REPORT_AGE, Target};
 use crate::{
     batch::median_pace,
-    version::{Basis, Cargo, SpeedEstimate, TargetSpeed, load_slope},
+    version::{Basis, Payload, SpeedEstimate, TargetSpeed, load_slope},
 };
 
 /// Interval between events of targets of which nothing is known. All of them count as equal, so it only
@@ -146,7 +146,7 @@
         let mut free = Vec::new();
         let mut full = Vec::new();
         // Items of a model have about the same size, so only the link tells data centres apart.
-        let cargo = Cargo::default();
+        let payload = Payload::default();
         for target in usable {
             if Some(&target.entry.name) == request.excluded || target.paused_until > now {
                 continue;
@@ -163,7 +163,7 @@
                 continue;
             }
             let speed = target.speed.estimate(median, slope, running + 1, now);
-            let distance = self.trips.cost_ms(request.dc, &target.entry.dc, &cargo);
+            let distance = self.trips.cost_ms(request.dc, &target.entry.dc, &payload);
             let run_ms = speed.run_ms(work.events) + work.tokens / TOKENS_PER_MS + distance;
             let own = request.assigned.get(&target.entry.name) == Some(request.model);
             let candidate = Candidate {
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -38,4 +38,4 @@
     Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
 };
 use trip::MARGIN_MS;
-pub use trip::{Cargo, Offer, ShareChange, Spill, Trip, Trips, saving};
+pub use trip::{Offer, Payload, ShareChange, Spill, Trip, Trips, saving};
--- a/crates/godwitspool-host/src/version/trip.rs
+++ b/crates/godwitspool-host/src/version/trip.rs
@@ -84,7 +84,7 @@
 
 /// What a request, stream, item or call takes along.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Cargo {
+pub struct Payload {
     /// Bytes of the response.
     pub bytes_in: f64,
     /// Bytes of the request.
@@ -327,7 +327,7 @@
     pub seed: u64,
     latencies: HashMap<ServiceName, Shortest>,
     links: HashMap<Dc, Shortest>,
-    sizes: HashMap<ServiceName, Cargo>,
+    sizes: HashMap<ServiceName, Payload>,
 }
 
 impl Trips {
@@ -413,7 +413,7 @@
     /// Records the sizes of a request of a service and of its response.
     pub fn observe_sizes(&mut self, service: &ServiceName, bytes_out: usize, bytes_in: usize) {
         let (bytes_out, bytes_in) = (bytes_out as f64, bytes_in as f64);
-        let mean = self.sizes.entry(service.clone()).or_insert(Cargo {
+        let mean = self.sizes.entry(service.clone()).or_insert(Payload {
             bytes_in,
             bytes_out,
             reread: 0.0,
@@ -423,7 +423,7 @@
     }
 
     /// Returns the mean sizes of a service's requests and responses.
-    pub fn mean_cargo(&self, service: &ServiceName) -> Cargo {
+    pub fn mean_payload(&self, service: &ServiceName) -> Payload {
         self.sizes.get(service).copied().unwrap_or_default()
     }
 
@@ -431,25 +431,25 @@
     /// another one, in milliseconds of a caller's time; 0 inside a data centre.
     ///
     /// ```
-    /// use godwitspool_host::version::{Cargo, Trips};
+    /// use godwitspool_host::version::{Payload, Trips};
     /// use godwitspool_types::Dc;
     ///
     /// let (here, there) = (Dc::from("here"), Dc::from("there"));
     /// let mut trips = Trips::default();
     /// trips.price = 100.0;
-    /// let item = Cargo { bytes_in: 30_000.0, bytes_out: 20_000.0, reread: 4.0 };
+    /// let item = Payload { bytes_in: 30_000.0, bytes_out: 20_000.0, reread: 4.0 };
     /// assert_eq!(trips.cost_ms(&here, &there, &item), 10.0 + 4.0 + 5.0);
     /// assert_eq!(trips.cost_ms(&here, &here, &item), 0.0);
     /// ```
-    pub fn cost_ms(&self, from: &Dc, to: &Dc, cargo: &Cargo) -> f64 {
+    pub fn cost_ms(&self, from: &Dc, to: &Dc, payload: &Payload) -> f64 {
         if from == to {
             return 0.0;
         }
         let trip = Trip {
-            bytes_in: cargo.bytes_in,
-            bytes_out: cargo.bytes_out,
+            bytes_in: payload.bytes_in,
+            bytes_out: payload.bytes_out,
             price: self.price,
-            reread: cargo.reread,
+            reread: payload.reread,
             round_trip: self.round_trip_ms(from, to),
         };
         trip.cost_ms()
--- a/crates/godwitspool-host/tests/traffic/mod.rs
+++ b/crates/godwitspool-host/tests/traffic/mod.rs
@@ -9,7 +9,7 @@
 
 use godwitspool_host::{
     process::RunReport,
-    version::{Cargo, Fleet, Outcome, Target, TargetEntry},
+    version::{Fleet, Outcome, Payload, Target, TargetEntry},
 };
 use godwitspool_types::{Dc, Millis, ServiceName, TargetName};
 
@@ -385,11 +385,11 @@
     let now = Millis(now);
     if policy == Policy::Decided {
         fleet.update_spill(service, home, now);
-        let cargo = Cargo {
+        let payload = Payload {
             bytes_out: BYTES.0 as f64,
-            ..fleet.trips.mean_cargo(service)
+            ..fleet.trips.mean_payload(service)
         };
-        let choice = fleet.choose_for(service, home, &[], &cargo, now);
+        let choice = fleet.choose_for(service, home, &[], &payload, now);
         return choice.map(|choice| choice.target.entry.name.clone());
     }
     let mut usable = fleet.usable(service);
--- a/crates/godwitspool-host/tests/trip.rs
+++ b/crates/godwitspool-host/tests/trip.rs
@@ -8,7 +8,7 @@
 
 use godwitspool_host::{
     process::RunReport,
-    version::{Cargo, ColdRule, Departure, Fleet, Outcome, TargetEntry},
+    version::{ColdRule, Departure, Fleet, Outcome, Payload, TargetEntry},
 };
 use godwitspool_types::{Dc, Millis, ServiceName, TargetName};
 use traffic::{Pattern, Policy, replay};
@@ -148,19 +148,19 @@
 fn requests_leave_at_once_if_no_target_here_can_be_used() {
     let mut fleet = pair(60.0);
     let (service, dc) = (ServiceName::from("desk"), Dc::from("north"));
-    let cargo = Cargo::default();
+    let payload = Payload::default();
     let home = TargetName::from("home");
     fleet.start(&home);
     fleet.finish(&home, Outcome::Refused, Millis(10));
-    let choice = fleet.choose_for(&service, &dc, &[], &cargo, Millis(20));
+    let choice = fleet.choose_for(&service, &dc, &[], &payload, Millis(20));
     let choice = choice.unwrap();
     assert_eq!(choice.target.entry.name.as_str(), "away");
     assert_eq!(choice.departure, Some((Departure::Unfit, 0.0)));
     fleet.remove(&home, None);
-    let choice = fleet.choose_for(&service, &dc, &[], &cargo, Millis(20));
+    let choice = fleet.choose_for(&service, &dc, &[], &payload, Millis(20));
     assert_eq!(choice.unwrap().departure, Some((Departure::NoTarget, 0.0)));
     fleet.set_evacuated(&Dc::from("south"), true, Millis(30));
-    let choice = fleet.choose_for(&service, &dc, &[], &cargo, Millis(40));
+    let choice = fleet.choose_for(&service, &dc, &[], &payload, Millis(40));
     assert!(choice.is_none(), "an evacuated data centre gets nothing");
 }
 
@@ -236,11 +236,11 @@
 #[test]
 fn reward_calls_leave_only_if_waiting_here_takes_longer() {
     let (service, dc) = (ServiceName::from("desk"), Dc::from("north"));
-    let cargo = Cargo::default();
+    let payload = Payload::default();
     let mut fleet = pair(60.0);
     answer(&mut fleet, "home", 25.0, 0);
     let place = |fleet: &Fleet, waiting| {
-        let choice = fleet.place_call_for(&service, &dc, || waiting, &cargo, Millis(100));
+        let choice = fleet.place_call_for(&service, &dc, || waiting, &payload, Millis(100));
         choice.map(|choice| choice.target.entry.name.to_string())
     };
     assert_eq!(place(&fleet, 0).as_deref(), Some("home"));
