--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -353,8 +353,8 @@
         ended
     }
 
-    /// Takes memory so that a connection holds at least `bytes` until its request is answered. Ends less
-    /// deserving connections if they hold what is missing, and waits until they have given it back.
+    /// Takes memory so that a connection holds at least `bytes` until its request is answered. Ends
+    /// lower-priority connections if they hold what is missing, and waits until they have given it back.
     fn hold(&self, number: u64, open: &OpenConnection, bytes: usize) -> bool {
         let held = open.held();
         if bytes <= held.max(COVERED_BYTES) {
