--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -22,6 +22,9 @@
         "items" => many_items(record, trouble),
         "trial" => trial(record, trouble),
         "lapse" => lapse(record, trouble),
+        "growth" => growth(record, trouble),
+        "version" => version(record, trouble),
+        "foreign" => foreign(record, trouble),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -559,3 +562,216 @@
 const BATCHES: usize = 12;
 /// Time for which a machine stands still.
 const FREEZE: Duration = Duration::from_secs(4);
+
+/// The hosts are stopped and started one after the other, while the settings name a store that bears more
+/// writes.
+fn growth(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let mut site = start(record, Options::default(), 4, 16)?;
+    let batches: Vec<String> = (0..BATCHES)
+        .map(|number| format!("batch{number}"))
+        .collect();
+    for (number, batch) in batches.iter().enumerate() {
+        let items: Vec<Item> = (0..8)
+            .map(|index| Item {
+                id: format!("{batch}-{index}"),
+                path: format!("/b/4/20/{batch}/{index}"),
+                group: format!("g{}", index / 4),
+                body: b"prompt".to_vec(),
+            })
+            .collect();
+        let submit = request(
+            "POST",
+            &format!("/b/{batch}"),
+            batch,
+            KEY,
+            submission(1, 1, 2, &items),
+        );
+        let host = number % site.hosts.len();
+        if site
+            .call(host, &submit, 3 * SECOND)
+            .is_none_or(|answer| answer.status != 202)
+        {
+            return Err(format!("{batch} isn't accepted"));
+        }
+    }
+    let read = |site: &Site, host: usize, batch: &str| {
+        let read = request(
+            "GET",
+            &format!("/api/lots/{batch}?after=0"),
+            "-",
+            KEY,
+            Vec::new(),
+        );
+        let answer = site.call(host, &read, 2 * SECOND)?;
+        Some((
+            answer.status,
+            page(&answer).map_or(0, |(_, _, rows)| rows.len()),
+        ))
+    };
+    let due = Instant::now() + 10 * SECOND;
+    for batch in &batches {
+        while read(&site, 0, batch) != Some((200, 8)) {
+            if Instant::now() > due {
+                return Err(format!("{batch} isn't served"));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+    if trouble {
+        site.options.writes_per_s = 1_200;
+        record.line("the settings name 1200 writes per second from now on");
+    }
+    for index in 0..site.hosts.len() {
+        site.signal(index, SIGTERM);
+        site.await_end(index);
+        site.start_host(index).map_err(|error| error.to_string())?;
+        site.await_ready(index, 10 * SECOND)?;
+        thread::sleep(CONTACT);
+    }
+    let mut missing = HashMap::new();
+    for _ in 0..3 {
+        for batch in &batches {
+            for host in 0..site.hosts.len() {
+                if let Some((status, listed)) = read(&site, host, batch)
+                    && ((status == 200 && listed < 8) || status == 404 || status == 410)
+                {
+                    *missing
+                        .entry((batch.clone(), host, status, listed))
+                        .or_insert(0) += 1;
+                }
+            }
+        }
+        thread::sleep(SECOND / 2);
+    }
+    let mut broken: Vec<String> = missing
+        .iter()
+        .map(|((batch, host, status, listed), times)| {
+            let name = &site.hosts[*host].name;
+            format!("{batch} at {name}: status {status}, {listed} of 8 results, {times} times")
+        })
+        .collect();
+    broken.sort();
+    Ok((!broken.is_empty()).then(|| broken.join("; ")))
+}
+
+/// A batch names a version that nobody has named yet.
+fn version(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let site = start(record, Options::default(), 4, 16)?;
+    let items = |batch: &str| -> Vec<Item> {
+        let item = |index: usize| Item {
+            id: format!("{batch}-{index}"),
+            path: format!("/b/8/30/{batch}/{index}"),
+            group: format!("g{}", index / 4),
+            body: b"prompt".to_vec(),
+        };
+        (0..16).map(item).collect()
+    };
+    if trouble {
+        let submit = request(
+            "POST",
+            "/b/early",
+            "early",
+            "key-b",
+            submission(1, 1_000, 4, &items("early")),
+        );
+        if site
+            .call(0, &submit, 3 * SECOND)
+            .is_none_or(|answer| answer.status != 202)
+        {
+            return Ok(None);
+        }
+        thread::sleep(SECOND);
+        let end = request("DELETE", "/api/lots/early", "-", "key-b", Vec::new());
+        let _ = site.call(0, &end, 2 * SECOND);
+    }
+    let mut broken = Vec::new();
+    for number in 2..5_u64 {
+        site.record.line(&format!("trainer names version {number}"));
+        site.store.put(
+            "keyed.op",
+            "version/m0",
+            &format!("{{\"model\":\"m0\",\"version\":{number}}}"),
+        );
+        let batch = format!("step{number}");
+        let body = submission(number, number, 4, &items(&batch));
+        let submit = request("POST", &format!("/b/{batch}"), &batch, KEY, body);
+        let began = Instant::now();
+        if site
+            .call(0, &submit, 3 * SECOND)
+            .is_none_or(|answer| answer.status != 202)
+        {
+            return Err(format!("{batch} isn't accepted"));
+        }
+        let mut listed = 0;
+        while listed < 16 && began.elapsed() < 12 * SECOND {
+            let read = request(
+                "GET",
+                &format!("/api/lots/{batch}?after=0"),
+                "-",
+                KEY,
+                Vec::new(),
+            );
+            let answer = site.call(1, &read, 2 * SECOND);
+            listed = answer
+                .as_ref()
+                .and_then(page)
+                .map_or(listed, |(_, _, rows)| rows.len());
+            thread::sleep(SECOND / 4);
+        }
+        if listed < 16 {
+            broken.push(format!("{batch} has {listed} of 16 results after 12 s"));
+        }
+        let end = request(
+            "DELETE",
+            &format!("/api/lots/{batch}"),
+            "-",
+            KEY,
+            Vec::new(),
+        );
+        let _ = site.call(1, &end, 2 * SECOND);
+    }
+    Ok((!broken.is_empty()).then(|| broken.join("; ")))
+}
+
+/// A client with another tenant's key ends a batch.
+fn foreign(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let site = start(record, Options::default(), 4, 16)?;
+    let items: Vec<Item> = (0..16)
+        .map(|index| Item {
+            id: format!("x{index}"),
+            path: format!("/b/40/100/{index}"),
+            group: format!("g{}", index / 4),
+            body: b"prompt".to_vec(),
+        })
+        .collect();
+    let submit = request(
+        "POST",
+        "/b/batch",
+        "batch",
+        KEY,
+        submission(1, 1, 4, &items),
+    );
+    let began = Instant::now();
+    if site
+        .call(0, &submit, 3 * SECOND)
+        .is_none_or(|answer| answer.status != 202)
+    {
+        return Err("the batch isn't accepted".to_owned());
+    }
+    thread::sleep(SECOND);
+    if trouble {
+        let end = request("DELETE", "/api/lots/batch", "-", "key-b", Vec::new());
+        let _ = site.call(1, &end, 2 * SECOND);
+    }
+    let mut listed = 0;
+    while listed < 16 && began.elapsed() < 12 * SECOND {
+        let read = request("GET", "/api/lots/batch?after=0", "-", KEY, Vec::new());
+        let answer = site.call(2, &read, 2 * SECOND);
+        listed = answer
+            .as_ref()
+            .and_then(page)
+            .map_or(listed, |(_, _, rows)| rows.len());
+        thread::sleep(SECOND / 4);
+    }
+    Ok((listed < 16).then(|| format!("the batch has {listed} of 16 results after 12 s")))
+}
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -88,6 +88,13 @@
         state.group.holders.get(&(topic.to_owned(), part)).cloned()
     }
 
+    /// Returns the newest value of a key in partition 0 of a topic.
+    pub fn value(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.inner.lock();
+        let partition = state.topics.get(&(topic.to_owned(), 0))?;
+        partition.newest.get(key).map(|(_, value)| value.clone())
+    }
+
     /// Returns the topic and partition that hold a key that begins so.
     pub fn find_key(&self, prefix: &str) -> Vec<(String, u32, String)> {
         let state = self.inner.lock();
--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -331,6 +331,13 @@
         peer.stream_end()
     }
 
+    /// Returns the newest version of a model that a trainer has named.
+    fn named(&self, model: &str) -> u64 {
+        let value = self.store.value("keyed.op", &format!("version/{model}"));
+        let value = value.and_then(|value| Json::parse(&value));
+        value.map_or(1, |value| value.get("version").number() as u64)
+    }
+
     fn order(&self, peer: &mut Peer, request: &Request) -> io::Result<()> {
         let order = Json::parse(&request.body).unwrap_or(Json::Null);
         let fence = order.get("fence_token").number() as u64;
@@ -342,6 +349,8 @@
         let mut loading = self.loading.lock().unwrap();
         let status = if fence < highest {
             412
+        } else if version > self.named(&model) {
+            400
         } else if self.versions.lock().unwrap().get(&model) == Some(&version) {
             200
         } else if loading.is_some() {
