--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -23,7 +23,6 @@
         "trial" => trial(record, trouble),
         "lapse" => lapse(record, trouble),
         "growth" => growth(record, trouble),
-        "version" => version(record, trouble),
         "foreign" => foreign(record, trouble),
         _ => Err(format!("no case {case}")),
     }
@@ -654,85 +653,6 @@
     Ok((!broken.is_empty()).then(|| broken.join("; ")))
 }
 
-/// A batch names a version that nobody has named yet.
-fn version(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let site = start(record, Options::default(), 4, 16)?;
-    let items = |batch: &str| -> Vec<Item> {
-        let item = |index: usize| Item {
-            id: format!("{batch}-{index}"),
-            path: format!("/b/8/30/{batch}/{index}"),
-            group: format!("g{}", index / 4),
-            body: b"prompt".to_vec(),
-        };
-        (0..16).map(item).collect()
-    };
-    if trouble {
-        let submit = request(
-            "POST",
-            "/b/early",
-            "early",
-            "key-b",
-            submission(1, 1_000, 4, &items("early")),
-        );
-        if site
-            .call(0, &submit, 3 * SECOND)
-            .is_none_or(|answer| answer.status != 202)
-        {
-            return Ok(None);
-        }
-        thread::sleep(SECOND);
-        let end = request("DELETE", "/api/lots/early", "-", "key-b", Vec::new());
-        let _ = site.call(0, &end, 2 * SECOND);
-    }
-    let mut broken = Vec::new();
-    for number in 2..5_u64 {
-        site.record.line(&format!("trainer names version {number}"));
-        site.store.put(
-            "keyed.op",
-            "version/m0",
-            &format!("{{\"model\":\"m0\",\"version\":{number}}}"),
-        );
-        let batch = format!("step{number}");
-        let body = submission(number, number, 4, &items(&batch));
-        let submit = request("POST", &format!("/b/{batch}"), &batch, KEY, body);
-        let began = Instant::now();
-        if site
-            .call(0, &submit, 3 * SECOND)
-            .is_none_or(|answer| answer.status != 202)
-        {
-            return Err(format!("{batch} isn't accepted"));
-        }
-        let mut listed = 0;
-        while listed < 16 && began.elapsed() < 12 * SECOND {
-            let read = request(
-                "GET",
-                &format!("/api/lots/{batch}?after=0"),
-                "-",
-                KEY,
-                Vec::new(),
-            );
-            let answer = site.call(1, &read, 2 * SECOND);
-            listed = answer
-                .as_ref()
-                .and_then(page)
-                .map_or(listed, |(_, _, rows)| rows.len());
-            thread::sleep(SECOND / 4);
-        }
-        if listed < 16 {
-            broken.push(format!("{batch} has {listed} of 16 results after 12 s"));
-        }
-        let end = request(
-            "DELETE",
-            &format!("/api/lots/{batch}"),
-            "-",
-            KEY,
-            Vec::new(),
-        );
-        let _ = site.call(1, &end, 2 * SECOND);
-    }
-    Ok((!broken.is_empty()).then(|| broken.join("; ")))
-}
-
 /// A client with another tenant's key ends a batch.
 fn foreign(record: &Arc<Record>, trouble: bool) -> Outcome {
     let site = start(record, Options::default(), 4, 16)?;
@@ -773,5 +693,20 @@
             .map_or(listed, |(_, _, rows)| rows.len());
         thread::sleep(SECOND / 4);
     }
-    Ok((listed < 16).then(|| format!("the batch has {listed} of 16 results after 12 s")))
+    let now = Instant::now();
+    let runs = site.runs.lock().unwrap().clone();
+    let forgotten = items.iter().filter(|item| {
+        let begun = runs.iter().any(|run| run.id == item.id);
+        let finished = runs.iter().any(|run| run.id == item.id && run.finished);
+        begun && !finished && longest_idle(&site, &item.id, began, now) >= 5 * SECOND
+    });
+    let forgotten = forgotten.count();
+    record.line(&format!(
+        "results read: {listed}, items at no worker for 5 s: {forgotten}"
+    ));
+    Ok((listed < 16 && forgotten > 0).then(|| {
+        format!(
+            "the step ran out of time, {forgotten} of its items were at no worker for 5 s or more"
+        )
+    }))
 }
