--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -19,7 +19,8 @@
 
 pub fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Outcome {
     match case {
-        "items" => many_items(record, trouble),
+        "items" => large_submissions(record, trouble, &MANY_ITEMS),
+        "bodies" => large_submissions(record, trouble, &LARGE_BODIES),
         "trial" => trial(record, trouble),
         "lapse" => lapse(record, trouble),
         "growth" => growth(record, trouble),
@@ -96,15 +97,33 @@
     }
 }
 
-fn many_items(record: &Arc<Record>, trouble: bool) -> Outcome {
+/// Submissions of a legal size that a client sends one after the other.
+struct Large {
+    submissions: usize,
+    items: usize,
+    body_bytes: usize,
+}
+
+const MANY_ITEMS: Large = Large {
+    submissions: 5,
+    items: 140_000,
+    body_bytes: 6,
+};
+const LARGE_BODIES: Large = Large {
+    submissions: 12,
+    items: 16,
+    body_bytes: 1_500_000,
+};
+
+fn large_submissions(record: &Arc<Record>, trouble: bool, large: &Large) -> Outcome {
     let site = start(record, Options::default(), 4, 16)?;
-    let many = 140_000;
+    let many = large.items;
     let items: Vec<Item> = (0..many)
         .map(|index| Item {
             id: format!("x{index:07x}"),
             path: format!("/b/3/5/{index}"),
             group: format!("g{}", index / 8),
-            body: b"prompt".to_vec(),
+            body: vec![b'p'; large.body_bytes],
         })
         .collect();
     let body = submission(1, 1, 10, &items);
@@ -138,14 +157,10 @@
         .map(|index| site.front(index))
         .collect();
     let own = Arc::clone(record);
+    let submissions = if trouble { large.submissions } else { 0 };
     // A client that gets no answer, or another one than 202, sends the same submission to the next host.
     let sender = thread::spawn(move || {
-        for (number, _) in fronts
-            .iter()
-            .cycle()
-            .take(if trouble { 5 } else { 0 })
-            .enumerate()
-        {
+        for (number, _) in fronts.iter().cycle().take(submissions).enumerate() {
             let id = format!("large{number}");
             let submit = request("POST", &format!("/b/{id}"), &id, "key-b", body.clone());
             for front in fronts.iter().cycle().skip(number).take(2) {
