Review cases 6 to 10: scripts name what TROUBLE=0 leaves out, and end in time

A script gives itself up after 112 s, and exits with 2 if a stand-in panics. Case 8 has 18 workers, so that the three that crash are inside the site's share; case 7 freezes for 3.9 s.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Writes record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0: no worker crashes and no host is killed.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/godwitspool-host ] && [ -x target/review-2/stand ] || exit 2
-exec target/review-2/stand trial review/8/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/review-2/stand trial review/8/record.txt
--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -159,7 +159,7 @@
     let own = Arc::clone(record);
     let submissions = if trouble { large.submissions } else { 0 };
     // A client that gets no answer, or another one than 202, sends the same submission to the next host.
-    let sender = thread::spawn(move || {
+    thread::spawn(move || {
         for (number, _) in fronts.iter().cycle().take(submissions).enumerate() {
             let id = format!("large{number}");
             let submit = request("POST", &format!("/b/{id}"), &id, "key-b", body.clone());
@@ -189,7 +189,6 @@
             machines.ends.get(&index).copied().unwrap_or(0)
         ));
     }
-    let _ = sender.join();
     let read = site.call(
         0,
         &request("GET", "/api/lots/small?after=0", "read", KEY, Vec::new()),
@@ -315,7 +314,7 @@
 
 /// An item under which three workers have crashed runs again, and the process that runs it is killed.
 fn trial(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let site = start(record, Options::default(), 12, 16)?;
+    let site = start(record, Options::default(), 18, 16)?;
     let carried = || -> Vec<Item> {
         let item = |index: usize| Item {
             id: format!("carried-{index}"),
@@ -575,7 +574,7 @@
 
 const BATCHES: usize = 12;
 /// Time for which a machine stands still.
-const FREEZE: Duration = Duration::from_secs(4);
+const FREEZE: Duration = Duration::from_millis(3_900);
 
 /// The hosts are stopped and started one after the other, while the settings name a store that bears more
 /// writes.
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,7 +7,17 @@
 mod store;
 mod worker;
 
-use std::{env, process::ExitCode, sync::Arc};
+use std::{
+    env,
+    panic::{AssertUnwindSafe, catch_unwind},
+    process::{self, ExitCode},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+/// Time after which a case is given up, so that it stays below 120 s.
+const TIME_LIMIT: Duration = Duration::from_secs(112);
 
 fn main() -> ExitCode {
     let words: Vec<String> = env::args().collect();
@@ -23,7 +33,17 @@
         }
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let outcome = cases::run(case, &record, trouble);
+    record.line(&format!("case {case}, with trouble: {trouble}"));
+    let watched = Arc::clone(&record);
+    thread::spawn(move || {
+        thread::sleep(TIME_LIMIT);
+        site::end_all();
+        watched.line("the case couldn't run: it took too long");
+        process::exit(2);
+    });
+    let outcome = catch_unwind(AssertUnwindSafe(|| cases::run(case, &record, trouble)));
+    site::end_all();
+    let outcome = outcome.unwrap_or_else(|_| Err("a stand-in panicked".to_owned()));
     let (code, text) = match outcome {
         Ok(None) => (0, "the rule held".to_owned()),
         Ok(Some(broken)) => (1, format!("broken: {broken}")),
--- a/review/stand-2/site.rs
+++ b/review/stand-2/site.rs
@@ -5,7 +5,7 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -23,11 +23,30 @@
 pub const MODEL: &str = "m0";
 pub const PARTS: u32 = 8;
 const METRICS_PORT: u16 = 9464;
+const GRACE: Duration = Duration::from_secs(8);
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// Processes that were started and haven't been waited for.
+static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
+/// Kills the processes that were started and are left.
+pub fn end_all() {
+    let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+    for process in started.iter() {
+        unsafe {
+            kill(*process, SIGKILL);
+        }
+    }
+}
+
+fn forget(process: u32) {
+    let mut started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+    started.retain(|known| *known != process as i32);
+}
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
@@ -207,6 +226,10 @@
             .stdout(Stdio::from(log))
             .stderr(Stdio::null())
             .spawn()?;
+        STARTED
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(child.id() as i32);
         self.record
             .line(&format!("host {name} starts, process {}", child.id()));
         *host.child.lock().unwrap() = Some(child);
@@ -230,7 +253,16 @@
         let host = &self.hosts[index];
         let child = host.child.lock().unwrap().take();
         if let Some(mut child) = child {
+            // The platform kills a process that is still there when the grace period is over.
+            let due = Instant::now() + GRACE;
+            while matches!(child.try_wait(), Ok(None)) {
+                if Instant::now() > due {
+                    let _ = child.kill();
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
             let status = child.wait();
+            forget(child.id());
             self.record
                 .line(&format!("host {} has ended: {status:?}", host.name));
         }
@@ -321,6 +353,7 @@
             if let Some(mut child) = host.child.lock().unwrap().take() {
                 let _ = child.kill();
                 let _ = child.wait();
+                forget(child.id());
             }
         }
         if env::var_os("KEEP").is_none() {
