--- a/review/stand-3/http.rs
+++ b/review/stand-3/http.rs
@@ -53,7 +53,9 @@
     let mut decoded = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let escaped = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let escaped = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match escaped.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 decoded.push(byte);
@@ -83,7 +85,9 @@
             break;
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
     if message.get("transfer-encoding").is_some() {
@@ -122,7 +126,10 @@
 }
 
 pub fn response(status: u16, headers: &[(&str, String)], body: &[u8]) -> Vec<u8> {
-    let mut bytes = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut bytes = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         bytes.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -145,7 +152,9 @@
             let handle = Arc::clone(&handle);
             thread::spawn(move || {
                 let _ = socket.set_nodelay(true);
-                let Ok(reader) = socket.try_clone() else { return };
+                let Ok(reader) = socket.try_clone() else {
+                    return;
+                };
                 let (mut reader, mut writer) = (BufReader::new(reader), socket);
                 while let Ok(Some(message)) = read_message(&mut reader) {
                     if handle(&message, &mut writer).is_err() {
@@ -181,7 +190,10 @@
         headers: &[(&str, String)],
         body: &[u8],
     ) -> io::Result<()> {
-        let mut head = format!("{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+        let mut head = format!(
+            "{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n",
+            body.len()
+        );
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/review/stand-3/kept.rs
+++ b/review/stand-3/kept.rs
@@ -37,8 +37,15 @@
         if !is_meant("i-plain", request, socket)? {
             return Ok(());
         }
-        let size = request.path().rsplit('/').next().and_then(|size| size.parse().ok());
-        ran.add(format!("worker i-plain runs {}", request.get("Request-Id").unwrap_or("")));
+        let size = request
+            .path()
+            .rsplit('/')
+            .next()
+            .and_then(|size| size.parse().ok());
+        ran.add(format!(
+            "worker i-plain runs {}",
+            request.get("Request-Id").unwrap_or("")
+        ));
         let answer = response(200, &stamp(request), &vec![b'x'; size.unwrap_or(800)]);
         // A longer answer is sent as it is made.
         let (first, rest) = answer.split_at(answer.len().min(FIRST_BYTES));
@@ -90,14 +97,22 @@
             }
             thread::sleep(Duration::from_millis(1_300));
         }
-        log.add(format!("{} uploads run at their worker", running.load(Ordering::SeqCst)));
+        log.add(format!(
+            "{} uploads run at their worker",
+            running.load(Ordering::SeqCst)
+        ));
     }
     let mut closed = 0;
     for index in 0..CALLERS {
         let mut channel = Channel::open(front, timeout)?;
         for size in [800, ANSWER_BYTES] {
             let id = format!("lookup-{index}-{size}");
-            let answer = channel.call("POST", &format!("/lookup/{size}"), &headers(id.clone(), 4_000), b"q");
+            let answer = channel.call(
+                "POST",
+                &format!("/lookup/{size}"),
+                &headers(id.clone(), 4_000),
+                b"q",
+            );
             match answer {
                 Ok(answer) => {
                     let bytes = answer.body.len();
@@ -116,5 +131,9 @@
     }
     log.add(format!("{closed} requests on kept channels were closed without an answer; more than 3 break the rule"));
     log.write(record)?;
-    Ok(if closed > 3 { Outcome::Broken } else { Outcome::Held })
+    Ok(if closed > 3 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
--- a/review/stand-3/pinned.rs
+++ b/review/stand-3/pinned.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     Outcome,
-    http::call,
     calls::{headers, submission},
+    http::call,
     system::{MODEL, System, configuration_with},
     worker::{Floor, Worker},
 };
@@ -37,7 +37,8 @@
     let system = System::start(3, 140, &configuration_with(1, 32 << 20, true))?;
     let log = system.record.clone();
     let floor = Floor::default();
-    let worker = |number: usize| Worker::new(&format!("i-engine-{number}"), EVENTS, GAP, &floor, &log);
+    let worker =
+        |number: usize| Worker::new(&format!("i-engine-{number}"), EVENTS, GAP, &floor, &log);
     let (first, lost) = (worker(1), worker(2));
     first.start(&system, SLOTS)?;
     lost.start(&system, SLOTS)?;
@@ -47,8 +48,18 @@
     }
     thread::sleep(Duration::from_secs(4));
     let body = submission(BATCH, ITEMS, b"prompt");
-    let answer = call(system.front(0), "POST", "/batch/", &headers(BATCH, "key-huka"), &body, Duration::from_secs(5))?;
-    log.add(format!("batch {BATCH} of {ITEMS} items, min_version 1: {}", answer.status()));
+    let answer = call(
+        system.front(0),
+        "POST",
+        "/batch/",
+        &headers(BATCH, "key-huka"),
+        &body,
+        Duration::from_secs(5),
+    )?;
+    log.add(format!(
+        "batch {BATCH} of {ITEMS} items, min_version 1: {}",
+        answer.status()
+    ));
     if answer.status() != 202 {
         return Ok(Outcome::NotRun("the batch wasn't accepted".to_owned()));
     }
@@ -62,7 +73,11 @@
         log.add(format!("worker i-engine-{number} is added"));
     }
     thread::sleep(Duration::from_secs(1));
-    system.store.put("keyed.op", &format!("version/{MODEL}"), &format!(r#"{{"model":"{MODEL}","version":2}}"#));
+    system.store.put(
+        "keyed.op",
+        &format!("version/{MODEL}"),
+        &format!(r#"{{"model":"{MODEL}","version":2}}"#),
+    );
     log.add("version 2 is named");
     let named = Instant::now();
     thread::sleep(Duration::from_secs(4));
@@ -94,12 +109,19 @@
             }
         }
     }
-    let forgotten: Vec<_> = longest.iter().filter(|(_, idle)| **idle >= FORGOTTEN).collect();
+    let forgotten: Vec<_> = longest
+        .iter()
+        .filter(|(_, idle)| **idle >= FORGOTTEN)
+        .collect();
     for (item, idle) in &forgotten {
         log.add(format!("item {item}: at no worker for {idle:?} of steady state, with the workers under half full"));
     }
     let finished = floor.finished();
     log.add(format!("{finished} of {ITEMS} items were finished within the trainer's {BUDGET:?}; {} were forgotten", forgotten.len()));
     log.write(record)?;
-    Ok(if finished < ITEMS && !forgotten.is_empty() { Outcome::Broken } else { Outcome::Held })
+    Ok(if finished < ITEMS && !forgotten.is_empty() {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -67,7 +67,8 @@
     /// Removes members whose time is over; returns whether any was.
     fn expire(&mut self) -> bool {
         let before = self.members.len();
-        self.members.retain(|_, member| member.joined.elapsed() < member.ttl);
+        self.members
+            .retain(|_, member| member.joined.elapsed() < member.ttl);
         self.members.len() != before
     }
 
@@ -103,7 +104,9 @@
                 if self.wanted.contains_key(place) {
                     continue;
                 }
-                let least = names.iter().min_by_key(|name| counts.get(*name).copied().unwrap_or(0));
+                let least = names
+                    .iter()
+                    .min_by_key(|name| counts.get(*name).copied().unwrap_or(0));
                 if let Some(name) = least.cloned() {
                     *counts.entry(name.clone()).or_default() += 1;
                     self.wanted.insert(place.clone(), name);
@@ -115,7 +118,9 @@
     /// Gives partitions without a holder to those who are to hold them.
     fn settle(&mut self) {
         for (place, name) in &self.wanted {
-            self.held.entry(place.clone()).or_insert_with(|| name.clone());
+            self.held
+                .entry(place.clone())
+                .or_insert_with(|| name.clone());
         }
     }
 }
@@ -138,7 +143,11 @@
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value.as_bytes());
         let mut state = self.inner.0.lock().unwrap();
-        state.parts.entry((topic.to_owned(), 0)).or_default().append(true, record);
+        state
+            .parts
+            .entry((topic.to_owned(), 0))
+            .or_default()
+            .append(true, record);
         drop(state);
         self.inner.1.notify_all();
     }
@@ -199,7 +208,10 @@
             part.append(keyed, record.to_vec());
             rest = tail;
         }
-        let answer = format!(r#"{{"offset":{offset},"end_offset":{}}}"#, part.records.len());
+        let answer = format!(
+            r#"{{"offset":{offset},"end_offset":{}}}"#,
+            part.records.len()
+        );
         if let Some((_, seq)) = writer.filter(|_| !call.body.is_empty()) {
             part.recent.push((seq, answer.clone()));
             if part.recent.len() > 5 {
@@ -213,7 +225,10 @@
     }
 
     fn read(&self, call: &Message) -> (u16, Vec<u8>) {
-        let place = (call.query("topic").unwrap_or_default(), call.number("part").unwrap_or(0) as u32);
+        let place = (
+            call.query("topic").unwrap_or_default(),
+            call.number("part").unwrap_or(0) as u32,
+        );
         let from = call.number("start_from").unwrap_or(0) as usize;
         let most = call.number("max_kb").unwrap_or(1_024) as usize * 1_024;
         let due = Instant::now() + Duration::from_millis(call.number("wait_ms").unwrap_or(0));
@@ -238,7 +253,10 @@
     }
 
     fn newest(&self, call: &Message) -> (u16, Vec<u8>) {
-        let place = (call.query("topic").unwrap_or_default(), call.number("part").unwrap_or(0) as u32);
+        let place = (
+            call.query("topic").unwrap_or_default(),
+            call.number("part").unwrap_or(0) as u32,
+        );
         let after = call.query("after");
         let mut state = self.inner.0.lock().unwrap();
         let part = state.parts.entry(place).or_default();
@@ -248,13 +266,16 @@
             if after.as_ref().is_some_and(|after| key <= after) {
                 continue;
             }
-            if items.len() >= MAX_PAGE_KEYS || (bytes > 0 && bytes + record.len() > MAX_PAGE_BYTES) {
+            if items.len() >= MAX_PAGE_KEYS || (bytes > 0 && bytes + record.len() > MAX_PAGE_BYTES)
+            {
                 more = true;
                 break;
             }
             bytes += record.len();
             let value = base64(&record[1 + key.len()..]);
-            items.push(format!(r#"{{"key":"{key}","value":"{value}","offset":{offset}}}"#));
+            items.push(format!(
+                r#"{{"key":"{key}","value":"{value}","offset":{offset}}}"#
+            ));
         }
         let end = part.records.len();
         let items = items.join(",");
@@ -265,7 +286,12 @@
     fn join(&self, call: &Message) -> (u16, Vec<u8>) {
         let body = Json::parse(&call.body);
         let name = body.get("member").text().to_owned();
-        let topics = body.get("topics").list().iter().map(|topic| topic.text().to_owned()).collect();
+        let topics = body
+            .get("topics")
+            .list()
+            .iter()
+            .map(|topic| topic.text().to_owned())
+            .collect();
         let known = body.get("generation").number();
         let mut state = self.inner.0.lock().unwrap();
         let member = Member {
@@ -281,16 +307,23 @@
             // The member has seen this assignment, so it has given up what isn't listed any more.
             let state = &mut *state;
             let wanted = &state.wanted;
-            state.held.retain(|place, holder| *holder != name || wanted.get(place) == Some(&name));
+            state
+                .held
+                .retain(|place, holder| *holder != name || wanted.get(place) == Some(&name));
         }
         state.settle();
-        let rows = state.wanted.iter().filter(|(place, wanted)| {
-            **wanted == name && state.held.get(*place) == Some(&name)
-        });
-        let rows: Vec<String> =
-            rows.map(|((topic, part), _)| format!(r#"["{topic}",{part},0]"#)).collect();
+        let rows = state
+            .wanted
+            .iter()
+            .filter(|(place, wanted)| **wanted == name && state.held.get(*place) == Some(&name));
+        let rows: Vec<String> = rows
+            .map(|((topic, part), _)| format!(r#"["{topic}",{part},0]"#))
+            .collect();
         let rows = rows.join(",");
-        (200, format!(r#"{{"generation":{},"parts":[{rows}]}}"#, state.generation).into_bytes())
+        (
+            200,
+            format!(r#"{{"generation":{},"parts":[{rows}]}}"#, state.generation).into_bytes(),
+        )
     }
 
     fn leave(&self, call: &Message) -> (u16, Vec<u8>) {
@@ -310,8 +343,12 @@
             state.settle();
         }
         let rows = state.held.iter();
-        let rows: Vec<String> =
-            rows.map(|((topic, part), name)| format!(r#"["{topic}",{part},"{name}",0]"#)).collect();
-        (200, format!(r#"{{"parts":[{}]}}"#, rows.join(",")).into_bytes())
+        let rows: Vec<String> = rows
+            .map(|((topic, part), name)| format!(r#"["{topic}",{part},"{name}",0]"#))
+            .collect();
+        (
+            200,
+            format!(r#"{{"parts":[{}]}}"#, rows.join(",")).into_bytes(),
+        )
     }
 }
--- a/review/stand-3/stream.rs
+++ b/review/stand-3/stream.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Outcome,
-    http::{Channel, serve},
     calls::headers,
+    http::{Channel, serve},
     system::{System, configuration, is_meant, stamp},
 };
 
@@ -53,13 +53,20 @@
             let event = format!("id: {number}\ndata: {id} {number}\n\n");
             let sent = socket.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
             if let Err(error) = sent {
-                ran.add(format!("worker i-talker: the channel of {id} ends at event {number}: {error}"));
+                ran.add(format!(
+                    "worker i-talker: the channel of {id} ends at event {number}: {error}"
+                ));
                 return Err(error);
             }
             at_work.lock().unwrap().push(Instant::now());
-            let left = due.lock().unwrap().map(|due| due.saturating_duration_since(Instant::now()));
+            let left = due
+                .lock()
+                .unwrap()
+                .map(|due| due.saturating_duration_since(Instant::now()));
             if left.is_some_and(|left| left.is_zero()) {
-                ran.add(format!("worker i-talker has sent the last event of {id}, {number}"));
+                ran.add(format!(
+                    "worker i-talker has sent the last event of {id}, {number}"
+                ));
                 return socket.write_all(b"0\r\n\r\n");
             }
             thread::sleep(left.unwrap_or(EVENT_GAP).min(EVENT_GAP));
@@ -99,7 +106,9 @@
                     }
                 }
             }
-            log.add(format!("{id}: {events} events, whole: {whole}, error: {error:?}"));
+            log.add(format!(
+                "{id}: {events} events, whole: {whole}, error: {error:?}"
+            ));
             Ok(whole)
         }));
     }
@@ -114,12 +123,21 @@
     for client in clients {
         cut += usize::from(!matches!(client.join(), Ok(Ok(true))));
     }
-    let last = worked.lock().unwrap().iter().max().map(|last| last.duration_since(stopped));
+    let last = worked
+        .lock()
+        .unwrap()
+        .iter()
+        .max()
+        .map(|last| last.duration_since(stopped));
     let sixth = GRACE * 5 / 6;
     log.add(format!(
         "{cut} of {STREAMS} channels ended without a complete answer; the worker was at work until {last:?} after SIGTERM, the last sixth of the grace period begins at {sixth:?}"
     ));
     log.write(record)?;
     let excused = last.is_none_or(|last| last >= sixth);
-    Ok(if cut > 0 && !excused { Outcome::Broken } else { Outcome::Held })
+    Ok(if cut > 0 && !excused {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
--- a/review/stand-3/system.rs
+++ b/review/stand-3/system.rs
@@ -33,9 +33,14 @@
 pub fn limit_time(limit: Duration) {
     thread::spawn(move || {
         thread::sleep(limit);
-        let processes = PROCESSES.lock().map(|processes| processes.clone()).unwrap_or_default();
+        let processes = PROCESSES
+            .lock()
+            .map(|processes| processes.clone())
+            .unwrap_or_default();
         for process in processes {
-            let _ = Command::new("kill").args(["-KILL", &process.to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-KILL", &process.to_string()])
+                .status();
         }
         eprintln!("not run: it takes longer than {limit:?}");
         std::process::exit(2);
@@ -51,7 +56,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { began: Instant::now(), lines: Arc::default() }
+        Self {
+            began: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn add(&self, line: impl Display) {
@@ -108,13 +116,21 @@
         let address = store.start()?;
         store.put("keyed.op", "config", configuration);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let cloud = serve(any, |_, socket| socket.write_all(&response(200, &[], b"{}")))?;
+        let cloud = serve(any, |_, socket| {
+            socket.write_all(&response(200, &[], b"{}"))
+        })?;
         let id = std::process::id();
         let folder = std::env::temp_dir().join(format!("godwitspool-review-{id}"));
         fs::create_dir_all(&folder)?;
         let net = free_net(id, machines)?;
-        let ips: Vec<String> = (0..machines).map(|index| format!("{net}.{}", index + 2)).collect();
-        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{CONTROL}\"")).collect();
+        let ips: Vec<String> = (0..machines)
+            .map(|index| format!("{net}.{}", index + 2))
+            .collect();
+        let seeds: Vec<String> = ips
+            .iter()
+            .take(3)
+            .map(|ip| format!("\"{ip}:{CONTROL}\""))
+            .collect();
         let mut system = Self {
             record,
             store,
@@ -168,7 +184,9 @@
                     if stopping.load(Ordering::SeqCst) {
                         return;
                     }
-                    let Some(process) = child.as_mut() else { continue };
+                    let Some(process) = child.as_mut() else {
+                        continue;
+                    };
                     let kb = memory_kb(process.id());
                     let why = if kb > most_kb {
                         let _ = process.kill();
@@ -196,7 +214,11 @@
     pub fn await_ready(&self) -> bool {
         let due = Instant::now() + Duration::from_secs(20);
         while Instant::now() < due {
-            let ready = self.machines.iter().filter(|machine| machine.is_ready()).count();
+            let ready = self
+                .machines
+                .iter()
+                .filter(|machine| machine.is_ready())
+                .count();
             if ready == self.machines.len() {
                 return true;
             }
@@ -212,13 +234,24 @@
 
     /// Writes the entry of a worker that has just started.
     pub fn register(&self, name: &str, service: &str, address: SocketAddr, slots: u32) {
-        self.store.put("keyed.servers", name, &entry(service, address, slots, None, unix_ms()));
+        self.store.put(
+            "keyed.servers",
+            name,
+            &entry(service, address, slots, None, unix_ms()),
+        );
     }
 }
 
 /// Returns the entry of a worker that started at a time, in milliseconds since 1970.
-pub fn entry(service: &str, address: SocketAddr, slots: u32, version: Option<u64>, born: u64) -> String {
-    let models = version.map(|version| format!(r#"{{"name":"{MODEL}","version":{version},"adapters":[]}}"#));
+pub fn entry(
+    service: &str,
+    address: SocketAddr,
+    slots: u32,
+    version: Option<u64>,
+    born: u64,
+) -> String {
+    let models =
+        version.map(|version| format!(r#"{{"name":"{MODEL}","version":{version},"adapters":[]}}"#));
     let models = models.unwrap_or_default();
     format!(
         r#"{{"service":"{service}","address":"{address}","zone":"north","version":"1","slots":{slots},"state":"ready","cold_left_ms":0,"seq":1,"born":{born},"stage":"both","models":[{models}]}}"#
@@ -240,7 +273,14 @@
 
     pub fn is_ready(&self) -> bool {
         let address: SocketAddr = format!("{}:{READY}", self.ip).parse().unwrap();
-        let answer = call(address, "GET", "/api/readiness", &[], b"", Duration::from_secs(1));
+        let answer = call(
+            address,
+            "GET",
+            "/api/readiness",
+            &[],
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
@@ -248,7 +288,9 @@
     pub fn signal(&self, name: &str) {
         let child = self.child.lock().unwrap();
         if let Some(child) = child.as_ref() {
-            let _ = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
+            let _ = Command::new("kill")
+                .args([format!("-{name}"), child.id().to_string()])
+                .status();
         }
     }
 }
@@ -261,7 +303,9 @@
 /// Returns the memory of a process without what it maps of files, such as its program.
 fn memory_kb(process: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"));
     let number = line.and_then(|line| line.split_whitespace().next());
     number.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
@@ -269,10 +313,16 @@
 /// Returns the first three parts of loopback addresses at which nobody listens.
 fn free_net(id: u32, machines: usize) -> io::Result<String> {
     for attempt in 0..50 {
-        let net = format!("127.{}.{}", 20 + (id + attempt) % 200, 1 + (id / 200 + attempt) % 250);
+        let net = format!(
+            "127.{}.{}",
+            20 + (id + attempt) % 200,
+            1 + (id / 200 + attempt) % 250
+        );
         let free = (0..machines).all(|index| {
             let ports = [FRONT, READY, CONTROL, 17660, 9464];
-            ports.iter().all(|port| TcpListener::bind(format!("{net}.{}:{port}", index + 2)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind(format!("{net}.{}:{port}", index + 2)).is_ok())
         });
         if free {
             return Ok(net);
@@ -297,9 +347,27 @@
         r#","goal_ms":400,"timeout_ms":10000,"due_ms":7500,"retention_s":60,"single_version":{single_version},"sticky":true"#
     );
     let routes = [
-        route("lookup", "/lookup/", "idempotent", "plain", r#","goal_ms":400,"timeout_ms":4000"#),
-        route("upload", "/upload/", "idempotent", "store", r#","goal_ms":8000,"timeout_ms":20000"#),
-        route("talk", "/talk/", "streaming", "talker", r#","goal_ms":400,"timeout_ms":30000,"sticky":true"#),
+        route(
+            "lookup",
+            "/lookup/",
+            "idempotent",
+            "plain",
+            r#","goal_ms":400,"timeout_ms":4000"#,
+        ),
+        route(
+            "upload",
+            "/upload/",
+            "idempotent",
+            "store",
+            r#","goal_ms":8000,"timeout_ms":20000"#,
+        ),
+        route(
+            "talk",
+            "/talk/",
+            "streaming",
+            "talker",
+            r#","goal_ms":400,"timeout_ms":30000,"sticky":true"#,
+        ),
         route("batch", "/batch/", "rollout", "engine", &batch),
     ];
     let engine = format!(r#","engine":{{"slots":12,"models":[{{"name":"{MODEL}"}}]}}"#);
@@ -326,7 +394,11 @@
         return Ok(true);
     }
     let id = request.get("Request-Id").unwrap_or("").to_owned();
-    socket.write_all(&response(421, &[("Request-Id", id), ("Not-Run", "1".to_owned())], b""))?;
+    socket.write_all(&response(
+        421,
+        &[("Request-Id", id), ("Not-Run", "1".to_owned())],
+        b"",
+    ))?;
     Ok(false)
 }
 
--- a/review/stand-3/text.rs
+++ b/review/stand-3/text.rs
@@ -102,7 +102,8 @@
             b'"' => self.string().map(Json::Text),
             _ => {
                 let from = self.at;
-                while matches!(self.bytes.get(self.at), Some(byte) if !b",]} \n\r\t".contains(byte)) {
+                while matches!(self.bytes.get(self.at), Some(byte) if !b",]} \n\r\t".contains(byte))
+                {
                     self.at += 1;
                 }
                 match std::str::from_utf8(&self.bytes[from..self.at]).ok()? {
@@ -157,7 +158,11 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for digit in 0..4 {
             let value = (bits >> (18 - 6 * digit)) & 63;
-            text.push(if digit <= chunk.len() { DIGITS[value as usize] } else { b'=' });
+            text.push(if digit <= chunk.len() {
+                DIGITS[value as usize]
+            } else {
+                b'='
+            });
         }
     }
     String::from_utf8(text).unwrap_or_default()
--- a/review/stand-3/worker.rs
+++ b/review/stand-3/worker.rs
@@ -36,7 +36,9 @@
 impl Floor {
     fn enter(&self, item: &str, worker: &str) {
         let mut now = self.now.lock().unwrap();
-        now.entry(item.to_owned()).or_default().push((worker.to_owned(), Instant::now()));
+        now.entry(item.to_owned())
+            .or_default()
+            .push((worker.to_owned(), Instant::now()));
     }
 
     fn leave(&self, item: &str, worker: &str) {
@@ -45,7 +47,10 @@
         if let Some(index) = at.iter().position(|(name, _)| name == worker) {
             at.remove(index);
         }
-        self.last.lock().unwrap().insert(item.to_owned(), Instant::now());
+        self.last
+            .lock()
+            .unwrap()
+            .insert(item.to_owned(), Instant::now());
     }
 
     /// Returns the worker at which an item is, and for how long it has been there.
@@ -61,13 +66,23 @@
         if self.place(item).is_some() {
             return None;
         }
-        Some(self.last.lock().unwrap().get(item).copied().unwrap_or(submitted))
+        Some(
+            self.last
+                .lock()
+                .unwrap()
+                .get(item)
+                .copied()
+                .unwrap_or(submitted),
+        )
     }
 
     /// Returns the number of items that are at a worker.
     pub fn busy_at(&self, worker: &str) -> usize {
         let now = self.now.lock().unwrap();
-        now.values().flatten().filter(|(name, _)| name == worker).count()
+        now.values()
+            .flatten()
+            .filter(|(name, _)| name == worker)
+            .count()
     }
 
     /// Returns the number of items that are at workers.
@@ -76,7 +91,11 @@
     }
 
     pub fn has_finished(&self, item: &str) -> bool {
-        self.finished.lock().unwrap().iter().any(|done| done == item)
+        self.finished
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|done| done == item)
     }
 
     pub fn finished(&self) -> usize {
@@ -150,7 +169,9 @@
             self.sockets.lock().unwrap().push(socket);
         }
         thread::spawn(move || {
-            let Ok(reader) = socket.try_clone() else { return };
+            let Ok(reader) = socket.try_clone() else {
+                return;
+            };
             let (mut reader, mut writer) = (BufReader::new(reader), socket);
             while let Ok(Some(request)) = read_message(&mut reader) {
                 if own.answer(&request, &mut writer, &alive).is_err() {
@@ -160,7 +181,12 @@
         });
     }
 
-    fn answer(&self, request: &Message, socket: &mut TcpStream, alive: &AtomicBool) -> io::Result<()> {
+    fn answer(
+        &self,
+        request: &Message,
+        socket: &mut TcpStream,
+        alive: &AtomicBool,
+    ) -> io::Result<()> {
         if !is_meant(&self.name, request, socket)? {
             return Ok(());
         }
@@ -169,18 +195,27 @@
             return self.order(request, socket);
         }
         let id = request.get("Request-Id").unwrap_or("").to_owned();
-        let expected = request.get("Expect-Version").and_then(|text| text.parse::<u64>().ok());
+        let expected = request
+            .get("Expect-Version")
+            .and_then(|text| text.parse::<u64>().ok());
         let refusal = if self.ordered.load(Ordering::SeqCst) > version {
             Some(503)
         } else {
-            expected.filter(|expected| *expected != version).map(|_| 421)
+            expected
+                .filter(|expected| *expected != version)
+                .map(|_| 421)
         };
         if let Some(status) = refusal {
             let fields = [("Request-Id", id), ("Not-Run", "1".to_owned())];
             return socket.write_all(&response(status, &fields, b""));
         }
-        let from = request.get("Last-Event-Id").and_then(|last| last.parse::<u64>().ok());
-        self.record.add(format!("worker {} runs {id} after event {from:?}", self.name));
+        let from = request
+            .get("Last-Event-Id")
+            .and_then(|last| last.parse::<u64>().ok());
+        self.record.add(format!(
+            "worker {} runs {id} after event {from:?}",
+            self.name
+        ));
         self.floor.enter(&id, &self.name);
         let ended = self.stream(request, socket, alive, from);
         self.floor.leave(&id, &self.name);
@@ -194,7 +229,10 @@
     fn order(&self, request: &Message, socket: &mut TcpStream) -> io::Result<()> {
         let body = Json::parse(&request.body);
         let version = body.get("version").number();
-        self.record.add(format!("worker {} is ordered to load version {version}", self.name));
+        self.record.add(format!(
+            "worker {} is ordered to load version {version}",
+            self.name
+        ));
         if version == self.version.load(Ordering::SeqCst) {
             return socket.write_all(&response(200, &[], b""));
         }
@@ -208,7 +246,8 @@
             }
             thread::sleep(LOAD_TIME);
             own.version.store(version, Ordering::SeqCst);
-            own.record.add(format!("worker {} has loaded version {version}", own.name));
+            own.record
+                .add(format!("worker {} has loaded version {version}", own.name));
         });
         socket.write_all(&response(202, &[], b""))
     }
@@ -221,7 +260,10 @@
         from: Option<u64>,
     ) -> io::Result<()> {
         let mut head = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
-        head.push_str(&format!("Weight-Versions: {}\r\n", self.version.load(Ordering::SeqCst)));
+        head.push_str(&format!(
+            "Weight-Versions: {}\r\n",
+            self.version.load(Ordering::SeqCst)
+        ));
         for (field, value) in stamp(request) {
             head.push_str(&format!("{field}: {value}\r\n"));
         }
