--- a/review/stand-3/pinned.rs
+++ b/review/stand-3/pinned.rs
@@ -17,10 +17,13 @@
 /// Number of workers at the time of the loss; one of them is lost, a share of 0.167.
 const WORKERS: usize = 6;
 const SLOTS: u32 = 4;
-const ITEMS: usize = 8;
+const ITEMS: usize = WORKERS * SLOTS as usize;
+/// Number of workers, the first ones, whose items are long.
+const LONG: usize = 2;
 const BATCH: &str = "5b1c09e2d7f34a68";
-/// An item takes 20 s.
+/// A long item takes 20 s, another one 0.5 s.
 const EVENTS: u64 = 200;
+const SHORT_EVENTS: u64 = 5;
 const GAP: Duration = Duration::from_millis(100);
 /// Time after which the entry of a worker that sends nothing is removed: three check-in intervals.
 const SILENCE: Duration = Duration::from_millis(3_600);
@@ -37,11 +40,15 @@
     let system = System::start(3, 140, &configuration_with(1, 32 << 20, true))?;
     let log = system.record.clone();
     let floor = Floor::default();
-    let worker =
-        |number: usize| Worker::new(&format!("i-engine-{number}"), EVENTS, GAP, &floor, &log);
-    let (first, lost) = (worker(1), worker(2));
-    first.start(&system, SLOTS)?;
-    lost.start(&system, SLOTS)?;
+    let worker = |number: usize| {
+        let events = if number <= LONG { EVENTS } else { SHORT_EVENTS };
+        Worker::new(&format!("i-engine-{number}"), events, GAP, &floor, &log)
+    };
+    let workers: Vec<Worker> = (1..=WORKERS).map(worker).collect();
+    for worker in &workers {
+        worker.start(&system, SLOTS)?;
+    }
+    let lost = &workers[1];
     system.supervise();
     if !system.await_ready() {
         return Ok(Outcome::NotRun("the machines aren't ready".to_owned()));
@@ -65,14 +72,10 @@
     }
     let submitted = Instant::now();
     thread::sleep(Duration::from_secs(1));
-    if floor.busy() != 2 * SLOTS as usize {
+    thread::sleep(Duration::from_secs(1));
+    if floor.busy() != LONG * SLOTS as usize {
         return Ok(Outcome::NotRun(format!("{} items run", floor.busy())));
     }
-    for number in 3..=WORKERS {
-        worker(number).start(&system, SLOTS)?;
-        log.add(format!("worker i-engine-{number} is added"));
-    }
-    thread::sleep(Duration::from_secs(1));
     system.store.put(
         "keyed.op",
         &format!("version/{MODEL}"),
--- a/review/stand-3/worker.rs
+++ b/review/stand-3/worker.rs
@@ -31,6 +31,8 @@
     /// When each item was last at a worker.
     last: Arc<Mutex<BTreeMap<String, Instant>>>,
     finished: Arc<Mutex<Vec<String>>>,
+    /// Number of events of each item, set by the worker that runs it first.
+    lengths: Arc<Mutex<BTreeMap<String, u64>>>,
 }
 
 impl Floor {
@@ -269,7 +271,15 @@
         }
         head.push_str("\r\n");
         socket.write_all(head.as_bytes())?;
-        for number in from.map_or(1, |last| last + 1)..=self.events {
+        let id = request.get("Request-Id").unwrap_or("").to_owned();
+        let events = *self
+            .floor
+            .lengths
+            .lock()
+            .unwrap()
+            .entry(id)
+            .or_insert(self.events);
+        for number in from.map_or(1, |last| last + 1)..=events {
             thread::sleep(self.gap);
             if !alive.load(Ordering::SeqCst) {
                 return Err(io::ErrorKind::ConnectionAborted.into());
