Batches: an owner that is assigned again asks the store before it is read

One host had been suspended beyond its membership, and another one had owned its partitions, finished the batches and left.

Cause: Membership kept an owner whenever its partition was listed. An owner learns that it was replaced from an append that is refused, and an owner of ended batches appends nothing.

Change: a kept owner is doubtful in each new generation (Tenure). Reads go to the store until an append under the owner's epoch that began afterwards is accepted; an owner that was fenced is lost and opened again. Also for an owner that still loads its partition, and for items' bodies. The sequence numbers of results move into one place that all appends share.

--- a/crates/godwitspool-host/src/batch/epoch.rs
+++ b/crates/godwitspool-host/src/batch/epoch.rs
@@ -3,6 +3,11 @@
 /// Maximum step from the epoch of a closed owner to that of its successor.
 const MAX_STEP: u64 = 256;
 
+/// Returns the generation of the hosts' group in which an owner with this epoch was assigned its partition.
+pub(super) fn generation_of(epoch: u64) -> u64 {
+    epoch >> LOW_BITS
+}
+
 /// Returns the epoch of a new owner of a partition in a generation of the hosts' group. It is higher
 /// than those of earlier generations and than `last`, the epoch of an owner of this host that has
 /// closed. Returns `None` if the generation has no higher one left. `draw` is a random number, so that
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -18,6 +18,7 @@
 mod runner;
 mod state;
 mod stored_results;
+mod tenure;
 mod wire;
 
 pub use epoch::next_epoch;
@@ -33,6 +34,7 @@
 pub use runner::Runner;
 pub use state::{Batch, Finished, Item, ItemProgress, ItemState, RunFailure, Verdict};
 pub use stored_results::StoredResults;
+pub use tenure::Tenure;
 
 use std::collections::HashMap;
 
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -3,7 +3,7 @@
     collections::{BTreeMap, HashMap},
     io,
     sync::{
-        Arc,
+        Arc, PoisonError,
         atomic::{AtomicBool, Ordering},
         mpsc::{self, Receiver, RecvTimeoutError, Sender},
     },
@@ -11,16 +11,17 @@
     time::{Duration, Instant},
 };
 
+use godwitspool_sync::Mutex;
 use godwitspool_types::Millis;
 
 use super::{
-    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, save_progress,
+    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, Tenure, save_progress,
     stored_results::StoredResults, wire,
 };
 use crate::{
     StoreBounds, lease_clock,
     process::unix_ms,
-    store::{Store, StoreError, StoredRecord, Topic, Writer, read_all},
+    store::{Record, Store, StoreError, StoredRecord, Topic, Writer, read_all},
 };
 
 /// Maximum wait for new batches in one read. A lost answer delays a batch by this time.
@@ -59,6 +60,12 @@
     part: u32,
     stopped: AtomicBool,
     store: Arc<dyn Store>,
+    tenure: Arc<Tenure>,
+    /// Sequence number of the next append of results; `None` until earlier owners are fenced. Held while
+    /// appending.
+    next_seq: Mutex<Option<u64>>,
+    /// Whether a thread that confirms the tenure is running.
+    confirming: AtomicBool,
     /// Whether the thread that writes results is running.
     writing: AtomicBool,
     /// How long a batch stays readable after its submission.
@@ -96,6 +103,9 @@
             part,
             stopped: AtomicBool::new(false),
             store,
+            tenure: Arc::new(Tenure::new(epoch)),
+            next_seq: Mutex::default(),
+            confirming: AtomicBool::new(false),
             ttl,
             writing: AtomicBool::new(false),
         });
@@ -112,6 +122,24 @@
         self.task.is_stopped()
     }
 
+    /// Records that the store assigns the partition to this host in a generation of the hosts' group. If
+    /// another host may have owned it meanwhile, the batches aren't read here until the store has confirmed
+    /// that none did; if one did, the partition is lost.
+    pub fn observe_assignment(&self, generation: u64) {
+        if self.task.tenure.assign(generation) && !self.task.confirming.swap(true, Ordering::SeqCst)
+        {
+            let own = Arc::clone(&self.task);
+            let spawned = thread::Builder::new()
+                .name("tenure".to_owned())
+                .stack_size(STACK_BYTES)
+                .spawn(move || own.confirm_tenure());
+            if let Err(error) = spawned {
+                log::error!(error:%, partition = self.task.part; "can't start a thread that confirms an ownership; partition closed");
+                self.task.stop("no thread");
+            }
+        }
+    }
+
     /// Closes the partition so that the next owner can resume its items: stops the runs, saves
     /// their partial output and waits until queued results are written. Takes a few calls to the
     /// store at most.
@@ -153,15 +181,7 @@
 
     fn run(self: Arc<Self>) {
         let began = Instant::now();
-        let fence = || {
-            let writer = Writer {
-                epoch: self.epoch,
-                seq: 0,
-            };
-            self.store
-                .append(Topic::Results, self.part, &[], Some(writer))
-        };
-        if self.retry_call("fence", fence).is_none() {
+        if self.fence().is_none() {
             return;
         }
         let Some((results, _)) = self.retry_call("results", || self.load(Topic::Results)) else {
@@ -182,6 +202,10 @@
         let took_ms = began.elapsed().as_millis() as u64;
         log::info!(partition = part, epoch, batches = batches.len(), took_ms; "partition opened");
         self.open(batches, sender);
+        // Assignments of which no thread could ask the store before the fence.
+        if self.confirm_open_doubt().is_none() {
+            return;
+        }
         self.registry.confirm(part, epoch, read_at.get());
         let own = Arc::clone(&self);
         self.writing.store(true, Ordering::SeqCst);
@@ -220,12 +244,77 @@
 
     /// Opens the partition, unless it was lost or closed in the meantime.
     fn open(&self, batches: Vec<Batch>, sender: Sender<Finished>) {
-        self.registry.open(self.part, self.epoch, batches, sender);
+        let tenure = Arc::clone(&self.tenure);
+        self.registry.open(self.part, tenure, batches, sender);
         if self.is_stopped() {
             self.registry.close(self.part, self.epoch);
         }
     }
 
+    /// Fences earlier owners off; returns `None` once the partition is lost or closed.
+    fn fence(&self) -> Option<()> {
+        let mut next_seq = self.next_seq.lock().unwrap_or_else(PoisonError::into_inner);
+        let generation = self.tenure.assigned();
+        let writer = Writer {
+            epoch: self.epoch,
+            seq: 0,
+        };
+        let append = || {
+            self.store
+                .append(Topic::Results, self.part, &[], Some(writer))
+        };
+        self.retry_call("fence", append)?;
+        *next_seq = Some(1);
+        drop(next_seq);
+        self.tenure.confirm(generation);
+        Some(())
+    }
+
+    /// Appends records of results, which also confirms the tenure; returns `None` once the partition is
+    /// lost or closed, or if earlier owners aren't fenced yet.
+    fn append_results(&self, what: &str, records: &[Record]) -> Option<()> {
+        let mut next_seq = self.next_seq.lock().unwrap_or_else(PoisonError::into_inner);
+        let generation = self.tenure.assigned();
+        let seq = (*next_seq)?;
+        let writer = Writer {
+            epoch: self.epoch,
+            seq,
+        };
+        let append = || {
+            self.store
+                .append(Topic::Results, self.part, records, Some(writer))
+        };
+        self.retry_call(what, append)?;
+        *next_seq = Some(seq + 1);
+        drop(next_seq);
+        self.tenure.confirm(generation);
+        Some(())
+    }
+
+    /// Asks the store for as long as the tenure is doubtful whether another owner has taken over. Returns
+    /// `None` once the partition is lost or closed.
+    fn confirm_open_doubt(&self) -> Option<()> {
+        while self.tenure.is_doubtful() {
+            // The store doesn't number empty appends, so the check is a record of its own.
+            self.append_results("check the ownership", &[BatchRecord::of_check()])?;
+            log::info!(partition = self.part, epoch = self.epoch, generation = self.tenure.assigned(); "ownership confirmed");
+        }
+        Some(())
+    }
+
+    /// Confirms the tenure unless the partition isn't open yet, which [`Self::run`] leaves to itself.
+    fn confirm_tenure(&self) {
+        loop {
+            let confirmed = self.confirm_open_doubt();
+            self.confirming.store(false, Ordering::SeqCst);
+            // An assignment between the two has started no thread.
+            let again = confirmed.is_some() && self.tenure.is_doubtful();
+            if !again || self.confirming.swap(true, Ordering::SeqCst) {
+                return;
+            }
+        }
+    }
+
     fn load(&self, topic: Topic) -> Result<(Vec<StoredRecord>, u64), StoreError> {
         read_all(self.store.as_ref(), topic, self.part, None, |_| true)
     }
@@ -312,22 +401,13 @@
     }
 
     /// Removes the records of expired batches; returns `None` once the partition is lost or closed.
-    fn expire(&self, seq: &mut u64) -> Option<()> {
+    fn expire(&self) -> Option<()> {
         let ttl = self.ttl + TTL_MARGIN;
         for (submission, results) in self.registry.expired(self.part, unix_ms(), ttl) {
             let (batch, results) = BatchRecord::of_removal(&submission, &results, &self.bounds);
             // The store counts only appends of records, and a batch may end without a result.
             if !results.is_empty() {
-                let writer = Writer {
-                    epoch: self.epoch,
-                    seq: *seq,
-                };
-                let append = || {
-                    self.store
-                        .append(Topic::Results, self.part, &results, Some(writer))
-                };
-                self.retry_call("remove results", append)?;
-                *seq += 1;
+                self.append_results("remove results", &results)?;
             }
             let append = || self.store.append(Topic::Batches, self.part, &batch, None);
             self.retry_call("remove batch", append)?;
@@ -339,12 +419,11 @@
 
     /// Appends results in groups, and publishes each group once the store has confirmed it.
     fn write(&self, receiver: &Receiver<Finished>, mut positions: HashMap<String, u64>) {
-        let mut seq = 1;
         let mut expire_at = Instant::now() + EXPIRY_INTERVAL;
         loop {
             let left = expire_at.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                if self.is_stopped() || self.expire(&mut seq).is_none() {
+                if self.is_stopped() || self.expire().is_none() {
                     return;
                 }
                 expire_at = Instant::now() + EXPIRY_INTERVAL;
@@ -376,18 +455,9 @@
                     BatchRecord::of_result(batch, *position - 1, result, &self.bounds)
                 })
                 .collect();
-            let writer = Writer {
-                epoch: self.epoch,
-                seq,
-            };
-            let append = || {
-                self.store
-                    .append(Topic::Results, self.part, &records, Some(writer))
-            };
-            if self.retry_call("append results", append).is_none() {
+            if self.append_results("append results", &records).is_none() {
                 return;
             }
-            seq += 1;
             self.registry.publish_results(self.part, self.epoch, &group);
         }
     }
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -96,6 +96,11 @@
         EncodedSubmission::new(submission, bounds).calls().collect()
     }
 
+    /// Returns a record that changes nothing. An owner appends it to learn whether it has been fenced.
+    pub fn of_check() -> Record {
+        Record::tombstone("/check")
+    }
+
     /// Returns the record that marks a batch as ended.
     pub fn of_end(batch: &str) -> Record {
         Record::new(format!("{batch}/e"), [1])
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -9,7 +9,8 @@
 use godwitspool_types::{Millis, Workspace};
 
 use super::{
-    Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, partition_of,
+    Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, Tenure,
+    partition_of,
 };
 use crate::{
     StoreBounds,
@@ -46,6 +47,7 @@
     pub batches: BTreeMap<String, Batch>,
     /// Age of what is known of the batches, which callers may have ended since.
     pub freshness: Freshness,
+    tenure: Arc<Tenure>,
     writer: Sender<Finished>,
 }
 
@@ -103,7 +105,7 @@
     Found(T),
     /// This host owns the partition, and the workspace has no such batch.
     Missing,
-    /// This host doesn't own the partition.
+    /// This host doesn't own the partition, or another host may have owned it since the batches were read.
     NotOwned,
 }
 
@@ -138,7 +140,14 @@
 
     /// Adds a partition that this host owns from now on, with its batches. Does nothing if the host owns
     /// the partition under a higher epoch: an earlier owner was slow, and its successor is here.
-    pub fn open(&self, part: u32, epoch: u64, batches: Vec<Batch>, writer: Sender<Finished>) {
+    pub fn open(
+        &self,
+        part: u32,
+        tenure: Arc<Tenure>,
+        batches: Vec<Batch>,
+        writer: Sender<Finished>,
+    ) {
+        let epoch = tenure.epoch;
         let batches = batches.into_iter();
         let read_ms = unix_ms();
         let batches = batches
@@ -151,6 +160,7 @@
             epoch,
             batches,
             freshness: self.max_age.map(Freshness::new).unwrap_or_default(),
+            tenure,
             writer,
         };
         let mut parts = self.lock();
@@ -320,7 +330,8 @@
         let due = Instant::now() + wait;
         let mut parts = self.lock();
         loop {
-            let Some(part) = parts.get_mut(&partition_of(id, self.part_count)) else {
+            let part = parts.get_mut(&partition_of(id, self.part_count));
+            let Some(part) = part.filter(|part| !part.tenure.is_doubtful()) else {
                 return Lookup::NotOwned;
             };
             if find(part, id, workspace).is_none() {
@@ -343,7 +354,8 @@
     /// Returns the request body of an item.
     pub fn body(&self, id: &str, workspace: Option<&Workspace>, item: &str) -> Lookup<Vec<u8>> {
         let parts = self.lock();
-        let Some(part) = parts.get(&partition_of(id, self.part_count)) else {
+        let part = parts.get(&partition_of(id, self.part_count));
+        let Some(part) = part.filter(|part| !part.tenure.is_doubtful()) else {
             return Lookup::NotOwned;
         };
         let Some(batch) = find(part, id, workspace) else {
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -226,7 +226,8 @@
         hand_over(lost.values());
         for part in parts {
             let held = self.owners.get(&part);
-            if held.is_some_and(|held| !held.is_lost()) {
+            if let Some(held) = held.filter(|held| !held.is_lost()) {
+                held.observe_assignment(assignment.generation);
                 continue;
             }
             let closed = held.map(|held| held.epoch);
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -14,7 +14,7 @@
     batch::{
         Batch, BatchRecord, BatchRegistry, EventBuffer, Finished, ItemProgress, ItemResult,
         ItemSpec, ItemState, Lookup, Move, Pace, RunFailure, RunView, StoredResults, Submission,
-        Verdict, decide_move, order_items, partition_of,
+        Tenure, Verdict, decide_move, order_items, partition_of,
     },
     store::{Record, StoredRecord},
 };
@@ -34,6 +34,10 @@
 /// Slots at the targets that have the step's version when it arrives: half of a model's targets.
 const SLOTS: usize = 24;
 
+fn tenure(epoch: u64) -> Arc<Tenure> {
+    Arc::new(Tenure::new(epoch))
+}
+
 /// Returns the step with hints that deviate from the actual lengths by up to 50 %.
 fn step() -> Submission {
     let items = EVENTS.iter().enumerate().map(|(index, events)| {
@@ -215,7 +219,7 @@
     let registry = BatchRegistry::new(4).unwrap();
     let part = partition_of("b", 4);
     let (sender, _receiver) = mpsc::channel();
-    registry.open(part, 7, vec![batch(2, 1)], sender);
+    registry.open(part, tenure(7), vec![batch(2, 1)], sender);
     let finished = Finished {
         batch: "b".to_owned(),
         result: ItemResult {
@@ -314,7 +318,7 @@
     let registry = BatchRegistry::new(4).unwrap();
     let part = partition_of("b", 4);
     let (sender, _receiver) = mpsc::channel();
-    registry.open(part, 7, vec![batch(2, 1)], sender);
+    registry.open(part, tenure(7), vec![batch(2, 1)], sender);
     registry.observe_epoch(part, 6);
     assert_eq!(registry.owned(), [(part, 7)]);
     registry.observe_epoch(part, 8);
@@ -329,7 +333,7 @@
     let registry = BatchRegistry::new(4).unwrap();
     let part = partition_of("b", 4);
     let (sender, _receiver) = mpsc::channel();
-    registry.open(part, 7, vec![batch(2, 1)], sender);
+    registry.open(part, tenure(7), vec![batch(2, 1)], sender);
     let advance = |events| {
         let mut parts = registry.lock();
         let batch = parts.get_mut(&part).unwrap().batches.get_mut("b").unwrap();
@@ -361,7 +365,7 @@
     let (sender, receiver) = mpsc::channel();
     let mut given = batch(2, 1);
     given.items[1].progress = progress(3);
-    registry.open(part, 7, vec![given], sender);
+    registry.open(part, tenure(7), vec![given], sender);
     let records = registry.take_unsaved(part, 7, &bounds);
     assert_eq!(registry.owned(), []);
     assert!(
@@ -485,8 +489,8 @@
     let registry = BatchRegistry::new(4).unwrap();
     let part = partition_of("b", 4);
     let (sender, _receiver) = mpsc::channel();
-    registry.open(part, 9, vec![batch(2, 1)], sender.clone());
-    registry.open(part, 7, Vec::new(), sender);
+    registry.open(part, tenure(9), vec![batch(2, 1)], sender.clone());
+    registry.open(part, tenure(7), Vec::new(), sender);
     registry.close(part, 7);
     assert_eq!(registry.owned(), [(part, 9)]);
 }
