--- /dev/null
+++ b/crates/godwitspool-host/src/batch/item_work.rs
@@ -0,0 +1,54 @@
+//! What is left to do of an item before a run of it starts.
+
+use std::sync::Arc;
+
+use godwitspool_types::{Millis, ServiceName};
+
+use super::{Batch, EVENT_TOKENS, RouteLengths};
+use crate::{
+    process::Shared,
+    version::{Fleet, Work},
+};
+
+/// Discards the partial output of an item, given with the current time, if its version can't continue
+/// it: no target serves that version any more, and there is a newer one.
+pub(super) fn discard_stranded(
+    shared: &Shared,
+    fleet: &Fleet,
+    service: &ServiceName,
+    batch: &mut Batch,
+    (index, now): (usize, Millis),
+) {
+    let submission = Arc::clone(&batch.submission);
+    let model = &submission.model;
+    if let Some(version) = batch.pinned_version(index)
+        && !fleet.has_version(service, model, version, now)
+        && shared.newest_version(model) > version
+    {
+        log::info!(
+            batch:% = submission.id, item:% = submission.items[index].id, version,
+            events:? = batch.items[index].progress.last_event;
+            "output discarded: no target has its version any more"
+        );
+        batch.discard_output(index);
+    }
+}
+
+/// Returns the work that is left of an item.
+pub(super) fn work_left(
+    lengths: &RouteLengths,
+    shared: &Shared,
+    batch: &Batch,
+    index: usize,
+) -> Work {
+    let submission = &batch.submission;
+    let spec = &submission.items[index];
+    let done = batch.items[index].progress.last_event.unwrap_or_default();
+    let prompt = shared.dialect.prompt(spec);
+    Work {
+        events: lengths.events_left(submission, spec.hint, done),
+        tokens: prompt.tokens as f64 + done as f64 * EVENT_TOKENS,
+        usual_events: lengths.usual(submission),
+        ..Work::default()
+    }
+}
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -7,6 +7,7 @@
 
 mod epoch;
 mod event_buffer;
+mod item_work;
 mod lengths;
 mod order;
 mod owner;
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -4,8 +4,10 @@
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
-    Batch, EVENT_TOKENS, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure,
-    RunView, Submission, Verdict, claimant, decide_move, reward::RewardCall,
+    Batch, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure, RunView, Submission,
+    Verdict, claimant, decide_move,
+    item_work::{discard_stranded, work_left},
+    reward::RewardCall,
 };
 use crate::{
     dialect::ForwardContext,
@@ -14,8 +16,7 @@
     process::{Shared, TargetStart},
     store::Topic,
     version::{
-        Assignments, Basis, CHOICE_LIFETIME, Configuration, Fleet, Outcome, PlaceRequest,
-        Placement, Work,
+        Assignments, Basis, CHOICE_LIFETIME, Configuration, Outcome, PlaceRequest, Placement, Work,
     },
 };
 
@@ -796,44 +797,6 @@
     }
 }
 
-/// Discards the partial output of an item, given with the current time, if its version can't continue
-/// it: no target serves that version any more, and there is a newer one.
-fn discard_stranded(
-    shared: &Shared,
-    fleet: &Fleet,
-    service: &ServiceName,
-    batch: &mut Batch,
-    (index, now): (usize, Millis),
-) {
-    let submission = Arc::clone(&batch.submission);
-    let model = &submission.model;
-    if let Some(version) = batch.pinned_version(index)
-        && !fleet.has_version(service, model, version, now)
-        && shared.newest_version(model) > version
-    {
-        log::info!(
-            batch:% = submission.id, item:% = submission.items[index].id, version,
-            events:? = batch.items[index].progress.last_event;
-            "output discarded: no target has its version any more"
-        );
-        batch.discard_output(index);
-    }
-}
-
-/// Returns the work that is left of an item.
-fn work_left(lengths: &RouteLengths, shared: &Shared, batch: &Batch, index: usize) -> Work {
-    let submission = &batch.submission;
-    let spec = &submission.items[index];
-    let done = batch.items[index].progress.last_event.unwrap_or_default();
-    let prompt = shared.dialect.prompt(spec);
-    Work {
-        events: lengths.events_left(submission, spec.hint, done),
-        tokens: prompt.tokens as f64 + done as f64 * EVENT_TOKENS,
-        usual_events: lengths.usual(submission),
-        ..Work::default()
-    }
-}
-
 /// Returns whether lines without an event hold anything but comments.
 fn is_text(lines: &[u8]) -> bool {
     let mut lines = lines.split(|byte| *byte == b'\n');
