Suspects: an item's claim lasts only as long as it is extended

Cause: the claim of a trial named 30 s as its end, and only its host could end it before. Neither the next owner of the batch nor that of the next batch with the item could take it over.

Change: a claim lasts 1.5 s, counted from when a host reads it, and is extended each 0.4 s by whoever waits for the item or runs it. 0.5 s after it has lapsed another host may claim. Reward calls have the same claims.

--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -13,7 +13,7 @@
     dialect::ForwardContext,
     http::{CallError, Connection, Exchange, Interest, Progress, wait},
     lease_clock,
-    process::{Shared, TargetStart},
+    process::{RunClaim, Shared, TargetStart},
     store::Topic,
     version::{
         Assignments, Basis, CHOICE_LIFETIME, Configuration, Outcome, PlaceRequest, Placement, Work,
@@ -74,6 +74,8 @@
     /// Whether the connection broke off behind the request.
     broke_off: bool,
     pace: Pace,
+    /// Claim by which the item runs, if it is suspected of ending its targets.
+    claim: Option<RunClaim>,
     service: ServiceName,
     /// Version that the target should have loaded, if nothing had confirmed it.
     expected: Option<u64>,
@@ -305,6 +307,7 @@
                                 started.push(Run {
                                     part: *number,
                                     epoch: part.epoch,
+                                    claim: shared.suspicion.run_claim(print, &claimant),
                                     ..*run
                                 });
                                 continue 'batch;
@@ -435,6 +438,7 @@
             head_read: false,
             broke_off: false,
             pace: Pace::default(),
+            claim: None,
             service: service.clone(),
             expected: place.expected,
             submission,
@@ -505,6 +509,9 @@
         if shared.is_withheld(&self.target, &self.exchange) {
             return failed(RunFailure::NotRun, Outcome::Dropped);
         }
+        if let Some(claim) = self.claim.filter(|_| check_due) {
+            shared.suspicion.extend(claim);
+        }
         let progress = self.exchange.advance();
         if !self.head_read
             && let Some(head) = self.exchange.head()
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -32,7 +32,7 @@
 pub use reports::{LoadNotice, Notice, RunReport, report_interval};
 pub use shared::{Adapters, Shared, unix_ms};
 pub use standby::{Listing, Standby, StandbyChange, is_standby};
-pub use suspicion::{Admission, SuspectRun, Suspicion, TargetStart};
+pub use suspicion::{Admission, RunClaim, SuspectRun, Suspicion, TargetStart};
 pub use tails::read_wait;
 pub use trips::TripMetrics;
 pub use usage::UsageCounts;
--- a/crates/godwitspool-host/src/process/suspicion.rs
+++ b/crates/godwitspool-host/src/process/suspicion.rs
@@ -78,6 +78,13 @@
     Withheld(Duration),
 }
 
+/// The claim by which a suspected item runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunClaim {
+    print: Fingerprint,
+    claim: u64,
+}
+
 /// Requests that are suspected of ending their targets.
 #[derive(Debug)]
 pub struct Suspicion {
@@ -256,9 +263,14 @@
             return None;
         }
         let print = print();
+        let (claim, now_ms) = (print.claim(claimant), unix_ms());
         let mut state = self.lock();
-        match state.suspects.pace(print, print.claim(claimant), unix_ms()) {
-            Pacing::Start => None,
+        match state.suspects.pace(print, claim, now_ms) {
+            Pacing::Start => {
+                let extension = state.suspects.extend(print, claim, now_ms);
+                self.send_extension(state, extension);
+                None
+            }
             Pacing::Wait(ms) => Some(Millis(ms)),
             Pacing::Claim(trial) => {
                 let change = SuspectChange::Trial(trial);
@@ -269,6 +281,36 @@
         }
     }
 
+    /// Returns the claim by which an item runs now, if it is suspected. `print` is called only if any
+    /// request is.
+    pub fn run_claim(
+        &self,
+        print: impl FnOnce() -> Fingerprint,
+        claimant: &str,
+    ) -> Option<RunClaim> {
+        if self.lock().suspects.is_empty() {
+            return None;
+        }
+        let print = print();
+        let claim = print.claim(claimant);
+        let held = self.lock().suspects.has_trial(print, claim);
+        held.then_some(RunClaim { print, claim })
+    }
+
+    /// Extends the claim of an item that still runs, if that is due.
+    pub fn extend(&self, RunClaim { print, claim }: RunClaim) {
+        let mut state = self.lock();
+        let extension = state.suspects.extend(print, claim, unix_ms());
+        self.send_extension(state, extension);
+    }
+
+    fn send_extension(&self, mut state: MutexGuard<'_, State>, extension: Option<SuspectRecord>) {
+        if extension.is_some() {
+            state.append(extension);
+            self.changed.notify_all();
+        }
+    }
+
     /// Records how a copy of an item or a reward call ended. `broke_off` names the target if the
     /// connection broke off.
     pub fn record_end(
@@ -317,7 +359,7 @@
     pub fn end_trial(&self, print: Fingerprint, claim: u64) {
         let mut state = self.lock();
         let change = release(print, claim);
-        state.suspects.apply(&change);
+        state.suspects.apply(&change, unix_ms());
         state.append([change]);
         self.changed.notify_all();
     }
@@ -420,7 +462,9 @@
         loop {
             match Mirror::fetch(shared.store.as_ref(), Topic::Suspects, next, READ_WAIT) {
                 Ok(fetched) => {
-                    unreachable = false;
+                    if std::mem::take(&mut unreachable) {
+                        self.lock().suspects.refresh_trials(unix_ms());
+                    }
                     let (mut records, after) = match fetched {
                         Fetched::All { records, end } => {
                             if next.is_some() {
@@ -450,10 +494,11 @@
         if records.is_empty() {
             return;
         }
+        let now_ms = unix_ms();
         let mut state = self.lock();
         for StoredRecord { offset, record } in records {
             match SuspectRecord::try_from(record) {
-                Ok(record) => state.suspects.apply(&record),
+                Ok(record) => state.suspects.apply(&record, now_ms),
                 Err(error) => log::warn!(offset, error:%; "record of a suspect ignored"),
             }
         }
--- a/crates/godwitspool-host/src/version/suspects.rs
+++ b/crates/godwitspool-host/src/version/suspects.rs
@@ -24,8 +24,14 @@
 /// Pause between two starts of such an item or call. It is shorter than the 5 s without a run after which
 /// the platform considers an item forgotten.
 const PAUSE_MS: u64 = 4_500;
-/// Time for which such an item or call may run before another host may start it.
-const RUN_MS: u64 = 30_000;
+/// Time for which the claim of such an item or call lasts unless its holder extends it. A host that is
+/// killed extends none, and its partitions go to other hosts after about as long.
+const CLAIM_MS: u64 = 1_500;
+/// Interval at which a claim is extended.
+const EXTENSION_MS: u64 = 400;
+/// Time after the end of a claim until another one is made. An extension that is under way comes first,
+/// and hosts that read the store at slightly different times agree on who holds the claim.
+const CLAIM_MARGIN_MS: u64 = 500;
 /// Time for which a request is refused after its first end in a trial. A sound request may have been on
 /// trial by bad luck.
 const FIRST_REFUSAL_MS: u64 = 60_000;
@@ -56,9 +62,9 @@
     pub claim: u64,
     /// Target on which the copy runs. Other requests avoid it meanwhile.
     pub target: TargetName,
-    /// When the trial was asked for, in milliseconds since 1970.
+    /// When the trial was asked for or extended, in milliseconds since 1970.
     pub at_ms: u64,
-    /// When it is over if its host hasn't ended it; 0 ends it.
+    /// When it is over if its host has neither ended nor extended it; 0 ends it.
     pub until_ms: u64,
 }
 
@@ -277,18 +283,52 @@
         if now_ms < due {
             return Pacing::Wait(due - now_ms);
         }
-        match self.trials.get(&print).filter(|trial| trial.lasts(now_ms)) {
-            Some(trial) if trial.claim == claim => Pacing::Start,
-            Some(_) => Pacing::Wait(CLAIM_RETRY_MS),
-            None => Pacing::Claim(Trial {
-                claim,
-                target: TargetName::default(),
-                at_ms: now_ms,
-                until_ms: now_ms + RUN_MS,
-            }),
+        match self.trials.get(&print) {
+            Some(trial) if trial.claim == claim && trial.lasts(now_ms) => Pacing::Start,
+            Some(trial) if trial.lasts(now_ms.saturating_sub(CLAIM_MARGIN_MS)) => {
+                Pacing::Wait(CLAIM_RETRY_MS)
+            }
+            _ => Pacing::Claim(claim_at(claim, now_ms)),
         }
     }
 
+    /// Returns the extension of a claim that an item or a reward call still needs, once it is due.
+    ///
+    /// Load pattern: items run for many seconds, while the host that runs one may be killed at any moment
+    /// and can't end its claim. The next owner of the batch, or of a later batch with the same item, must
+    /// not wait for long, and must not start a second copy beside a run that goes on.
+    ///
+    /// ```
+    /// use godwitspool_host::version::{
+    ///     Fingerprint, Pacing, SuspectChange, SuspectRecord, Suspects, TargetEnd,
+    /// };
+    ///
+    /// let print = Fingerprint::new(None, "POST", "a.example", "/b/1", b"body");
+    /// let mut suspects = Suspects::default();
+    /// for start in 0..3 {
+    ///     suspects.observe(print, start, TargetEnd { at_ms: 0, on_trial: false });
+    /// }
+    /// let Pacing::Claim(trial) = suspects.pace(print, 7, 4_500) else {
+    ///     panic!("the claim is free");
+    /// };
+    /// let change = SuspectChange::Trial(trial);
+    /// suspects.apply(&SuspectRecord { print, change }, 4_510);
+    /// assert_eq!(suspects.pace(print, 7, 4_510), Pacing::Start);
+    /// assert_eq!(suspects.extend(print, 7, 4_600), None);
+    /// assert!(suspects.extend(print, 7, 5_000).is_some());
+    /// assert_eq!(suspects.extend(print, 8, 5_000), None);
+    /// ```
+    pub fn extend(&mut self, print: Fingerprint, claim: u64, now_ms: u64) -> Option<SuspectRecord> {
+        let trial = self.trials.get_mut(&print)?;
+        let due = trial.claim == claim && now_ms >= trial.at_ms + EXTENSION_MS;
+        due.then(|| {
+            // The claim lasts longer only once the store has the extension.
+            trial.at_ms = now_ms;
+            let change = SuspectChange::Trial(claim_at(claim, now_ms));
+            SuspectRecord { print, change }
+        })
+    }
+
     /// Returns whether the trial of a request has this claim.
     pub fn has_trial(&self, print: Fingerprint, claim: u64) -> bool {
         self.trials
@@ -332,28 +372,44 @@
         }
     }
 
-    /// Applies a record of the store. Of several trials that hosts ask for at the same time, the first
-    /// one in the store's order counts.
-    pub fn apply(&mut self, record: &SuspectRecord) {
+    /// Applies a record of the store that is read now. Of several trials that hosts ask for at the same
+    /// time, the first one in the store's order counts.
+    pub fn apply(&mut self, record: &SuspectRecord, now_ms: u64) {
         let SuspectRecord { print, change } = record;
         match change {
             SuspectChange::Ended(start, end) => self.observe(*print, *start, *end),
             SuspectChange::Forgotten(start) => self.forget_end(*print, *start),
-            SuspectChange::Trial(trial) => self.apply_trial(*print, trial),
+            SuspectChange::Trial(trial) => self.apply_trial(*print, trial, now_ms),
             SuspectChange::TrialForgotten => {
                 self.trials.remove(print);
             }
         }
     }
 
-    fn apply_trial(&mut self, print: Fingerprint, trial: &Trial) {
+    fn apply_trial(&mut self, print: Fingerprint, trial: &Trial, now_ms: u64) {
         let known = self.trials.get(&print);
+        let is_own = known.is_some_and(|known| known.claim == trial.claim);
         if trial.until_ms == 0 {
-            if known.is_some_and(|known| known.claim == trial.claim) {
+            if is_own {
                 self.trials.remove(&print);
             }
-        } else if !known.is_some_and(|known| known.lasts(trial.at_ms)) {
-            self.trials.insert(print, trial.clone());
+        } else if is_own || !known.is_some_and(|known| known.lasts(now_ms)) {
+            // Hosts' clocks may differ by more than a claim lasts, so its time counts from here.
+            let lasts_ms = trial.until_ms.saturating_sub(trial.at_ms);
+            let read = Trial {
+                at_ms: now_ms,
+                until_ms: now_ms + lasts_ms,
+                ..trial.clone()
+            };
+            self.trials.insert(print, read);
+        }
+    }
+
+    /// Lets trials last for as long as if they had been extended now. While the store can't be read, no
+    /// extension arrives.
+    pub fn refresh_trials(&mut self, now_ms: u64) {
+        for trial in self.trials.values_mut() {
+            trial.until_ms = trial.until_ms.max(now_ms + CLAIM_MS);
         }
     }
 
@@ -392,6 +448,16 @@
     }
 }
 
+/// Returns a claim of an item or a reward call, or its extension.
+fn claim_at(claim: u64, now_ms: u64) -> Trial {
+    Trial {
+        claim,
+        target: TargetName::default(),
+        at_ms: now_ms,
+        until_ms: now_ms + CLAIM_MS,
+    }
+}
+
 impl Trial {
     fn lasts(&self, now_ms: u64) -> bool {
         now_ms < self.until_ms
