HTTP: a status outside 100 to 599 is no answer

Callers of a target in trouble got statuses 600 and 999 as answers, and a 200 that was the body of an answer with status 000 or 099.

Cause: the decoder of responses took any three digits, and skipped all below 200 as informational, so that what followed was read as the next head. The entry's HTTP library lets 600 to 999 pass.

Change: such a head is malformed; the caller gets 502. At the entry it is an invalid answer.

--- a/crates/godwitspool-connection/src/target_client.rs
+++ b/crates/godwitspool-connection/src/target_client.rs
@@ -246,10 +246,16 @@
     idle_timeout: Millis,
 ) -> Result<Response<Body>, CallError> {
     connection.begin_request();
-    connection
+    let response = connection
         .agent
         .run(request)
-        .map_err(|error| call_error(connection, &error, idle_timeout))
+        .map_err(|error| call_error(connection, &error, idle_timeout))?;
+    // The library refuses the numbers below 100 only.
+    if response.status().as_u16() >= 600 {
+        let cause = format!("status {}", response.status().as_u16());
+        return Err(CallError::Protocol { cause });
+    }
+    Ok(response)
 }
 
 fn call_error(connection: &TargetConnection, error: &Error, idle_timeout: Millis) -> CallError {
--- a/crates/godwitspool-host/src/http/decode.rs
+++ b/crates/godwitspool-host/src/http/decode.rs
@@ -51,15 +51,16 @@
 ///
 /// # Errors
 ///
-/// Fails if the bytes aren't a valid response head.
+/// Fails if the bytes aren't a valid response head, or the status isn't one of HTTP's five classes.
 pub fn decode_response(bytes: &[u8]) -> Result<Option<(Response, usize)>, DecodeError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
     let mut head = httparse::Response::new(&mut fields);
     match head.parse(bytes).ok().ok_or(DecodeError::Head)? {
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(length) => {
+            let status = head.code.filter(|code| (100..600).contains(code));
             let response = Response {
-                status: head.code.unwrap_or_default(),
+                status: status.ok_or(DecodeError::Head)?,
                 headers: headers(head.headers),
                 body: Vec::new(),
             };
--- a/crates/godwitspool-host/tests/http.rs
+++ b/crates/godwitspool-host/tests/http.rs
@@ -110,6 +110,16 @@
     assert_eq!((request.path(), request.parameter("b")), ("/a", Some("1")));
     assert_eq!(&bytes[length..], b"body");
     assert_eq!(decode_response(b"nonsense\r\n\r\n"), Err(DecodeError::Head));
+    for (code, is_valid) in [
+        (0, false),
+        (99, false),
+        (100, true),
+        (599, true),
+        (600, false),
+    ] {
+        let head = format!("HTTP/1.1 {code:03} \r\n\r\n");
+        assert_eq!(decode_response(head.as_bytes()).is_ok(), is_valid, "{code}");
+    }
 }
 
 #[test]
