Batches: an item's output that can't be stored is discarded

A target in trouble that numbers its events on and on had its host keep them all; if it ended beyond 2 MB, the store refused the result, which was appended again for good while later results of the partition waited.

Cause: events are taken from the exchange as they come, so its bound on bodies doesn't count them, and nothing compared an output with what one append takes.

Change: beyond 7/16 of call_bytes the output is discarded and the item starts over.

--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -14,6 +14,8 @@
 const MAX_PAGE_KEYS: usize = 500;
 /// Number of latest appends that are recognized when repeated, as in the protocol.
 const MAX_RECENT_APPENDS: usize = 5;
+/// Maximum total size of the records of one append, unless another one is set. The platform's default.
+const MAX_CALL_BYTES: usize = 2 * 1024 * 1024;
 /// Time until the connection of an unanswered call is closed.
 const SILENCE_DURATION: Duration = Duration::from_secs(20);
 
@@ -54,6 +56,8 @@
     topics: HashMap<(String, u32), Partition>,
     group: Group,
     fault: Option<FaultFn>,
+    /// Maximum total size of the records of one append.
+    call_bytes: Option<usize>,
     /// Number of calls by path.
     calls: HashMap<String, usize>,
 }
@@ -131,6 +135,11 @@
         self.shared.lock().fault = None;
     }
 
+    /// Sets the maximum total size of the records of one append. Larger ones get status 413.
+    pub fn limit_calls(&self, bytes: usize) {
+        self.shared.lock().call_bytes = Some(bytes);
+    }
+
     /// Appends a keyed record to partition 0 of a topic, as an operator or a target does. A record
     /// without a value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
@@ -278,6 +287,9 @@
                 .and_then(|text| text.parse::<u64>().ok())
         };
         let mut state = self.lock();
+        if request.body.len() > state.call_bytes.unwrap_or(MAX_CALL_BYTES) {
+            return Response::new(413, Vec::new());
+        }
         let keyed = topic.starts_with("keyed.");
         let partition = state.topics.entry((topic, part)).or_default();
         if let (Some(epoch), Some(seq)) = (number("epoch"), number("seq")) {
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -688,6 +688,10 @@
                 return Err(RunFailure::Unusable);
             }
             progress.push(number, &event.data);
+            if progress.text.len() > shared.settings.store.max_output() {
+                log::warn!(item:% = spec.id, target_name:% = self.target, number; "output exceeds what the store takes");
+                return Err(RunFailure::Unusable);
+            }
             self.buffer.accept();
             self.ended_in_noise = false;
             events += 1;
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -154,8 +154,8 @@
     Moved,
     /// The target didn't run the request.
     NotRun,
-    /// The output is from a version of the model that is too old, or from several where one is
-    /// required. It is discarded, and the next run starts over.
+    /// The output is from a version of the model that is too old, from several where one is required, or
+    /// longer than the store takes. It is discarded, and the next run starts over.
     Unusable,
 }
 
--- a/crates/godwitspool-host/src/settings.rs
+++ b/crates/godwitspool-host/src/settings.rs
@@ -111,6 +111,20 @@
     pub member_ttl: Duration,
 }
 
+impl StoreBounds {
+    /// Returns the maximum size of an item's output in bytes. It fits into one append beside other results
+    /// that take half of it, and with the default into a page of results.
+    ///
+    /// ```
+    /// use godwitspool_host::StoreBounds;
+    ///
+    /// assert_eq!(StoreBounds::default().max_output(), 896 * 1024);
+    /// ```
+    pub fn max_output(&self) -> usize {
+        self.call_bytes / 16 * 7
+    }
+}
+
 impl Default for StoreBounds {
     fn default() -> Self {
         Self {
