Batches: the removal of a large batch is split into appends that the store takes

From the end of a large batch's TTL on, no result of its partition was listed any more.

Cause: all tombstones of its results were one append, which the store refuses beyond 2 MB and the owner repeated for good.

--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -15,8 +15,8 @@
 use godwitspool_types::Millis;
 
 use super::{
-    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, Tenure, save_progress,
-    stored_results::StoredResults, wire,
+    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, Tenure,
+    record::split_calls, save_progress, stored_results::StoredResults, wire,
 };
 use crate::{
     StoreBounds, lease_clock,
@@ -405,12 +405,15 @@
         let ttl = self.ttl + TTL_MARGIN;
         for (submission, results) in self.registry.expired(self.part, unix_ms(), ttl) {
             let (batch, results) = BatchRecord::of_removal(&submission, &results, &self.bounds);
-            // The store counts only appends of records, and a batch may end without a result.
-            if !results.is_empty() {
-                self.append_results("remove results", &results)?;
+            // The submission goes last, so that an owner that is lost in between leaves nothing that no
+            // owner would remove.
+            for call in calls(results, &self.bounds) {
+                self.append_results("remove results", &call)?;
+            }
+            for call in calls(batch, &self.bounds) {
+                let append = || self.store.append(Topic::Batches, self.part, &call, None);
+                self.retry_call("remove batch", append)?;
             }
-            let append = || self.store.append(Topic::Batches, self.part, &batch, None);
-            self.retry_call("remove batch", append)?;
             log::info!(batch:% = submission.id, partition = self.part; "batch removed: its TTL is over");
             self.registry.delete_batch(self.part, &submission.id);
         }
@@ -463,6 +466,13 @@
     }
 }
 
+/// Splits records into appends that the store takes. A batch may have no results, and the store numbers no
+/// append of nothing.
+fn calls(records: Vec<Record>, bounds: &StoreBounds) -> impl Iterator<Item = Vec<Record>> {
+    let calls = split_calls(records, bounds).into_iter();
+    calls.filter(|call| !call.is_empty())
+}
+
 /// Assembles submissions from their records.
 #[derive(Debug, Default)]
 struct Assembly {
