Batches: a read waits shortly for a doubtful ownership

While the store was asked whether an ownership still holds, a read went to the store and came back at once without a result, so its caller came again half a second later. It now waits for the answer, which takes a few milliseconds in calm, and for 200 ms at most.

Not shown by a test of its own; an_owner_that_is_assigned_again_serves_only_what_is_still_its_own holds.

--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -298,6 +298,7 @@
             // The store doesn't number empty appends, so the check is a record of its own.
             self.append_results("check the ownership", &[BatchRecord::of_check()])?;
             log::info!(partition = self.part, epoch = self.epoch, generation = self.tenure.assigned(); "ownership confirmed");
+            self.registry.notify();
         }
         Some(())
     }
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -23,6 +23,9 @@
 /// Maximum size of a page of results. The platform's interface allows responses of up to a
 /// megabyte.
 const MAX_PAGE_BYTES: usize = 900 * 1024;
+/// Time for which a read waits until the store has confirmed a doubtful ownership: a few calls. After that the
+/// results are read from the store.
+const MAX_CONFIRM_WAIT: Duration = Duration::from_millis(200);
 
 /// The batches of the partitions that this host owns, shared by the threads of the process.
 #[derive(Debug)]
@@ -328,12 +331,21 @@
         wait: Duration,
     ) -> Lookup<ResultPage> {
         let due = Instant::now() + wait;
+        let confirmed_by = Instant::now() + MAX_CONFIRM_WAIT;
         let mut parts = self.lock();
         loop {
-            let part = parts.get_mut(&partition_of(id, self.part_count));
-            let Some(part) = part.filter(|part| !part.tenure.is_doubtful()) else {
+            let Some(part) = parts.get_mut(&partition_of(id, self.part_count)) else {
                 return Lookup::NotOwned;
             };
+            if part.tenure.is_doubtful() {
+                let left = confirmed_by.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return Lookup::NotOwned;
+                }
+                let waited = self.changed.wait_timeout(parts, left);
+                parts = waited.unwrap_or_else(PoisonError::into_inner).0;
+                continue;
+            }
             if find(part, id, workspace).is_none() {
                 return Lookup::Missing;
             }
@@ -368,7 +380,8 @@
         }
     }
 
-    fn notify(&self) {
+    /// Wakes the reads that wait, and the runner.
+    pub(super) fn notify(&self) {
         self.changed.notify_all();
         self.waker.wake();
     }
