Batches: a batch belongs to the workspace whose key submitted it

Cause: batches were stored and kept by their identifier alone, and an end was stored without a look at whose batch it is.

Change: they are stored and looked up by identifier and workspace (batch_key). Batches of earlier builds are found under their identifier, with their workspace checked. Batches on open routes need a key, since nobody could read them without. Builds of before don't find batches of this one.

--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! accept it. One host at a time owns the partition: it runs the items, and appends each result
 //! under its epoch before callers can read the result.
 
+mod batch_key;
 mod epoch;
 mod event_buffer;
 mod item_work;
@@ -22,6 +23,7 @@
 mod tenure;
 mod wire;
 
+pub use batch_key::{batch_id, batch_key};
 pub use epoch::next_epoch;
 pub use event_buffer::EventBuffer;
 pub use lengths::{EVENT_TOKENS, RouteLengths};
@@ -78,9 +80,17 @@
     /// Version of the configuration by which the batch was accepted. Stored as an extension.
     #[serde(skip)]
     pub configuration: u64,
+    /// Key under which it is stored, if that isn't its identifier. The records' keys contain it.
+    #[serde(skip)]
+    pub stored_key: Option<String>,
 }
 
 impl Submission {
+    /// Returns the key under which the batch is stored and looked up.
+    pub fn key(&self) -> &str {
+        self.stored_key.as_deref().unwrap_or(&self.id)
+    }
+
     /// Returns whether the batch may run by the configuration of this version. An older configuration
     /// than that which accepted the batch may lack its routes, or name services that they have left.
     ///
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -15,8 +15,8 @@
 use godwitspool_types::Millis;
 
 use super::{
-    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, Tenure,
-    record::split_calls, save_progress, stored_results::StoredResults, wire,
+    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, Tenure, batch_id,
+    record::split_calls, registry::find_ended, save_progress, stored_results::StoredResults, wire,
 };
 use crate::{
     StoreBounds, lease_clock,
@@ -361,9 +361,9 @@
         for change in assembly.read(self.part, records) {
             match change {
                 Change::Accepted(submission) => {
-                    let results = stored_results.take_results(&submission.id);
-                    positions.insert(submission.id.clone(), results.len() as u64);
-                    let id = submission.id.clone();
+                    let id = submission.key().to_owned();
+                    let results = stored_results.take_results(&id);
+                    positions.insert(id.clone(), results.len() as u64);
                     let mut batch = Batch::new(Arc::new(submission), results);
                     for (item, progress) in stored_results.take_progress(&id) {
                         batch.resume(item, progress);
@@ -371,7 +371,7 @@
                     batches.insert(id, batch);
                 }
                 Change::Ended(batch) => {
-                    if let Some(batch) = batches.get_mut(&batch) {
+                    if let Some(batch) = find_ended(&mut batches, &batch) {
                         batch.ended = true;
                     }
                 }
@@ -393,7 +393,7 @@
                 }
                 Change::Ended(batch) => {
                     if self.registry.end(self.part, &batch) {
-                        log::info!(batch:%, partition = self.part; "batch ended");
+                        log::info!(batch = batch_id(&batch), partition = self.part; "batch ended");
                     }
                 }
                 Change::Removed(batch) => self.registry.delete_batch(self.part, &batch),
@@ -416,7 +416,7 @@
                 self.retry_call("remove batch", append)?;
             }
             log::info!(batch:% = submission.id, partition = self.part; "batch removed: its TTL is over");
-            self.registry.delete_batch(self.part, &submission.id);
+            self.registry.delete_batch(self.part, submission.key());
         }
         Some(())
     }
@@ -525,7 +525,9 @@
             return Err(format!("got {} of {count} chunks", chunks.len()));
         }
         let bytes: Vec<u8> = chunks.into_values().flatten().collect();
-        wire::decode_submission(&bytes)
+        let mut submission = wire::decode_submission(&bytes)?;
+        submission.stored_key = (submission.id != batch).then(|| batch.to_owned());
+        Ok(submission)
     }
 }
 
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -5,7 +5,7 @@
 use rapidhash::v3::rapidhash_v3;
 use snafu::Snafu;
 
-use super::{ItemProgress, ItemResult, Submission, wire};
+use super::{ItemProgress, ItemResult, Submission, batch_id, wire};
 use crate::{
     StoreBounds,
     store::{Record, StoredRecord},
@@ -14,9 +14,10 @@
 /// Bytes of a record that are reserved for its key and framing.
 const RECORD_OVERHEAD_BYTES: usize = 256;
 
-/// Returns the number of the partition that stores a batch. All hosts must compute the same one.
+/// Returns the number of the partition that stores a batch, given with its key. All hosts must compute the
+/// same one. It follows from the identifier alone.
 pub fn partition_of(batch: &str, parts: u32) -> u32 {
-    (rapidhash_v3(batch.as_bytes()) % u64::from(parts.max(1))) as u32
+    (rapidhash_v3(batch_id(batch).as_bytes()) % u64::from(parts.max(1))) as u32
 }
 
 /// A decoded record of the topics `Batches` and `Results`.
@@ -112,7 +113,7 @@
         results: &[Arc<ItemResult>],
         bounds: &StoreBounds,
     ) -> (Vec<Record>, Vec<Record>) {
-        let id = &submission.id;
+        let id = submission.key();
         let stored = EncodedSubmission::new(submission, bounds).into_keys();
         let mut batch: Vec<Record> = stored.into_iter().map(Record::tombstone).collect();
         batch.push(Record::tombstone(Self::of_end(id).key));
@@ -264,7 +265,7 @@
         Self {
             bounds: *bounds,
             bytes: wire::encode_submission(submission),
-            id: submission.id.clone(),
+            id: submission.key().to_owned(),
         }
     }
 
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, Tenure,
-    partition_of,
+    batch_id, batch_key, partition_of,
 };
 use crate::{
     StoreBounds,
@@ -46,7 +46,7 @@
 pub struct OwnedPartition {
     /// Epoch of the ownership.
     pub epoch: u64,
-    /// Batches of the partition by identifier.
+    /// Batches of the partition by key.
     pub batches: BTreeMap<String, Batch>,
     /// Age of what is known of the batches, which callers may have ended since.
     pub freshness: Freshness,
@@ -70,7 +70,8 @@
     fn unsaved(&mut self, events: u64, bounds: &StoreBounds) -> Vec<Record> {
         let mut records = Vec::new();
         for batch in self.batches.values_mut().filter(|batch| batch.is_open()) {
-            let id = &batch.submission.id;
+            let submission = Arc::clone(&batch.submission);
+            let id = submission.key();
             for (index, item) in batch.items.iter_mut().enumerate() {
                 if item.has_unsaved(events) {
                     let record = BatchRecord::of_progress(id, index as u32, &item.progress, bounds);
@@ -89,7 +90,8 @@
     fn tombstones(&mut self) -> Vec<Record> {
         let mut records = Vec::new();
         for batch in self.batches.values_mut().filter(|batch| !batch.is_open()) {
-            let id = &batch.submission.id;
+            let submission = Arc::clone(&batch.submission);
+            let id = submission.key();
             for (index, item) in batch.items.iter_mut().enumerate() {
                 if item.saved_event.take().is_some() {
                     let key = BatchRecord::progress_key(id, index as u32);
@@ -156,7 +158,7 @@
         let batches = batches
             .map(|mut batch| {
                 batch.read_ms = read_ms;
-                (batch.submission.id.clone(), batch)
+                (batch.submission.key().to_owned(), batch)
             })
             .collect();
         let opened = OwnedPartition {
@@ -261,7 +263,7 @@
         let Some(part) = parts.get_mut(&part) else {
             return false;
         };
-        let Entry::Vacant(entry) = part.batches.entry(submission.id.clone()) else {
+        let Entry::Vacant(entry) = part.batches.entry(submission.key().to_owned()) else {
             return false;
         };
         entry.insert(Batch::new(submission, Vec::new()));
@@ -276,7 +278,7 @@
         let mut parts = self.lock();
         let found = parts
             .get_mut(&part)
-            .and_then(|part| part.batches.get_mut(batch));
+            .and_then(|part| find_ended(&mut part.batches, batch));
         let Some(batch) = found else {
             return false;
         };
@@ -387,6 +389,20 @@
     }
 }
 
+/// Returns the batch that an end with this key is meant for. A batch that was stored by an earlier build has
+/// its identifier as its key, and is ended by its own workspace only.
+pub(super) fn find_ended<'a>(
+    batches: &'a mut BTreeMap<String, Batch>,
+    key: &str,
+) -> Option<&'a mut Batch> {
+    if batches.contains_key(key) {
+        return batches.get_mut(key);
+    }
+    let earlier = batches.get_mut(batch_id(key))?;
+    let own = batch_key(Some(&earlier.submission.workspace), &earlier.submission.id);
+    (own == key).then_some(earlier)
+}
+
 fn find<'a>(
     part: &'a OwnedPartition,
     id: &str,
--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -279,7 +279,7 @@
             address: self.address,
         };
         let answered = matches!(outcome, RewardOutcome::Scored(_) | RewardOutcome::Failed);
-        let claimant = claimant(shared, &self.submission.id);
+        let claimant = claimant(shared, self.submission.key());
         let broke_off = self.broke_off.then_some(target);
         let suspicion = &shared.suspicion;
         suspicion.record_end(|| call.fingerprint(), &claimant, answered, broke_off);
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -196,7 +196,7 @@
                 waiting |= others;
                 for item in calls {
                     let spec = &batch.submission.items[item];
-                    let claimant = claimant(&shared, &batch.submission.id);
+                    let claimant = claimant(&shared, batch.submission.key());
                     let pause = spec.scorer.as_ref().and_then(|call| {
                         let print = || call.fingerprint();
                         shared.suspicion.pause(print, &claimant)
@@ -233,7 +233,7 @@
         for mut call in std::mem::take(&mut self.calls) {
             let (number, epoch) = call.ownership;
             let part = parts.get_mut(&number).filter(|part| part.epoch == epoch);
-            let batch = part.and_then(|part| part.batches.get_mut(&call.submission.id));
+            let batch = part.and_then(|part| part.batches.get_mut(call.submission.key()));
             let Some(batch) = batch.filter(|batch| !batch.ended) else {
                 call.drop_call(&shared, now);
                 continue;
@@ -287,7 +287,7 @@
                     for (item, ahead) in items {
                         let spec = &submission.items[item];
                         let print = || spec.fingerprint(&submission.workspace, &submission.host);
-                        let claimant = claimant(&shared, &submission.id);
+                        let claimant = claimant(&shared, submission.key());
                         if let Some(pause) = shared.suspicion.pause(print, &claimant) {
                             batch.postpone(item, now + pause);
                             continue 'batch;
@@ -461,7 +461,7 @@
             let part = parts
                 .get_mut(&run.part)
                 .filter(|part| part.epoch == run.epoch);
-            let batch = part.and_then(|part| part.batches.get_mut(&run.submission.id));
+            let batch = part.and_then(|part| part.batches.get_mut(run.submission.key()));
             let Some(batch) = batch.filter(|batch| !batch.ended) else {
                 shared.fleet().finish(&run.target, Outcome::Dropped, now);
                 run.record_end(&shared, false);
@@ -793,7 +793,7 @@
         };
         shared.suspicion.record_end(
             || spec.fingerprint(&submission.workspace, &submission.host),
-            &claimant(shared, &submission.id),
+            &claimant(shared, submission.key()),
             completed,
             self.broke_off.then_some(target),
         );
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -479,7 +479,7 @@
         item.state = ItemState::Done;
         let progress = std::mem::take(&mut item.progress);
         Finished {
-            batch: self.submission.id.clone(),
+            batch: self.submission.key().to_owned(),
             result: ItemResult {
                 item: index as u32,
                 completed,
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -9,8 +9,8 @@
 use super::{Drained, RETRY_AFTER_END, Shared, peers, permits::PERMIT_PATH, relay::RELAY_PATH};
 use crate::{
     batch::{
-        BatchRecord, EncodedSubmission, Lookup, ResultPage, Submission, page, partition_of,
-        read_stored,
+        BatchRecord, EncodedSubmission, Lookup, ResultPage, Submission, batch_key, page,
+        partition_of, read_stored,
     },
     dialect::{Call, CallKind},
     http::{Caller, Request, Response},
@@ -154,13 +154,17 @@
         let workspace = workspace.as_ref();
         return forward(shared, route, request, call, workspace, priority, caller);
     }
-    let workspace = workspace.unwrap_or_default();
+    // Only a key of the workspace can read a batch, so it can't be submitted without one either.
+    let Ok(workspace) = configuration.workspace(None, call.key.as_ref()) else {
+        return respond(caller, status(401));
+    };
     // Three bytes of an item for each four of its text; nothing else is as large.
     let decoded = request.body.len() / 4 * 3;
     if !caller.hold(request.body.capacity() + decoded) {
         return respond(caller, shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
     }
-    let submission = shared.dialect.submission(&request, call, route, &workspace);
+    let owner = workspace.clone().unwrap_or_default();
+    let submission = shared.dialect.submission(&request, call, route, &owner);
     // The decoded items take its place.
     request.body = Vec::new();
     match submission {
@@ -171,7 +175,7 @@
                 call,
                 origin,
                 request: &request,
-                workspace: Some(workspace),
+                workspace,
             };
             let submit = |call: &BatchCall<'_>| call.submit(&configuration, submission);
             respond(caller, batch_call.timed(&route.name, submit))
@@ -206,13 +210,28 @@
 impl BatchCall<'_> {
     fn answer(&self) -> Response {
         match &self.call.kind {
-            CallKind::ReadBatch { batch, after } => self.read_results(batch, *after),
-            CallKind::ReadItem { batch, item } => self.read_item(batch, item),
+            CallKind::ReadBatch { batch, after } => {
+                self.find_stored(batch, |key| self.read_results(key, *after))
+            }
+            CallKind::ReadItem { batch, item } => {
+                self.find_stored(batch, |key| self.read_item(key, item))
+            }
             CallKind::EndBatch { batch } => self.end_batch(batch),
             CallKind::Routed => Response::new(404, Vec::new()),
         }
     }
 
+    /// Reads a batch under its key, or else under its identifier, which is the key of a batch that an earlier
+    /// build stored.
+    fn find_stored(&self, batch: &str, read: impl Fn(&str) -> Response) -> Response {
+        let key = batch_key(self.workspace.as_ref(), batch);
+        let found = read(&key);
+        if found.status == 404 && key != batch {
+            return read(batch);
+        }
+        found
+    }
+
     /// Handles the call and records how long it took; refuses it if the process ends before it could
     /// be finished.
     fn timed(&self, kind: &str, handle: impl FnOnce(&Self) -> Response) -> Response {
@@ -255,7 +274,9 @@
             return self.shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE);
         }
         let parts = self.shared.settings.store.parts;
-        let part = partition_of(&submission.id, parts);
+        let key = batch_key(self.workspace.as_ref(), &submission.id);
+        let part = partition_of(&key, parts);
+        submission.stored_key = Some(key);
         let items = submission.items.len();
         let encoded = EncodedSubmission::new(&submission, &self.shared.settings.store);
         // The encoded submission takes its place.
@@ -272,8 +293,9 @@
 
     /// Stores a record that ends a batch, and acknowledges it with 200.
     fn end_batch(&self, batch: &str) -> Response {
-        let part = partition_of(batch, self.shared.settings.store.parts);
-        let stored = self.append_records(part, [vec![BatchRecord::of_end(batch)]]);
+        let key = batch_key(self.workspace.as_ref(), batch);
+        let part = partition_of(&key, self.shared.settings.store.parts);
+        let stored = self.append_records(part, [vec![BatchRecord::of_end(&key)]]);
         log::info!(batch, partition = part, stored:?; "batch end requested");
         self.acknowledge(&stored, 200)
     }
