Dialect: no caller gives orders to targets

A request, an item or a reward call with the path of orders reached a target whose service a route leads to, which took it for an order: with a high fencing number it loaded what the caller named and refused the holder of the duties from then on.

Cause: paths were checked for their form only.

--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -60,6 +60,8 @@
         /// Identifier of the batch.
         batch: String,
     },
+    /// An order to a target, which no caller may give.
+    TargetOrder,
 }
 
 /// What is added to a request when it is forwarded to a target.
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -126,6 +126,9 @@
         return respond(caller, shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
     };
     let status = |status| Response::new(status, Vec::new());
+    if call.kind == CallKind::TargetOrder {
+        return respond(caller, status(404));
+    }
     if call.kind != CallKind::Routed {
         let Ok(workspace) = configuration.workspace(None, call.key.as_ref()) else {
             return respond(caller, status(401));
@@ -217,7 +220,7 @@
                 self.find_stored(batch, |key| self.read_item(key, item))
             }
             CallKind::EndBatch { batch } => self.end_batch(batch),
-            CallKind::Routed => Response::new(404, Vec::new()),
+            CallKind::Routed | CallKind::TargetOrder => Response::new(404, Vec::new()),
         }
     }
 
