--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -132,7 +132,7 @@
             let spawned = thread::Builder::new()
                 .name("tenure".to_owned())
                 .stack_size(STACK_BYTES)
-                .spawn(move || own.confirm_tenure());
+                .spawn(move || own.check_until_confirmed());
             if let Err(error) = spawned {
                 log::error!(error:%, partition = self.task.part; "can't start a thread that confirms an ownership; partition closed");
                 self.task.stop("no thread");
@@ -202,8 +202,8 @@
         let took_ms = began.elapsed().as_millis() as u64;
         log::info!(partition = part, epoch, batches = batches.len(), took_ms; "partition opened");
         self.open(batches, sender);
-        // Assignments of which no thread could ask the store before the fence.
-        if self.confirm_open_doubt().is_none() {
+        // Assignments that came before the fence haven't been checked.
+        if self.check_tenure().is_none() {
             return;
         }
         self.registry.confirm(part, epoch, read_at.get());
@@ -291,9 +291,9 @@
         Some(())
     }
 
-    /// Asks the store for as long as the tenure is doubtful whether another owner has taken over. Returns
-    /// `None` once the partition is lost or closed.
-    fn confirm_open_doubt(&self) -> Option<()> {
+    /// Asks the store whether another owner has taken over, for as long as the tenure is doubtful. Returns
+    /// `None` once the partition is lost or closed, or if earlier owners aren't fenced yet.
+    fn check_tenure(&self) -> Option<()> {
         while self.tenure.is_doubtful() {
             // The store doesn't number empty appends, so the check is a record of its own.
             self.append_results("check the ownership", &[BatchRecord::of_check()])?;
@@ -303,10 +303,11 @@
         Some(())
     }
 
-    /// Confirms the tenure unless the partition isn't open yet, which [`Self::run`] leaves to itself.
-    fn confirm_tenure(&self) {
+    /// Checks the tenure in a thread of its own, also for assignments that come meanwhile. Before the fence
+    /// there is nothing to check by; [`Self::run`] does so once the partition is open.
+    fn check_until_confirmed(&self) {
         loop {
-            let confirmed = self.confirm_open_doubt();
+            let confirmed = self.check_tenure();
             self.confirming.store(false, Ordering::SeqCst);
             // An assignment between the two has started no thread.
             let again = confirmed.is_some() && self.tenure.is_doubtful();
