Batches: bodies that nobody uses aren't kept

A host of 64 MB took 130 MB beside 16 reward calls, and 247 MB beside 32 items, whose targets sent a body without end (a success to the calls, status 500 to the items).

Cause: an exchange keeps up to 8 MB of a body. A reward call never took it, a run only that of a success.

Change: both take what has arrived in each step and drop what nothing uses.

--- a/crates/godwitspool-fakes/src/scripted_target.rs
+++ b/crates/godwitspool-fakes/src/scripted_target.rs
@@ -16,6 +16,9 @@
 /// Time until a silent connection is closed.
 const SILENCE: Duration = Duration::from_secs(20);
 
+/// Bytes that are sent at a time of an answer without end.
+const ENDLESS_BYTES: usize = 64 * 1024;
+
 /// What a [`ScriptedTarget`] does behind the bytes of an answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Ending {
@@ -24,6 +27,8 @@
     Keep,
     /// Closes the connection normally.
     Close,
+    /// Sends these bytes again and again until the caller closes.
+    Endless(&'static [u8]),
     /// Resets the connection.
     Reset,
     /// Sends nothing more.
@@ -136,6 +141,13 @@
         match script.ending {
             Ending::Keep => {}
             Ending::Close => return peer.shutdown(Shutdown::Both),
+            Ending::Endless(piece) => {
+                // Small pieces are sent many at a time, or the fake would be the slow part.
+                let pieces = piece.repeat(ENDLESS_BYTES.div_ceil(piece.len()));
+                loop {
+                    peer.write_all(&pieces)?;
+                }
+            }
             Ending::Reset => return SockRef::from(&peer).set_linger(Some(Duration::ZERO)),
             Ending::Silent => {
                 thread::sleep(SILENCE);
--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -88,6 +88,8 @@
     began: Millis,
     exchange: Exchange,
     timeout: Millis,
+    /// Bytes of the response's body so far. They aren't kept: the score is in the head.
+    received: usize,
     /// Whether the connection broke off behind the request.
     broke_off: bool,
 }
@@ -157,6 +159,7 @@
                     .without_kernel_timeouts()
                     .begin_by(lease_clock() + CHOICE_LIFETIME),
                 timeout,
+                received: 0,
                 broke_off: false,
             }),
             Err(error) => {
@@ -184,8 +187,10 @@
             && self.exchange.skip_response()
         {
             log::warn!(target_name:% = self.target; "response to another request discarded");
+            self.received = 0;
             progress = self.exchange.advance();
         }
+        self.received += self.exchange.take_body().len();
         match progress {
             Ok(Progress::Done) => Some(self.read_response(shared)),
             Ok(Progress::Pending) => {
@@ -220,7 +225,7 @@
         let reply = shared.dialect.reply(head);
         shared.observe_reply(&self.target, self.born, &reply, "reward call");
         let call = self.submission.items[self.item].scorer.as_ref();
-        let sizes = call.map(|call| (call.body.len(), head.body.len()));
+        let sizes = call.map(|call| (call.body.len(), self.received));
         shared.observe_exchange(&self.target, &self.exchange, sizes);
         if !self.is_own_response(shared) {
             return RewardOutcome::Broken;
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -536,25 +536,24 @@
             }
         }
         let status = self.exchange.head().map(|head| head.status);
-        if status == Some(200) {
-            let bytes = self.exchange.take_body();
-            if !bytes.is_empty() {
-                self.buffer.push(&bytes);
-                match self.read_events(shared, batch) {
-                    // Bytes without an event don't count as progress: a stalled target may send
-                    // some now and then.
-                    Ok(0) => {}
-                    Ok(events) => {
-                        let since_last = now - self.last_data;
-                        if self.pace.events > 0 {
-                            let interval_ms = since_last.0 as f64 / f64::from(events);
-                            shared.fleet().record_pace(&self.target, interval_ms, now);
-                        }
-                        self.pace.push(events, since_last);
-                        self.last_data = now;
+        // The body of a failure isn't kept either.
+        let bytes = self.exchange.take_body();
+        if status == Some(200) && !bytes.is_empty() {
+            self.buffer.push(&bytes);
+            match self.read_events(shared, batch) {
+                // Bytes without an event don't count as progress: a stalled target may send
+                // some now and then.
+                Ok(0) => {}
+                Ok(events) => {
+                    let since_last = now - self.last_data;
+                    if self.pace.events > 0 {
+                        let interval_ms = since_last.0 as f64 / f64::from(events);
+                        shared.fleet().record_pace(&self.target, interval_ms, now);
                     }
-                    Err(failure) => return failed(failure, Outcome::Failed),
+                    self.pace.push(events, since_last);
+                    self.last_data = now;
                 }
+                Err(failure) => return failed(failure, Outcome::Failed),
             }
         }
         match progress {
