Suspects: a request's claim lasts only as long as it is extended

Callers of a request that had ended two targets were refused for 11.2 s after the host that ran it on trial was killed: its claim lasted until a second beyond its deadline of 10 s.

Change: the claim lasts 1.5 s; the thread that sends records of suspects extends it each 0.4 s until the request ends, or its deadline. Nobody asks for another trial until 0.5 s after it has lapsed.

--- a/crates/godwitspool-host/src/process/suspicion.rs
+++ b/crates/godwitspool-host/src/process/suspicion.rs
@@ -17,8 +17,8 @@
 use crate::{
     store::{Record, Store, StoredRecord, Topic},
     version::{
-        Fetched, Fingerprint, Mirror, Pacing, Standing, SuspectChange, SuspectRecord, Suspects,
-        TargetEnd, Trial,
+        EXTENSION_MS, Fetched, Fingerprint, Mirror, Pacing, Standing, SuspectChange, SuspectRecord,
+        Suspects, TargetEnd, Trial,
     },
 };
 
@@ -27,7 +27,8 @@
 const READ_WAIT: Duration = Duration::from_secs(2);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Time that a trial lasts beyond the deadline of its request, until its host has recorded its end.
+/// Time for which the claim of a trial is extended beyond the deadline of its request, until its host has
+/// recorded its end.
 const TRIAL_SLACK: Duration = Duration::from_secs(1);
 /// Delay until a claim for an item is looked at: a few calls to the store.
 const CLAIM_DELAY: Millis = Millis(50);
@@ -104,11 +105,32 @@
     broken: HashMap<TargetStart, Vec<Break>>,
     /// Number of this host's suspects that run on a target.
     running: HashMap<TargetName, u32>,
+    /// Requests of this host that are on trial.
+    held: HashMap<Fingerprint, HeldTrial>,
     /// Records for the store, in order.
     unsent: Vec<Record>,
 }
 
+/// A request of this host that is on trial.
+#[derive(Clone, Copy, Debug)]
+struct HeldTrial {
+    claim: u64,
+    /// When its claim is extended no more, in milliseconds since 1970.
+    until_ms: u64,
+}
+
 impl State {
+    /// Extends the claims of this host's requests on trial, as far as that is due.
+    fn extend_held(&mut self, now_ms: u64) {
+        self.held.retain(|_, held| now_ms < held.until_ms);
+        let suspects = &mut self.suspects;
+        let held = self.held.iter();
+        let extend =
+            |(print, held): (&Fingerprint, &HeldTrial)| suspects.extend(*print, held.claim, now_ms);
+        let extensions: Vec<SuspectRecord> = held.filter_map(extend).collect();
+        self.append(extensions);
+    }
+
     fn append(&mut self, changes: impl IntoIterator<Item = SuspectRecord>) {
         for change in changes {
             match Record::try_from(&change) {
@@ -214,6 +236,10 @@
                 Standing::Watched => return Admission::Watched,
                 Standing::OnTrial(other) if other == claim => {
                     self.decisions.count("trial");
+                    let lasts = due.saturating_duration_since(Instant::now()) + TRIAL_SLACK;
+                    let until_ms = now_ms + lasts.as_millis() as u64;
+                    state.held.insert(print, HeldTrial { claim, until_ms });
+                    self.changed.notify_all();
                     return Admission::Trial(claim);
                 }
                 Standing::Refused(until_ms) => {
@@ -226,13 +252,7 @@
                 }
                 Standing::Suspected if !asked => {
                     (asked, claimed) = (true, true);
-                    let lasts = due.saturating_duration_since(Instant::now()) + TRIAL_SLACK;
-                    let trial = Trial {
-                        claim,
-                        target: target.clone(),
-                        at_ms: now_ms,
-                        until_ms: now_ms + lasts.as_millis() as u64,
-                    };
+                    let trial = Trial::claim(claim, target.clone(), now_ms);
                     let change = SuspectChange::Trial(trial);
                     state.append([SuspectRecord { print, change }]);
                     self.changed.notify_all();
@@ -345,6 +365,7 @@
         }
         let print = print();
         let mut state = self.lock();
+        state.held.remove(&print);
         let changes = state.suspects.clear(print);
         if changes.is_empty() {
             return;
@@ -358,6 +379,7 @@
     /// Ends a trial without a verdict.
     pub fn end_trial(&self, print: Fingerprint, claim: u64) {
         let mut state = self.lock();
+        state.held.remove(&print);
         let change = release(print, claim);
         state.suspects.apply(&change, unix_ms());
         state.append([change]);
@@ -372,6 +394,9 @@
             on_trial: trial.is_some(),
         };
         let mut state = self.lock();
+        if trial.is_some() {
+            state.held.remove(&print);
+        }
         // Until the probe has shown what became of the target, it counts as ended.
         state.suspects.observe(print, target.number(), end);
         let broken = state.broken.entry(target).or_default();
@@ -440,8 +465,14 @@
                     state.append(changes);
                 }
             }
+            state.extend_held(unix_ms());
             if state.unsent.is_empty() {
-                let woken = self.changed.wait_timeout(state, EXPIRY_INTERVAL);
+                let wait = if state.held.is_empty() {
+                    EXPIRY_INTERVAL
+                } else {
+                    Duration::from_millis(EXTENSION_MS)
+                };
+                let woken = self.changed.wait_timeout(state, wait);
                 drop(woken.unwrap_or_else(PoisonError::into_inner));
                 continue;
             }
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -35,7 +35,8 @@
 pub use mirror::{Fetched, Mirror, MirrorChange};
 pub use speed::{SpeedEstimate, TargetSpeed, load_slope};
 pub use suspects::{
-    Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects, TargetEnd, Trial,
+    EXTENSION_MS, Pacing, Standing, SuspectChange, SuspectRecord, SuspectRecordError, Suspects,
+    TargetEnd, Trial,
 };
 use trip::MARGIN_MS;
 pub use trip::{Offer, Payload, ShareChange, Spill, Trip, Trips, saving};
--- a/crates/godwitspool-host/src/version/suspects.rs
+++ b/crates/godwitspool-host/src/version/suspects.rs
@@ -24,11 +24,11 @@
 /// Pause between two starts of such an item or call. It is shorter than the 5 s without a run after which
 /// the platform considers an item forgotten.
 const PAUSE_MS: u64 = 4_500;
-/// Time for which the claim of such an item or call lasts unless its holder extends it. A host that is
-/// killed extends none, and its partitions go to other hosts after about as long.
+/// Time for which a claim lasts unless its holder extends it. A host that is killed extends none, and its
+/// partitions go to other hosts after about as long.
 const CLAIM_MS: u64 = 1_500;
-/// Interval at which a claim is extended.
-const EXTENSION_MS: u64 = 400;
+/// Interval at which a claim is extended, in milliseconds.
+pub const EXTENSION_MS: u64 = 400;
 /// Time after the end of a claim until another one is made. An extension that is under way comes first,
 /// and hosts that read the store at slightly different times agree on who holds the claim.
 const CLAIM_MARGIN_MS: u64 = 500;
@@ -255,8 +255,8 @@
         if let Some(until) = until.filter(|until| now_ms < *until) {
             return Standing::Refused(until);
         }
-        let trial = self.trials.get(&print).filter(|trial| trial.lasts(now_ms));
-        match trial {
+        let trial = self.trials.get(&print);
+        match trial.filter(|trial| trial.is_held(now_ms)) {
             Some(trial) => Standing::OnTrial(trial.claim),
             None if until.is_some() || ends.len() >= TRIAL_ENDS => Standing::Suspected,
             None => Standing::Watched,
@@ -285,18 +285,17 @@
         }
         match self.trials.get(&print) {
             Some(trial) if trial.claim == claim && trial.lasts(now_ms) => Pacing::Start,
-            Some(trial) if trial.lasts(now_ms.saturating_sub(CLAIM_MARGIN_MS)) => {
-                Pacing::Wait(CLAIM_RETRY_MS)
-            }
-            _ => Pacing::Claim(claim_at(claim, now_ms)),
+            Some(trial) if trial.is_held(now_ms) => Pacing::Wait(CLAIM_RETRY_MS),
+            _ => Pacing::Claim(Trial::claim(claim, TargetName::default(), now_ms)),
         }
     }
 
-    /// Returns the extension of a claim that an item or a reward call still needs, once it is due.
+    /// Returns the extension of a claim that is still needed, once it is due.
     ///
-    /// Load pattern: items run for many seconds, while the host that runs one may be killed at any moment
-    /// and can't end its claim. The next owner of the batch, or of a later batch with the same item, must
-    /// not wait for long, and must not start a second copy beside a run that goes on.
+    /// Load pattern: items and requests run for many seconds, while the host that runs one may be killed at
+    /// any moment and can't end its claim. The next owner of the batch, or of a later batch with the same
+    /// item, or the host to which a caller sends its request again, must not wait for long, and must not
+    /// start a second copy beside a run that goes on.
     ///
     /// ```
     /// use godwitspool_host::version::{
@@ -324,7 +323,8 @@
         due.then(|| {
             // The claim lasts longer only once the store has the extension.
             trial.at_ms = now_ms;
-            let change = SuspectChange::Trial(claim_at(claim, now_ms));
+            let extended = Trial::claim(claim, trial.target.clone(), now_ms);
+            let change = SuspectChange::Trial(extended);
             SuspectRecord { print, change }
         })
     }
@@ -448,17 +448,22 @@
     }
 }
 
-/// Returns a claim of an item or a reward call, or its extension.
-fn claim_at(claim: u64, now_ms: u64) -> Trial {
-    Trial {
-        claim,
-        target: TargetName::default(),
-        at_ms: now_ms,
-        until_ms: now_ms + CLAIM_MS,
+impl Trial {
+    /// Returns the claim of a trial on a target, or its extension.
+    pub fn claim(claim: u64, target: TargetName, now_ms: u64) -> Self {
+        Self {
+            claim,
+            target,
+            at_ms: now_ms,
+            until_ms: now_ms + CLAIM_MS,
+        }
+    }
+
+    /// Returns whether nobody else may ask for a trial yet.
+    fn is_held(&self, now_ms: u64) -> bool {
+        now_ms < self.until_ms + CLAIM_MARGIN_MS
     }
-}
 
-impl Trial {
     fn lasts(&self, now_ms: u64) -> bool {
         now_ms < self.until_ms
     }
