Batches: a host answers by what it owns only as long as its membership lasts

A host that had been suspended while another one owned its partitions answered reads with 200 and no result for as long as its renewals hung or failed afterwards, though it reached the store.

Cause: nothing bounded how long a host answers by what it owns, since reads go on in an outage of the store.

Change: OwnershipLease. An attempt to renew that fails extends the time for reads only if it began within it, so an outage changes nothing, and a suspension sends reads to the store.

--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -9,12 +9,13 @@
 use godwitspool_types::{Millis, Workspace};
 
 use super::{
-    Batch, BatchRecord, Finished, ItemResult, ResultPage, StoredBatch, Submission, Tenure,
-    batch_id, batch_key, partition_of,
+    Batch, BatchRecord, Finished, ItemResult, OwnershipLease, ResultPage, StoredBatch, Submission,
+    Tenure, batch_id, batch_key, partition_of,
 };
 use crate::{
     StoreBounds,
     http::Waker,
+    lease_clock,
     process::unix_ms,
     store::Record,
     version::{Basis, Freshness},
@@ -33,6 +34,8 @@
     parts: Mutex<BTreeMap<u32, OwnedPartition>>,
     changed: Condvar,
     part_count: u32,
+    /// How long the host may answer by what it owns.
+    lease: Mutex<OwnershipLease>,
     /// Highest epoch that another host has reported for each partition.
     epochs: Mutex<BTreeMap<u32, u64>>,
     /// Maximum age of what is known of a partition at which its items start; `None` is no limit.
@@ -125,6 +128,7 @@
             parts: Mutex::new(BTreeMap::new()),
             changed: Condvar::new(),
             part_count: parts,
+            lease: Mutex::default(),
             epochs: Mutex::default(),
             max_age: None,
             waker: Waker::new()?,
@@ -143,6 +147,16 @@
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the lease by which reads are answered.
+    pub fn lease(&self) -> MutexGuard<'_, OwnershipLease> {
+        self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether another host may own a partition, or have owned it since its batches were read.
+    fn is_doubtful(&self, part: &OwnedPartition) -> bool {
+        part.tenure.is_doubtful() || !self.lease().is_valid(lease_clock())
+    }
+
     /// Adds a partition that this host owns from now on, with its batches. Does nothing if the host owns
     /// the partition under a higher epoch: an earlier owner was slow, and its successor is here.
     pub fn open(
@@ -339,7 +353,7 @@
             let Some(part) = parts.get_mut(&partition_of(id, self.part_count)) else {
                 return Lookup::NotOwned;
             };
-            if part.tenure.is_doubtful() {
+            if self.is_doubtful(part) {
                 let left = confirmed_by.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     return Lookup::NotOwned;
@@ -369,7 +383,7 @@
     pub fn body(&self, id: &str, workspace: Option<&Workspace>, item: &str) -> Lookup<Vec<u8>> {
         let parts = self.lock();
         let part = parts.get(&partition_of(id, self.part_count));
-        let Some(part) = part.filter(|part| !part.tenure.is_doubtful()) else {
+        let Some(part) = part.filter(|part| !self.is_doubtful(part)) else {
             return Lookup::NotOwned;
         };
         let Some(batch) = find(part, id, workspace) else {
--- a/crates/godwitspool-host/src/process/membership.rs
+++ b/crates/godwitspool-host/src/process/membership.rs
@@ -94,6 +94,8 @@
                     }
                     failing = false;
                     released = self.apply_assignment(&assignment, sent + Millis::from(ttl));
+                    // Kept partitions are doubtful by now, if they have to be.
+                    self.shared.owned_batches.lease().renew(sent, ttl.into());
                     // The addresses of other hosts must be known before the store becomes
                     // unreachable, so that calls can be relayed.
                     self.shared.peers.refresh(&self.shared);
@@ -103,6 +105,8 @@
                         log::warn!(error:%, generation = self.generation; "membership renewal failed");
                     }
                     failing = true;
+                    let mut lease = self.shared.owned_batches.lease();
+                    lease.fail(sent, lease_clock(), ttl.into());
                 }
             }
             // The store reassigns released partitions at the next renewal, which therefore follows
