--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of keys per page, as in the protocol.
 const MAX_PAGE_KEYS: usize = 500;
+/// Maximum size of the values of a page, as in the protocol. A page has one key at least.
+const MAX_PAGE_BYTES: usize = 1024 * 1024;
 /// Number of latest appends that are recognized when repeated, as in the protocol.
 const MAX_RECENT_APPENDS: usize = 5;
 /// Maximum total size of the records of one append, unless another one is set. The platform's default.
@@ -374,14 +376,17 @@
         let mut state = self.lock();
         let partition = state.topics.entry(topic_part(request)).or_default();
         let newest = partition.newest.iter().filter(|(key, _)| **key > after);
-        let mut items: Vec<Value> = newest
-            .take(MAX_PAGE_KEYS + 1)
-            .map(|(key, (offset, value))| {
-                json!({ "key": key, "offset": offset, "value": BASE64_STANDARD.encode(value) })
-            })
-            .collect();
-        let more = items.len() > MAX_PAGE_KEYS;
-        items.truncate(MAX_PAGE_KEYS);
+        let mut items: Vec<Value> = Vec::new();
+        let (mut used, mut more) = (0, false);
+        for (key, (offset, value)) in newest {
+            used += value.len();
+            more = items.len() == MAX_PAGE_KEYS || (used > MAX_PAGE_BYTES && !items.is_empty());
+            if more {
+                break;
+            }
+            let value = BASE64_STANDARD.encode(value);
+            items.push(json!({ "key": key, "offset": offset, "value": value }));
+        }
         let end = partition.end();
         json_response(
             200,
--- a/crates/godwitspool-host/src/batch/item_work.rs
+++ b/crates/godwitspool-host/src/batch/item_work.rs
@@ -26,7 +26,7 @@
         && shared.newest_version(model) > version
     {
         log::info!(
-            batch:% = submission.id, item:% = submission.items[index].id, version,
+            batch:% = submission.id, item = submission.items.view(index).map(|item| item.id), version,
             events:? = batch.items[index].progress.last_event;
             "output discarded: no target has its version any more"
         );
@@ -42,9 +42,9 @@
     index: usize,
 ) -> Work {
     let submission = &batch.submission;
-    let spec = &submission.items[index];
+    let spec = submission.items.view(index).unwrap_or_default();
     let done = batch.items[index].progress.last_event.unwrap_or_default();
-    let prompt = shared.dialect.prompt(spec);
+    let prompt = shared.dialect.prompt(&spec);
     Work {
         events: lengths.events_left(submission, spec.hint, done),
         tokens: prompt.tokens as f64 + done as f64 * EVENT_TOKENS,
--- a/crates/godwitspool-host/src/batch/lengths.rs
+++ b/crates/godwitspool-host/src/batch/lengths.rs
@@ -78,7 +78,7 @@
         let known = route.filter(|route| route.ratios.len() >= MIN_LENGTHS);
         let Some(route) = known else {
             // How many tokens an event has isn't known yet, but which items are long is.
-            let mean = mean_hint(submission).unwrap_or(hint);
+            let mean = submission.items.mean_hint().unwrap_or(hint);
             return left_of(UNKNOWN_EVENTS * hint / mean, done);
         };
         let ratio = (done as f64 / hint * RATIO_SCALE) as u64;
@@ -101,15 +101,6 @@
     }
 }
 
-/// Returns the mean hint of a batch's items, if any has one.
-fn mean_hint(submission: &Submission) -> Option<f64> {
-    let hints = submission.items.iter().filter_map(|item| item.hint);
-    let (count, sum) = hints.fold((0.0, 0.0), |(count, sum), hint| {
-        (count + 1.0, sum + hint.max(1) as f64)
-    });
-    (count > 0.0).then(|| sum / count)
-}
-
 /// Returns what is left of an expected length. An output that has outgrown it is expected to double.
 fn left_of(expected: f64, done: u64) -> f64 {
     let done = done as f64;
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -9,7 +9,9 @@
 mod epoch;
 mod event_buffer;
 mod item_work;
+mod items;
 mod lengths;
+mod loader;
 mod order;
 mod owner;
 mod ownership_lease;
@@ -17,9 +19,11 @@
 mod progress;
 mod record;
 mod registry;
+mod result_list;
 mod reward;
 mod runner;
 mod state;
+mod stored_batch;
 mod stored_results;
 mod tenure;
 mod wire;
@@ -27,29 +31,32 @@
 pub use batch_key::{batch_id, batch_key};
 pub use epoch::next_epoch;
 pub use event_buffer::EventBuffer;
+pub use items::{Groups, ItemView, Items, PushError};
 pub use lengths::{EVENT_TOKENS, RouteLengths};
-pub use order::{order_items, predicted_tokens, wanted_items};
-pub use owner::{Owner, StoredBatch, read_stored};
+pub use order::{order_items, predicted_tokens};
+pub use owner::Owner;
 pub use ownership_lease::OwnershipLease;
 pub use pace::{Move, Pace, RunView, decide_move, median_pace};
 pub use progress::{save_progress, save_running};
 pub use record::{BatchRecord, EncodedSubmission, partition_of};
-pub use registry::{BatchRegistry, Lookup, OwnedPartition, page};
+pub use registry::{BatchRegistry, Lookup, OwnedPartition, ParkedBatch, page};
+pub use result_list::ResultList;
 pub use reward::{RewardOutcome, call_backoff};
 pub use runner::Runner;
-pub use state::{Batch, Finished, Item, ItemProgress, ItemState, RunFailure, Verdict};
-pub use stored_results::StoredResults;
+pub use state::{
+    Batch, BatchLife, Finished, Item, ItemPast, ItemProgress, ItemState, RunFailure, Verdict,
+};
+pub use stored_batch::{LoadError, StoredBatch, read_results, read_submission};
+pub use stored_results::{RestoredResults, StoredResults};
 pub use tenure::Tenure;
 
-use std::collections::HashMap;
-
 use godwitspool_types::{ModelName, Workspace};
 use serde::{Deserialize, Serialize};
 
 use crate::{process::Shared, version::Fingerprint};
 
 /// A batch as it was submitted.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Submission {
     /// Identifier of the batch.
     pub id: String,
@@ -78,12 +85,10 @@
     /// Whether all tokens of a result must come from one version of the model.
     pub single_version: bool,
     /// The items, in the order of the submission.
-    pub items: Vec<ItemSpec>,
+    pub items: Items,
     /// Version of the configuration by which the batch was accepted. Stored as an extension.
-    #[serde(skip)]
     pub configuration: u64,
     /// Key under which it is stored, if that isn't its identifier. The records' keys contain it.
-    #[serde(skip)]
     pub stored_key: Option<String>,
 }
 
@@ -93,6 +98,20 @@
         self.stored_key.as_deref().unwrap_or(&self.id)
     }
 
+    /// Returns the submission without its items.
+    pub(crate) fn without_items(&self) -> Self {
+        Self {
+            id: self.id.clone(),
+            workspace: self.workspace.clone(),
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+            model: self.model.clone(),
+            items: Items::default(),
+            stored_key: self.stored_key.clone(),
+            ..*self
+        }
+    }
+
     /// Returns whether the batch may run by the configuration of this version. An older configuration
     /// than that which accepted the batch may lack its routes, or name services that they have left.
     ///
@@ -143,10 +162,10 @@
     pub parts: Vec<(String, u64)>,
 }
 
-impl ItemSpec {
+impl ItemView<'_> {
     /// Returns the fingerprint of the item in batches of a workspace and host.
     pub fn fingerprint(&self, workspace: &Workspace, host: &str) -> Fingerprint {
-        Fingerprint::new(Some(workspace), "POST", host, &self.path, &self.body).with_id(&self.id)
+        Fingerprint::new(Some(workspace), "POST", host, self.path, self.body).with_id(self.id)
     }
 }
 
@@ -202,12 +221,3 @@
     /// Identifier and result of each item of the page, ordered by position.
     pub results: Vec<(String, std::sync::Arc<ItemResult>)>,
 }
-
-/// Returns the indexes of each group's items, in the order of the batch.
-pub fn groups(items: &[ItemSpec]) -> HashMap<&str, Vec<usize>> {
-    let mut groups: HashMap<&str, Vec<usize>> = HashMap::new();
-    for (index, item) in items.iter().enumerate() {
-        groups.entry(&item.group).or_default().push(index);
-    }
-    groups
-}
--- a/crates/godwitspool-host/src/batch/order.rs
+++ b/crates/godwitspool-host/src/batch/order.rs
@@ -1,11 +1,10 @@
-use super::{Submission, groups};
+use super::{Groups, ItemView, Submission};
 
 /// Estimated length of an item without a hint, as a share of [`super::ItemSpec::tokens`].
 const UNHINTED_SHARE: f64 = 0.25;
 
 /// Returns the number of tokens that an item is expected to generate.
-pub fn predicted_tokens(submission: &Submission, item: usize) -> u64 {
-    let item = &submission.items[item];
+pub fn predicted_tokens(item: &ItemView<'_>) -> u64 {
     let most = item.tokens as f64;
     item.hint.unwrap_or((most * UNHINTED_SHARE) as u64)
 }
@@ -29,40 +28,42 @@
 /// };
 /// let submission = Submission {
 ///     wanted_groups: 2,
-///     items: vec![item("huge", 900), item("short", 10), item("long", 90)],
+///     items: vec![item("huge", 900), item("short", 10), item("long", 90)].into(),
 ///     ..Submission::default()
 /// };
 /// assert_eq!(order_items(&submission), [2, 1, 0]);
 /// ```
-pub fn order_items(submission: &Submission) -> Vec<usize> {
-    rank_items(submission).0
+pub fn order_items(submission: &Submission) -> Vec<u32> {
+    rank_items(submission, &Groups::of(&submission.items)).0
 }
 
-/// Returns how many items of [`order_items`], from its beginning, are of the wanted groups.
-pub fn wanted_items(submission: &Submission) -> usize {
-    rank_items(submission).1
-}
-
-fn rank_items(submission: &Submission) -> (Vec<usize>, usize) {
-    let mut ranked: Vec<(u64, usize, Vec<usize>)> = groups(&submission.items)
-        .into_values()
-        .map(|items| {
-            let longest = items
-                .iter()
-                .map(|item| predicted_tokens(submission, *item))
-                .max();
-            (longest.unwrap_or_default(), items[0], items)
+/// Returns the order in which the items start, given with their groups, and how many items are of the wanted
+/// groups, which come first.
+pub(super) fn rank_items(submission: &Submission, groups: &Groups) -> (Vec<u32>, usize) {
+    let tokens: Vec<u64> = submission
+        .items
+        .iter()
+        .map(|item| predicted_tokens(&item))
+        .collect();
+    let predicted = |item: &u32| tokens[*item as usize];
+    let mut ranked: Vec<(u64, u32, u32)> = groups
+        .members()
+        .zip(0..)
+        .map(|(items, number)| {
+            let longest = items.iter().map(predicted).max();
+            (longest.unwrap_or_default(), items[0], number)
         })
         .collect();
-    ranked.sort_by_key(|(longest, first, _)| (*longest, *first));
+    ranked.sort_unstable();
     let wanted = (submission.wanted_groups as usize).min(ranked.len());
-    let rest = ranked.split_off(wanted);
-    let wanted_items = ranked.iter().map(|(_, _, items)| items.len()).sum();
-    let longest_first = ranked.into_iter().rev();
+    let (wanted, rest) = ranked.split_at(wanted);
+    let members = |(_, _, number): &(u64, u32, u32)| groups.group(*number as usize);
+    let wanted_items = wanted.iter().map(|group| members(group).len()).sum();
     let mut order = Vec::with_capacity(submission.items.len());
-    for (_, _, mut items) in longest_first.chain(rest) {
-        items.sort_by_key(|item| std::cmp::Reverse(predicted_tokens(submission, *item)));
-        order.extend(items);
+    for group in wanted.iter().rev().chain(rest) {
+        let begin = order.len();
+        order.extend_from_slice(members(group));
+        order[begin..].sort_by_key(|item| std::cmp::Reverse(predicted(item)));
     }
     (order, wanted_items)
 }
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -11,17 +11,26 @@
     time::{Duration, Instant},
 };
 
-use godwitspool_sync::Mutex;
-use godwitspool_types::Millis;
+use godwitspool_sync::{Mutex, MutexGuard};
 
 use super::{
-    Batch, BatchRecord, BatchRegistry, Finished, ItemResult, Submission, Tenure, batch_id,
-    record::split_calls, registry::find_ended, save_progress, stored_results::StoredResults, wire,
+    Batch, BatchLife, BatchRecord, BatchRegistry, Finished, LoadError, ParkedBatch, Submission,
+    Tenure, batch_id,
+    loader::{Accepted, Assembly, Change},
+    read_submission,
+    record::split_calls,
+    registry::find_ended,
+    save_progress,
+    stored_batch::needed_bytes,
+    stored_results::StoredResults,
+    wire,
 };
 use crate::{
-    StoreBounds, lease_clock,
+    StoreBounds,
+    http::{MemoryBudget, Reservation},
+    lease_clock,
     process::unix_ms,
-    store::{Record, Store, StoreError, StoredRecord, Topic, Writer, read_all},
+    store::{Record, Store, StoreError, StoredRecord, Topic, Writer},
 };
 
 /// Maximum wait for new batches in one read. A lost answer delays a batch by this time.
@@ -70,6 +79,28 @@
     writing: AtomicBool,
     /// How long a batch stays readable after its submission.
     ttl: Duration,
+    /// Position of the next result of each batch.
+    positions: Mutex<HashMap<String, u64>>,
+}
+
+/// The batches of a partition, as they are loaded.
+#[derive(Debug, Default)]
+struct Loaded {
+    batches: BTreeMap<String, Batch>,
+    parked: BTreeMap<String, ParkedBatch>,
+}
+
+/// A submission with the memory that it takes, `None` if it isn't whole or can't be decoded; or its head and the
+/// memory that it needs, if there is none.
+type Read = Result<Option<(Submission, Reservation)>, (Box<Submission>, usize)>;
+
+/// What became of an accepted submission.
+enum Adopted {
+    Batch(Batch),
+    /// There is no memory for it.
+    Parked(ParkedBatch),
+    /// It isn't whole, or can't be decoded.
+    Unreadable,
 }
 
 impl std::fmt::Debug for Task {
@@ -107,6 +138,7 @@
             next_seq: Mutex::default(),
             confirming: AtomicBool::new(false),
             ttl,
+            positions: Mutex::default(),
             writing: AtomicBool::new(false),
         });
         let own = Arc::clone(&task);
@@ -184,36 +216,31 @@
         if self.fence().is_none() {
             return;
         }
-        let Some((results, _)) = self.retry_call("results", || self.load(Topic::Results)) else {
-            return;
-        };
-        let read_at = Cell::new(Millis::ZERO);
-        let load_batches = || {
-            read_at.set(lease_clock());
-            self.load(Topic::Batches)
-        };
-        let Some((records, mut next)) = self.retry_call("batches", load_batches) else {
+        let mut read_at = lease_clock();
+        let mut assembly = Assembly::default();
+        let Some((loaded, mut next)) = self.load(&mut assembly) else {
             return;
         };
-        let mut assembly = Assembly::default();
-        let (batches, positions) = self.assemble(results, records, &mut assembly);
         let (sender, receiver) = mpsc::channel();
         let (part, epoch) = (self.part, self.epoch);
         let took_ms = began.elapsed().as_millis() as u64;
-        log::info!(partition = part, epoch, batches = batches.len(), took_ms; "partition opened");
-        self.open(batches, sender);
+        log::info!(
+            partition = part, epoch, batches = loaded.batches.len(), parked = loaded.parked.len(), took_ms;
+            "partition opened"
+        );
+        self.open(loaded, sender);
         // Assignments that came before the fence haven't been checked.
         if self.check_tenure().is_none() {
             return;
         }
-        self.registry.confirm(part, epoch, read_at.get());
+        self.registry.confirm(part, epoch, read_at);
         let own = Arc::clone(&self);
         self.writing.store(true, Ordering::SeqCst);
         let spawned = thread::Builder::new()
             .name("results".to_owned())
             .stack_size(STACK_BYTES)
             .spawn(move || {
-                own.write(&receiver, positions);
+                own.write(&receiver);
                 own.writing.store(false, Ordering::SeqCst);
             });
         if let Err(error) = spawned {
@@ -223,29 +250,47 @@
         }
         while !self.is_stopped() {
             let wait = Cell::new(MAX_READ_WAIT);
+            let began_at = Cell::new(read_at);
             let read = || {
-                read_at.set(lease_clock());
+                began_at.set(lease_clock());
                 // While reads fail, one that waits would only take longer to fail, and to notice that
                 // the store is back.
                 let wait = wait.replace(Duration::ZERO);
                 match self.store.read(Topic::Batches, part, next, wait) {
-                    Err(StoreError::Gone { .. }) => self.load(Topic::Batches),
-                    read => read.map(|tail| (tail.records, tail.next)),
+                    Err(StoreError::Gone { .. }) => Ok(None),
+                    read => read.map(|tail| Some((tail.records, tail.next))),
                 }
             };
-            let Some((records, end)) = self.retry_call("tail", read) else {
+            let Some(tail) = self.retry_call("tail", read) else {
+                return;
+            };
+            read_at = began_at.get();
+            let end = if let Some((records, end)) = tail {
+                self.apply_records(records, &mut assembly).map(|()| end)
+            } else {
+                self.each_page(Topic::Batches, None, |records| {
+                    self.apply_records(records, &mut assembly).map(|()| true)
+                })
+            };
+            let Some(end) = end else {
                 return;
             };
             next = end;
-            self.apply_records(records, &mut assembly);
-            self.registry.confirm(part, epoch, read_at.get());
+            self.registry.confirm(part, epoch, read_at);
+            if self.unpark().is_none() {
+                return;
+            }
         }
     }
 
     /// Opens the partition, unless it was lost or closed in the meantime.
-    fn open(&self, batches: Vec<Batch>, sender: Sender<Finished>) {
+    fn open(&self, loaded: Loaded, sender: Sender<Finished>) {
         let tenure = Arc::clone(&self.tenure);
+        let batches = loaded.batches.into_values().collect();
         self.registry.open(self.part, tenure, batches, sender);
+        for parked in loaded.parked.into_values() {
+            self.registry.park(self.part, parked);
+        }
         if self.is_stopped() {
             self.registry.close(self.part, self.epoch);
         }
@@ -317,8 +362,215 @@
         }
     }
 
-    fn load(&self, topic: Topic) -> Result<(Vec<StoredRecord>, u64), StoreError> {
-        read_all(self.store.as_ref(), topic, self.part, None, |_| true)
+    /// Calls `each` with the newest records of the partition's keys after `after`, a page at a time, until it
+    /// returns false. Returns the offset from which the reader continues, or `None` once the partition is lost
+    /// or closed.
+    fn each_page(
+        &self,
+        topic: Topic,
+        mut after: Option<String>,
+        mut each: impl FnMut(Vec<StoredRecord>) -> Option<bool>,
+    ) -> Option<u64> {
+        let mut end = None;
+        loop {
+            let page = || self.store.newest(topic, self.part, after.as_deref());
+            let page = self.retry_call("page", page)?;
+            // Pages are no snapshot: what was appended in between is read again from the end of the first one.
+            let end = *end.get_or_insert(page.end);
+            let last = page.records.last().map(|stored| stored.record.key.clone());
+            let goes_on = each(page.records)?;
+            if !goes_on || !page.more || last.is_none() {
+                return Some(end);
+            }
+            after = last;
+        }
+    }
+
+    /// Loads the partition's batches and their results. Returns them with the offset from which the reader
+    /// continues, or `None` once the partition is lost or closed.
+    fn load(&self, assembly: &mut Assembly) -> Option<(Loaded, u64)> {
+        let mut loaded = Loaded::default();
+        let next = self.each_page(Topic::Batches, None, |records| {
+            for change in assembly.read(self.part, records) {
+                self.apply_loaded(change, &mut loaded)?;
+            }
+            Some(true)
+        })?;
+        self.restore(&mut loaded.batches, None)?;
+        Some((loaded, next))
+    }
+
+    fn apply_loaded(&self, change: Change, loaded: &mut Loaded) -> Option<()> {
+        match change {
+            Change::Accepted(accepted) => {
+                let key = accepted.key.clone();
+                match self.adopt(accepted)? {
+                    Adopted::Batch(batch) => drop(loaded.batches.insert(key, batch)),
+                    Adopted::Parked(parked) => drop(loaded.parked.insert(key, parked)),
+                    Adopted::Unreadable => {}
+                }
+            }
+            Change::Ended(key) => {
+                let batches = &mut loaded.batches;
+                if let Some(batch) = find_ended(batches, &key, |batch| &batch.submission) {
+                    batch.ended = true;
+                } else if let Some(parked) =
+                    find_ended(&mut loaded.parked, &key, |parked| &parked.head)
+                {
+                    parked.life.ended = true;
+                }
+            }
+            Change::Removed(key) => {
+                loaded.batches.remove(&key);
+                loaded.parked.remove(&key);
+            }
+        }
+        Some(())
+    }
+
+    /// Makes a batch of an accepted submission if there is memory for it; returns `None` once the partition is
+    /// lost or closed.
+    fn adopt(&self, accepted: Accepted) -> Option<Adopted> {
+        let Accepted { key, chunks, bytes } = accepted;
+        let budget = &self.registry.memory;
+        let load = || {
+            let mut memory = MemoryBudget::reserve_batch(budget, 0).unwrap_or_default();
+            let store = self.store.as_ref();
+            match read_submission(store, self.part, &key, Some(chunks), &mut memory) {
+                Ok(submission) => Ok(Ok(submission.map(|submission| (submission, memory)))),
+                Err(LoadError::NoMemory { head, wanted }) => Ok(Err((head, wanted))),
+                Err(LoadError::Store { error }) => Err(error),
+            }
+        };
+        let read = match bytes {
+            Some(bytes) => self.decode(&key, bytes),
+            None => self.retry_call("submission", load)?,
+        };
+        Some(match read {
+            Ok(Some((submission, memory))) => {
+                Adopted::Batch(Batch::reserved(Arc::new(submission), memory))
+            }
+            Ok(None) => {
+                log::warn!(partition = self.part, batch = key; "batch skipped: its submission can't be assembled");
+                Adopted::Unreadable
+            }
+            Err((head, wanted)) => {
+                log::warn!(batch:% = head.id, partition = self.part, wanted; "batch waits: no memory for it");
+                let life = BatchLife {
+                    received_ms: head.received_ms,
+                    read_ms: unix_ms(),
+                    ..BatchLife::default()
+                };
+                Adopted::Parked(ParkedBatch {
+                    head: *head,
+                    life,
+                    wanted,
+                    chunks,
+                })
+            }
+        })
+    }
+
+    /// Decodes a submission that was read whole.
+    fn decode(&self, key: &str, bytes: Vec<u8>) -> Read {
+        let stored_key = |id: &str| (id != key).then(|| key.to_owned());
+        let Ok((mut head, needed)) = needed_bytes(&bytes, bytes.len()) else {
+            return Ok(None);
+        };
+        let Some(mut memory) = MemoryBudget::reserve_batch(&self.registry.memory, needed) else {
+            head.stored_key = stored_key(&head.id);
+            return Err((Box::new(head), needed));
+        };
+        match wire::decode_submission(bytes) {
+            Ok(mut submission) => {
+                submission.stored_key = stored_key(&submission.id);
+                memory.resize(submission.items.memory_in_batch());
+                Ok(Some((submission, memory)))
+            }
+            Err(reason) => {
+                log::warn!(partition = self.part, batch = key, reason:%; "stored submission can't be decoded");
+                Ok(None)
+            }
+        }
+    }
+
+    /// Restores the results and the partial output of batches, of all that the partition has or of the only one;
+    /// returns `None` once the partition is lost or closed.
+    fn restore(&self, batches: &mut BTreeMap<String, Batch>, only: Option<&str>) -> Option<()> {
+        let mut stored = StoredResults::default();
+        let mut current = String::new();
+        let after = only.map(BatchRecord::key_prefix);
+        self.each_page(Topic::Results, after, |records| {
+            for record in records {
+                let (key, _) = record.record.key.rsplit_once('/').unwrap_or_default();
+                if only.is_some_and(|only| only != key) {
+                    return Some(false);
+                }
+                if key != current {
+                    self.restore_batch(&current, &mut stored, batches);
+                    key.clone_into(&mut current);
+                }
+                if batches.contains_key(key) {
+                    stored.add(self.part, [record], &mut |key, bytes| {
+                        let batch = batches.get_mut(key);
+                        batch.is_some_and(|batch| batch.memory.grow(bytes))
+                    });
+                }
+            }
+            Some(true)
+        })?;
+        self.restore_batch(&current, &mut stored, batches);
+        Some(())
+    }
+
+    fn restore_batch(
+        &self,
+        key: &str,
+        stored: &mut StoredResults,
+        batches: &mut BTreeMap<String, Batch>,
+    ) {
+        let Some(batch) = batches.get_mut(key) else {
+            return;
+        };
+        batch.restore(stored.take_results(key));
+        for (item, progress) in stored.take_progress(key) {
+            batch.resume(item, progress);
+        }
+        let position = batch.results.len() as u64;
+        self.positions().insert(key.to_owned(), position);
+    }
+
+    fn positions(&self) -> MutexGuard<'_, HashMap<String, u64>> {
+        self.positions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Loads parked batches for which there is memory now; returns `None` once the partition is lost or closed.
+    fn unpark(&self) -> Option<()> {
+        for parked in self.registry.parked(self.part) {
+            if !MemoryBudget::has_room(&self.registry.memory, parked.wanted) {
+                // Those behind it wait too: a large batch would wait for good while small ones come.
+                break;
+            }
+            let key = parked.head.key().to_owned();
+            let accepted = Accepted {
+                key: key.clone(),
+                chunks: parked.chunks,
+                bytes: None,
+            };
+            let Adopted::Batch(batch) = self.adopt(accepted)? else {
+                break;
+            };
+            let mut batches = BTreeMap::from([(key.clone(), batch)]);
+            self.restore(&mut batches, Some(&key))?;
+            if let Some(batch) = batches.remove(&key)
+                && self.registry.unpark(self.part, self.epoch, batch)
+            {
+                log::info!(batch:% = parked.head.id, partition = self.part; "parked batch loaded");
+            }
+        }
+        Some(())
     }
 
     /// Retries a call until it succeeds; returns `None` once the partition is lost or closed.
@@ -350,46 +602,19 @@
         None
     }
 
-    fn assemble(
-        &self,
-        results: Vec<StoredRecord>,
-        records: Vec<StoredRecord>,
-        assembly: &mut Assembly,
-    ) -> (Vec<Batch>, HashMap<String, u64>) {
-        let mut stored_results = StoredResults::read(self.part, results);
-        let mut positions = HashMap::new();
-        let mut batches = BTreeMap::new();
+    /// Applies records of the partition's tail; returns `None` once the partition is lost or closed.
+    fn apply_records(&self, records: Vec<StoredRecord>, assembly: &mut Assembly) -> Option<()> {
         for change in assembly.read(self.part, records) {
             match change {
-                Change::Accepted(submission) => {
-                    let id = submission.key().to_owned();
-                    let results = stored_results.take_results(&id);
-                    positions.insert(id.clone(), results.len() as u64);
-                    let mut batch = Batch::new(Arc::new(submission), results);
-                    for (item, progress) in stored_results.take_progress(&id) {
-                        batch.resume(item, progress);
-                    }
-                    batches.insert(id, batch);
-                }
-                Change::Ended(batch) => {
-                    if let Some(batch) = find_ended(&mut batches, &batch) {
-                        batch.ended = true;
+                Change::Accepted(accepted) => {
+                    // A caller that got no answer sends its submission again.
+                    if self.registry.knows(self.part, &accepted.key) {
+                        continue;
                     }
-                }
-                Change::Removed(batch) => drop(batches.remove(&batch)),
-            }
-        }
-        (batches.into_values().collect(), positions)
-    }
-
-    fn apply_records(&self, records: Vec<StoredRecord>, assembly: &mut Assembly) {
-        for change in assembly.read(self.part, records) {
-            match change {
-                Change::Accepted(submission) => {
-                    let (batch, items) = (submission.id.clone(), submission.items.len());
-                    let (step, model) = (submission.step, submission.model.clone());
-                    if self.registry.accept(self.part, Arc::new(submission)) {
-                        log::info!(batch:%, items, step, model:%, partition = self.part; "batch taken over");
+                    match self.adopt(accepted)? {
+                        Adopted::Batch(batch) => self.accept(batch),
+                        Adopted::Parked(parked) => drop(self.registry.park(self.part, parked)),
+                        Adopted::Unreadable => {}
                     }
                 }
                 Change::Ended(batch) => {
@@ -400,30 +625,72 @@
                 Change::Removed(batch) => self.registry.delete_batch(self.part, &batch),
             }
         }
+        Some(())
+    }
+
+    fn accept(&self, batch: Batch) {
+        let submission = Arc::clone(&batch.submission);
+        let bytes = batch.memory.bytes();
+        if self.registry.accept(self.part, batch) {
+            log::info!(
+                batch:% = submission.id, items = submission.items.len(), step = submission.step,
+                model:% = submission.model, partition = self.part, bytes;
+                "batch taken over"
+            );
+        }
     }
 
     /// Removes the records of expired batches; returns `None` once the partition is lost or closed.
     fn expire(&self) -> Option<()> {
         let ttl = self.ttl + TTL_MARGIN;
-        for (submission, results) in self.registry.expired(self.part, unix_ms(), ttl) {
+        let (kept, stored) = self.registry.expired(self.part, unix_ms(), ttl);
+        // The submission goes last, so that an owner that is lost in between leaves nothing that no
+        // owner would remove.
+        for (submission, results) in kept {
             let (batch, results) = BatchRecord::of_removal(&submission, &results, &self.bounds);
-            // The submission goes last, so that an owner that is lost in between leaves nothing that no
-            // owner would remove.
-            for call in calls(results, &self.bounds) {
-                self.append_results("remove results", &call)?;
+            self.remove_records(Topic::Results, results)?;
+            self.remove_records(Topic::Batches, batch)?;
+            self.forget(submission.key());
+        }
+        for key in stored {
+            for topic in [Topic::Results, Topic::Batches] {
+                let after = Some(BatchRecord::key_prefix(&key));
+                self.each_page(topic, after, |records| {
+                    let count = records.len();
+                    let keys = records.into_iter().map(|stored| stored.record.key);
+                    let own = keys.take_while(|stored| BatchRecord::belongs(stored, &key));
+                    let tombstones: Vec<Record> = own.map(Record::tombstone).collect();
+                    let goes_on = tombstones.len() == count;
+                    self.remove_records(topic, tombstones)?;
+                    Some(goes_on)
+                })?;
             }
-            for call in calls(batch, &self.bounds) {
-                let append = || self.store.append(Topic::Batches, self.part, &call, None);
+            self.forget(&key);
+        }
+        Some(())
+    }
+
+    /// Appends tombstones; returns `None` once the partition is lost or closed.
+    fn remove_records(&self, topic: Topic, tombstones: Vec<Record>) -> Option<()> {
+        for call in calls(tombstones, &self.bounds) {
+            if topic == Topic::Results {
+                self.append_results("remove results", &call)?;
+            } else {
+                let append = || self.store.append(topic, self.part, &call, None);
                 self.retry_call("remove batch", append)?;
             }
-            log::info!(batch:% = submission.id, partition = self.part; "batch removed: its TTL is over");
-            self.registry.delete_batch(self.part, submission.key());
         }
         Some(())
     }
 
+    fn forget(&self, key: &str) {
+        log::info!(batch = batch_id(key), partition = self.part; "batch removed: its TTL is over");
+        self.registry.delete_batch(self.part, key);
+        self.positions().remove(key);
+    }
+
     /// Appends results in groups, and publishes each group once the store has confirmed it.
-    fn write(&self, receiver: &Receiver<Finished>, mut positions: HashMap<String, u64>) {
+    fn write(&self, receiver: &Receiver<Finished>) {
         let mut expire_at = Instant::now() + EXPIRY_INTERVAL;
         loop {
             let left = expire_at.saturating_duration_since(Instant::now());
@@ -454,16 +721,21 @@
             }
             let records: Vec<_> = group
                 .iter()
-                .flat_map(|Finished { batch, result }| {
-                    let position = positions.entry(batch.clone()).or_default();
-                    *position += 1;
-                    BatchRecord::of_result(batch, *position - 1, result, &self.bounds)
+                .flat_map(|Finished { batch, result, .. }| {
+                    let position = {
+                        let mut positions = self.positions();
+                        let next = positions.entry(batch.clone()).or_default();
+                        *next += 1;
+                        *next - 1
+                    };
+                    BatchRecord::of_result(batch, position, result, &self.bounds)
                 })
                 .collect();
             if self.append_results("append results", &records).is_none() {
                 return;
             }
-            self.registry.publish_results(self.part, self.epoch, &group);
+            drop(records);
+            self.registry.publish_results(self.part, self.epoch, group);
         }
     }
 }
@@ -474,90 +746,3 @@
     let calls = split_calls(records, bounds).into_iter();
     calls.filter(|call| !call.is_empty())
 }
-
-/// Assembles submissions from their records.
-#[derive(Debug, Default)]
-struct Assembly {
-    chunks: HashMap<String, BTreeMap<u32, Vec<u8>>>,
-}
-
-enum Change {
-    Accepted(Submission),
-    Ended(String),
-    Removed(String),
-}
-
-impl Assembly {
-    fn read(&mut self, part: u32, records: Vec<StoredRecord>) -> Vec<Change> {
-        let mut changes = Vec::new();
-        for stored in records {
-            match BatchRecord::read(stored) {
-                Ok(BatchRecord::Chunk {
-                    batch,
-                    index,
-                    bytes,
-                }) => {
-                    self.chunks.entry(batch).or_default().insert(index, bytes);
-                }
-                Ok(BatchRecord::Commit { batch, chunk_count }) => {
-                    match self.join(&batch, chunk_count) {
-                        Ok(submission) => changes.push(Change::Accepted(submission)),
-                        Err(reason) => {
-                            log::warn!(partition = part, batch:%, reason:%; "batch skipped: its submission can't be assembled");
-                        }
-                    }
-                }
-                Ok(BatchRecord::End { batch }) => changes.push(Change::Ended(batch)),
-                Ok(BatchRecord::Removed { batch }) => changes.push(Change::Removed(batch)),
-                Ok(
-                    BatchRecord::Progress { .. }
-                    | BatchRecord::Result { .. }
-                    | BatchRecord::ResultChunk { .. },
-                ) => {}
-                Err(error) => log::warn!(partition = part, error:%; "batch record skipped"),
-            }
-        }
-        changes
-    }
-
-    fn join(&mut self, batch: &str, count: u32) -> Result<Submission, String> {
-        let chunks = self.chunks.remove(batch).unwrap_or_default();
-        if chunks.len() != count as usize {
-            return Err(format!("got {} of {count} chunks", chunks.len()));
-        }
-        let bytes: Vec<u8> = chunks.into_values().flatten().collect();
-        let mut submission = wire::decode_submission(&bytes)?;
-        submission.stored_key = (submission.id != batch).then(|| batch.to_owned());
-        Ok(submission)
-    }
-}
-
-/// A submission and its results by position.
-pub type StoredBatch = (Arc<Submission>, Vec<Arc<ItemResult>>);
-
-/// Reads a batch and its results from the store, for a host that can't reach the partition's owner.
-/// Returns `None` if no such batch exists.
-///
-/// # Errors
-///
-/// Fails if the store doesn't answer.
-pub fn read_stored(
-    store: &dyn Store,
-    part: u32,
-    batch: &str,
-) -> Result<Option<StoredBatch>, StoreError> {
-    let prefix = BatchRecord::key_prefix(batch);
-    let belongs = |key: &str| BatchRecord::belongs(key, batch);
-    let (records, _) = read_all(store, Topic::Batches, part, Some(&prefix), belongs)?;
-    let changes = Assembly::default().read(part, records);
-    let mut accepted = changes.into_iter().filter_map(|change| match change {
-        Change::Accepted(submission) => Some(submission),
-        Change::Ended(_) | Change::Removed(_) => None,
-    });
-    let Some(submission) = accepted.next() else {
-        return Ok(None);
-    };
-    let (records, _) = read_all(store, Topic::Results, part, Some(&prefix), belongs)?;
-    let results = StoredResults::read(part, records).take_results(batch);
-    Ok(Some((Arc::new(submission), results)))
-}
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -94,7 +94,9 @@
     /// Returns the appends that store a submission, in order. The last record of the last append is
     /// the [`Self::Commit`].
     pub fn of_submission(submission: &Submission, bounds: &StoreBounds) -> Vec<Vec<Record>> {
-        EncodedSubmission::new(submission, bounds).calls().collect()
+        EncodedSubmission::new(submission.clone(), bounds)
+            .calls()
+            .collect()
     }
 
     /// Returns a record that changes nothing. An owner appends it to learn whether it has been fenced.
@@ -114,8 +116,9 @@
         bounds: &StoreBounds,
     ) -> (Vec<Record>, Vec<Record>) {
         let id = submission.key();
-        let stored = EncodedSubmission::new(submission, bounds).into_keys();
-        let mut batch: Vec<Record> = stored.into_iter().map(Record::tombstone).collect();
+        let chunks = wire::encoded_length(submission).div_ceil(chunk_bytes(bounds));
+        let stored = (0..=chunks).map(|index| chunk_key(id, index, chunks));
+        let mut batch: Vec<Record> = stored.map(Record::tombstone).collect();
         batch.push(Record::tombstone(Self::of_end(id).key));
         let result_records = results.iter().enumerate();
         let result_records = result_records
@@ -134,10 +137,7 @@
         bounds: &StoreBounds,
     ) -> Vec<Record> {
         let bytes = wire::encode_result(result);
-        let size = bounds
-            .record_bytes
-            .saturating_sub(RECORD_OVERHEAD_BYTES)
-            .max(1);
+        let size = chunk_bytes(bounds);
         if bytes.len() <= size {
             return vec![Record::new(format!("{batch}/r{position:08}"), bytes)];
         }
@@ -168,6 +168,19 @@
         format!("{batch}/p{item:08}")
     }
 
+    /// Returns the key behind which a batch's results of one record sort, from a position on.
+    pub fn results_from(batch: &str, position: u64) -> String {
+        match position.checked_sub(1) {
+            Some(before) => format!("{batch}/r{before:08}"),
+            None => format!("{batch}/r"),
+        }
+    }
+
+    /// Returns the key behind which the chunks of the result at a position sort.
+    pub fn result_chunks(batch: &str, position: u64) -> String {
+        format!("{batch}/q{position:08}.")
+    }
+
     /// Returns the prefix of a batch's keys, after which all of them sort.
     pub fn key_prefix(batch: &str) -> String {
         format!("{batch}/")
@@ -261,11 +274,11 @@
 
 impl EncodedSubmission {
     /// Encodes a submission.
-    pub fn new(submission: &Submission, bounds: &StoreBounds) -> Self {
+    pub fn new(submission: Submission, bounds: &StoreBounds) -> Self {
         Self {
             bounds: *bounds,
-            bytes: wire::encode_submission(submission),
             id: submission.key().to_owned(),
+            bytes: wire::encode_submission(submission),
         }
     }
 
@@ -289,34 +302,29 @@
         })
     }
 
-    /// Returns the keys of all records.
-    fn into_keys(self) -> Vec<String> {
-        let last = self.chunk_count();
-        (0..=last).map(|index| self.key(index)).collect()
-    }
-
     fn record(&self, index: usize) -> Record {
-        let size = self.chunk_bytes();
-        let value = self.bytes.chunks(size).nth(index);
+        let value = self.bytes.chunks(chunk_bytes(&self.bounds)).nth(index);
         let count = (self.chunk_count() as u32).to_be_bytes();
-        Record::new(self.key(index), value.unwrap_or(&count))
+        let key = chunk_key(&self.id, index, self.chunk_count());
+        Record::new(key, value.unwrap_or(&count))
     }
 
-    fn key(&self, index: usize) -> String {
-        if index == self.chunk_count() {
-            format!("{}/c", self.id)
-        } else {
-            format!("{}/b{index:05}", self.id)
-        }
+    fn chunk_count(&self) -> usize {
+        self.bytes.len().div_ceil(chunk_bytes(&self.bounds))
     }
+}
 
-    fn chunk_bytes(&self) -> usize {
-        let size = self.bounds.record_bytes;
-        size.saturating_sub(RECORD_OVERHEAD_BYTES).max(1)
-    }
+fn chunk_bytes(bounds: &StoreBounds) -> usize {
+    let size = bounds.record_bytes;
+    size.saturating_sub(RECORD_OVERHEAD_BYTES).max(1)
+}
 
-    fn chunk_count(&self) -> usize {
-        self.bytes.len().div_ceil(self.chunk_bytes())
+/// Returns the key of a submission's record: of one of `count` chunks, or of the closing record behind them.
+fn chunk_key(batch: &str, index: usize, count: usize) -> String {
+    if index == count {
+        format!("{batch}/c")
+    } else {
+        format!("{batch}/b{index:05}")
     }
 }
 
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -9,12 +9,12 @@
 use godwitspool_types::{Millis, Workspace};
 
 use super::{
-    Batch, BatchRecord, Finished, ItemResult, OwnershipLease, ResultPage, StoredBatch, Submission,
-    Tenure, batch_id, batch_key, partition_of,
+    Batch, BatchLife, BatchRecord, Finished, ItemResult, OwnershipLease, ResultList, ResultPage,
+    StoredBatch, Submission, Tenure, batch_id, batch_key, partition_of,
 };
 use crate::{
     StoreBounds,
-    http::Waker,
+    http::{LARGE_BYTES, MemoryBudget, Reclaim, Waker},
     lease_clock,
     process::unix_ms,
     store::Record,
@@ -23,7 +23,7 @@
 
 /// Maximum size of a page of results. The platform's interface allows responses of up to a
 /// megabyte.
-const MAX_PAGE_BYTES: usize = 900 * 1024;
+pub(super) const MAX_PAGE_BYTES: usize = 900 * 1024;
 /// Time for which a read waits until the store has confirmed a doubtful ownership: a few calls. After that the
 /// results are read from the store.
 const MAX_CONFIRM_WAIT: Duration = Duration::from_millis(200);
@@ -40,10 +40,25 @@
     epochs: Mutex<BTreeMap<u32, u64>>,
     /// Maximum age of what is known of a partition at which its items start; `None` is no limit.
     max_age: Option<Millis>,
+    /// Memory that the batches take.
+    pub memory: Arc<MemoryBudget>,
     /// Wakes the runner when items may have to be started or stopped.
     pub waker: Waker,
 }
 
+/// A batch that is in the store only. Its items don't run, and it is read from the store.
+#[derive(Clone, Debug, Default)]
+pub struct ParkedBatch {
+    /// The batch without its items.
+    pub head: Submission,
+    /// What decides how long it is kept.
+    pub life: BatchLife,
+    /// Memory that it needs at least.
+    pub wanted: usize,
+    /// Number of chunks of its submission.
+    pub chunks: u32,
+}
+
 /// A partition that this host owns.
 #[derive(Debug)]
 pub struct OwnedPartition {
@@ -51,6 +66,8 @@
     pub epoch: u64,
     /// Batches of the partition by key.
     pub batches: BTreeMap<String, Batch>,
+    /// Batches that are in the store only, since there is no memory for them, by key.
+    parked: BTreeMap<String, ParkedBatch>,
     /// Age of what is known of the batches, which callers may have ended since.
     pub freshness: Freshness,
     tenure: Arc<Tenure>,
@@ -96,7 +113,7 @@
             let submission = Arc::clone(&batch.submission);
             let id = submission.key();
             for (index, item) in batch.items.iter_mut().enumerate() {
-                if item.saved_event.take().is_some() {
+                if item.forget_saved() {
                     let key = BatchRecord::progress_key(id, index as u32);
                     records.push(Record::tombstone(key));
                 }
@@ -113,6 +130,10 @@
     Found(T),
     /// This host owns the partition, and the workspace has no such batch.
     Missing,
+    /// This host owns the partition, but what is asked for is in the store only.
+    Stored,
+    /// There is no memory for what is asked for.
+    NoMemory,
     /// This host doesn't own the partition, or another host may have owned it since the batches were read.
     NotOwned,
 }
@@ -131,6 +152,7 @@
             lease: Mutex::default(),
             epochs: Mutex::default(),
             max_age: None,
+            memory: Arc::new(MemoryBudget::new(usize::MAX)),
             waker: Waker::new()?,
         })
     }
@@ -142,6 +164,13 @@
         self
     }
 
+    /// Returns the registry with batches that take their memory from a budget.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Arc<MemoryBudget>) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Locks the owned partitions.
     pub fn lock(&self) -> MutexGuard<'_, BTreeMap<u32, OwnedPartition>> {
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
@@ -178,6 +207,7 @@
         let opened = OwnedPartition {
             epoch,
             batches,
+            parked: BTreeMap::new(),
             freshness: self.max_age.map(Freshness::new).unwrap_or_default(),
             tenure,
             writer,
@@ -272,31 +302,102 @@
     }
 
     /// Adds an accepted batch. Returns whether the batch is new and its partition is owned.
-    pub fn accept(&self, part: u32, submission: Arc<Submission>) -> bool {
+    pub fn accept(&self, part: u32, batch: Batch) -> bool {
         let mut parts = self.lock();
         let Some(part) = parts.get_mut(&part) else {
             return false;
         };
-        let Entry::Vacant(entry) = part.batches.entry(submission.key().to_owned()) else {
+        let key = batch.submission.key();
+        if part.parked.contains_key(key) {
+            return false;
+        }
+        let Entry::Vacant(entry) = part.batches.entry(key.to_owned()) else {
             return false;
         };
-        entry.insert(Batch::new(submission, Vec::new()));
+        entry.insert(batch);
         drop(parts);
         self.notify();
         true
     }
 
+    /// Adds an accepted batch for which there is no memory. Returns whether the batch is new and its partition is
+    /// owned.
+    pub fn park(&self, part: u32, parked: ParkedBatch) -> bool {
+        let mut parts = self.lock();
+        let Some(part) = parts.get_mut(&part) else {
+            return false;
+        };
+        let key = parked.head.key().to_owned();
+        if part.batches.contains_key(&key) || part.parked.contains_key(&key) {
+            return false;
+        }
+        part.parked.insert(key, parked);
+        true
+    }
+
+    /// Replaces a parked batch by the batch, which has been loaded. Returns whether it was parked, and the
+    /// partition is owned under `epoch`.
+    pub fn unpark(&self, part: u32, epoch: u64, mut batch: Batch) -> bool {
+        let mut parts = self.lock();
+        let part = parts.get_mut(&part).filter(|part| part.epoch == epoch);
+        let Some(part) = part else {
+            return false;
+        };
+        let key = batch.submission.key().to_owned();
+        let Some(parked) = part.parked.remove(&key) else {
+            return false;
+        };
+        batch.ended = parked.life.ended;
+        batch.read_ms = parked.life.read_ms;
+        part.batches.insert(key, batch);
+        drop(parts);
+        self.notify();
+        true
+    }
+
+    /// Returns the parked batches of a partition whose items have to run, those first that were submitted first.
+    pub fn parked(&self, part: u32) -> Vec<ParkedBatch> {
+        let parts = self.lock();
+        let parked = parts.get(&part).into_iter();
+        let parked = parked.flat_map(|part| part.parked.values());
+        let open = parked.filter(|parked| !parked.life.is_closed());
+        let mut open: Vec<ParkedBatch> = open.cloned().collect();
+        drop(parts);
+        open.sort_by_key(|parked| parked.head.received_ms);
+        open
+    }
+
+    /// Returns whether a batch is known here.
+    pub fn knows(&self, part: u32, key: &str) -> bool {
+        let parts = self.lock();
+        parts
+            .get(&part)
+            .is_some_and(|part| part.batches.contains_key(key) || part.parked.contains_key(key))
+    }
+
+    /// Returns whether there is memory for another batch of `bytes` in a partition.
+    pub fn has_room(&self, part: u32, bytes: usize) -> bool {
+        // Parked batches go before other large ones.
+        let waits = || bytes > LARGE_BYTES && !self.parked(part).is_empty();
+        !waits() && MemoryBudget::has_room(&self.memory, bytes)
+    }
+
     /// Ends a batch: no further item starts, and running items are stopped. Returns whether the
     /// batch was known and not ended before.
     pub fn end(&self, part: u32, batch: &str) -> bool {
         let mut parts = self.lock();
-        let found = parts
-            .get_mut(&part)
-            .and_then(|part| find_ended(&mut part.batches, batch));
-        let Some(batch) = found else {
+        let Some(part) = parts.get_mut(&part) else {
+            return false;
+        };
+        let ended = match find_ended(&mut part.batches, batch, |batch| &batch.submission) {
+            Some(batch) => Some(&mut batch.ended),
+            None => find_ended(&mut part.parked, batch, |parked| &parked.head)
+                .map(|parked| &mut parked.life.ended),
+        };
+        let Some(ended) = ended else {
             return false;
         };
-        let first = !std::mem::replace(&mut batch.ended, true);
+        let first = !std::mem::replace(ended, true);
         drop(parts);
         self.notify();
         first
@@ -306,31 +407,51 @@
     pub fn delete_batch(&self, part: u32, batch: &str) {
         if let Some(part) = self.lock().get_mut(&part) {
             part.batches.remove(batch);
+            part.parked.remove(batch);
         }
     }
 
-    /// Returns the expired batches of a partition with their results.
-    pub fn expired(&self, part: u32, now_ms: u64, ttl: Duration) -> Vec<StoredBatch> {
+    /// Returns the expired batches of a partition with their results, and the keys of those that aren't kept
+    /// whole.
+    pub fn expired(
+        &self,
+        part: u32,
+        now_ms: u64,
+        ttl: Duration,
+    ) -> (Vec<StoredBatch>, Vec<String>) {
+        let (mut kept, mut stored) = (Vec::new(), Vec::new());
         let parts = self.lock();
-        let batches = parts
-            .get(&part)
-            .into_iter()
-            .flat_map(|part| part.batches.values());
-        let expired_batches = batches.filter(|batch| batch.is_expired(now_ms, ttl));
-        expired_batches
-            .map(|batch| (Arc::clone(&batch.submission), batch.results.clone()))
-            .collect()
+        let Some(part) = parts.get(&part) else {
+            return (kept, stored);
+        };
+        for (key, batch) in &part.batches {
+            if batch.is_expired(now_ms, ttl) {
+                match batch.results.all_kept() {
+                    Some(results) => kept.push((Arc::clone(&batch.submission), results)),
+                    None => stored.push(key.clone()),
+                }
+            }
+        }
+        let parked = part.parked.iter();
+        let expired = parked.filter(|(_, parked)| parked.life.is_expired(now_ms, ttl));
+        stored.extend(expired.map(|(key, _)| key.clone()));
+        (kept, stored)
     }
 
     /// Makes results readable that the store has confirmed.
-    pub fn publish_results(&self, part: u32, epoch: u64, published: &[Finished]) {
+    pub fn publish_results(&self, part: u32, epoch: u64, published: Vec<Finished>) {
         let mut parts = self.lock();
         let Some(part) = parts.get_mut(&part).filter(|part| part.epoch == epoch) else {
             return;
         };
-        for Finished { batch, result } in published {
-            if let Some(batch) = part.batches.get_mut(batch) {
-                batch.results.push(Arc::new(result.clone()));
+        for Finished { batch, result, .. } in published {
+            let Some(batch) = part.batches.get_mut(&batch) else {
+                continue;
+            };
+            if batch.memory.grow(ResultList::memory_of(&result)) {
+                batch.results.push(Arc::new(result));
+            } else {
+                batch.results.push_stored();
             }
         }
         drop(parts);
@@ -362,6 +483,10 @@
                 parts = waited.unwrap_or_else(PoisonError::into_inner).0;
                 continue;
             }
+            if let Some(parked) = part.parked.get_mut(id) {
+                parked.life.read_ms = unix_ms();
+                return Lookup::Stored;
+            }
             if find(part, id, workspace).is_none() {
                 return Lookup::Missing;
             }
@@ -372,7 +497,15 @@
             let left = due.saturating_duration_since(Instant::now());
             let ready = batch.results.len() as u64 > after;
             if ready || left.is_zero() || !batch.is_open() {
-                return Lookup::Found(page(&batch.submission, &batch.results, after));
+                let page = page(
+                    &batch.submission,
+                    batch.results.kept_from(after as usize),
+                    after,
+                );
+                if ready && page.results.is_empty() {
+                    return Lookup::Stored;
+                }
+                return Lookup::Found(page);
             }
             let waited = self.changed.wait_timeout(parts, left);
             parts = waited.unwrap_or_else(PoisonError::into_inner).0;
@@ -386,12 +519,18 @@
         let Some(part) = part.filter(|part| !self.is_doubtful(part)) else {
             return Lookup::NotOwned;
         };
+        if part.parked.contains_key(id) {
+            return Lookup::Stored;
+        }
         let Some(batch) = find(part, id, workspace) else {
             return Lookup::Missing;
         };
         let mut items = batch.submission.items.iter();
         match items.find(|spec| spec.id == item) {
-            Some(spec) => Lookup::Found(spec.body.clone()),
+            Some(spec) => match MemoryBudget::reserve(&self.memory, spec.body.len()) {
+                Some(_memory) => Lookup::Found(spec.body.to_owned()),
+                None => Lookup::NoMemory,
+            },
             None => Lookup::Missing,
         }
     }
@@ -403,17 +542,60 @@
     }
 }
 
+/// Batches that are closed can be read from the store.
+impl Reclaim for BatchRegistry {
+    fn reclaim(&self, bytes: usize) -> bool {
+        let mut parts = self.lock();
+        let mut closed: Vec<(BatchLife, u32, String)> = Vec::new();
+        for (number, part) in &*parts {
+            let batches = part.batches.iter();
+            let large = batches.filter(|(_, batch)| {
+                // What the store holds of partial output is removed first.
+                let removed = || batch.items.iter().all(|item| item.saved_event.is_none());
+                batch.memory.bytes() > LARGE_BYTES && !batch.is_open() && removed()
+            });
+            closed.extend(large.map(|(key, batch)| (batch.life(), *number, key.clone())));
+        }
+        closed.sort_by_key(|(life, _, _)| (!life.ended, life.read_ms));
+        let mut given = 0;
+        for (life, number, key) in closed {
+            if given >= bytes {
+                break;
+            }
+            let Some(part) = parts.get_mut(&number) else {
+                continue;
+            };
+            if let Some(batch) = part.batches.remove(&key) {
+                given += batch.memory.bytes();
+                let head = batch.submission.without_items();
+                log::info!(batch:% = head.id, partition = number, bytes = batch.memory.bytes(); "closed batch is in the store only");
+                let wanted = batch.memory.bytes();
+                let parked = ParkedBatch {
+                    head,
+                    life,
+                    wanted,
+                    chunks: 0,
+                };
+                part.parked.insert(key, parked);
+            }
+        }
+        given > 0
+    }
+}
+
 /// Returns the batch that an end with this key is meant for. A batch that was stored by an earlier build has
 /// its identifier as its key, and is ended by its own workspace only.
-pub(super) fn find_ended<'a>(
-    batches: &'a mut BTreeMap<String, Batch>,
+pub(super) fn find_ended<'a, T>(
+    batches: &'a mut BTreeMap<String, T>,
     key: &str,
-) -> Option<&'a mut Batch> {
+    submission: impl Fn(&T) -> &Submission,
+) -> Option<&'a mut T> {
     if batches.contains_key(key) {
         return batches.get_mut(key);
     }
     let earlier = batches.get_mut(batch_id(key))?;
-    let own = batch_key(Some(&earlier.submission.workspace), &earlier.submission.id);
+    let stored = submission(earlier);
+    let own = batch_key(Some(&stored.workspace), &stored.id);
     (own == key).then_some(earlier)
 }
 
@@ -427,20 +609,24 @@
     allowed.then_some(batch)
 }
 
-/// Returns a page of results starting at a position. It holds at least one result if there is one.
-pub fn page(submission: &Submission, results: &[Arc<ItemResult>], after: u64) -> ResultPage {
+/// Returns a page of the results that are given from a position on. It holds at least one result if there is
+/// one.
+pub fn page<'a>(
+    submission: &Submission,
+    results: impl IntoIterator<Item = &'a Arc<ItemResult>>,
+    after: u64,
+) -> ResultPage {
     let mut used = 0;
-    let from = (after as usize).min(results.len());
-    let rows: Vec<(String, Arc<ItemResult>)> = results[from..]
-        .iter()
+    let rows: Vec<(String, Arc<ItemResult>)> = results
+        .into_iter()
         .take_while(|result| {
             let first = used == 0;
             used += result.output.len() + 128;
             first || used <= MAX_PAGE_BYTES
         })
         .map(|result| {
-            let item = submission.items.get(result.item as usize);
-            let id = item.map(|item| item.id.clone()).unwrap_or_default();
+            let item = submission.items.view(result.item as usize);
+            let id = item.map(|item| item.id.to_owned()).unwrap_or_default();
             (id, Arc::clone(result))
         })
         .collect();
--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -12,7 +12,7 @@
 use super::{Batch, Finished, Submission, claimant};
 use crate::{
     dialect::ForwardContext,
-    http::{CallError, Connection, Exchange, Progress},
+    http::{CallError, Connection, Exchange, MemoryBudget, Progress, Reservation},
     lease_clock,
     process::{Shared, TargetStart},
     version::{CHOICE_LIFETIME, Configuration, Outcome, TargetEntry},
@@ -92,6 +92,8 @@
     received: usize,
     /// Whether the connection broke off behind the request.
     broke_off: bool,
+    /// Memory that the request takes.
+    _memory: Reservation,
 }
 
 impl RewardCall {
@@ -105,14 +107,14 @@
         ownership: (u32, u64),
     ) -> Option<Self> {
         let submission = &batch.submission;
-        let spec = &submission.items[item];
-        let call = spec.scorer.as_ref()?;
+        let call = submission.items.call(item)?;
         let path = call.path.split('?').next().unwrap_or_default();
         let route = configuration.route(&call.host, path)?;
         let service: ServiceName = route.service(rand::random())?.clone();
         let now = shared.clock.now();
         let timeout = route.timeout.map_or(CALL_TIMEOUT, Millis::from);
         let timeout = timeout.min(CALL_TIMEOUT);
+        let memory = MemoryBudget::reserve(&shared.memory, call.body.len())?;
         let mut fleet = shared.fleet();
         let waiting = || batch.next_calls(now).0.len();
         let payload = fleet.trips.mean_payload(&service);
@@ -144,7 +146,8 @@
             resume_after: None,
             version: None,
         };
-        let request = shared.dialect.score_request(call, &context);
+        let mut request = shared.dialect.score_request(call, &context);
+        let body = Arc::new(std::mem::take(&mut request.body));
         match shared.pool.connect(address) {
             Ok(connection) => Some(Self {
                 ownership,
@@ -155,12 +158,13 @@
                 born,
                 attempts: route.attempts.max(submission.attempts),
                 began: now,
-                exchange: Exchange::new(connection, &request)
+                exchange: Exchange::with_body(connection, &request, body)
                     .without_kernel_timeouts()
                     .begin_by(lease_clock() + CHOICE_LIFETIME),
                 timeout,
                 received: 0,
                 broke_off: false,
+                _memory: memory,
             }),
             Err(error) => {
                 log::warn!(target_name:% = target, error:%; "can't connect to a target");
@@ -210,7 +214,7 @@
     }
 
     fn is_own_response(&self, shared: &Shared) -> bool {
-        let call = self.submission.items[self.item].scorer.as_ref();
+        let call = self.submission.items.call(self.item);
         let answered = self
             .exchange
             .head()
@@ -224,7 +228,7 @@
         };
         let reply = shared.dialect.reply(head);
         shared.observe_reply(&self.target, self.born, &reply, "reward call");
-        let call = self.submission.items[self.item].scorer.as_ref();
+        let call = self.submission.items.call(self.item);
         let sizes = call.map(|call| (call.body.len(), self.received));
         shared.observe_exchange(&self.target, &self.exchange, sizes);
         if !self.is_own_response(shared) {
@@ -256,8 +260,9 @@
             RewardOutcome::Broken => Outcome::Failed,
         };
         shared.fleet().finish(&self.target, target_outcome, now);
-        let spec = &self.submission.items[self.item];
-        let call = spec.scorer.as_ref().map(|call| call.id.as_str());
+        let call = self.submission.items.call(self.item);
+        let call = call.map(|call| call.id.as_str());
+        let spec = self.submission.items.view(self.item).unwrap_or_default();
         let item = &batch.items[self.item];
         let since_complete = item.complete_since.map(|at| now - at);
         let status = self.exchange.head().map(|head| head.status);
@@ -275,7 +280,7 @@
 
     /// Records what the end of the call says of the target.
     fn record_end(&self, shared: &Shared, outcome: &RewardOutcome) {
-        let Some(call) = &self.submission.items[self.item].scorer else {
+        let Some(call) = self.submission.items.call(self.item) else {
             return;
         };
         let target = TargetStart {
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -1,23 +1,20 @@
+mod start;
+
 use std::{collections::HashMap, io, iter, net::SocketAddr, sync::Arc, time::Duration};
 
 use godwitspool_request::stable_hash;
 use godwitspool_types::{Millis, ModelName, ServiceName, TargetName};
 
 use super::{
-    Batch, EventBuffer, Move, OwnedPartition, Pace, RouteLengths, RunFailure, RunView, Submission,
-    Verdict, claimant, decide_move,
-    item_work::{discard_stranded, work_left},
-    reward::RewardCall,
+    Batch, EventBuffer, ItemView, Move, OwnedPartition, Pace, RouteLengths, RunFailure, RunView,
+    Submission, Verdict, claimant, decide_move, item_work::work_left, reward::RewardCall,
 };
 use crate::{
-    dialect::ForwardContext,
-    http::{CallError, Connection, Exchange, Interest, Progress, wait},
+    http::{CallError, Connection, Exchange, Interest, Progress, Reservation, wait},
     lease_clock,
     process::{RunClaim, Shared, TargetStart},
     store::Topic,
-    version::{
-        Assignments, Basis, CHOICE_LIFETIME, Configuration, Outcome, PlaceRequest, Placement, Work,
-    },
+    version::{Assignments, Basis, Outcome, PlaceRequest},
 };
 
 /// Idle timeout of a run whose response has begun. A target stops sending for about a second while
@@ -79,16 +76,8 @@
     service: ServiceName,
     /// Version that the target should have loaded, if nothing had confirmed it.
     expected: Option<u64>,
-}
-
-/// The outcome of an attempt to start an item.
-enum Start {
-    /// The item waits for a faster target, and a shorter one may start.
-    Deferred,
-    /// No target can run the item now.
-    NoRoom,
-    /// The item runs.
-    Run(Box<Run>),
+    /// Memory that the request takes.
+    _memory: Reservation,
 }
 
 /// The state of a run after its socket was served.
@@ -195,9 +184,8 @@
                 let (calls, others) = batch.next_calls(now);
                 waiting |= others;
                 for item in calls {
-                    let spec = &batch.submission.items[item];
                     let claimant = claimant(&shared, batch.submission.key());
-                    let pause = spec.scorer.as_ref().and_then(|call| {
+                    let pause = batch.submission.items.call(item).and_then(|call| {
                         let print = || call.fingerprint();
                         shared.suspicion.pause(print, &claimant)
                     });
@@ -252,199 +240,6 @@
         self.calls = active;
     }
 
-    /// Starts the items that may start now; returns whether any item is left waiting.
-    fn start_items(&mut self) -> bool {
-        let shared = Arc::clone(&self.shared);
-        let Some(configuration) = shared.configuration() else {
-            return false;
-        };
-        let mut waiting = false;
-        let now = shared.clock.now();
-        let mut started = Vec::new();
-        let mut held = 0_usize;
-        let mut parts = shared.owned_batches.lock();
-        for (number, part) in &mut *parts {
-            if is_stale(&shared, *number, part) {
-                waiting = true;
-                continue;
-            }
-            let mut dropped = Vec::new();
-            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
-                if !batch.submission.runs_under(configuration.version) {
-                    waiting = true;
-                    held += 1;
-                    continue;
-                }
-                'batch: loop {
-                    let items = match batch.next_items(now) {
-                        Ok(items) => items,
-                        Err(soonest) => {
-                            waiting |= soonest.is_some();
-                            break;
-                        }
-                    };
-                    let submission = Arc::clone(&batch.submission);
-                    for (item, ahead) in items {
-                        let spec = &submission.items[item];
-                        let print = || spec.fingerprint(&submission.workspace, &submission.host);
-                        let claimant = claimant(&shared, submission.key());
-                        if let Some(pause) = shared.suspicion.pause(print, &claimant) {
-                            batch.postpone(item, now + pause);
-                            continue 'batch;
-                        }
-                        let Some(route) = configuration.route(&submission.host, &submission.prefix)
-                        else {
-                            log::warn!(batch:% = submission.id, item:% = submission.items[item].id; "item given up: its route is gone");
-                            dropped.push(batch.finish(item, false));
-                            continue 'batch;
-                        };
-                        let Some(service) = route.service(rand::random()).cloned() else {
-                            break 'batch;
-                        };
-                        match self.start(&configuration, &service, batch, (item, ahead), now) {
-                            Start::Run(run) => {
-                                batch.start(item);
-                                started.push(Run {
-                                    part: *number,
-                                    epoch: part.epoch,
-                                    claim: shared.suspicion.run_claim(print, &claimant),
-                                    ..*run
-                                });
-                                continue 'batch;
-                            }
-                            Start::Deferred => waiting = true,
-                            Start::NoRoom => {
-                                waiting = true;
-                                // The operators' record of this version may not have arrived yet.
-                                let (model, oldest) = (&submission.model, submission.min_version);
-                                shared.learn_version(model, oldest, "a batch");
-                                break 'batch;
-                            }
-                        }
-                    }
-                    break;
-                }
-            }
-            for finished in dropped {
-                part.send_result(finished);
-            }
-        }
-        drop(parts);
-        if held != self.held {
-            log::info!(batches = held, configuration = configuration.version; "batches wait for a newer configuration");
-            self.held = held;
-        }
-        self.runs.extend(started);
-        waiting
-    }
-
-    /// Starts a run of an item, given with the number of wanted items that go before it.
-    fn start(
-        &mut self,
-        configuration: &Configuration,
-        service: &ServiceName,
-        batch: &mut Batch,
-        item: (usize, Option<usize>),
-        now: Millis,
-    ) -> Start {
-        let (index, ahead) = item;
-        let shared = &self.shared;
-        let submission = Arc::clone(&batch.submission);
-        let spec = &submission.items[index];
-        let models = configuration
-            .services
-            .get(service)
-            .map(|service| &service.models[..]);
-        let model = submission.model.clone();
-        let mut fleet = shared.fleet();
-        let models = models.unwrap_or_default();
-        let assigned = self.assignments.of(&fleet, service, models);
-        discard_stranded(shared, &fleet, service, batch, (index, now));
-        let pinned = batch.pinned_version(index);
-        let oldest = pinned.unwrap_or(submission.min_version);
-        let versions = oldest..=pinned.unwrap_or(u64::MAX);
-        let work = Work {
-            ahead: ahead.unwrap_or_default(),
-            patient: ahead.is_some(),
-            ..work_left(&self.lengths, shared, batch, index)
-        };
-        let placed = fleet.place(&PlaceRequest {
-            assigned: &assigned,
-            dc: &shared.settings.dc,
-            excluded: None,
-            host: stable_hash(shared.settings.host.as_str().as_bytes()),
-            model: &model,
-            now,
-            service,
-            versions: &versions,
-            work,
-        });
-        if placed.as_ref().is_some_and(|place| place.defer) && batch.defer(index, now) {
-            return Start::Deferred;
-        }
-        let permitted = |place: &Placement| fleet.take_permit(&place.target, now);
-        let Some(place) = placed.filter(permitted) else {
-            let waiting = batch.waiting_items();
-            let lacking = fleet.lacking_for_item(service, &model, &versions, waiting, now);
-            drop(fleet);
-            shared.permits.want(lacking);
-            return Start::NoRoom;
-        };
-        let progress = &batch.items[index].progress;
-        let (name, address, born) = (place.target, place.address, place.born);
-        let entries_ms = shared.observe_entry_age(&fleet);
-        let context = ForwardContext {
-            target: &name,
-            workspace: Some(&submission.workspace),
-            remaining: None,
-            resume_after: progress.last_event,
-            version: pinned.or(place.expected),
-        };
-        let request = shared.dialect.item_request(&submission, spec, &context);
-        let connection = match shared.pool.connect(address) {
-            Ok(connection) => connection,
-            Err(error) => {
-                log::warn!(target_name:% = name, error:%; "can't connect to a target");
-                fleet.start(&name);
-                fleet.finish(&name, Outcome::Failed, now);
-                return Start::NoRoom;
-            }
-        };
-        fleet.start(&name);
-        drop(fleet);
-        log::info!(
-            batch:% = submission.id, item:% = spec.id, target_name:% = name,
-            resume_after:? = progress.last_event, failures = batch.items[index].failures, entries_ms,
-            events = work.events.round(), expected_ms = place.run_ms.round(),
-            own_ms = place.speed.own_ms.round(), recent_ms = place.speed.recent_ms.round(),
-            deferred_ms = batch.items[index].deferred_since.map_or(0, |since| (now - since).0);
-            "item starts"
-        );
-        Start::Run(Box::new(Run {
-            part: 0,
-            epoch: 0,
-            item: index,
-            model,
-            target: name,
-            address,
-            born,
-            exchange: Exchange::new(connection, &request)
-                .without_kernel_timeouts()
-                .begin_by(lease_clock() + CHOICE_LIFETIME),
-            buffer: EventBuffer::default(),
-            ended_in_noise: false,
-            began: now,
-            last_data: now,
-            head_read: false,
-            broke_off: false,
-            pace: Pace::default(),
-            claim: None,
-            service: service.clone(),
-            expected: place.expected,
-            submission,
-        }))
-    }
-
     /// Serves the sockets of the runs that are `ready`, and drops the runs whose batch has ended or whose
     /// partition this host no longer owns. All runs are served when their stalls are checked.
     fn advance(&mut self, ready: &[bool]) {
@@ -481,7 +276,7 @@
             };
             if matches!(end, RunEnd::Completed) {
                 let events = batch.items[run.item].progress.last_event;
-                let hint = run.submission.items[run.item].hint;
+                let hint = run.spec().hint;
                 let events = events.unwrap_or_default();
                 self.lengths.record(&run.submission, hint, events);
             }
@@ -497,6 +292,10 @@
 }
 
 impl Run {
+    fn spec(&self) -> ItemView<'_> {
+        self.submission.items.view(self.item).unwrap_or_default()
+    }
+
     fn step(
         &mut self,
         shared: &Shared,
@@ -521,8 +320,8 @@
             let reply = shared.dialect.reply(head);
             shared.observe_reply(&self.target, self.born, &reply, "item");
             shared.observe_exchange(&self.target, &self.exchange, None);
-            let spec = &self.submission.items[self.item];
-            if reply.id.as_deref() != Some(&spec.id) {
+            let spec = self.spec();
+            if reply.id.as_deref() != Some(spec.id) {
                 log::warn!(item:% = spec.id, target_name:% = self.target, answered:? = reply.id; "response belongs to another request");
                 return failed(RunFailure::Broken, Outcome::Failed);
             }
@@ -561,7 +360,7 @@
             Ok(Progress::Pending) => self.check_stall(shared, lengths, batch, now),
             Ok(Progress::Done) => self.done(shared, batch, now),
             Err(error) => {
-                let spec = &self.submission.items[self.item];
+                let spec = self.spec();
                 log::info!(item:% = spec.id, target_name:% = self.target, error:%; "connection of a run failed");
                 self.broke_off = error.was_closed();
                 let failure = match error {
@@ -582,7 +381,7 @@
     ) -> Step {
         let silent = now - self.last_data;
         if let Some(reason) = self.check_move(shared, lengths, batch, now) {
-            let spec = &self.submission.items[self.item];
+            let spec = self.spec();
             log::info!(
                 item:% = spec.id, target_name:% = self.target, reason:?, silent_ms = silent.0,
                 between_ms = self.pace.interval_ms, events = self.pace.events;
@@ -602,7 +401,7 @@
         if silent < bound {
             return Step::Active;
         }
-        let spec = &self.submission.items[self.item];
+        let spec = self.spec();
         log::info!(item:% = spec.id, target_name:% = self.target, silent_ms = silent.0, head = self.head_read; "run timed out");
         Step::Ended(RunEnd::Failed(RunFailure::Broken, Outcome::Failed))
     }
@@ -651,10 +450,11 @@
 
     /// Appends the complete events in the buffer to the item's output; returns their number.
     fn read_events(&mut self, shared: &Shared, batch: &mut Batch) -> Result<u32, RunFailure> {
-        let spec = &self.submission.items[self.item];
-        let progress = &mut batch.items[self.item].progress;
+        let submission = Arc::clone(&self.submission);
+        let spec = submission.items.view(self.item).unwrap_or_default();
         let mut events = 0;
         while let Some(lines) = self.buffer.next_event() {
+            let progress = &mut batch.items[self.item].progress;
             let event = shared.dialect.event(lines);
             if let Some(version) = event.version {
                 progress.version = Some(version);
@@ -687,6 +487,11 @@
                 return Err(RunFailure::Unusable);
             }
             progress.push(number, &event.data);
+            if !batch.items[self.item].reserve_output(&shared.memory) {
+                log::warn!(item:% = spec.id, target_name:% = self.target, number; "no memory for an output");
+                return Err(RunFailure::Unusable);
+            }
+            let progress = &mut batch.items[self.item].progress;
             if progress.text.len() > shared.settings.store.max_output() {
                 log::warn!(item:% = spec.id, target_name:% = self.target, number; "output exceeds what the store takes");
                 return Err(RunFailure::Unusable);
@@ -738,7 +543,7 @@
         end: &RunEnd,
         now: Millis,
     ) -> Option<super::Finished> {
-        let spec = &self.submission.items[self.item];
+        let spec = self.spec();
         self.record_end(shared, matches!(end, RunEnd::Completed));
         let took_ms = (now - self.began).0;
         match *end {
@@ -749,7 +554,7 @@
                     .fleet()
                     .finish(&self.target, Outcome::Answered(took_ms as f64), now);
                 let (events, moves) = (self.pace.events, batch.items[self.item].moves);
-                if spec.scorer.is_some() {
+                if self.submission.items.call(self.item).is_some() {
                     batch.complete_text(self.item, now);
                     log::info!(
                         batch:% = self.submission.id, item:% = spec.id, target_name:% = self.target,
@@ -784,7 +589,7 @@
     /// Records what the end of the run says of the target.
     fn record_end(&self, shared: &Shared, completed: bool) {
         let submission = &self.submission;
-        let spec = &submission.items[self.item];
+        let spec = self.spec();
         let target = TargetStart {
             name: self.target.clone(),
             born: self.born,
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -1,9 +1,16 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    ops::{Deref, DerefMut, Range},
+    sync::Arc,
+    time::Duration,
+};
 
 use godwitspool_types::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::{ItemResult, RewardOutcome, Submission, groups, order_items, wanted_items};
+use super::{
+    Groups, ItemResult, RestoredResults, ResultList, RewardOutcome, Submission, order::rank_items,
+};
+use crate::http::{MemoryBudget, Reservation};
 
 /// Delay before an item is retried after a run failed. Refused items are not delayed, since the
 /// refusing target is paused itself.
@@ -24,6 +31,10 @@
 /// Number of rejections after which an item is given up: a rejection means that no target can ever
 /// serve it.
 const MAX_REJECTIONS: u32 = 1;
+/// The most items that are counted to say how many wait. What is decided by the number is the same for more.
+const MAX_COUNTED: usize = 4_096;
+/// The most by which the memory of a partial output is taken ahead of what has arrived.
+const OUTPUT_STEP: usize = 64 * 1024;
 
 /// The partial output of an item.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -80,11 +91,18 @@
     Done,
 }
 
-/// An item of a batch that this host runs.
-#[derive(Clone, Debug)]
+/// An item of a batch that this host runs. It derefs to what has happened to it so far.
+#[derive(Debug)]
 pub struct Item {
     /// Whether the item waits, runs or has ended.
     pub state: ItemState,
+    /// `None` until something has happened, which is true of most items of a large batch.
+    past: Option<Box<ItemPast>>,
+}
+
+/// What has happened to an item at this host.
+#[derive(Debug)]
+pub struct ItemPast {
     /// Number of runs that the target reported as failed.
     pub failures: u32,
     /// Number of runs that the target rejected permanently.
@@ -97,6 +115,8 @@
     pub deferred_since: Option<Millis>,
     /// Partial output.
     pub progress: ItemProgress,
+    /// Memory that the partial output takes.
+    memory: Reservation,
     /// Number of the last event that the store holds, or may hold; `None` if nothing was saved.
     pub saved_event: Option<u64>,
     /// Whether the store holds, or may hold, that the output is complete.
@@ -111,7 +131,77 @@
     break_event: Option<u64>,
 }
 
+impl ItemPast {
+    const NOTHING: Self = Self {
+        failures: 0,
+        rejections: 0,
+        empty_runs: 0,
+        moves: 0,
+        deferred_since: None,
+        progress: ItemProgress {
+            text: Vec::new(),
+            last_event: None,
+            versions: Vec::new(),
+            version: None,
+            complete: false,
+        },
+        memory: Reservation::NONE,
+        saved_event: None,
+        saved_complete: false,
+        complete_since: None,
+        call_failures: 0,
+        call_tries: 0,
+        break_event: None,
+    };
+}
+
+impl Deref for Item {
+    type Target = ItemPast;
+
+    fn deref(&self) -> &ItemPast {
+        static NOTHING: ItemPast = ItemPast::NOTHING;
+        self.past.as_deref().unwrap_or(&NOTHING)
+    }
+}
+
+impl DerefMut for Item {
+    fn deref_mut(&mut self) -> &mut ItemPast {
+        self.past.get_or_insert_with(|| Box::new(ItemPast::NOTHING))
+    }
+}
+
 impl Item {
+    const WAITING: Self = Self {
+        state: ItemState::Waiting {
+            not_before: Millis::ZERO,
+        },
+        past: None,
+    };
+
+    /// Ends the item. Only what the store still holds of its partial output is remembered.
+    fn end(&mut self) {
+        self.state = ItemState::Done;
+        let saved_event = self.saved_event;
+        self.past = saved_event.map(|_| {
+            Box::new(ItemPast {
+                saved_event,
+                ..ItemPast::NOTHING
+            })
+        });
+    }
+
+    /// Records that the store doesn't hold the partial output any more. Returns whether it did.
+    pub(super) fn forget_saved(&mut self) -> bool {
+        let saved = self.saved_event.is_some();
+        if saved {
+            self.saved_event = None;
+            if self.state == ItemState::Done {
+                self.past = None;
+            }
+        }
+        saved
+    }
+
     /// Returns whether the item is unfinished and has at least `events` events that are not saved.
     pub fn has_unsaved(&self, events: u64) -> bool {
         let known = self.progress.last_event.unwrap_or_default();
@@ -127,6 +217,17 @@
 
     fn discard_output(&mut self) {
         self.progress = ItemProgress::default();
+        self.memory = Reservation::NONE;
+    }
+
+    /// Takes memory for the partial output, which has grown. Returns false if there is none.
+    pub(super) fn reserve_output(&mut self, budget: &Arc<MemoryBudget>) -> bool {
+        let length = self.progress.text.len();
+        if length <= self.memory.bytes() {
+            return true;
+        }
+        self.memory.attach(budget);
+        self.memory.resize(length + OUTPUT_STEP.min(length))
     }
 
     /// Counts consecutive broken runs without a new event.
@@ -183,80 +284,134 @@
 }
 
 /// The result of an item that has ended and is queued for the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Debug, Default)]
 pub struct Finished {
     /// Identifier of the batch.
     pub batch: String,
     /// Result of the item.
     pub result: ItemResult,
+    /// Memory that its output takes.
+    pub memory: Reservation,
+}
+
+/// What decides how long a batch is kept.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BatchLife {
+    /// When it was submitted, in milliseconds since 1970.
+    pub received_ms: u64,
+    /// When callers last read it, in milliseconds since 1970.
+    pub read_ms: u64,
+    /// Whether its caller has ended it.
+    pub ended: bool,
+    /// Whether all results are stored.
+    pub complete: bool,
+}
+
+impl BatchLife {
+    /// As [`Batch::is_expired`].
+    pub fn is_expired(&self, now_ms: u64, ttl: Duration) -> bool {
+        let past = |since_ms: u64, time: Duration| since_ms + (time.as_millis() as u64) < now_ms;
+        let done = self.ended || (self.complete && past(self.read_ms, ABANDONED_AFTER));
+        done && past(self.received_ms, ttl)
+    }
+
+    /// Returns whether no item of it runs any more.
+    pub fn is_closed(&self) -> bool {
+        self.ended || self.complete
+    }
 }
 
 /// A batch at the host that owns its partition.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Batch {
     /// The batch as it was submitted.
     pub submission: Arc<Submission>,
     /// State of each item, in the order of the submission.
     pub items: Vec<Item>,
-    /// Results that the store has confirmed, by position.
-    pub results: Vec<Arc<ItemResult>>,
+    /// Results that the store has confirmed.
+    pub results: ResultList,
     /// Whether the caller has ended the batch.
     pub ended: bool,
     /// When callers last read the results at this host, or when it took the batch over, in milliseconds
     /// since 1970.
     pub read_ms: u64,
+    /// Memory that the batch takes.
+    pub(super) memory: Reservation,
     /// Indexes of the items in the order in which they start.
-    order: Vec<usize>,
-    /// Number of items of the wanted groups, which are the first in the order.
-    wanted: usize,
+    order: Vec<u32>,
+    /// Places in the order of the items of the wanted groups, and of the others. Those that have ended are left
+    /// out at both sides.
+    open: [Range<usize>; 2],
     /// Number of each item's group.
-    group_numbers: Vec<usize>,
+    group_numbers: Vec<u32>,
 }
 
 impl Batch {
     /// Creates a batch from its submission and the results that the store holds.
     pub fn new(submission: Arc<Submission>, results: Vec<Arc<ItemResult>>) -> Self {
-        let waiting = Item {
-            state: ItemState::Waiting {
-                not_before: Millis::ZERO,
-            },
-            failures: 0,
-            empty_runs: 0,
-            rejections: 0,
-            moves: 0,
-            deferred_since: None,
-            progress: ItemProgress::default(),
-            saved_event: None,
-            saved_complete: false,
-            complete_since: None,
-            call_failures: 0,
-            call_tries: 0,
-            break_event: None,
-        };
-        let mut items = vec![waiting; submission.items.len()];
+        let mut batch = Self::reserved(submission, Reservation::default());
         for result in &results {
-            if let Some(item) = items.get_mut(result.item as usize) {
-                item.state = ItemState::Done;
-            }
-        }
-        let mut group_numbers = vec![0; submission.items.len()];
-        for (number, items) in groups(&submission.items).into_values().enumerate() {
-            for item in items {
-                group_numbers[item] = number;
-            }
+            batch.end_item(result.item as usize);
         }
+        batch.results = results.into();
+        batch
+    }
+
+    /// Creates a batch without results, which takes the given memory.
+    pub(super) fn reserved(submission: Arc<Submission>, memory: Reservation) -> Self {
+        let groups = Groups::of(&submission.items);
+        let (order, wanted) = rank_items(&submission, &groups);
         Self {
-            order: order_items(&submission),
-            wanted: wanted_items(&submission),
-            group_numbers,
+            open: [0..wanted, wanted..order.len()],
+            order,
+            group_numbers: groups.into_numbers(),
+            items: submission.items.iter().map(|_| Item::WAITING).collect(),
             read_ms: submission.received_ms,
             submission,
-            items,
-            results,
+            memory,
+            results: ResultList::default(),
             ended: false,
         }
     }
 
+    /// Ends an item, whose result is stored or queued for the store.
+    pub(super) fn end_item(&mut self, index: usize) {
+        let Some(item) = self.items.get_mut(index) else {
+            return;
+        };
+        item.end();
+        let Self {
+            items, open, order, ..
+        } = self;
+        let done = |place: usize| items[order[place] as usize].state == ItemState::Done;
+        for places in open {
+            while places.start < places.end && done(places.start) {
+                places.start += 1;
+            }
+            while places.start < places.end && done(places.end - 1) {
+                places.end -= 1;
+            }
+        }
+    }
+
+    /// Returns the items that haven't ended, and some that have, in the order in which they start: those of the
+    /// wanted groups, and the others.
+    fn open_items(&self) -> [impl DoubleEndedIterator<Item = usize>; 2] {
+        let items = |places: &Range<usize>| {
+            let items = self.order[places.clone()].iter();
+            items.map(|item| *item as usize)
+        };
+        [items(&self.open[0]), items(&self.open[1])]
+    }
+
+    /// Restores the results that the store holds.
+    pub(super) fn restore(&mut self, results: RestoredResults) {
+        for item in results.items {
+            self.end_item(item as usize);
+        }
+        self.results = results.list;
+    }
+
     /// Restores the partial output of an item that an earlier owner has saved. The first call for
     /// an item wins.
     pub fn resume(&mut self, item: u32, progress: ItemProgress) {
@@ -273,20 +428,25 @@
     /// Returns the items whose reward call may start now, and whether others wait for theirs. Items
     /// of groups with the fewest unfinished items come first: a trainer can use only whole groups.
     pub fn next_calls(&self, now: Millis) -> (Vec<usize>, bool) {
+        if self.ended || self.submission.items.calls().is_empty() {
+            return (Vec::new(), false);
+        }
         let waiting = |index: &usize| self.items[*index].awaits_call();
-        let mut calls: Vec<usize> = self.order.iter().copied().filter(waiting).collect();
-        if self.ended || calls.is_empty() {
+        let open = self.open_items().into_iter().flatten();
+        let mut calls: Vec<usize> = open.filter(waiting).collect();
+        if calls.is_empty() {
             return (Vec::new(), false);
         }
         let mut unfinished = vec![0_usize; self.items.len()];
         for (index, item) in self.items.iter().enumerate() {
-            unfinished[self.group_numbers[index]] += usize::from(item.state != ItemState::Done);
+            unfinished[self.group_numbers[index] as usize] +=
+                usize::from(item.state != ItemState::Done);
         }
         let count = calls.len();
         calls.retain(|index| {
             matches!(self.items[*index].state, ItemState::Waiting { not_before } if not_before <= now)
         });
-        calls.sort_by_key(|index| unfinished[self.group_numbers[*index]]);
+        calls.sort_by_key(|index| unfinished[self.group_numbers[*index] as usize]);
         let others = calls.len() < count;
         (calls, others)
     }
@@ -342,12 +502,12 @@
             return Err(None);
         }
         let mut soonest: Option<Millis> = None;
-        for index in &self.order {
-            if self.items[*index].progress.complete {
+        for index in self.open_items().into_iter().flatten() {
+            if self.items[index].progress.complete {
                 continue;
             }
-            match self.items[*index].state {
-                ItemState::Waiting { not_before } if not_before <= now => return Ok(*index),
+            match self.items[index].state {
+                ItemState::Waiting { not_before } if not_before <= now => return Ok(index),
                 ItemState::Waiting { not_before } => {
                     soonest = Some(soonest.map_or(not_before, |other| other.min(not_before)));
                 }
@@ -370,23 +530,24 @@
     /// As [`Self::next_item`].
     pub fn next_items(&self, now: Millis) -> Result<Vec<(usize, Option<usize>)>, Option<Millis>> {
         let next = self.next_item(now)?;
-        let may_start = |index: &&usize| {
-            let item = &self.items[**index];
+        let may_start = |index: &usize| {
+            let item = &self.items[*index];
             !item.progress.complete
                 && matches!(item.state, ItemState::Waiting { not_before } if not_before <= now)
         };
-        let (wanted, others) = self.order.split_at(self.wanted);
-        let ready = wanted.iter().filter(may_start).count();
+        let [wanted, _] = self.open_items();
+        let ready = wanted.filter(may_start).take(MAX_COUNTED).count();
         if ready == 0 {
             return Ok(vec![(next, None)]);
         }
         let mut items = vec![(next, Some(0))];
-        let shortest = wanted.iter().rev().find(may_start);
-        if let Some(shortest) = shortest.filter(|shortest| **shortest != next) {
-            items.push((*shortest, Some(ready - 1)));
+        let [wanted, mut others] = self.open_items();
+        let shortest = wanted.rev().find(may_start);
+        if let Some(shortest) = shortest.filter(|shortest| *shortest != next) {
+            items.push((shortest, Some(ready - 1)));
         }
-        let other = others.iter().find(may_start);
-        items.extend(other.map(|other| (*other, None)));
+        let other = others.find(may_start);
+        items.extend(other.map(|other| (other, None)));
         Ok(items)
     }
 
@@ -408,23 +569,30 @@
         self.items[item].state = ItemState::Waiting { not_before };
     }
 
-    /// Returns the number of items that wait for a target.
+    /// Returns the number of items that wait for a target, but not more than some thousands.
     pub fn waiting_items(&self) -> usize {
-        let items = self.items.iter();
-        items
-            .filter(|item| {
-                !item.progress.complete && matches!(item.state, ItemState::Waiting { .. })
-            })
-            .count()
+        let items = self.open_items().into_iter().flatten();
+        let waiting = items.filter(|index| {
+            let item = &self.items[*index];
+            !item.progress.complete && matches!(item.state, ItemState::Waiting { .. })
+        });
+        waiting.take(MAX_COUNTED).count()
     }
 
     /// Returns whether the batch may be removed, `ttl` after its submission: it was ended, or all results
     /// are stored and callers have left without an end.
     pub fn is_expired(&self, now_ms: u64, ttl: Duration) -> bool {
-        let past = |since_ms: u64, time: Duration| since_ms + (time.as_millis() as u64) < now_ms;
-        let complete = self.results.len() >= self.items.len();
-        let done = self.ended || (complete && past(self.read_ms, ABANDONED_AFTER));
-        done && past(self.submission.received_ms, ttl)
+        self.life().is_expired(now_ms, ttl)
+    }
+
+    /// Returns what decides how long the batch is kept.
+    pub(super) fn life(&self) -> BatchLife {
+        BatchLife {
+            received_ms: self.submission.received_ms,
+            read_ms: self.read_ms,
+            ended: self.ended,
+            complete: self.results.len() >= self.items.len(),
+        }
     }
 
     /// Returns whether the batch was not ended and some item has no stored result. Batches that are
@@ -447,9 +615,9 @@
     }
 
     /// Records a failed run of an item and decides whether the item is retried.
-    pub fn fail(&mut self, item: usize, failure: RunFailure, now: Millis) -> Verdict {
+    pub fn fail(&mut self, index: usize, failure: RunFailure, now: Millis) -> Verdict {
         let attempts = self.submission.attempts.max(1);
-        let item = &mut self.items[item];
+        let item = &mut self.items[index];
         match failure {
             RunFailure::Failed => item.failures += 1,
             RunFailure::Rejected => item.rejections += 1,
@@ -459,7 +627,7 @@
             RunFailure::NotRun => {}
         }
         if item.failures >= attempts || item.rejections >= MAX_REJECTIONS {
-            item.state = ItemState::Done;
+            self.end_item(index);
             return Verdict::GiveUp;
         }
         let pause = match failure {
@@ -475,10 +643,11 @@
 
     /// Marks an item as done and returns its result, which has output only if it is completed.
     pub fn finish(&mut self, index: usize, completed: bool) -> Finished {
-        let item = &mut self.items[index];
-        item.state = ItemState::Done;
-        let progress = std::mem::take(&mut item.progress);
+        let progress = std::mem::take(&mut self.items[index].progress);
+        let memory = std::mem::take(&mut self.items[index].memory);
+        self.end_item(index);
         Finished {
+            memory,
             batch: self.submission.key().to_owned(),
             result: ItemResult {
                 item: index as u32,
--- a/crates/godwitspool-host/src/batch/stored_results.rs
+++ b/crates/godwitspool-host/src/batch/stored_results.rs
@@ -3,47 +3,77 @@
     sync::Arc,
 };
 
-use super::{BatchRecord, ItemProgress, ItemResult, wire};
+use super::{BatchRecord, ItemProgress, ItemResult, ResultList, wire};
 use crate::store::StoredRecord;
 
+/// The item of a result, and the result if it is kept.
+type Row = (u32, Option<Arc<ItemResult>>);
+
 /// Results and partial output of batches, assembled from the records of a partition.
 #[derive(Debug, Default)]
 pub struct StoredResults {
     progress: HashMap<String, Vec<(u32, ItemProgress)>>,
-    results: HashMap<String, BTreeMap<u64, Arc<ItemResult>>>,
+    /// Results by position.
+    results: HashMap<String, BTreeMap<u64, Row>>,
     chunks: HashMap<(String, u64), BTreeMap<u32, Vec<u8>>>,
 }
 
+/// The results of a batch that the store holds.
+#[derive(Clone, Debug, Default)]
+pub struct RestoredResults {
+    /// The results.
+    pub list: ResultList,
+    /// The item of each result.
+    pub items: Vec<u32>,
+}
+
 impl StoredResults {
     /// Assembles the records; those that can't be decoded are skipped with a warning.
     pub fn read(part: u32, records: Vec<StoredRecord>) -> Self {
         let mut assembled = Self::default();
+        assembled.add(part, records, &mut |_, _| true);
+        assembled
+    }
+
+    /// Adds records, in the order of their keys. `keep` is asked for the bytes of each output of a batch; what it
+    /// refuses isn't kept.
+    pub(super) fn add(
+        &mut self,
+        part: u32,
+        records: impl IntoIterator<Item = StoredRecord>,
+        keep: &mut dyn FnMut(&str, usize) -> bool,
+    ) {
         for stored in records {
             let added = BatchRecord::read(stored)
                 .map_err(|error| error.to_string())
-                .and_then(|record| assembled.add(record));
+                .and_then(|record| self.add_record(record, keep));
             if let Err(reason) = added {
                 log::warn!(partition = part, reason:%; "result record skipped");
             }
         }
-        assembled
     }
 
-    fn add(&mut self, record: BatchRecord) -> Result<(), String> {
+    fn add_record(
+        &mut self,
+        record: BatchRecord,
+        keep: &mut dyn FnMut(&str, usize) -> bool,
+    ) -> Result<(), String> {
         match record {
             BatchRecord::Progress {
                 batch,
                 item,
                 progress,
             } => {
-                let known = self.progress.entry(batch).or_default();
-                known.push((item, progress));
+                if keep(&batch, progress.text.len()) {
+                    let known = self.progress.entry(batch).or_default();
+                    known.push((item, progress));
+                }
             }
             BatchRecord::Result {
                 batch,
                 position,
                 result,
-            } => self.put(batch, position, result),
+            } => self.put(batch, position, result, keep),
             BatchRecord::ResultChunk {
                 batch,
                 position,
@@ -60,7 +90,7 @@
                     let result = wire::decode_result(&bytes);
                     let result = result
                         .map_err(|error| format!("result {position} of {}: {error}", key.0))?;
-                    self.put(key.0, position, result);
+                    self.put(key.0, position, result, keep);
                 }
             }
             BatchRecord::End { .. }
@@ -71,18 +101,40 @@
         Ok(())
     }
 
-    fn put(&mut self, batch: String, position: u64, result: ItemResult) {
+    fn put(
+        &mut self,
+        batch: String,
+        position: u64,
+        result: ItemResult,
+        keep: &mut dyn FnMut(&str, usize) -> bool,
+    ) {
+        let item = result.item;
+        let kept = keep(&batch, ResultList::memory_of(&result)).then(|| Arc::new(result));
         let results = self.results.entry(batch).or_default();
-        results.insert(position, Arc::new(result));
+        results.insert(position, (item, kept));
     }
 
     /// Removes and returns a batch's results by position, up to the first missing position, because
     /// a read that overlaps an append may lack some of its last results.
-    pub fn take_results(&mut self, batch: &str) -> Vec<Arc<ItemResult>> {
-        let results = self.results.remove(batch).unwrap_or_default();
-        let complete = results.into_iter().enumerate();
-        let complete = complete.take_while(|(index, (position, _))| *index as u64 == *position);
-        complete.map(|(_, (_, result))| result).collect()
+    pub fn take_results(&mut self, batch: &str) -> RestoredResults {
+        let mut restored = RestoredResults::default();
+        for (position, (item, result)) in self.results.remove(batch).unwrap_or_default() {
+            if position != restored.items.len() as u64 {
+                break;
+            }
+            restored.items.push(item);
+            match result {
+                Some(result) => restored.list.push(result),
+                None => restored.list.push_stored(),
+            }
+        }
+        restored
+    }
+
+    /// Removes and returns the result at a position of a batch, if it is kept.
+    pub(super) fn take_at(&mut self, batch: &str, position: u64) -> Option<ItemResult> {
+        let (_, result) = self.results.get_mut(batch)?.remove(&position)?;
+        result.map(Arc::unwrap_or_clone)
     }
 
     /// Removes and returns the saved partial output of a batch's items.
--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -4,13 +4,28 @@
 use std::{net::SocketAddr, time::Duration};
 
 use godwitspool_types::{Dc, Key, Millis, ModelName, ServiceName, TargetName, Workspace};
+use snafu::Snafu;
 
 use crate::{
-    batch::{ItemSpec, Prompt, ResultPage, ScoreCall, Submission},
+    batch::{ItemView, Prompt, ResultPage, ScoreCall, Submission},
     http::{Request, Response},
     version::{Configuration, Route, TargetEntry},
 };
 
+/// Why a submission wasn't read.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum SubmissionError {
+    /// The request is malformed.
+    #[snafu(display("{reason}"))]
+    Invalid {
+        /// What is wrong, and where.
+        reason: String,
+    },
+    /// There is no memory for its items.
+    #[snafu(display("no memory for its items"))]
+    NoMemory,
+}
+
 /// A caller's request in the project's types.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
@@ -182,12 +197,12 @@
     fn item_request(
         &self,
         batch: &Submission,
-        item: &ItemSpec,
+        item: &ItemView<'_>,
         context: &ForwardContext<'_>,
     ) -> Request;
 
     /// Reads what the header fields of an item tell of its prompt.
-    fn prompt(&self, item: &ItemSpec) -> Prompt;
+    fn prompt(&self, item: &ItemView<'_>) -> Prompt;
 
     /// Returns the request of a reward call. It carries no key and no workspace.
     fn score_request(&self, call: &ScoreCall, context: &ForwardContext<'_>) -> Request;
@@ -199,18 +214,20 @@
     /// caller to retry after `retry_after`.
     fn refusal(&self, retry_after: Duration) -> Response;
 
-    /// Reads a submission of a batch.
+    /// Reads a submission of a batch. `reserve` is asked before its items take more memory, with the number of
+    /// bytes that they take then.
     ///
     /// # Errors
     ///
-    /// Returns what is wrong with the request and where.
+    /// Fails if the request is malformed, or the memory for it was refused.
     fn submission(
         &self,
         request: &Request,
         call: &Call,
         route: &Route,
         workspace: &Workspace,
-    ) -> Result<Submission, String>;
+        reserve: &mut dyn FnMut(usize) -> bool,
+    ) -> Result<Submission, SubmissionError>;
 
     /// Encodes a page of results for the caller.
     fn results(&self, page: &ResultPage) -> Response;
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 
 use super::{
-    BodyDecoder, Connection, DecodeError, Interest, Pool, Received, Request, Response,
+    BodyDecoder, Connection, DecodeError, Interest, Pool, Received, Request, Reservation, Response,
     connection::KEEPALIVE_INTERVAL, decode_response, wait,
 };
 use crate::lease_clock;
@@ -385,6 +385,23 @@
         Self::call_if(pool, address, request, timeout, || true)
     }
 
+    /// Does the same with a response that takes its memory from a reservation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the exchange fails, there is no memory for the response, or no complete response
+    /// arrives within the timeout.
+    pub fn call_within(
+        pool: &Pool,
+        address: SocketAddr,
+        request: &Request,
+        timeout: Duration,
+        memory: &mut Reservation,
+    ) -> Result<Response, CallError> {
+        let reserve = |held| held <= memory.bytes() || memory.resize(held + MAX_COPIED_BYTES);
+        Self::call_while(pool, address, request, timeout, || true, reserve)
+    }
+
     /// Does the same, but gives up once `may_send` returns false before anything was sent.
     ///
     /// # Errors
@@ -396,6 +413,17 @@
         request: &Request,
         timeout: Duration,
         may_send: impl Fn() -> bool,
+    ) -> Result<Response, CallError> {
+        Self::call_while(pool, address, request, timeout, may_send, |_| true)
+    }
+
+    fn call_while(
+        pool: &Pool,
+        address: SocketAddr,
+        request: &Request,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
+        mut reserve: impl FnMut(usize) -> bool,
     ) -> Result<Response, CallError> {
         let deadline = Instant::now() + timeout;
         let connection = pool.connect(address);
@@ -411,7 +439,12 @@
                 let source = io::ErrorKind::Interrupted.into();
                 return Err(CallError::Connect { source });
             }
-            if exchange.advance()? == Progress::Done {
+            let progress = exchange.advance()?;
+            if !reserve(exchange.held()) {
+                let source = io::ErrorKind::OutOfMemory.into();
+                return Err(CallError::Broken { sent: true, source });
+            }
+            if progress == Progress::Done {
                 let (response, connection) = exchange.finish();
                 if let Some(connection) = connection {
                     pool.put(address, connection);
--- a/crates/godwitspool-host/src/http/limits.rs
+++ b/crates/godwitspool-host/src/http/limits.rs
@@ -1,12 +1,12 @@
 use std::{fmt, sync::Arc};
 
-use super::Response;
+use super::{MemoryBudget, Response};
 
 /// What a server's clients may make it use, besides the [`Bounds`](super::Bounds) of one request.
 #[derive(Clone)]
 pub struct Limits {
-    /// Bytes of memory that all requests and responses may hold together.
-    pub memory: usize,
+    /// Memory that all requests and responses may hold together.
+    pub memory: Arc<MemoryBudget>,
     /// Number of open connections.
     pub connections: usize,
     /// Number of open connections from one address.
@@ -26,7 +26,7 @@
     /// No limits.
     fn default() -> Self {
         Self {
-            memory: usize::MAX,
+            memory: Arc::new(MemoryBudget::new(usize::MAX)),
             connections: usize::MAX,
             per_address: usize::MAX,
             rate: 0,
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -16,11 +16,11 @@
 use socket2::SockRef;
 
 use super::{
-    BodyDecoder, COVERED_BYTES, Candidate, Connection, DecodeError, Interest, LARGE_BYTES, Ledger,
-    Limited, Limits, OpenConnection, Phase, Received, Request, Response, Waker, choose_closed,
+    BodyDecoder, COVERED_BYTES, Candidate, Connection, DecodeError, Interest, LARGE_BYTES, Limited,
+    Limits, OpenConnection, Phase, Received, Request, Response, Waker, choose_closed,
     choose_refused, decode_request, is_too_slow, wait,
 };
-use crate::{lease_clock, memory};
+use crate::lease_clock;
 
 /// Stack size of a connection's thread. Handlers keep no large values on the stack.
 const STACK_BYTES: usize = 256 * 1024;
@@ -111,10 +111,6 @@
     connections: Mutex<Connections>,
     /// Notified when a connection has been closed.
     closed: Condvar,
-    /// The memory that requests and responses hold.
-    ledger: Mutex<Ledger>,
-    /// Notified when memory is given back.
-    freed: Condvar,
     limits: Limits,
     /// Number of the next connection, which is its key in `connections`.
     next_number: AtomicU64,
@@ -225,8 +221,6 @@
             accepting: AtomicBool::new(true),
             connections: Mutex::default(),
             closed: Condvar::new(),
-            ledger: Mutex::new(Ledger::new(limits.memory)),
-            freed: Condvar::new(),
             limits,
             next_number: AtomicU64::new(0),
             draining: AtomicBool::new(false),
@@ -323,10 +317,6 @@
         connections.unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn ledger(&self) -> MutexGuard<'_, Ledger> {
-        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the open connections as the choice of one to end needs them.
     fn candidates(&self) -> Vec<Candidate> {
         let open: Vec<_> = {
@@ -362,21 +352,17 @@
         }
         let missing = bytes - held;
         let due = Instant::now() + MEMORY_TIMEOUT;
-        let mut ledger = self.ledger();
+        let budget = &self.limits.memory;
         loop {
-            if ledger.take(missing, bytes) {
+            if budget.take(missing, bytes) {
                 open.set_held(bytes);
                 return true;
             }
-            drop(ledger);
             let left = due.saturating_duration_since(Instant::now());
             if left.is_zero() || open.phase() == Phase::Closed || !self.make_room(number, missing) {
                 return false;
             }
-            let full = |ledger: &mut Ledger| !ledger.fits(missing, bytes);
-            let wait = left.min(CLOSE_TIMEOUT);
-            let waited = self.freed.wait_timeout_while(self.ledger(), wait, full);
-            ledger = waited.unwrap_or_else(PoisonError::into_inner).0;
+            budget.await_room(missing, bytes, left.min(CLOSE_TIMEOUT));
         }
     }
 
@@ -401,15 +387,7 @@
 
     /// Gives back the memory that a connection holds.
     fn release(&self, open: &OpenConnection) {
-        let held = open.set_held(0);
-        if held == 0 {
-            return;
-        }
-        let gone = self.ledger().give(held);
-        self.freed.notify_all();
-        if gone {
-            memory::trim();
-        }
+        self.limits.memory.give(open.set_held(0));
     }
 
     /// Waits until there is a place for another connection of an address, and closes the lowest-priority
@@ -708,6 +686,16 @@
         held
     }
 
+    /// Gives memory back so that this request holds no more than `bytes`.
+    pub fn release_to(&mut self, bytes: usize) {
+        let Served { open, server, .. } = &self.served;
+        let held = open.held();
+        if bytes < held {
+            open.set_held(bytes);
+            server.limits.memory.give(held - bytes);
+        }
+    }
+
     /// Returns the number of bytes of the server's budget that this request holds.
     pub fn held(&self) -> usize {
         self.served.open.held()
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -6,14 +6,19 @@
 
 use godwitspool_types::Workspace;
 
-use super::{Drained, RETRY_AFTER_END, Shared, peers, permits::PERMIT_PATH, relay::RELAY_PATH};
+use super::{
+    Drained, RETRY_AFTER_END, Shared, peers,
+    permits::PERMIT_PATH,
+    relay::RELAY_PATH,
+    room::{self, ROOM_PATH},
+};
 use crate::{
     batch::{
-        BatchRecord, EncodedSubmission, Lookup, ResultPage, Submission, batch_key, page,
-        partition_of, read_stored,
+        BatchRecord, EncodedSubmission, LoadError, Lookup, ResultList, ResultPage, Submission,
+        batch_key, page, partition_of, read_results, read_submission,
     },
-    dialect::{Call, CallKind},
-    http::{Caller, Request, Response},
+    dialect::{Call, CallKind, SubmissionError},
+    http::{Caller, MemoryBudget, Request, Response},
     request::{Ended, forward, may_begin},
     store::{Store, StoreError, Topic},
     version::{Configuration, RouteKind},
@@ -22,6 +27,9 @@
 /// Retry delay sent to the caller if this host has no configuration yet, or the store is
 /// unreachable.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(500);
+/// Retry delay sent to the caller if there is no memory for a batch. Memory is given back when a batch ends, which
+/// takes seconds.
+const RETRY_AFTER_MEMORY: Duration = Duration::from_secs(1);
 /// Time for which the appends of a request about a batch are retried; a shorter deadline of the
 /// caller applies instead. Callers wait 1.5 s longer than the deadline that they send.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -63,6 +71,9 @@
     if request.path() == PERMIT_PATH {
         return caller.respond(&shared.permits.serve(shared, &request));
     }
+    if request.path() == ROOM_PATH {
+        return caller.respond(&room::serve(shared, &request));
+    }
     serve_from(shared, caller, request, Origin::Host)
 }
 
@@ -161,17 +172,17 @@
     let Ok(workspace) = configuration.workspace(None, call.key.as_ref()) else {
         return respond(caller, status(401));
     };
-    // Three bytes of an item for each four of its text; nothing else is as large.
-    let decoded = request.body.len() / 4 * 3;
-    if !caller.hold(request.body.capacity() + decoded) {
-        return respond(caller, shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
-    }
     let owner = workspace.clone().unwrap_or_default();
-    let submission = shared.dialect.submission(&request, call, route, &owner);
-    // The decoded items take its place.
+    let text = request.body.capacity();
+    let mut reserve = |bytes| caller.hold(text + bytes);
+    let submission = shared
+        .dialect
+        .submission(&request, call, route, &owner, &mut reserve);
     request.body = Vec::new();
     match submission {
         Ok(mut submission) => {
+            // The items take the place of the text.
+            caller.release_to(submission.items.memory_to_encode());
             submission.configuration = configuration.version;
             let batch_call = BatchCall {
                 shared,
@@ -183,10 +194,14 @@
             let submit = |call: &BatchCall<'_>| call.submit(&configuration, submission);
             respond(caller, batch_call.timed(&route.name, submit))
         }
-        Err(reason) => {
+        Err(SubmissionError::Invalid { reason }) => {
             log::info!(request = call.request(), reason:%; "invalid batch submission");
             respond(caller, Response::new(400, reason))
         }
+        Err(SubmissionError::NoMemory) => {
+            log::info!(request = call.request(), text; "batch refused: no memory for its items");
+            respond(caller, shared.dialect.refusal(RETRY_AFTER_MEMORY))
+        }
     }
 }
 
@@ -202,10 +217,10 @@
 /// Returns why the reward calls of a submission can't be served. A newer configuration may have
 /// what is missing, so this isn't the caller's error.
 fn check_scorers(configuration: &Configuration, submission: &Submission) -> Option<String> {
-    submission.items.iter().find_map(|item| {
-        let call = item.scorer.as_ref()?;
+    submission.items.calls().iter().find_map(|(item, call)| {
         let path = call.path.split('?').next().unwrap_or_default();
         let unknown = configuration.route(&call.host, path).is_none();
+        let item = submission.items.view(*item as usize).unwrap_or_default();
         unknown.then(|| format!("item {}: no route for its reward call", item.id))
     })
 }
@@ -279,15 +294,18 @@
         let parts = self.shared.settings.store.parts;
         let key = batch_key(self.workspace.as_ref(), &submission.id);
         let part = partition_of(&key, parts);
+        let (items, bytes) = (submission.items.len(), submission.items.memory_in_batch());
+        if !room::has_room(self.shared, part, &key, bytes) {
+            log::info!(batch:% = submission.id, items, bytes, partition = part; "batch refused: its owner has no memory for it");
+            return self.shared.dialect.refusal(RETRY_AFTER_MEMORY);
+        }
         submission.stored_key = Some(key);
-        let items = submission.items.len();
-        let encoded = EncodedSubmission::new(&submission, &self.shared.settings.store);
-        // The encoded submission takes its place.
-        submission.items = Vec::new();
+        let head = submission.without_items();
+        let encoded = EncodedSubmission::new(submission, &self.shared.settings.store);
         let stored = self.append_records(part, encoded.calls());
         log::info!(
-            batch:% = submission.id, step = submission.step, model:% = submission.model,
-            items, min_version = submission.min_version, partition = part, stored:?,
+            batch:% = head.id, step = head.step, model:% = head.model,
+            items, min_version = head.min_version, partition = part, stored:?,
             configuration = configuration.version;
             "batch submitted"
         );
@@ -356,23 +374,42 @@
             .owned_batches
             .read(batch, self.workspace.as_ref(), after, wait);
         let lookup = match found {
-            Lookup::Found(page) => return shared.dialect.results(&page),
+            Lookup::Found(page) => return self.respond_page(&page),
             other => other,
         };
         if let Some(answer) = self.ask_owner(batch, &lookup, wait) {
             return answer;
         }
-        let has_items = |stored: &ResultPage| stored.total > 0;
-        self.respond_from_store(batch, |submission, results| {
-            let page = page(submission, results, after);
-            if has_items(&page) && (after as usize) <= results.len() {
-                return shared.dialect.results(&page);
+        self.respond_from_store(batch, |submission| {
+            if submission.items.is_empty() {
+                return Ok(shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
+            }
+            // With the result before, so that a copy that is stale is told from one without further results.
+            let from = after.saturating_sub(1);
+            let part = partition_of(batch, shared.settings.store.parts);
+            let results = read_results(shared.store.as_ref(), part, batch, from)?;
+            let before = (after - from) as usize;
+            if results.len() < before {
+                // The caller has read up to `after` before, so this copy is stale.
+                return Ok(shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
             }
-            // The caller has read up to `after` before, so this copy is stale.
-            shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE)
+            Ok(self.respond_page(&page(submission, &results[before..], after)))
         })
     }
 
+    /// Responds with a page of results, or with a refusal if there is no memory for it.
+    fn respond_page(&self, page: &ResultPage) -> Response {
+        let results = page.results.iter();
+        let bytes: usize = results
+            .map(|(_, result)| ResultList::memory_of(result))
+            .sum();
+        // The results, and what is made of them.
+        match MemoryBudget::reserve(&self.shared.memory, 2 * bytes) {
+            Some(_memory) => self.shared.dialect.results(page),
+            None => self.shared.dialect.refusal(RETRY_AFTER_MEMORY),
+        }
+    }
+
     fn read_item(&self, batch: &str, item: &str) -> Response {
         let found = self
             .shared
@@ -380,17 +417,21 @@
             .body(batch, self.workspace.as_ref(), item);
         let lookup = match found {
             Lookup::Found(body) => return Response::new(200, body),
+            Lookup::NoMemory => return self.shared.dialect.refusal(RETRY_AFTER_MEMORY),
             other => other,
         };
         if let Some(answer) = self.ask_owner(batch, &lookup, Duration::ZERO) {
             return answer;
         }
-        self.respond_from_store(batch, |submission, _| {
+        self.respond_from_store(batch, |submission| {
             let mut items = submission.items.iter();
-            match items.find(|spec| spec.id == item) {
-                Some(spec) => Response::new(200, spec.body.clone()),
+            Ok(match items.find(|spec| spec.id == item) {
+                Some(spec) => match MemoryBudget::reserve(&self.shared.memory, spec.body.len()) {
+                    Some(_memory) => Response::new(200, spec.body.to_owned()),
+                    None => self.shared.dialect.refusal(RETRY_AFTER_MEMORY),
+                },
                 None => Response::new(404, Vec::new()),
-            }
+            })
         })
     }
 
@@ -404,7 +445,9 @@
         let shared = self.shared;
         let part = partition_of(batch, shared.settings.store.parts);
         let owner = shared.peers.holder(shared, Topic::Results, part)?;
-        match peers::call(shared, owner, self.request, wait + PEER_TIMEOUT_MARGIN) {
+        let mut memory = MemoryBudget::reserve(&shared.memory, 0).unwrap_or_default();
+        let timeout = wait + PEER_TIMEOUT_MARGIN;
+        match peers::call(shared, owner, self.request, timeout, &mut memory) {
             Ok(mut answer) if answer.status < 500 => {
                 answer.headers.remove_hop_by_hop();
                 Some(answer)
@@ -427,24 +470,33 @@
     fn respond_from_store(
         &self,
         batch: &str,
-        answer: impl FnOnce(&Submission, &[Arc<crate::batch::ItemResult>]) -> Response,
+        answer: impl FnOnce(&Submission) -> Result<Response, LoadError>,
     ) -> Response {
         if self.origin == Origin::Host {
             return self.shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE);
         }
         let part = partition_of(batch, self.shared.settings.store.parts);
-        match read_stored(self.shared.store.as_ref(), part, batch) {
-            Ok(Some((submission, results))) => {
-                let own = self.workspace.as_ref();
-                if own.is_some_and(|own| *own != submission.workspace) {
-                    return Response::new(404, Vec::new());
-                }
-                answer(&submission, &results)
+        let mut memory = MemoryBudget::reserve(&self.shared.memory, 0).unwrap_or_default();
+        let store = self.shared.store.as_ref();
+        let answered = read_submission(store, part, batch, None, &mut memory).and_then(|found| {
+            let Some(submission) = found else {
+                return Ok(Response::new(404, Vec::new()));
+            };
+            let own = self.workspace.as_ref();
+            if own.is_some_and(|own| *own != submission.workspace) {
+                return Ok(Response::new(404, Vec::new()));
             }
-            Ok(None) => Response::new(404, Vec::new()),
+            answer(&submission)
+        });
+        match answered {
+            Ok(response) => response,
             Err(error) => {
                 log::info!(batch, error:%; "can't read a batch from the store");
-                self.shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE)
+                let retry_after = match error {
+                    LoadError::Store { .. } => RETRY_AFTER_UNAVAILABLE,
+                    LoadError::NoMemory { .. } => RETRY_AFTER_MEMORY,
+                };
+                self.shared.dialect.refusal(retry_after)
             }
         }
     }
--- a/crates/godwitspool-host/src/process/clients.rs
+++ b/crates/godwitspool-host/src/process/clients.rs
@@ -11,7 +11,7 @@
 use super::Shared;
 use crate::{
     ClientLimits, Resources,
-    http::{Limited, Limits},
+    http::{Limited, Limits, MemoryBudget},
     lease_clock,
 };
 
@@ -134,8 +134,12 @@
     let rate = resources.memory.map_or(0, |_| MIN_RATE);
     let limited = shared.limited.clone();
     let log = LimitLog::default();
+    let memory = match listener {
+        Listener::Front => Arc::clone(&shared.memory),
+        Listener::Peers | Listener::Status => Arc::new(MemoryBudget::new(share.memory)),
+    };
     let limits = Limits {
-        memory: share.memory,
+        memory,
         connections: share.connections,
         per_address: share.per_address,
         rate: settings.clients.rate.unwrap_or(rate),
--- a/crates/godwitspool-host/src/process/mod.rs
+++ b/crates/godwitspool-host/src/process/mod.rs
@@ -15,6 +15,7 @@
 mod probe;
 mod relay;
 mod reports;
+mod room;
 mod shared;
 mod standby;
 mod suspicion;
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -6,7 +6,7 @@
 
 use super::Shared;
 use crate::{
-    http::{CallError, Exchange, Request, Response},
+    http::{CallError, Exchange, Request, Reservation, Response},
     store::{Holding, Store, Topic},
 };
 
@@ -128,7 +128,8 @@
     member.split('#').next()?.parse().ok()
 }
 
-/// Sends a request to another host and blocks until the response is complete.
+/// Sends a request to another host and blocks until the response is complete, which takes its memory from
+/// `memory`.
 ///
 /// # Errors
 ///
@@ -138,8 +139,9 @@
     address: SocketAddr,
     request: &Request,
     timeout: Duration,
+    memory: &mut Reservation,
 ) -> Result<Response, CallError> {
     let mut request = request.clone();
     request.headers.remove_hop_by_hop();
-    Exchange::call(&shared.pool, address, &request, timeout)
+    Exchange::call_within(&shared.pool, address, &request, timeout, memory)
 }
--- a/crates/godwitspool-host/src/process/permits.rs
+++ b/crates/godwitspool-host/src/process/permits.rs
@@ -13,7 +13,7 @@
 
 use super::{Shared, peers};
 use crate::{
-    http::{Request, Response},
+    http::{Request, Reservation, Response},
     version::{Limiter, Permit, PermitNeed},
 };
 
@@ -212,7 +212,13 @@
                 }
             };
             let request = Request::new("POST", PERMIT_PATH, body);
-            match peers::call(shared, home, &request, PERMIT_TIMEOUT) {
+            match peers::call(
+                shared,
+                home,
+                &request,
+                PERMIT_TIMEOUT,
+                &mut Reservation::default(),
+            ) {
                 Ok(answer) if answer.status == 200 => match postcard::from_bytes(&answer.body) {
                     Ok(permit) => return Some(permit),
                     Err(error) => {
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -13,15 +13,21 @@
 use godwitspool_types::{ModelName, TargetName};
 
 use super::{
-    Activity, Ending, PlaceMetrics, Relay, TripMetrics, UsageCounts, clients::max_idle_connections,
-    is_standby, peers::Peers, permits::Permits, relay::RelayMetrics, reports::Reports,
-    standby::standby_name, suspicion::Suspicion,
+    Activity, Ending, PlaceMetrics, Relay, TripMetrics, UsageCounts,
+    clients::{ClientShare, max_idle_connections},
+    is_standby,
+    peers::Peers,
+    permits::Permits,
+    relay::RelayMetrics,
+    reports::Reports,
+    standby::standby_name,
+    suspicion::Suspicion,
 };
 use crate::{
     Settings,
     batch::BatchRegistry,
     dialect::{Dialect, Duties, Reply},
-    http::Pool,
+    http::{MemoryBudget, Pool},
     lease_clock,
     request::{DurationEstimates, Queues, Repeats},
     store::{Store, Topic},
@@ -123,6 +129,8 @@
     pub places: PlaceMetrics,
     /// Metrics of work that leaves the data centre.
     pub trips: TripMetrics,
+    /// Memory for requests, responses and batches.
+    pub memory: Arc<MemoryBudget>,
     /// Number of load orders to targets by outcome.
     pub orders: CounterByReason,
     /// Number of times that a worker was found standing still, by worker.
@@ -216,11 +224,10 @@
         if is_standby(&settings.resources, &settings.store) {
             member = standby_name(&member);
         }
+        let (owned_batches, memory) = new_batches(&settings)?;
         Ok(Self {
-            owned_batches: Arc::new(
-                BatchRegistry::new(settings.store.parts)?
-                    .with_max_age(max_batch_age(settings.end_timeout).into()),
-            ),
+            owned_batches,
+            memory,
             clock: Clock::start(),
             configuration: RwLock::default(),
             dialect: adapters.dialect,
@@ -465,6 +472,19 @@
     age.unwrap_or_default().as_millis() as u64
 }
 
+/// Creates the registry of a process that owns no batches, and the memory that they share with requests.
+fn new_batches(settings: &Settings) -> io::Result<(Arc<BatchRegistry>, Arc<MemoryBudget>)> {
+    let share = ClientShare::of_callers(&settings.resources, &settings.clients);
+    let memory = Arc::new(MemoryBudget::new(share.memory));
+    let batches = BatchRegistry::new(settings.store.parts)?
+        .with_max_age(max_batch_age(settings.end_timeout).into())
+        .with_memory(Arc::clone(&memory));
+    let batches = Arc::new(batches);
+    let reclaimed = Arc::downgrade(&batches);
+    memory.set_reclaim(reclaimed);
+    Ok((batches, memory))
+}
+
 /// Creates the fleet of a process that knows no target yet.
 fn new_fleet(settings: &Settings, incarnation: u32) -> Fleet {
     let mut fleet = Fleet::new(max_entry_age(settings.drain).into());
--- a/crates/godwitspool-host/src/version/configuration.rs
+++ b/crates/godwitspool-host/src/version/configuration.rs
@@ -134,6 +134,12 @@
 }
 
 impl Configuration {
+    /// Returns the models that the targets of a service serve; none if there is no such service.
+    pub fn models(&self, service: &ServiceName) -> &[ModelName] {
+        let service = self.services.get(service);
+        service.map_or(&[], |service| &service.models)
+    }
+
     /// Returns the host's route with the longest prefix that matches the path.
     ///
     /// ```
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -12,9 +12,9 @@
 use godwitspool_host::{
     StoreBounds,
     batch::{
-        Batch, BatchRecord, BatchRegistry, EventBuffer, Finished, ItemProgress, ItemResult,
-        ItemSpec, ItemState, Lookup, Move, Pace, RunFailure, RunView, StoredResults, Submission,
-        Tenure, Verdict, decide_move, order_items, partition_of,
+        Batch, BatchRecord, BatchRegistry, EventBuffer, Finished, Groups, ItemProgress, ItemResult,
+        ItemSpec, ItemState, Items, Lookup, Move, Pace, RunFailure, RunView, StoredResults,
+        Submission, Tenure, Verdict, decide_move, order_items, partition_of,
     },
     store::{Record, StoredRecord},
 };
@@ -58,17 +58,18 @@
 
 /// Runs the items in the given order on all slots; returns when the wanted number of groups is
 /// complete, in units of one event.
-fn wanted_at(submission: &Submission, order: &[usize]) -> u64 {
+fn wanted_at(submission: &Submission, order: &[u32]) -> u64 {
     let mut free_slots: BinaryHeap<Reverse<u64>> = (0..SLOTS).map(|_| Reverse(0)).collect();
     let mut ends = vec![0; submission.items.len()];
     for item in order {
         let Reverse(free) = free_slots.pop().unwrap();
-        ends[*item] = free + EVENTS[*item];
-        free_slots.push(Reverse(ends[*item]));
+        let item = *item as usize;
+        ends[item] = free + EVENTS[item];
+        free_slots.push(Reverse(ends[item]));
     }
-    let groups = godwitspool_host::batch::groups(&submission.items);
-    let last = |items: Vec<usize>| items.into_iter().map(|item| ends[item]).max().unwrap();
-    let mut whole: Vec<u64> = groups.into_values().map(last).collect();
+    let groups = Groups::of(&submission.items);
+    let last = |items: &[u32]| items.iter().map(|item| ends[*item as usize]).max().unwrap();
+    let mut whole: Vec<u64> = groups.members().map(last).collect();
     whole.sort_unstable();
     whole[WANTED as usize - 1]
 }
@@ -76,10 +77,10 @@
 #[test]
 fn a_recorded_step_completes_sooner_than_with_simple_orders() {
     let submission = step();
-    let arrival: Vec<usize> = (0..submission.items.len()).collect();
+    let arrival: Vec<u32> = (0..submission.items.len() as u32).collect();
     let shortest_first = {
         let mut order = arrival.clone();
-        order.sort_by_key(|item| submission.items[*item].hint);
+        order.sort_by_key(|item| submission.items.view(*item as usize).unwrap().hint);
         order
     };
     let ordered = wanted_at(&submission, &order_items(&submission));
@@ -92,7 +93,7 @@
     let submission = step();
     let mut order = order_items(&submission);
     order.sort_unstable();
-    assert!(order.into_iter().eq(0..submission.items.len()));
+    assert!(order.into_iter().eq(0..submission.items.len() as u32));
 }
 
 #[test]
@@ -210,8 +211,31 @@
         }
     }
     assert!(whole.unwrap() > 1);
-    let read: Submission = postcard::from_bytes(&bytes).unwrap();
-    assert_eq!(read, submission);
+    let read: EarlierSubmission = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read.items.len(), submission.items.len());
+    let items: Items = read.items.into();
+    assert_eq!((read.id, items), (submission.id, submission.items));
+    assert_eq!(read.wanted_groups, submission.wanted_groups);
+}
+
+/// A submission as builds decode it that keep its items as structs.
+#[derive(serde::Deserialize)]
+#[allow(dead_code, reason = "the order of the fields is the format")]
+struct EarlierSubmission {
+    id: String,
+    workspace: String,
+    host: String,
+    prefix: String,
+    model: String,
+    step: u64,
+    min_version: u64,
+    wanted_groups: u32,
+    received_ms: u64,
+    retention_ms: u64,
+    due_ms: u64,
+    attempts: u32,
+    single_version: bool,
+    items: Vec<ItemSpec>,
 }
 
 #[test]
@@ -220,7 +244,7 @@
     let part = partition_of("b", 4);
     let (sender, _receiver) = mpsc::channel();
     registry.open(part, tenure(7), vec![batch(2, 1)], sender);
-    let finished = Finished {
+    let finished = || Finished {
         batch: "b".to_owned(),
         result: ItemResult {
             item: 1,
@@ -229,14 +253,15 @@
             versions: vec![1],
             ..ItemResult::default()
         },
+        ..Finished::default()
     };
     let read = || match registry.read("b", None, 0, Duration::ZERO) {
         Lookup::Found(page) => page.results.len(),
         other => panic!("{other:?}"),
     };
-    registry.publish_results(part, 6, std::slice::from_ref(&finished));
+    registry.publish_results(part, 6, vec![finished()]);
     assert_eq!(read(), 0, "results of an earlier owner are ignored");
-    registry.publish_results(part, 7, std::slice::from_ref(&finished));
+    registry.publish_results(part, 7, vec![finished()]);
     assert_eq!(read(), 1);
     registry.close(part, 6);
     assert_eq!(
@@ -452,7 +477,7 @@
     }
     let keys: Vec<String> = records.iter().map(|record| record.key.clone()).collect();
     let read = StoredResults::read(0, stored(records)).take_results("b");
-    let read: Vec<&ItemResult> = read.iter().map(Arc::as_ref).collect();
+    let read: Vec<&ItemResult> = read.list.kept_from(0).map(Arc::as_ref).collect();
     assert_eq!(read, results.iter().collect::<Vec<_>>());
 
     let shared: Vec<Arc<ItemResult>> = results.into_iter().map(Arc::new).collect();
@@ -478,7 +503,7 @@
     records.extend(large);
     records.extend(BatchRecord::of_result("b", 2, &result(1, 10), &bounds));
     let read = StoredResults::read(0, stored(records)).take_results("b");
-    let items: Vec<u32> = read.iter().map(|result| result.item).collect();
+    let items: Vec<u32> = read.list.kept_from(0).map(|result| result.item).collect();
     assert_eq!(items, [7]);
 }
 
@@ -502,7 +527,7 @@
     const TTL: Duration = Duration::from_mins(2);
     let ms = |time: Duration| time.as_millis() as u64;
     let mut batch = batch(1, 1);
-    batch.results = vec![Arc::default()];
+    batch.results.push(Arc::default());
     let over = batch.submission.received_ms + ms(TTL) + 1;
     assert!(!batch.is_expired(over, TTL), "it is open");
     batch.read_ms = over;
--- a/crates/godwitspool-host/tests/budget.rs
+++ b/crates/godwitspool-host/tests/budget.rs
@@ -17,8 +17,8 @@
 use godwitspool_host::{
     ClientLimits, Resources,
     http::{
-        Bounds, Caller, Candidate, Connection, Ledger, Limited, Limits, Phase, Pool, Request,
-        Response, Server, choose_closed, choose_refused,
+        Bounds, Caller, Candidate, Connection, Ledger, Limited, Limits, MemoryBudget, Phase, Pool,
+        Request, Response, Server, choose_closed, choose_refused,
     },
     process::ClientShare,
 };
@@ -226,7 +226,7 @@
     let limited = Arc::new(AtomicUsize::new(0));
     let seen = Arc::clone(&limited);
     let server = serve(Limits {
-        memory: 8 * MB,
+        memory: Arc::new(MemoryBudget::new(8 * MB)),
         refusal: Response::new(503, Vec::new()).with("Retry-After", "1.00"),
         observe: Arc::new(move |limit| {
             assert_eq!(limit, Limited::Memory);
--- a/crates/godwitspool-host/tests/lengths.rs
+++ b/crates/godwitspool-host/tests/lengths.rs
@@ -11,7 +11,7 @@
         ..ItemSpec::default()
     });
     let submission = Submission {
-        items: items.to_vec(),
+        items: items.to_vec().into(),
         ..Submission::default()
     };
     let lengths = RouteLengths::default();
--- a/crates/godwitspool-host/tests/placement.rs
+++ b/crates/godwitspool-host/tests/placement.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use godwitspool_host::{
-    batch::{Batch, ItemSpec, ItemState, RouteLengths, Submission, groups},
+    batch::{Batch, Groups, ItemSpec, ItemState, RouteLengths, Submission},
     version::{Fleet, Outcome, PlaceRequest, TargetEntry, Work},
 };
 use godwitspool_types::{Dc, Millis, ModelName, ServiceName, TargetName};
@@ -152,7 +152,7 @@
             received_ms: now,
             due_ms: DUE_MS,
             attempts: 3,
-            items,
+            items: items.into(),
             ..Submission::default()
         };
         self.batches
@@ -195,7 +195,7 @@
                 batch.items[run.item].progress.push(number, b"x");
             }
             if done >= events[run.item] {
-                let hint = batch.submission.items[run.item].hint;
+                let hint = batch.submission.items.view(run.item).unwrap().hint;
                 let length = events[run.item];
                 self.lengths.record(&batch.submission, hint, length);
                 let finished = batch.finish(run.item, true);
@@ -211,7 +211,7 @@
     }
 
     fn work(&self, batch: &Batch, item: usize) -> Work {
-        let hint = batch.submission.items[item].hint;
+        let hint = batch.submission.items.view(item).unwrap().hint;
         let done = batch.items[item].progress.last_event.unwrap_or_default();
         Work {
             events: self.lengths.events_left(&batch.submission, hint, done),
@@ -275,12 +275,12 @@
     fn judge(&mut self, now: u64) {
         for (batch, _, received) in &mut self.batches {
             let submission = Arc::clone(&batch.submission);
-            let all = groups(&submission.items);
-            let is_whole = |items: &&Vec<usize>| {
+            let all = Groups::of(&submission.items);
+            let is_whole = |items: &&[u32]| {
                 let mut items = items.iter();
-                items.all(|item| batch.items[*item].state == ItemState::Done)
+                items.all(|item| batch.items[*item as usize].state == ItemState::Done)
             };
-            let whole = all.values().filter(is_whole).count();
+            let whole = all.members().filter(is_whole).count();
             let complete = whole >= submission.wanted_groups as usize;
             let age = now - *received;
             if age == DUE_MS || (complete && !batch.ended && age < DUE_MS) {
--- a/crates/godwitspool-host/tests/rewards.rs
+++ b/crates/godwitspool-host/tests/rewards.rs
@@ -79,7 +79,7 @@
         .cycle()
         .take(20)
     {
-        assert_eq!(batch.end_call(0, outcome.clone(), 3, now, 0.5), None);
+        assert!(batch.end_call(0, outcome.clone(), 3, now, 0.5).is_none());
         assert_eq!(
             batch.next_calls(now),
             (Vec::new(), true),
@@ -89,7 +89,11 @@
         assert_eq!(batch.next_calls(now).0, [0]);
     }
     for _ in 0..2 {
-        assert_eq!(batch.end_call(0, RewardOutcome::Failed, 3, now, 0.5), None);
+        assert!(
+            batch
+                .end_call(0, RewardOutcome::Failed, 3, now, 0.5)
+                .is_none()
+        );
     }
     let finished = batch
         .end_call(0, RewardOutcome::Failed, 3, now, 0.5)
@@ -131,7 +135,7 @@
     let mut records = vec![record];
     records.extend(BatchRecord::of_result("b", 0, &score, &bounds));
     let mut results = StoredResults::read(0, stored(records));
-    let results_read = results.take_results("b");
+    let results_read = results.take_results("b").list.all_kept().unwrap();
     assert_eq!(*results_read[0], score);
     let mut after = Batch::new(Arc::clone(&before.submission), results_read);
     for (item, progress) in results.take_progress("b") {
