Runner: items of large batches start behind those of others

What callers saw: beside two batches of 33,000 items a batch of eight items had no result after 30 s.

Cause: the runner goes through partitions and batches in the order of their keys and gives each every slot that it finds, so a batch of tens of thousands of items holds all of them until it is done.

Evidence: a_legal_submission_ends_no_host, forms small_items (at 4 slots) and middling (at 4 and 12): "0 of 8 results of beside" before the change.

Change: batches of more than 1,024 items start theirs in a second pass, behind all others. Batches below are started as before, in one pass.

--- a/crates/godwitspool-host/src/batch/runner/start.rs
+++ b/crates/godwitspool-host/src/batch/runner/start.rs
@@ -53,7 +53,12 @@
             waiting: false,
         };
         let mut parts = shared.owned_batches.lock();
-        self.start_batches(&mut round, &mut parts);
+        self.start_batches(&mut round, &mut parts, false);
+        // They would take every slot for minutes.
+        let has_large = |part: &OwnedPartition| part.batches.values().any(Batch::is_large);
+        if parts.values().any(has_large) {
+            self.start_batches(&mut round, &mut parts, true);
+        }
         drop(parts);
         let Round {
             started,
@@ -69,8 +74,13 @@
         waiting
     }
 
-    /// Starts items of all batches.
-    fn start_batches(&mut self, round: &mut Round<'_>, parts: &mut BTreeMap<u32, OwnedPartition>) {
+    /// Starts items of the large batches, or of the others.
+    fn start_batches(
+        &mut self,
+        round: &mut Round<'_>,
+        parts: &mut BTreeMap<u32, OwnedPartition>,
+        large: bool,
+    ) {
         let shared = Arc::clone(&self.shared);
         for (number, part) in parts {
             if is_stale(&shared, *number, part) {
@@ -79,7 +89,8 @@
             }
             let mut dropped = Vec::new();
             let ownership = (*number, part.epoch);
-            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+            let open = part.batches.values_mut().filter(|batch| batch.is_open());
+            for batch in open.filter(|batch| batch.is_large() == large) {
                 if !batch.submission.runs_under(round.configuration.version) {
                     round.waiting = true;
                     round.held += 1;
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -33,6 +33,8 @@
 const MAX_REJECTIONS: u32 = 1;
 /// The most items that are counted to say how many wait. What is decided by the number is the same for more.
 const MAX_COUNTED: usize = 4_096;
+/// Number of items from which on a batch is large: several times those of a trainer's step.
+const LARGE_ITEMS: usize = 1_024;
 /// The most by which the memory of a partial output is taken ahead of what has arrived.
 const OUTPUT_STEP: usize = 64 * 1024;
 
@@ -569,6 +571,11 @@
         self.items[item].state = ItemState::Waiting { not_before };
     }
 
+    /// Returns whether the batch has so many items that its own go behind those of others.
+    pub(super) fn is_large(&self) -> bool {
+        self.items.len() > LARGE_ITEMS
+    }
+
     /// Returns the number of items that wait for a target, but not more than some thousands.
     pub fn waiting_items(&self) -> usize {
         let items = self.open_items().into_iter().flatten();
