Batches: stored reward calls take their memory before they are decoded

What callers saw: after the loss of a host the other one took 69 MB of 64 while it loaded four batches with reward calls of 1 MB each.

Cause: decoding copied what follows a submission's items, and made reward calls of the copy, while the bytes of all were still held. The budget had been asked for the bytes and the items only.

Change: the budget is asked for the copy and the calls before they are made, what follows the items is cut off their bytes, and the owner is asked for as much before a batch is accepted.

--- a/crates/godwitspool-host/src/batch/items.rs
+++ b/crates/godwitspool-host/src/batch/items.rs
@@ -109,16 +109,18 @@
     /// Bytes of an item besides its encoded form while its batch runs: where it ends, its place in the order,
     /// its group, its state and its result's place.
     const ITEM_BYTES: usize = 64;
+    /// Bytes of a reward call besides its texts, each of which is an allocation of its own.
+    pub(super) const CALL_BYTES: usize = 2 * size_of::<(u32, ScoreCall)>();
     /// Bytes of a header field of an item besides its texts while a request is made of the item.
     const FIELD_BYTES: usize = 160;
 
-    /// Finds the items in an encoded submission: `count` of them at the beginning of `bytes`. What follows them
-    /// is returned and removed.
+    /// Finds the items in an encoded submission: `count` of them at the beginning of `bytes`. Also returns where
+    /// they end; what follows must be [split off](Self::split_off).
     ///
     /// # Errors
     ///
     /// Fails if the bytes hold fewer items, or are too many.
-    pub(super) fn find(mut bytes: Vec<u8>, count: usize) -> Result<(Self, Vec<u8>), String> {
+    pub(super) fn find(bytes: Vec<u8>, count: usize) -> Result<(Self, usize), String> {
         let whole = u32::try_from(bytes.len()).map_err(|error| error.to_string())?;
         // Each item has at least a byte, so a count beyond that is no reason to allocate.
         let mut ends = Vec::with_capacity(count.min(bytes.len()));
@@ -133,8 +135,7 @@
             rest = behind;
             ends.push(whole - rest.len() as u32);
         }
-        let extension = rest.to_vec();
-        bytes.truncate(bytes.len() - extension.len());
+        let end = bytes.len() - rest.len();
         let items = Self {
             bytes,
             ends,
@@ -143,7 +144,19 @@
             hints,
             fields,
         };
-        Ok((items, extension))
+        Ok((items, end))
+    }
+
+    /// Returns what follows the items.
+    pub(super) fn bytes_from(&self, end: usize) -> &[u8] {
+        &self.bytes[end..]
+    }
+
+    /// Removes and returns what follows the items.
+    pub(super) fn split_off(&mut self, end: usize) -> Vec<u8> {
+        let rest = self.bytes.split_off(end);
+        self.bytes.shrink_to_fit();
+        rest
     }
 
     /// Adds an item at the end, but for its body, which `write` appends and has `body_length` bytes. `reserve` is
@@ -232,6 +245,11 @@
         self.memory() + self.call_bytes
     }
 
+    /// Returns the bytes that the items take at most while they are loaded into a batch.
+    pub fn memory_to_load(&self) -> usize {
+        self.memory_in_batch() + self.call_bytes
+    }
+
     /// Returns the bytes that the items take in a batch that runs.
     pub fn memory_in_batch(&self) -> usize {
         self.memory() + self.len() * Self::ITEM_BYTES + self.fields * Self::FIELD_BYTES
@@ -332,8 +350,7 @@
 /// Returns the bytes that a reward call takes.
 fn memory_of(call: &ScoreCall) -> usize {
     let texts = call.id.len() + call.host.len() + call.path.len() + call.body.len();
-    // Each text is an allocation of its own.
-    2 * size_of::<(u32, ScoreCall)>() + texts
+    Items::CALL_BYTES + texts
 }
 
 /// Why an item wasn't added.
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -481,8 +481,17 @@
             head.stored_key = stored_key(&head.id);
             return Err((Box::new(head), needed));
         };
-        match wire::decode_submission(bytes) {
-            Ok(mut submission) => {
+        let mut wanted = needed;
+        let decoded = wire::decode_submission(bytes, &mut |bytes| {
+            wanted += bytes;
+            memory.grow(bytes)
+        });
+        match decoded {
+            Ok(None) => {
+                head.stored_key = stored_key(&head.id);
+                Err((Box::new(head), wanted))
+            }
+            Ok(Some(mut submission)) => {
                 submission.stored_key = stored_key(&submission.id);
                 memory.resize(submission.items.memory_in_batch());
                 Ok(Some((submission, memory)))
--- a/crates/godwitspool-host/src/batch/stored_batch.rs
+++ b/crates/godwitspool-host/src/batch/stored_batch.rs
@@ -93,8 +93,17 @@
     if !reader.whole {
         return Ok(None);
     }
-    let mut submission = match wire::decode_submission(reader.bytes) {
-        Ok(submission) => submission,
+    let mut wanted = memory.bytes();
+    let decoded = wire::decode_submission(reader.bytes, &mut |bytes| {
+        wanted += bytes;
+        memory.grow_or_reclaim(bytes)
+    });
+    let mut submission = match decoded {
+        Ok(Some(submission)) => submission,
+        Ok(None) => {
+            let head = Box::new(reader.head);
+            return Err(LoadError::NoMemory { head, wanted });
+        }
         Err(reason) => {
             log::warn!(partition = part, batch, reason:%; "stored submission can't be decoded");
             return Ok(None);
--- a/crates/godwitspool-host/src/batch/wire.rs
+++ b/crates/godwitspool-host/src/batch/wire.rs
@@ -134,22 +134,33 @@
     Ok((head.into(), count))
 }
 
-/// Decodes a submission.
+/// Decodes a submission. `reserve` is asked for the memory that it takes beyond its bytes and what each item
+/// takes; `None` if there is none.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are no submission, or name an item that it doesn't have.
-pub fn decode_submission(mut bytes: Vec<u8>) -> Result<Submission, String> {
+pub fn decode_submission(
+    mut bytes: Vec<u8>,
+    reserve: &mut dyn FnMut(usize) -> bool,
+) -> Result<Option<Submission>, String> {
     let describe = |error: postcard::Error| error.to_string();
     let (head, items_at) = take_head(&bytes)?;
     bytes.drain(..items_at);
-    let (items, extension) = Items::find(bytes, head.items)?;
+    let (mut items, extension_at) = Items::find(bytes, head.items)?;
+    // The reward calls take the place of the extension once it is decoded.
+    let extension = items.bytes_from(extension_at);
+    let calls = postcard::take_from_bytes::<usize>(extension).map_or(0, |(calls, _)| calls);
+    if !reserve(extension.len() + calls.min(extension.len()) * Items::CALL_BYTES) {
+        return Ok(None);
+    }
+    let extension = items.split_off(extension_at);
     let mut submission = Submission {
         items,
         ..head.into()
     };
     if extension.is_empty() {
-        return Ok(submission);
+        return Ok(Some(submission));
     }
     let (calls, rest) = postcard::take_from_bytes::<ScoreCalls>(&extension).map_err(describe)?;
     submission.items.set_calls(calls)?;
@@ -157,7 +168,7 @@
         submission.configuration =
             u64::from_be_bytes(postcard::from_bytes(rest).map_err(describe)?);
     }
-    Ok(submission)
+    Ok(Some(submission))
 }
 
 /// Returns the head of an encoded submission, and where its items begin.
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -294,7 +294,7 @@
         let parts = self.shared.settings.store.parts;
         let key = batch_key(self.workspace.as_ref(), &submission.id);
         let part = partition_of(&key, parts);
-        let (items, bytes) = (submission.items.len(), submission.items.memory_in_batch());
+        let (items, bytes) = (submission.items.len(), submission.items.memory_to_load());
         if !room::has_room(self.shared, part, &key, bytes) {
             log::info!(batch:% = submission.id, items, bytes, partition = part; "batch refused: its owner has no memory for it");
             return self.shared.dialect.refusal(RETRY_AFTER_MEMORY);
