Review: machines in touch refuse a key by the configuration of a machine that was frozen

Seen: a batch's owner is frozen for 3.5 s, and its tenant gets a key meanwhile. Reads with that key, sent later than config_apply_ms after the acknowledgement to machines that know it, are refused with 401.

At fault: ask_owner in process/calls.rs returns any answer of the owner below 500, which checks the key by its own configuration.

--- a/review/stand-4/cases.rs
+++ b/review/stand-4/cases.rs
@@ -1,13 +1,16 @@
 //! The cases.
 
 use std::{
-    io, thread,
+    io,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
     time::{Duration, Instant},
 };
 
 use crate::{
+    http::call,
     store::{Fault, RESULTS},
-    system::{MODEL, Signal, System, submission},
+    system::{HOST, KEY, MODEL, NEW_KEY, Signal, System, submission},
     worker::{Plan, Worker, unix_ms},
 };
 
@@ -23,6 +26,7 @@
     match case {
         "frozen-submission" => frozen_submission(record, trouble),
         "late-submission" => late_submission(record, trouble),
+        "stale-key" => stale_key(record, trouble),
         _ => Err(io::Error::other("unknown case")),
     }
 }
@@ -231,6 +235,92 @@
     Ok(late > 0)
 }
 
+/// The machine that owns a batch is frozen. Meanwhile the tenant gets a new key, with which it reads the batch at
+/// other machines later than config_apply_ms after that.
+fn stale_key(record: &str, trouble: bool) -> io::Result<bool> {
+    const APPLY: Duration = Duration::from_millis(2_000);
+    const FREEZE: Duration = Duration::from_millis(3_500);
+    const COUNT: usize = 5;
+    let (mut system, _workers) = System::start(COUNT, vec![engine("i-7f3a91c2", 4, 40, 40)])?;
+    system.limit(Duration::from_secs(60));
+    let log = system.record.clone();
+    let (id, owner) = batch_and_owner(&system)?;
+    log.add(format!("front-north-{owner} owns the partition of {id}"));
+    let others: Vec<usize> = (0..COUNT).filter(|number| *number != owner).collect();
+    if submit(&system, others[0], &id, ITEMS, 2_000) != 202 {
+        return Err(io::Error::other("the batch isn't accepted"));
+    }
+    thread::sleep(CONTACT);
+    let members = system.store.holders();
+    let member = members
+        .iter()
+        .map(|(.., member)| member.clone())
+        .find(|member| system.node_of(member) == Some(owner))
+        .ok_or_else(|| io::Error::other("the owner holds no partition"))?;
+    // As the answer to its renewal is on its way.
+    let due = Instant::now() + Duration::from_secs(5);
+    while system
+        .store
+        .joined(&member)
+        .is_none_or(|since| since > Duration::from_millis(20))
+    {
+        if Instant::now() > due {
+            return Err(io::Error::other("the owner doesn't renew its membership"));
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    if trouble {
+        system.nodes[owner].signal(Signal::Stop);
+        log.add(format!("front-north-{owner} is frozen"));
+    }
+    let frozen_at = Instant::now();
+    thread::sleep(Duration::from_millis(5));
+    system.configure(&[KEY, NEW_KEY]);
+    let named_at = Instant::now();
+    log.add("the configuration with the new key is acknowledged");
+    thread::sleep(
+        (named_at + APPLY + Duration::from_millis(10)).saturating_duration_since(Instant::now()),
+    );
+    let refused = AtomicUsize::new(0);
+    let system = &system;
+    thread::scope(|scope| {
+        for round in 0..30_u32 {
+            for node in &others {
+                let (id, log, refused) = (&id, &log, &refused);
+                scope.spawn(move || {
+                    thread::sleep(Duration::from_millis(20) * round);
+                    let sent = Instant::now();
+                    let target = format!("/api/lots/{id}?after=0");
+                    let headers = [("Host", HOST), ("Api-Key", NEW_KEY), ("Wait-Ms", "1000")];
+                    let front = system.nodes[*node].front();
+                    let patience = Duration::from_millis(2_500);
+                    let answer = call(front, "GET", &target, &headers, b"", patience);
+                    let status = answer.map_or(0, |answer| answer.status());
+                    let after = sent.duration_since(named_at).as_millis();
+                    let took = sent.elapsed().as_millis();
+                    let line = format!(
+                        "read at front-north-{node} with the new key, {after} ms after its acknowledgement: \
+                         {status} after {took} ms"
+                    );
+                    log.add_at(sent, line);
+                    if matches!(status, 401 | 403 | 404) {
+                        refused.fetch_add(1, Ordering::SeqCst);
+                    }
+                });
+            }
+        }
+        if trouble {
+            thread::sleep(FREEZE.saturating_sub(frozen_at.elapsed()));
+            system.nodes[owner].signal(Signal::Cont);
+            log.add(format!("front-north-{owner} goes on"));
+        }
+    });
+    let refused = refused.into_inner();
+    log.add(format!("{refused} reads were refused by machines in touch"));
+    log.write(record)?;
+    Ok(refused > 0)
+}
+
 /// Returns the identifier of a batch in partition 0, which the stand-in of the store deals anew last, and the
 /// machine that holds it.
 fn batch_and_owner(system: &System) -> io::Result<(String, usize)> {
--- a/review/stand-4/store.rs
+++ b/review/stand-4/store.rs
@@ -157,6 +157,13 @@
             .collect()
     }
 
+    /// Returns the time since the last join of a member; `None` if there is no such member.
+    pub fn joined(&self, member: &str) -> Option<Duration> {
+        let state = self.lock();
+        let member = state.group.members.get(member)?;
+        Some(member.joined.elapsed())
+    }
+
     /// Returns the partition of batches that was last read by pages.
     pub fn paged(&self) -> u64 {
         self.lock().paged.1
--- a/review/stand-4/system.rs
+++ b/review/stand-4/system.rs
@@ -19,12 +19,18 @@
 
 pub const HOST: &str = "ficu95.example";
 pub const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
+/// A key that the tenant gets later.
+pub const NEW_KEY: &str = "s989anu6wsjnbanfqasn";
 pub const TENANT: &str = "huka270";
 pub const MODEL: &str = "daka510000";
 /// The program as the deploy file names it.
 const PROGRAM: &str = "target/release/godwitspool-host";
 /// Number of partitions of a topic.
 pub const PARTS: u64 = 8;
+/// Time between the starts of two machines; all start within 0.3 s.
+const STAGGER: Duration = Duration::from_millis(60);
+/// Number of routes that get no requests.
+const IDLE_ROUTES: usize = 300;
 /// Time until a system that doesn't come up is given up.
 const READY: Duration = Duration::from_secs(15);
 
@@ -160,7 +166,7 @@
             cloud,
             version: 0,
         };
-        system.configure();
+        system.configure(&[KEY]);
         let mut workers = Vec::new();
         for plan in plans {
             workers.push(Worker::start(&system.store, plan)?);
@@ -168,6 +174,7 @@
         let addresses = free_addresses(count);
         for (number, ip) in addresses.iter().enumerate() {
             system.start_node(number, *ip, &addresses)?;
+            thread::sleep(STAGGER);
         }
         let due = Instant::now() + READY;
         while !system.is_ready(count) {
@@ -258,9 +265,11 @@
         Ok(())
     }
 
-    /// Writes the next configuration, as the operator does.
-    pub fn configure(&mut self) {
+    /// Writes the next configuration, as the operator does, with these keys of the tenant.
+    pub fn configure(&mut self, keys: &[&str]) {
         self.version += 1;
+        let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+        let keys = keys.join(",");
         let route = |name: &str, prefix: &str, kind: &str, service: &str, more: &str| {
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
@@ -270,12 +279,22 @@
         };
         let batch = ",\"retention_s\":40.0,\"due_ms\":7500,\"single_version\":false,\"sticky\":true,\
                      \"resumable\":true";
-        let routes = [
+        let mut routes = vec![
             route("r-i", "/i/", "idempotent", "desk", ""),
             route("r-o", "/o/", "non_idempotent", "desk", ""),
             route("r-s", "/s/", "streaming", "engines", ""),
             route("r-b", "/b/", "rollout", "engines", batch),
         ];
+        for number in 0..IDLE_ROUTES {
+            let prefix = format!("/idle{number}/");
+            routes.push(route(
+                &format!("r-{number}"),
+                &prefix,
+                "idempotent",
+                "desk",
+                "",
+            ));
+        }
         let configuration = format!(
             "{{\"version\":{},\"routes\":[{}],\"services\":[\
              {{\"name\":\"engines\",\"health_path\":\"/health\",\"max_conns\":160,\"protocol\":\"h1\",\
@@ -284,7 +303,7 @@
              {{\"name\":\"desk\",\"health_path\":\"/health\",\"max_conns\":96,\"protocol\":\"h1\",\
              \"tls\":false}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,\
              \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-             \"tenants\":[{{\"name\":\"{TENANT}\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}",
+             \"tenants\":[{{\"name\":\"{TENANT}\",\"api_keys\":[{keys}],\"priority\":1}}]}}",
             self.version,
             routes.join(",")
         );
