Batches: an end that is stored before its submission holds

Cause: the owner that follows the log dropped the end of a batch that it did not know, and took the submission behind it as a new batch. An owner that loads the partition sees both records and takes the batch as ended: two pieces of code decided what the same records mean.

Change: one state, PartitionBatches, to which both owners apply what they read. The property test also found that the end of a batch of an earlier build stayed in the store when the batch was removed; it goes with it now.

--- a/crates/godwitspool-cli/src/timeline.rs
+++ b/crates/godwitspool-cli/src/timeline.rs
@@ -24,14 +24,16 @@
 
 /// Messages about changes of the hosts' state, which give context, and for each the field that
 /// relates it to a subject.
-const CONTEXT_MESSAGES: [(&str, &str); 24] = [
+const CONTEXT_MESSAGES: [(&str, &str); 26] = [
     ("batch ended", "batch"),
     ("batch submitted", "batch"),
     ("batch taken over", "batch"),
+    ("batch was ended before its submission was stored", "batch"),
     ("batches wait for a newer configuration", "host"),
     ("duties begun", "epoch"),
     ("duties given up", "epoch"),
     ("duties taken over", "epoch"),
+    ("end of an unknown batch kept", "batch"),
     ("host drains", "host"),
     ("host ends", "host"),
     ("host starts", "host"),
--- a/crates/godwitspool-host/src/batch/batch_key.rs
+++ b/crates/godwitspool-host/src/batch/batch_key.rs
@@ -41,10 +41,20 @@
 /// assert_eq!(batch_id("step~1"), "step~1");
 /// ```
 pub fn batch_id(key: &str) -> &str {
+    split(key).0
+}
+
+/// Returns the part of a key that tells workspaces apart; empty if the key has none.
+pub(super) fn workspace_hash(key: &str) -> &str {
+    split(key).1
+}
+
+/// Splits a key into the identifier and the hash of the workspace.
+fn split(key: &str) -> (&str, &str) {
     let is_hash =
         |text: &str| text.len() == HASH_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     match key.rsplit_once(SEPARATOR) {
-        Some((id, hash)) if is_hash(hash) => id,
-        _ => key,
+        Some((id, hash)) if is_hash(hash) => (id, hash),
+        _ => (key, ""),
     }
 }
--- a/crates/godwitspool-host/src/batch/loader.rs
+++ b/crates/godwitspool-host/src/batch/loader.rs
@@ -13,7 +13,7 @@
 
 /// Finds submissions among the records of a partition.
 #[derive(Debug, Default)]
-pub(super) struct Assembly {
+pub struct Assembly {
     chunks: HashMap<String, BTreeMap<u32, Vec<u8>>>,
     /// Bytes of all chunks.
     kept: usize,
@@ -21,18 +21,25 @@
 
 /// What a record changes.
 #[derive(Debug, Eq, PartialEq)]
-pub(super) enum Change {
+pub enum Change {
     /// A batch was accepted.
     Accepted(Accepted),
     /// A batch was ended by its caller.
-    Ended(String),
-    /// A record of a batch was removed.
+    Ended {
+        /// Key of the batch.
+        key: String,
+        /// When it was ended, in milliseconds since 1970, if the record tells.
+        ended_ms: Option<u64>,
+    },
+    /// The record of a batch's end was removed.
+    EndRemoved(String),
+    /// Another record of a batch was removed.
     Removed(String),
 }
 
 /// A submission of which the store has all chunks.
 #[derive(Debug, Eq, PartialEq)]
-pub(super) struct Accepted {
+pub struct Accepted {
     /// Key of the batch.
     pub key: String,
     /// Number of chunks.
@@ -55,7 +62,11 @@
                 Ok(BatchRecord::Commit { batch, chunk_count }) => {
                     changes.push(Change::Accepted(self.join(batch, chunk_count)));
                 }
-                Ok(BatchRecord::End { batch }) => changes.push(Change::Ended(batch)),
+                Ok(BatchRecord::End {
+                    batch: key,
+                    ended_ms,
+                }) => changes.push(Change::Ended { key, ended_ms }),
+                Ok(BatchRecord::EndRemoved { batch }) => changes.push(Change::EndRemoved(batch)),
                 Ok(BatchRecord::Removed { batch }) => {
                     self.take(&batch);
                     changes.push(Change::Removed(batch));
--- a/crates/godwitspool-host/src/batch/mod.rs
+++ b/crates/godwitspool-host/src/batch/mod.rs
@@ -6,6 +6,7 @@
 //! under its epoch before callers can read the result.
 
 mod batch_key;
+mod early_ends;
 mod epoch;
 mod event_buffer;
 mod item_work;
@@ -16,6 +17,7 @@
 mod owner;
 mod ownership_lease;
 mod pace;
+mod partition_batches;
 mod progress;
 mod record;
 mod registry;
@@ -29,17 +31,20 @@
 mod wire;
 
 pub use batch_key::{batch_id, batch_key};
+pub use early_ends::EarlyEnds;
 pub use epoch::next_epoch;
 pub use event_buffer::EventBuffer;
 pub use items::{Groups, ItemView, Items, PushError};
 pub use lengths::{EVENT_TOKENS, RouteLengths};
+pub use loader::{Accepted, Assembly, Change};
 pub use order::{order_items, predicted_tokens};
 pub use owner::Owner;
 pub use ownership_lease::OwnershipLease;
 pub use pace::{Move, Pace, RunView, decide_move, median_pace};
+pub use partition_batches::{Applied, BatchChange, Expired, ParkedBatch, PartitionBatches};
 pub use progress::{save_progress, save_running};
 pub use record::{BatchRecord, EncodedSubmission, partition_of};
-pub use registry::{BatchRegistry, Lookup, OwnedPartition, ParkedBatch, page};
+pub use registry::{BatchRegistry, Lookup, OwnedPartition, page};
 pub use result_list::ResultList;
 pub use reward::{RewardOutcome, call_backoff};
 pub use runner::Runner;
--- a/crates/godwitspool-host/src/batch/owner.rs
+++ b/crates/godwitspool-host/src/batch/owner.rs
@@ -14,16 +14,10 @@
 use godwitspool_sync::{Mutex, MutexGuard};
 
 use super::{
-    Batch, BatchLife, BatchRecord, BatchRegistry, Finished, LoadError, ParkedBatch, Submission,
-    Tenure, batch_id,
-    loader::{Accepted, Assembly, Change},
-    read_submission,
-    record::split_calls,
-    registry::find_ended,
-    save_progress,
-    stored_batch::needed_bytes,
-    stored_results::StoredResults,
-    wire,
+    Accepted, Applied, Assembly, Batch, BatchChange, BatchLife, BatchRecord, BatchRegistry, Change,
+    Expired, Finished, LoadError, ParkedBatch, PartitionBatches, Submission, Tenure, batch_id,
+    read_submission, record::split_calls, save_progress, stored_batch::needed_bytes,
+    stored_results::StoredResults, wire,
 };
 use crate::{
     StoreBounds,
@@ -83,26 +77,10 @@
     positions: Mutex<HashMap<String, u64>>,
 }
 
-/// The batches of a partition, as they are loaded.
-#[derive(Debug, Default)]
-struct Loaded {
-    batches: BTreeMap<String, Batch>,
-    parked: BTreeMap<String, ParkedBatch>,
-}
-
 /// A submission with the memory that it takes, `None` if it isn't whole or can't be decoded; or its head and the
 /// memory that it needs, if there is none.
 type Read = Result<Option<(Submission, Reservation)>, (Box<Submission>, usize)>;
 
-/// What became of an accepted submission.
-enum Adopted {
-    Batch(Batch),
-    /// There is no memory for it.
-    Parked(ParkedBatch),
-    /// It isn't whole, or can't be decoded.
-    Unreadable,
-}
-
 impl std::fmt::Debug for Task {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Task")
@@ -225,7 +203,7 @@
         let (part, epoch) = (self.part, self.epoch);
         let took_ms = began.elapsed().as_millis() as u64;
         log::info!(
-            partition = part, epoch, batches = loaded.batches.len(), parked = loaded.parked.len(), took_ms;
+            partition = part, epoch, batches = loaded.loaded.len(), parked = loaded.parked.len(), took_ms;
             "partition opened"
         );
         self.open(loaded, sender);
@@ -284,13 +262,9 @@
     }
 
     /// Opens the partition, unless it was lost or closed in the meantime.
-    fn open(&self, loaded: Loaded, sender: Sender<Finished>) {
+    fn open(&self, loaded: PartitionBatches, sender: Sender<Finished>) {
         let tenure = Arc::clone(&self.tenure);
-        let batches = loaded.batches.into_values().collect();
-        self.registry.open(self.part, tenure, batches, sender);
-        for parked in loaded.parked.into_values() {
-            self.registry.park(self.part, parked);
-        }
+        self.registry.open(self.part, tenure, loaded, sender);
         if self.is_stopped() {
             self.registry.close(self.part, self.epoch);
         }
@@ -388,49 +362,21 @@
 
     /// Loads the partition's batches and their results. Returns them with the offset from which the reader
     /// continues, or `None` once the partition is lost or closed.
-    fn load(&self, assembly: &mut Assembly) -> Option<(Loaded, u64)> {
-        let mut loaded = Loaded::default();
+    fn load(&self, assembly: &mut Assembly) -> Option<(PartitionBatches, u64)> {
+        let mut loaded = PartitionBatches::default();
         let next = self.each_page(Topic::Batches, None, |records| {
             for change in assembly.read(self.part, records) {
-                self.apply_loaded(change, &mut loaded)?;
+                loaded.apply(self.adopt_change(change)?);
             }
             Some(true)
         })?;
-        self.restore(&mut loaded.batches, None)?;
+        self.restore(&mut loaded.loaded, None)?;
         Some((loaded, next))
     }
 
-    fn apply_loaded(&self, change: Change, loaded: &mut Loaded) -> Option<()> {
-        match change {
-            Change::Accepted(accepted) => {
-                let key = accepted.key.clone();
-                match self.adopt(accepted)? {
-                    Adopted::Batch(batch) => drop(loaded.batches.insert(key, batch)),
-                    Adopted::Parked(parked) => drop(loaded.parked.insert(key, parked)),
-                    Adopted::Unreadable => {}
-                }
-            }
-            Change::Ended(key) => {
-                let batches = &mut loaded.batches;
-                if let Some(batch) = find_ended(batches, &key, |batch| &batch.submission) {
-                    batch.ended = true;
-                } else if let Some(parked) =
-                    find_ended(&mut loaded.parked, &key, |parked| &parked.head)
-                {
-                    parked.life.ended = true;
-                }
-            }
-            Change::Removed(key) => {
-                loaded.batches.remove(&key);
-                loaded.parked.remove(&key);
-            }
-        }
-        Some(())
-    }
-
-    /// Makes a batch of an accepted submission if there is memory for it; returns `None` once the partition is
-    /// lost or closed.
-    fn adopt(&self, accepted: Accepted) -> Option<Adopted> {
+    /// Makes a batch of an accepted submission if there is memory for it, else a parked one. Returns `None` once
+    /// the partition is lost or closed.
+    fn adopt(&self, accepted: Accepted) -> Option<BatchChange> {
         let Accepted { key, chunks, bytes } = accepted;
         let budget = &self.registry.memory;
         let load = || {
@@ -448,11 +394,11 @@
         };
         Some(match read {
             Ok(Some((submission, memory))) => {
-                Adopted::Batch(Batch::reserved(Arc::new(submission), memory))
+                BatchChange::Accepted(Batch::reserved(Arc::new(submission), memory))
             }
             Ok(None) => {
                 log::warn!(partition = self.part, batch = key; "batch skipped: its submission can't be assembled");
-                Adopted::Unreadable
+                BatchChange::Unreadable(key)
             }
             Err((head, wanted)) => {
                 log::warn!(batch:% = head.id, partition = self.part, wanted; "batch waits: no memory for it");
@@ -461,7 +407,7 @@
                     read_ms: unix_ms(),
                     ..BatchLife::default()
                 };
-                Adopted::Parked(ParkedBatch {
+                BatchChange::Parked(ParkedBatch {
                     head: *head,
                     life,
                     wanted,
@@ -568,7 +514,7 @@
                 chunks: parked.chunks,
                 bytes: None,
             };
-            let Adopted::Batch(batch) = self.adopt(accepted)? else {
+            let BatchChange::Accepted(batch) = self.adopt(accepted)? else {
                 break;
             };
             let mut batches = BTreeMap::from([(key.clone(), batch)]);
@@ -614,45 +560,66 @@
     /// Applies records of the partition's tail; returns `None` once the partition is lost or closed.
     fn apply_records(&self, records: Vec<StoredRecord>, assembly: &mut Assembly) -> Option<()> {
         for change in assembly.read(self.part, records) {
-            match change {
-                Change::Accepted(accepted) => {
-                    // A caller that got no answer sends its submission again.
-                    if self.registry.knows(self.part, &accepted.key) {
-                        continue;
-                    }
-                    match self.adopt(accepted)? {
-                        Adopted::Batch(batch) => self.accept(batch),
-                        Adopted::Parked(parked) => drop(self.registry.park(self.part, parked)),
-                        Adopted::Unreadable => {}
-                    }
-                }
-                Change::Ended(batch) => {
-                    if self.registry.end(self.part, &batch) {
-                        log::info!(batch = batch_id(&batch), partition = self.part; "batch ended");
-                    }
-                }
-                Change::Removed(batch) => self.registry.delete_batch(self.part, &batch),
+            // A caller that gets no answer sends its submission again.
+            if matches!(&change, Change::Accepted(accepted) if self.registry.knows(self.part, &accepted.key))
+            {
+                continue;
             }
+            self.apply(self.adopt_change(change)?);
         }
         Some(())
     }
 
-    fn accept(&self, batch: Batch) {
-        let submission = Arc::clone(&batch.submission);
-        let bytes = batch.memory.bytes();
-        if self.registry.accept(self.part, batch) {
-            log::info!(
-                batch:% = submission.id, items = submission.items.len(), step = submission.step,
-                model:% = submission.model, partition = self.part, bytes;
+    /// Applies a change to the open partition.
+    fn apply(&self, change: BatchChange) {
+        let (partition, key) = (self.part, change.key().to_owned());
+        let batch = batch_id(&key);
+        let accepted = match &change {
+            BatchChange::Accepted(batch) => {
+                Some((Arc::clone(&batch.submission), batch.memory.bytes()))
+            }
+            _ => None,
+        };
+        match (self.registry.apply(partition, change), accepted) {
+            (Applied::Accepted, Some((submission, bytes))) => log::info!(
+                batch, items = submission.items.len(), step = submission.step,
+                model:% = submission.model, partition, bytes;
                 "batch taken over"
-            );
+            ),
+            (Applied::AcceptedEnded, _) => {
+                log::info!(batch, partition; "batch was ended before its submission was stored");
+            }
+            (Applied::Ended, _) => log::info!(batch, partition; "batch ended"),
+            (Applied::EndedEarly, _) => {
+                log::info!(batch, partition; "end of an unknown batch kept");
+            }
+            (Applied::Accepted | Applied::Nothing, _) => {}
         }
     }
 
-    /// Removes the records of expired batches; returns `None` once the partition is lost or closed.
+    /// Returns what a change of the records means for the batches; `None` once the partition is lost or closed.
+    fn adopt_change(&self, change: Change) -> Option<BatchChange> {
+        Some(match change {
+            Change::Accepted(accepted) => return self.adopt(accepted),
+            Change::Ended { key, ended_ms } => BatchChange::Ended {
+                key,
+                ended_ms: ended_ms.unwrap_or_else(unix_ms),
+            },
+            Change::EndRemoved(key) => BatchChange::EndRemoved(key),
+            Change::Removed(key) => BatchChange::Removed(key),
+        })
+    }
+
+    /// Removes the records of expired batches, and of ends whose batch never came; returns `None` once the
+    /// partition is lost or closed.
     fn expire(&self) -> Option<()> {
         let ttl = self.ttl + TTL_MARGIN;
-        let (kept, stored) = self.registry.expired(self.part, unix_ms(), ttl);
+        let Expired { kept, stored, ends } = self.registry.expired(self.part, unix_ms(), ttl);
+        let tombstones = ends.iter().map(|key| BatchRecord::of_removed_end(key));
+        self.remove_records(Topic::Batches, tombstones.collect())?;
+        for key in ends {
+            self.apply(BatchChange::EndRemoved(key));
+        }
         // The submission goes last, so that an owner that is lost in between leaves nothing that no
         // owner would remove.
         for (submission, results) in kept {
@@ -694,7 +661,7 @@
 
     fn forget(&self, key: &str) {
         log::info!(batch = batch_id(key), partition = self.part; "batch removed: its TTL is over");
-        self.registry.delete_batch(self.part, key);
+        self.apply(BatchChange::Removed(key.to_owned()));
         self.positions().remove(key);
     }
 
--- a/crates/godwitspool-host/src/batch/record.rs
+++ b/crates/godwitspool-host/src/batch/record.rs
@@ -5,12 +5,14 @@
 use rapidhash::v3::rapidhash_v3;
 use snafu::Snafu;
 
-use super::{ItemProgress, ItemResult, Submission, batch_id, wire};
+use super::{ItemProgress, ItemResult, Submission, batch_id, batch_key, wire};
 use crate::{
     StoreBounds,
     store::{Record, StoredRecord},
 };
 
+/// Last part of the key of the record that marks a batch as ended.
+const END_KIND: &str = "e";
 /// Bytes of a record that are reserved for its key and framing.
 const RECORD_OVERHEAD_BYTES: usize = 256;
 
@@ -43,6 +45,8 @@
     End {
         /// Identifier of the batch.
         batch: String,
+        /// When it was ended, in milliseconds since 1970; `None` if an earlier build has stored the record.
+        ended_ms: Option<u64>,
     },
     /// Partial output of an item that hasn't ended.
     Progress {
@@ -75,7 +79,12 @@
         /// Bytes of the chunk.
         bytes: Vec<u8>,
     },
-    /// A tombstone for one of the batch's keys.
+    /// A tombstone for the mark of the batch's end.
+    EndRemoved {
+        /// Identifier of the batch.
+        batch: String,
+    },
+    /// A tombstone for another one of the batch's keys.
     Removed {
         /// Identifier of the batch.
         batch: String,
@@ -104,9 +113,15 @@
         Record::tombstone("/check")
     }
 
-    /// Returns the record that marks a batch as ended.
-    pub fn of_end(batch: &str) -> Record {
-        Record::new(format!("{batch}/e"), [1])
+    /// Returns the record that marks a batch as ended. Builds before this one stored it without the time.
+    pub fn of_end(batch: &str, ended_ms: u64) -> Record {
+        let value = [&[1], &ended_ms.to_be_bytes()[..]].concat();
+        Record::new(end_key(batch), value)
+    }
+
+    /// Returns the tombstone for the mark of a batch's end.
+    pub fn of_removed_end(batch: &str) -> Record {
+        Record::tombstone(end_key(batch))
     }
 
     /// Returns tombstones for a submission and its end mark, and tombstones for its results.
@@ -119,7 +134,12 @@
         let chunks = wire::encoded_length(submission).div_ceil(chunk_bytes(bounds));
         let stored = (0..=chunks).map(|index| chunk_key(id, index, chunks));
         let mut batch: Vec<Record> = stored.map(Record::tombstone).collect();
-        batch.push(Record::tombstone(Self::of_end(id).key));
+        // A batch that an earlier build stored is ended under the key that it would have now.
+        let own = batch_key(Some(&submission.workspace), &submission.id);
+        batch.push(Self::of_removed_end(id));
+        if own != id {
+            batch.push(Self::of_removed_end(&own));
+        }
         let result_records = results.iter().enumerate();
         let result_records = result_records
             .flat_map(|(position, result)| Self::of_result(id, position as u64, result, bounds));
@@ -208,7 +228,11 @@
             .ok_or_else(|| wrong("the key has no kind"))?;
         let batch = batch.to_owned();
         let Some(value) = value else {
-            return Ok(Self::Removed { batch });
+            return Ok(if kind == END_KIND {
+                Self::EndRemoved { batch }
+            } else {
+                Self::Removed { batch }
+            });
         };
         let number = |digits: &str| {
             digits
@@ -232,7 +256,13 @@
                     chunk_count: u32::from_be_bytes(chunk_count),
                 })
             }
-            Some(("e", "")) => Ok(Self::End { batch }),
+            Some((END_KIND, "")) => {
+                let time = value.get(1..).and_then(|time| time.try_into().ok());
+                Ok(Self::End {
+                    batch,
+                    ended_ms: time.map(u64::from_be_bytes),
+                })
+            }
             Some(("p", digits)) => Ok(Self::Progress {
                 batch,
                 item: number(digits)? as u32,
@@ -314,6 +344,11 @@
     }
 }
 
+/// Returns the key of the record that marks a batch as ended.
+fn end_key(batch: &str) -> String {
+    format!("{batch}/{END_KIND}")
+}
+
 fn chunk_bytes(bounds: &StoreBounds) -> usize {
     let size = bounds.record_bytes;
     size.saturating_sub(RECORD_OVERHEAD_BYTES).max(1)
--- a/crates/godwitspool-host/src/batch/registry.rs
+++ b/crates/godwitspool-host/src/batch/registry.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, btree_map::Entry},
+    collections::BTreeMap,
     io,
     sync::{Arc, PoisonError, mpsc::Sender},
     time::{Duration, Instant},
@@ -9,8 +9,9 @@
 use godwitspool_types::{Millis, Workspace};
 
 use super::{
-    Batch, BatchLife, BatchRecord, Finished, ItemResult, OwnershipLease, ResultList, ResultPage,
-    StoredBatch, Submission, Tenure, batch_id, batch_key, partition_of,
+    Applied, Batch, BatchChange, BatchLife, BatchRecord, Expired, Finished, ItemResult,
+    OwnershipLease, ParkedBatch, PartitionBatches, ResultList, ResultPage, Submission, Tenure,
+    partition_of,
 };
 use crate::{
     StoreBounds,
@@ -46,28 +47,13 @@
     pub waker: Waker,
 }
 
-/// A batch that is in the store only. Its items don't run, and it is read from the store.
-#[derive(Clone, Debug, Default)]
-pub struct ParkedBatch {
-    /// The batch without its items.
-    pub head: Submission,
-    /// What decides how long it is kept.
-    pub life: BatchLife,
-    /// Memory that it needs at least.
-    pub wanted: usize,
-    /// Number of chunks of its submission.
-    pub chunks: u32,
-}
-
 /// A partition that this host owns.
 #[derive(Debug)]
 pub struct OwnedPartition {
     /// Epoch of the ownership.
     pub epoch: u64,
-    /// Batches of the partition by key.
-    pub batches: BTreeMap<String, Batch>,
-    /// Batches that are in the store only, since there is no memory for them, by key.
-    parked: BTreeMap<String, ParkedBatch>,
+    /// Batches of the partition.
+    pub batches: PartitionBatches,
     /// Age of what is known of the batches, which callers may have ended since.
     pub freshness: Freshness,
     tenure: Arc<Tenure>,
@@ -89,7 +75,12 @@
     /// `events` events since they were saved, and marks this output as saved.
     fn unsaved(&mut self, events: u64, bounds: &StoreBounds) -> Vec<Record> {
         let mut records = Vec::new();
-        for batch in self.batches.values_mut().filter(|batch| batch.is_open()) {
+        for batch in self
+            .batches
+            .loaded
+            .values_mut()
+            .filter(|batch| batch.is_open())
+        {
             let submission = Arc::clone(&batch.submission);
             let id = submission.key();
             for (index, item) in batch.items.iter_mut().enumerate() {
@@ -109,7 +100,12 @@
     /// Returns tombstones for the saved partial output of closed batches.
     fn tombstones(&mut self) -> Vec<Record> {
         let mut records = Vec::new();
-        for batch in self.batches.values_mut().filter(|batch| !batch.is_open()) {
+        for batch in self
+            .batches
+            .loaded
+            .values_mut()
+            .filter(|batch| !batch.is_open())
+        {
             let submission = Arc::clone(&batch.submission);
             let id = submission.key();
             for (index, item) in batch.items.iter_mut().enumerate() {
@@ -192,22 +188,18 @@
         &self,
         part: u32,
         tenure: Arc<Tenure>,
-        batches: Vec<Batch>,
+        batches: impl Into<PartitionBatches>,
         writer: Sender<Finished>,
     ) {
+        let mut batches = batches.into();
         let epoch = tenure.epoch;
-        let batches = batches.into_iter();
         let read_ms = unix_ms();
-        let batches = batches
-            .map(|mut batch| {
-                batch.read_ms = read_ms;
-                (batch.submission.key().to_owned(), batch)
-            })
-            .collect();
+        for batch in batches.loaded.values_mut() {
+            batch.read_ms = read_ms;
+        }
         let opened = OwnedPartition {
             epoch,
             batches,
-            parked: BTreeMap::new(),
             freshness: self.max_age.map(Freshness::new).unwrap_or_default(),
             tenure,
             writer,
@@ -301,65 +293,38 @@
         unsaved.filter(|(_, records)| !records.is_empty()).collect()
     }
 
-    /// Adds an accepted batch. Returns whether the batch is new and its partition is owned.
-    pub fn accept(&self, part: u32, batch: Batch) -> bool {
+    /// Applies what records of a partition change. Does nothing if the partition isn't owned.
+    pub fn apply(&self, part: u32, change: BatchChange) -> Applied {
         let mut parts = self.lock();
         let Some(part) = parts.get_mut(&part) else {
-            return false;
-        };
-        let key = batch.submission.key();
-        if part.parked.contains_key(key) {
-            return false;
-        }
-        let Entry::Vacant(entry) = part.batches.entry(key.to_owned()) else {
-            return false;
+            return Applied::Nothing;
         };
-        entry.insert(batch);
+        let applied = part.batches.apply(change);
         drop(parts);
-        self.notify();
-        true
-    }
-
-    /// Adds an accepted batch for which there is no memory. Returns whether the batch is new and its partition is
-    /// owned.
-    pub fn park(&self, part: u32, parked: ParkedBatch) -> bool {
-        let mut parts = self.lock();
-        let Some(part) = parts.get_mut(&part) else {
-            return false;
-        };
-        let key = parked.head.key().to_owned();
-        if part.batches.contains_key(&key) || part.parked.contains_key(&key) {
-            return false;
+        if matches!(applied, Applied::Accepted | Applied::Ended) {
+            self.notify();
         }
-        part.parked.insert(key, parked);
-        true
+        applied
     }
 
     /// Replaces a parked batch by the batch, which has been loaded. Returns whether it was parked, and the
     /// partition is owned under `epoch`.
-    pub fn unpark(&self, part: u32, epoch: u64, mut batch: Batch) -> bool {
+    pub fn unpark(&self, part: u32, epoch: u64, batch: Batch) -> bool {
         let mut parts = self.lock();
         let part = parts.get_mut(&part).filter(|part| part.epoch == epoch);
-        let Some(part) = part else {
-            return false;
-        };
-        let key = batch.submission.key().to_owned();
-        let Some(parked) = part.parked.remove(&key) else {
-            return false;
-        };
-        batch.ended = parked.life.ended;
-        batch.read_ms = parked.life.read_ms;
-        part.batches.insert(key, batch);
+        let unparked = part.is_some_and(|part| part.batches.unpark(batch));
         drop(parts);
-        self.notify();
-        true
+        if unparked {
+            self.notify();
+        }
+        unparked
     }
 
     /// Returns the parked batches of a partition whose items have to run, those first that were submitted first.
     pub fn parked(&self, part: u32) -> Vec<ParkedBatch> {
         let parts = self.lock();
         let parked = parts.get(&part).into_iter();
-        let parked = parked.flat_map(|part| part.parked.values());
+        let parked = parked.flat_map(|part| part.batches.parked.values());
         let open = parked.filter(|parked| !parked.life.is_closed());
         let mut open: Vec<ParkedBatch> = open.cloned().collect();
         drop(parts);
@@ -370,9 +335,7 @@
     /// Returns whether a batch is known here.
     pub fn knows(&self, part: u32, key: &str) -> bool {
         let parts = self.lock();
-        parts
-            .get(&part)
-            .is_some_and(|part| part.batches.contains_key(key) || part.parked.contains_key(key))
+        parts.get(&part).is_some_and(|part| part.batches.knows(key))
     }
 
     /// Returns whether there is memory for another batch of `bytes` in a partition.
@@ -382,60 +345,11 @@
         !waits() && MemoryBudget::has_room(&self.memory, bytes)
     }
 
-    /// Ends a batch: no further item starts, and running items are stopped. Returns whether the
-    /// batch was known and not ended before.
-    pub fn end(&self, part: u32, batch: &str) -> bool {
-        let mut parts = self.lock();
-        let Some(part) = parts.get_mut(&part) else {
-            return false;
-        };
-        let ended = match find_ended(&mut part.batches, batch, |batch| &batch.submission) {
-            Some(batch) => Some(&mut batch.ended),
-            None => find_ended(&mut part.parked, batch, |parked| &parked.head)
-                .map(|parked| &mut parked.life.ended),
-        };
-        let Some(ended) = ended else {
-            return false;
-        };
-        let first = !std::mem::replace(ended, true);
-        drop(parts);
-        self.notify();
-        first
-    }
-
-    /// Removes a batch whose records have been deleted from the store.
-    pub fn delete_batch(&self, part: u32, batch: &str) {
-        if let Some(part) = self.lock().get_mut(&part) {
-            part.batches.remove(batch);
-            part.parked.remove(batch);
-        }
-    }
-
-    /// Returns the expired batches of a partition with their results, and the keys of those that aren't kept
-    /// whole.
-    pub fn expired(
-        &self,
-        part: u32,
-        now_ms: u64,
-        ttl: Duration,
-    ) -> (Vec<StoredBatch>, Vec<String>) {
-        let (mut kept, mut stored) = (Vec::new(), Vec::new());
+    /// Returns what of a partition has expired, `ttl` after it was submitted or ended.
+    pub fn expired(&self, part: u32, now_ms: u64, ttl: Duration) -> Expired {
         let parts = self.lock();
-        let Some(part) = parts.get(&part) else {
-            return (kept, stored);
-        };
-        for (key, batch) in &part.batches {
-            if batch.is_expired(now_ms, ttl) {
-                match batch.results.all_kept() {
-                    Some(results) => kept.push((Arc::clone(&batch.submission), results)),
-                    None => stored.push(key.clone()),
-                }
-            }
-        }
-        let parked = part.parked.iter();
-        let expired = parked.filter(|(_, parked)| parked.life.is_expired(now_ms, ttl));
-        stored.extend(expired.map(|(key, _)| key.clone()));
-        (kept, stored)
+        let part = parts.get(&part);
+        part.map_or_else(Expired::default, |part| part.batches.expired(now_ms, ttl))
     }
 
     /// Makes results readable that the store has confirmed.
@@ -445,7 +359,7 @@
             return;
         };
         for Finished { batch, result, .. } in published {
-            let Some(batch) = part.batches.get_mut(&batch) else {
+            let Some(batch) = part.batches.loaded.get_mut(&batch) else {
                 continue;
             };
             if batch.memory.grow(ResultList::memory_of(&result)) {
@@ -483,14 +397,14 @@
                 parts = waited.unwrap_or_else(PoisonError::into_inner).0;
                 continue;
             }
-            if let Some(parked) = part.parked.get_mut(id) {
+            if let Some(parked) = part.batches.parked.get_mut(id) {
                 parked.life.read_ms = unix_ms();
                 return Lookup::Stored;
             }
             if find(part, id, workspace).is_none() {
                 return Lookup::Missing;
             }
-            let Some(batch) = part.batches.get_mut(id) else {
+            let Some(batch) = part.batches.loaded.get_mut(id) else {
                 return Lookup::Missing;
             };
             batch.read_ms = unix_ms();
@@ -519,7 +433,7 @@
         let Some(part) = part.filter(|part| !self.is_doubtful(part)) else {
             return Lookup::NotOwned;
         };
-        if part.parked.contains_key(id) {
+        if part.batches.parked.contains_key(id) {
             return Lookup::Stored;
         }
         let Some(batch) = find(part, id, workspace) else {
@@ -548,7 +462,7 @@
         let mut parts = self.lock();
         let mut closed: Vec<(BatchLife, u32, String)> = Vec::new();
         for (number, part) in &*parts {
-            let batches = part.batches.iter();
+            let batches = part.batches.loaded.iter();
             let large = batches.filter(|(_, batch)| {
                 // What the store holds of partial output is removed first.
                 let removed = || batch.items.iter().all(|item| item.saved_event.is_none());
@@ -565,7 +479,7 @@
             let Some(part) = parts.get_mut(&number) else {
                 continue;
             };
-            if let Some(batch) = part.batches.remove(&key) {
+            if let Some(batch) = part.batches.loaded.remove(&key) {
                 given += batch.memory.bytes();
                 let head = batch.submission.without_items();
                 log::info!(batch:% = head.id, partition = number, bytes = batch.memory.bytes(); "closed batch is in the store only");
@@ -576,35 +490,19 @@
                     wanted,
                     chunks: 0,
                 };
-                part.parked.insert(key, parked);
+                part.batches.parked.insert(key, parked);
             }
         }
         given > 0
     }
 }
 
-/// Returns the batch that an end with this key is meant for. A batch that was stored by an earlier build has
-/// its identifier as its key, and is ended by its own workspace only.
-pub(super) fn find_ended<'a, T>(
-    batches: &'a mut BTreeMap<String, T>,
-    key: &str,
-    submission: impl Fn(&T) -> &Submission,
-) -> Option<&'a mut T> {
-    if batches.contains_key(key) {
-        return batches.get_mut(key);
-    }
-    let earlier = batches.get_mut(batch_id(key))?;
-    let stored = submission(earlier);
-    let own = batch_key(Some(&stored.workspace), &stored.id);
-    (own == key).then_some(earlier)
-}
-
 fn find<'a>(
     part: &'a OwnedPartition,
     id: &str,
     workspace: Option<&Workspace>,
 ) -> Option<&'a Batch> {
-    let batch = part.batches.get(id)?;
+    let batch = part.batches.loaded.get(id)?;
     let allowed = workspace.is_none_or(|workspace| batch.submission.workspace == *workspace);
     allowed.then_some(batch)
 }
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -176,7 +176,12 @@
                 continue;
             }
             let ownership = (*number, part.epoch);
-            for batch in part.batches.values_mut().filter(|batch| batch.is_open()) {
+            for batch in part
+                .batches
+                .loaded
+                .values_mut()
+                .filter(|batch| batch.is_open())
+            {
                 if !batch.submission.runs_under(configuration.version) {
                     waiting = true;
                     continue;
@@ -221,7 +226,7 @@
         for mut call in std::mem::take(&mut self.calls) {
             let (number, epoch) = call.ownership;
             let part = parts.get_mut(&number).filter(|part| part.epoch == epoch);
-            let batch = part.and_then(|part| part.batches.get_mut(call.submission.key()));
+            let batch = part.and_then(|part| part.batches.loaded.get_mut(call.submission.key()));
             let Some(batch) = batch.filter(|batch| !batch.ended) else {
                 call.drop_call(&shared, now);
                 continue;
@@ -256,7 +261,7 @@
             let part = parts
                 .get_mut(&run.part)
                 .filter(|part| part.epoch == run.epoch);
-            let batch = part.and_then(|part| part.batches.get_mut(run.submission.key()));
+            let batch = part.and_then(|part| part.batches.loaded.get_mut(run.submission.key()));
             let Some(batch) = batch.filter(|batch| !batch.ended) else {
                 shared.fleet().finish(&run.target, Outcome::Dropped, now);
                 run.record_end(&shared, false);
--- a/crates/godwitspool-host/src/batch/runner/start.rs
+++ b/crates/godwitspool-host/src/batch/runner/start.rs
@@ -55,7 +55,7 @@
         let mut parts = shared.owned_batches.lock();
         self.start_batches(&mut round, &mut parts, false);
         // They would take every slot for minutes.
-        let has_large = |part: &OwnedPartition| part.batches.values().any(Batch::is_large);
+        let has_large = |part: &OwnedPartition| part.batches.loaded.values().any(Batch::is_large);
         if parts.values().any(has_large) {
             self.start_batches(&mut round, &mut parts, true);
         }
@@ -89,7 +89,11 @@
             }
             let mut dropped = Vec::new();
             let ownership = (*number, part.epoch);
-            let open = part.batches.values_mut().filter(|batch| batch.is_open());
+            let open = part
+                .batches
+                .loaded
+                .values_mut()
+                .filter(|batch| batch.is_open());
             for batch in open.filter(|batch| batch.is_large() == large) {
                 if !batch.submission.runs_under(round.configuration.version) {
                     round.waiting = true;
--- a/crates/godwitspool-host/src/batch/stored_results.rs
+++ b/crates/godwitspool-host/src/batch/stored_results.rs
@@ -94,6 +94,7 @@
                 }
             }
             BatchRecord::End { .. }
+            | BatchRecord::EndRemoved { .. }
             | BatchRecord::Chunk { .. }
             | BatchRecord::Removed { .. }
             | BatchRecord::Commit { .. } => {}
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -11,6 +11,7 @@
     permits::PERMIT_PATH,
     relay::RELAY_PATH,
     room::{self, ROOM_PATH},
+    unix_ms,
 };
 use crate::{
     batch::{
@@ -316,7 +317,7 @@
     fn end_batch(&self, batch: &str) -> Response {
         let key = batch_key(self.workspace.as_ref(), batch);
         let part = partition_of(&key, self.shared.settings.store.parts);
-        let stored = self.append_records(part, [vec![BatchRecord::of_end(&key)]]);
+        let stored = self.append_records(part, [vec![BatchRecord::of_end(&key, unix_ms())]]);
         log::info!(batch, partition = part, stored:?; "batch end requested");
         self.acknowledge(&stored, 200)
     }
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -12,9 +12,10 @@
 use godwitspool_host::{
     StoreBounds,
     batch::{
-        Batch, BatchRecord, BatchRegistry, EventBuffer, Finished, Groups, ItemProgress, ItemResult,
-        ItemSpec, ItemState, Items, Lookup, Move, Pace, RunFailure, RunView, StoredResults,
-        Submission, Tenure, Verdict, decide_move, order_items, partition_of,
+        Applied, Batch, BatchChange, BatchRecord, BatchRegistry, EventBuffer, Finished, Groups,
+        ItemProgress, ItemResult, ItemSpec, ItemState, Items, Lookup, Move, Pace, RunFailure,
+        RunView, StoredResults, Submission, Tenure, Verdict, decide_move, order_items,
+        partition_of,
     },
     store::{Record, StoredRecord},
 };
@@ -361,7 +362,8 @@
     registry.open(part, tenure(7), vec![batch(2, 1)], sender);
     let advance = |events| {
         let mut parts = registry.lock();
-        let batch = parts.get_mut(&part).unwrap().batches.get_mut("b").unwrap();
+        let batches = &mut parts.get_mut(&part).unwrap().batches;
+        let batch = batches.loaded.get_mut("b").unwrap();
         batch.items[0].progress = progress(events);
     };
     let keys = || {
@@ -377,7 +379,11 @@
     assert_eq!(keys(), [("b/p00000000".to_owned(), true)]);
     advance(35);
     assert_eq!(keys(), [], "too few events since the last record");
-    registry.end(part, "b");
+    let end = BatchChange::Ended {
+        key: "b".to_owned(),
+        ended_ms: 0,
+    };
+    assert_eq!(registry.apply(part, end), Applied::Ended);
     assert_eq!(keys(), [("b/p00000000".to_owned(), false)]);
     assert_eq!(keys(), [], "the tombstone is written only once");
 }
