Batches: the newer configuration of two hosts judges a key

Cause: a host passes a read on to the owner of the batch, which checked the key again by its own configuration. That owner had just woken up with an older one, and the first host took any answer below 500 as the caller's.

Change: the host that is called tells the owner the workspace and the version by which it decided, as a connection option that no caller can get through any build. The owner asks its own configuration only if it is newer. Only a success, or a refusal by a newer configuration, is passed on; with any other status the store is read. No call more. Earlier builds ignore the field on one side, and get 503 in place of 401 on the other.

--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -7,7 +7,9 @@
 use godwitspool_types::Workspace;
 
 use super::{
-    Drained, RETRY_AFTER_END, Shared, peers,
+    Drained, RETRY_AFTER_END, Shared,
+    forwarded_caller::{Access, ForwardedCaller, is_final, passed_on, with_version},
+    peers,
     permits::PERMIT_PATH,
     relay::RELAY_PATH,
     room::{self, ROOM_PATH},
@@ -134,30 +136,18 @@
             Ended::Answered(response.status)
         })
     };
-    let Some(configuration) = shared.configuration() else {
+    let configuration = shared.configuration();
+    if !matches!(call.kind, CallKind::Routed | CallKind::TargetOrder) {
+        let response = answer_batch_call(shared, configuration.as_deref(), &request, call, origin);
+        return respond(caller, response);
+    }
+    let Some(configuration) = configuration else {
         return respond(caller, shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE));
     };
     let status = |status| Response::new(status, Vec::new());
     if call.kind == CallKind::TargetOrder {
         return respond(caller, status(404));
     }
-    if call.kind != CallKind::Routed {
-        let Ok(workspace) = configuration.workspace(None, call.key.as_ref()) else {
-            return respond(caller, status(401));
-        };
-        let batch_call = BatchCall {
-            shared,
-            call,
-            origin,
-            request: &request,
-            workspace,
-        };
-        let kind = match call.kind {
-            CallKind::EndBatch { .. } => "end of a batch",
-            _ => "read of a batch",
-        };
-        return respond(caller, batch_call.timed(kind, BatchCall::answer));
-    }
     let Some(route) = configuration.route(&call.host, request.path()) else {
         return respond(caller, status(404));
     };
@@ -190,6 +180,7 @@
                 call,
                 origin,
                 request: &request,
+                version: configuration.version,
                 workspace,
             };
             let submit = |call: &BatchCall<'_>| call.submit(&configuration, submission);
@@ -206,12 +197,57 @@
     }
 }
 
+/// Handles a read or the end of a batch.
+fn answer_batch_call(
+    shared: &Arc<Shared>,
+    configuration: Option<&Configuration>,
+    request: &Request,
+    call: &Call,
+    origin: Origin,
+) -> Response {
+    let key = call.key.as_ref();
+    let access = match origin {
+        Origin::Caller => Access::of_key(configuration, key),
+        Origin::Host => {
+            let caller = ForwardedCaller::read(&request.headers);
+            Access::of_forwarded(configuration, key, caller)
+        }
+    };
+    let version = configuration.map_or(0, |configuration| configuration.version);
+    let workspace = match access {
+        Access::Granted(workspace) => workspace,
+        Access::Denied => {
+            let refusal = Response::new(401, Vec::new());
+            return match origin {
+                Origin::Caller => refusal,
+                Origin::Host => with_version(refusal, version),
+            };
+        }
+        Access::Undecided => return shared.dialect.refusal(RETRY_AFTER_UNAVAILABLE),
+    };
+    let batch_call = BatchCall {
+        shared,
+        call,
+        origin,
+        request,
+        version,
+        workspace,
+    };
+    let kind = match call.kind {
+        CallKind::EndBatch { .. } => "end of a batch",
+        _ => "read of a batch",
+    };
+    batch_call.timed(kind, BatchCall::answer)
+}
+
 /// One request that concerns a batch.
 struct BatchCall<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Call,
     origin: Origin,
     request: &'a Request,
+    /// Version of the configuration that allows it.
+    version: u64,
     workspace: Option<Workspace>,
 }
 
@@ -448,14 +484,20 @@
         let owner = shared.peers.holder(shared, Topic::Results, part)?;
         let mut memory = MemoryBudget::reserve(&shared.memory, 0).unwrap_or_default();
         let timeout = wait + PEER_TIMEOUT_MARGIN;
-        match peers::call(shared, owner, self.request, timeout, &mut memory) {
-            Ok(mut answer) if answer.status < 500 => {
-                answer.headers.remove_hop_by_hop();
-                Some(answer)
-            }
+        let mut request = self.request.clone();
+        request.headers.remove_hop_by_hop();
+        let caller = ForwardedCaller {
+            version: self.version,
+            workspace: self.workspace.clone(),
+        };
+        caller.write(&mut request.headers);
+        match peers::call(shared, owner, &request, timeout, &mut memory) {
+            Ok(answer) if is_final(&answer, self.version) => Some(passed_on(answer)),
             Ok(answer) => {
-                log::info!(batch, owner:%, status = answer.status; "owner responded with a server error");
-                shared.peers.mark_stale();
+                log::info!(batch, owner:%, status = answer.status; "owner can't answer for the batch");
+                if answer.status >= 500 {
+                    shared.peers.mark_stale();
+                }
                 None
             }
             Err(error) => {
--- a/crates/godwitspool-host/src/process/peers.rs
+++ b/crates/godwitspool-host/src/process/peers.rs
@@ -129,7 +129,7 @@
 }
 
 /// Sends a request to another host and blocks until the response is complete, which takes its memory from
-/// `memory`.
+/// `memory`. The fields of the request are those of this connection.
 ///
 /// # Errors
 ///
@@ -141,7 +141,5 @@
     timeout: Duration,
     memory: &mut Reservation,
 ) -> Result<Response, CallError> {
-    let mut request = request.clone();
-    request.headers.remove_hop_by_hop();
-    Exchange::call_within(&shared.pool, address, &request, timeout, memory)
+    Exchange::call_within(&shared.pool, address, request, timeout, memory)
 }
