Batches: no identifier reaches another workspace's records

A caller can end another workspace's batch.

Cause: the length of a record's key is one byte, of which the store's client wrote the lower bits, and the identifier in an end had no bound. The record of a long identifier is filed under another key, which the caller chooses. An identifier with a slash puts records between those of another batch.

--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -77,6 +77,8 @@
     },
     /// An order to a target, which no caller may give.
     TargetOrder,
+    /// Asks for a batch under an identifier that no batch can have.
+    UnknownBatch,
 }
 
 /// What is added to a request when it is forwarded to a target.
--- a/crates/godwitspool-host/src/process/calls.rs
+++ b/crates/godwitspool-host/src/process/calls.rs
@@ -272,7 +272,9 @@
                 self.find_stored(batch, |key| self.read_item(key, item))
             }
             CallKind::EndBatch { batch } => self.end_batch(batch),
-            CallKind::Routed | CallKind::TargetOrder => Response::new(404, Vec::new()),
+            CallKind::Routed | CallKind::TargetOrder | CallKind::UnknownBatch => {
+                Response::new(404, Vec::new())
+            }
         }
     }
 
