Targets: an older entry that the store does late is ignored

A write of a target that the store does seconds late, behind the one by which the target leaves, makes hosts send it requests again.

Cause: of two entries of one start the later one in the log counted, though targets number their entries. The order of the log isn't that of the writes, as with the ends of batches.

--- a/crates/godwitspool-host/src/dialect.rs
+++ b/crates/godwitspool-host/src/dialect.rs
@@ -251,12 +251,13 @@
     /// Returns what is wrong with the key.
     fn operator_removal(&self, key: &str) -> Result<Option<OperatorRecord>, String>;
 
-    /// Reads the entry with which a target registers itself.
+    /// Reads the entry with which a target registers itself, and the target's own number of it, if it tells one,
+    /// which grows with each entry of one start.
     ///
     /// # Errors
     ///
     /// Returns what is wrong with the entry and where.
-    fn target_entry(&self, key: &str, value: &[u8]) -> Result<TargetEntry, String>;
+    fn target_entry(&self, key: &str, value: &[u8]) -> Result<(TargetEntry, Option<u64>), String>;
 
     /// Returns the request that orders a target to load a version.
     fn load_order(&self, order: &LoadOrder, fence: &Fence) -> Request;
--- a/crates/godwitspool-host/src/process/tails.rs
+++ b/crates/godwitspool-host/src/process/tails.rs
@@ -13,7 +13,7 @@
     dialect::OperatorRecord,
     lease_clock,
     store::{READ_SLACK, Topic},
-    version::{Lapse, Mirror, MirrorChange},
+    version::{EntryOrder, Lapse, Mirror, MirrorChange},
 };
 
 /// Minimum time that one read waits for new records, however short the apply timeout is.
@@ -49,6 +49,7 @@
 /// Follows the operators' records or the targets' entries until the process exits.
 pub fn follow(shared: &Arc<Shared>, topic: Topic) {
     let mut lapse = Lapse::default();
+    let mut order = EntryOrder::default();
     let mut unreachable = false;
     let usual_wait = if topic == Topic::Targets {
         TARGETS_READ_WAIT
@@ -77,7 +78,14 @@
                 let changes = mirrors(shared)[index(topic)].update(fetched, now);
                 lapse.succeed(now);
                 let keep_until = lapse.keep_until(now);
-                apply(shared, topic, changes, keep_until, next.is_none());
+                apply(
+                    shared,
+                    topic,
+                    changes,
+                    keep_until,
+                    next.is_none(),
+                    &mut order,
+                );
                 if topic == Topic::Operator {
                     let mut fleet = shared.fleet();
                     fleet.operator_freshness.confirm(lease_began);
@@ -85,6 +93,7 @@
                 if topic == Topic::Targets {
                     shared.fleet().freshness.confirm(lease_began);
                     expire(shared, now);
+                    order.prune(now);
                     thread::sleep(TARGETS_READ_INTERVAL);
                 }
             }
@@ -118,13 +127,14 @@
     changes: Vec<MirrorChange>,
     keep_until: Option<Millis>,
     first: bool,
+    order: &mut EntryOrder,
 ) {
     if changes.is_empty() {
         return;
     }
     if topic == Topic::Targets {
         for change in changes {
-            apply_target(shared, &change, keep_until, first);
+            apply_target(shared, &change, keep_until, first, order);
         }
     } else {
         // Without a configuration nothing is sent. Evacuations come before the first one, so that nothing
@@ -183,7 +193,13 @@
     }
 }
 
-fn apply_target(shared: &Shared, change: &MirrorChange, keep_until: Option<Millis>, first: bool) {
+fn apply_target(
+    shared: &Shared,
+    change: &MirrorChange,
+    keep_until: Option<Millis>,
+    first: bool,
+    order: &mut EntryOrder,
+) {
     let name = TargetName::from(change.key.as_str());
     let Some(value) = &change.value else {
         let lapsing = keep_until.is_some();
@@ -192,7 +208,11 @@
         return;
     };
     match shared.dialect.target_entry(&change.key, value) {
-        Ok(entry) => {
+        Ok((entry, seq)) => {
+            if !order.is_newest(&name, entry.born, seq, shared.clock.now()) {
+                log::info!(target_name:% = name, seq, offset = change.offset; "late entry of the target ignored");
+                return;
+            }
             let mut fleet = shared.fleet();
             let known = fleet.get(&name);
             let is_changed =
--- a/crates/godwitspool-host/src/version/mod.rs
+++ b/crates/godwitspool-host/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod assignments;
 mod cold;
 mod configuration;
+mod entry_order;
 mod evacuation;
 mod fingerprint;
 mod fleet;
@@ -21,6 +22,7 @@
 pub use configuration::{
     AuthorizationError, Configuration, Route, RouteKind, Scaling, Service, Split,
 };
+pub use entry_order::EntryOrder;
 pub use evacuation::Evacuations;
 pub use fingerprint::Fingerprint;
 pub use fleet::{
