--- a/crates/godwitspool-fakes/src/platform_store.rs
+++ b/crates/godwitspool-fakes/src/platform_store.rs
@@ -33,6 +33,8 @@
     LoseAnswer,
     /// The store neither executes the call nor sends a response.
     Silent,
+    /// The store sends no response and executes the call after this time.
+    Late(Duration),
     /// The store closes the connection without a response and doesn't execute the call.
     Reset,
 }
@@ -241,6 +243,11 @@
                 thread::sleep(SILENCE_DURATION);
                 return closed();
             }
+            StoreFault::Late(after) => {
+                thread::sleep(after);
+                self.answer(request, parts);
+                return closed();
+            }
             StoreFault::None | StoreFault::LoseAnswer => {}
         }
         let answer = self.answer(request, parts);
--- a/crates/godwitspool-fakes/src/platform_target.rs
+++ b/crates/godwitspool-fakes/src/platform_target.rs
@@ -107,7 +107,8 @@
     disconnects: AtomicUsize,
     options: TargetOptions,
     fault: Mutex<Option<FaultFn>>,
-    executed: Mutex<Vec<Request>>,
+    /// Requests that were run, and when each arrived.
+    executed: Mutex<Vec<(Instant, Request)>>,
     /// Times at which requests arrived, with those that were refused and without orders.
     arrivals: Mutex<Vec<Instant>>,
     /// Limit in requests a second that responses name.
@@ -202,7 +203,15 @@
     /// Returns the requests that the target ran. Refused requests and those for another instance are
     /// not included.
     pub fn executed(&self) -> Vec<Request> {
-        lock(&self.shared.executed).clone()
+        let executed = lock(&self.shared.executed);
+        executed.iter().map(|(_, run)| run.clone()).collect()
+    }
+
+    /// Returns the identifier of each request that the target ran, and when it arrived.
+    pub fn runs(&self) -> Vec<(String, Instant)> {
+        let executed = lock(&self.shared.executed);
+        let id = |run: &Request| run.headers.get("Request-Id").unwrap_or_default().to_owned();
+        executed.iter().map(|(at, run)| (id(run), *at)).collect()
     }
 
     /// Returns when a request has ended the target, if one has.
@@ -246,7 +255,8 @@
         if request.path() == "/api/order" {
             return self.order(caller, request);
         }
-        lock(&self.arrivals).push(Instant::now());
+        let arrived = Instant::now();
+        lock(&self.arrivals).push(arrived);
         let limit = *lock(&self.limit);
         let named = |answer: Response| self.describe(answer, limit);
         let expected = request.headers.get("Expect-Instance");
@@ -270,7 +280,7 @@
             let answer = named(Response::new(503, Vec::new())).with("Request-Id", &id);
             return caller.respond(&answer.with("Not-Run", "1"));
         }
-        lock(&self.executed).push(request.clone());
+        lock(&self.executed).push((arrived, request.clone()));
         let id = if fault == TargetFault::WrongId {
             "another".to_owned()
         } else {
