HTTP: exchanges with timeouts of their own have none of the kernel's

Cause: a connection that the kernel gives up can't be reset any more, so a request that a cut holds up arrives once it heals. The kernel's timeouts were turned off when an item was sent, but they had been on while the connection was idle, and on the users' machines they count from the begin of the cut.

Change: the pool for items, reward calls, orders and calls between hosts, to the store and to the platform has connections without the kernel's timeouts. Callers' requests have a pool of their own with them. An exchange that times out closes the idle connections to its peer, which keepalive found before.

--- a/crates/godwitspool-host/src/batch/reward.rs
+++ b/crates/godwitspool-host/src/batch/reward.rs
@@ -159,7 +159,6 @@
                 attempts: route.attempts.max(submission.attempts),
                 began: now,
                 exchange: Exchange::with_body(connection, &request, body)
-                    .without_kernel_timeouts()
                     .begin_by(lease_clock() + CHOICE_LIFETIME),
                 timeout,
                 received: 0,
@@ -203,7 +202,12 @@
                 } else {
                     CONNECT_TIMEOUT
                 };
-                (now - self.began >= limit).then_some(RewardOutcome::Broken)
+                let is_late = now - self.began >= limit;
+                if is_late && self.exchange.is_reused() {
+                    // The other idle connections to the target may have stopped answering as well.
+                    shared.pool.close(self.address);
+                }
+                is_late.then_some(RewardOutcome::Broken)
             }
             Err(CallError::Connect { .. }) => Some(RewardOutcome::NotRun),
             Err(error) => {
--- a/crates/godwitspool-host/src/batch/runner.rs
+++ b/crates/godwitspool-host/src/batch/runner.rs
@@ -396,6 +396,9 @@
                 Move::Slow => Outcome::Dropped,
                 Move::Queued | Move::Silent => Outcome::Stalled,
             };
+            if reason == Move::Queued {
+                self.close_idle(shared);
+            }
             return Step::Ended(RunEnd::Failed(RunFailure::Moved, outcome));
         }
         let bound = match (self.head_read, self.exchange.was_sent()) {
@@ -408,9 +411,18 @@
         }
         let spec = self.spec();
         log::info!(item:% = spec.id, target_name:% = self.target, silent_ms = silent.0, head = self.head_read; "run timed out");
+        self.close_idle(shared);
         Step::Ended(RunEnd::Failed(RunFailure::Broken, Outcome::Failed))
     }
 
+    /// Closes the idle connections to the target if it hasn't answered on one of them at all: they may all have stopped
+    /// answering, while new ones work.
+    fn close_idle(&self, shared: &Shared) {
+        if self.exchange.is_reused() && !self.head_read {
+            shared.pool.close(self.address);
+        }
+    }
+
     /// Returns why the run should move to another target; `None` if it should stay, no fast enough
     /// target has a free slot, or its output must come from a single version.
     fn check_move(
--- a/crates/godwitspool-host/src/batch/runner/start.rs
+++ b/crates/godwitspool-host/src/batch/runner/start.rs
@@ -270,7 +270,6 @@
             address,
             born,
             exchange: Exchange::with_body(connection, &request, body)
-                .without_kernel_timeouts()
                 .begin_by(lease_clock() + CHOICE_LIFETIME),
             buffer: EventBuffer::default(),
             ended_in_noise: false,
--- a/crates/godwitspool-host/src/http/connection.rs
+++ b/crates/godwitspool-host/src/http/connection.rs
@@ -14,7 +14,7 @@
 /// Operators commonly require a dead peer to be detected within 3 s; this is below that.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
-pub(super) const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A non-blocking TCP connection with its input buffer.
 #[derive(Debug)]
@@ -46,6 +46,20 @@
     }
 }
 
+/// Whether the kernel gives up a connection after unanswered data or keepalive probes.
+///
+/// A connection that the kernel gives up can't be reset any more, so what a cut holds up still arrives once the cut
+/// heals. Where every exchange has a timeout of its own, the kernel's are off, from the start: a connection that a
+/// cut finds with them on may be given up although they are turned off afterwards.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum KernelTimeouts {
+    /// It gives up none. Dead idle connections are noticed when they are used.
+    #[default]
+    Off,
+    /// It gives them up after a few seconds.
+    On,
+}
+
 /// Result of a read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Received {
@@ -69,19 +83,23 @@
         Ok(Self::new(socket))
     }
 
-    /// Starts connecting. The socket becomes writable once the attempt has succeeded or failed.
+    /// Starts connecting. The socket becomes writable once the attempt has succeeded or failed. `timeouts` says
+    /// whether the kernel gives up the connection after unanswered data or keepalive probes.
     ///
     /// # Errors
     ///
     /// Returns the error if the attempt fails immediately.
-    pub fn connect(address: SocketAddr) -> io::Result<Self> {
+    pub fn connect(address: SocketAddr, timeouts: KernelTimeouts) -> io::Result<Self> {
         let socket = Socket::new(
             Domain::for_address(address),
             Type::STREAM,
             Some(Protocol::TCP),
         )?;
         socket.set_nonblocking(true)?;
-        set_options(&SockRef::from(&socket))?;
+        match timeouts {
+            KernelTimeouts::On => set_options(&SockRef::from(&socket))?,
+            KernelTimeouts::Off => socket.set_tcp_nodelay(true)?,
+        }
         match socket.connect(&address.into()) {
             Ok(()) => {}
             Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
@@ -152,20 +170,6 @@
         }
     }
 
-    /// Sets whether the kernel gives up the connection after unanswered data or keepalive probes.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a socket option can't be set.
-    pub fn set_kernel_timeouts(&self, on: bool) -> io::Result<()> {
-        let socket = SockRef::from(&*self.socket);
-        if on {
-            return set_timeouts(&socket);
-        }
-        socket.set_keepalive(false)?;
-        socket.set_tcp_user_timeout(None)
-    }
-
     /// Returns whether an idle connection can carry another request: no bytes have arrived on it,
     /// and less than three quarters of the peer's keep-alive timeout have passed.
     pub fn is_reusable(&mut self) -> bool {
@@ -192,10 +196,6 @@
 
 fn set_options(socket: &SockRef<'_>) -> io::Result<()> {
     socket.set_tcp_nodelay(true)?;
-    set_timeouts(socket)
-}
-
-fn set_timeouts(socket: &SockRef<'_>) -> io::Result<()> {
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/crates/godwitspool-host/src/http/exchange.rs
+++ b/crates/godwitspool-host/src/http/exchange.rs
@@ -11,7 +11,7 @@
 
 use super::{
     BodyDecoder, Connection, DecodeError, Interest, Pool, Received, Request, Reservation, Response,
-    connection::KEEPALIVE_INTERVAL, decode_response, wait,
+    decode_response, wait,
 };
 use crate::lease_clock;
 
@@ -119,8 +119,6 @@
     malformed: Option<DecodeError>,
     /// Time, by the lease clock, after which nothing is sent if nothing was before.
     begin_by: Option<Millis>,
-    /// Whether the kernel's timeouts are off.
-    own_timeouts: bool,
 }
 
 impl Exchange {
@@ -163,7 +161,6 @@
             failure: None,
             malformed: None,
             begin_by: None,
-            own_timeouts: false,
         }
     }
 
@@ -175,18 +172,6 @@
         self
     }
 
-    /// Returns the exchange with the kernel's timeouts off until it is finished. Its owner gives it up by
-    /// timeouts of its own, which reset the connection. A connection that the kernel gives up is not
-    /// reset, so a request that a cut holds up may still arrive once the cut heals.
-    #[must_use]
-    pub fn without_kernel_timeouts(mut self) -> Self {
-        match self.connection.set_kernel_timeouts(false) {
-            Ok(()) => self.own_timeouts = true,
-            Err(error) => log::debug!(error:%; "can't turn off a connection's timeouts"),
-        }
-        self
-    }
-
     /// Returns the socket and the events to poll for.
     pub fn socket(&self) -> (BorrowedFd<'_>, Interest) {
         let interest = Interest {
@@ -217,6 +202,11 @@
         self.sent > 0
     }
 
+    /// Returns whether the connection has carried another request before.
+    pub fn is_reused(&self) -> bool {
+        self.connection.requests > 1
+    }
+
     /// Returns the time in which the connection was opened; `None` if it isn't open yet, or was before the
     /// exchange. It is at least one round trip to the peer.
     pub fn connect_time(&self) -> Option<Duration> {
@@ -359,9 +349,7 @@
     pub fn finish(mut self) -> (Response, Option<Connection>) {
         let done = self.decoder.as_ref().is_some_and(BodyDecoder::is_done);
         self.connection.in_exchange = !done;
-        let restored = !self.own_timeouts || self.connection.set_kernel_timeouts(true).is_ok();
         let reusable = done
-            && restored
             && self.sent == self.output.len() + self.body.len()
             && self.connection.input.is_empty()
             && !self.skipped
@@ -428,12 +416,7 @@
         let deadline = Instant::now() + timeout;
         let connection = pool.connect(address);
         let connection = connection.map_err(|source| CallError::Connect { source })?;
-        // Keepalive probes of an idle connection may be unanswered already.
-        let was_idle = connection.idle_since.elapsed() >= KEEPALIVE_INTERVAL;
         let mut exchange = Self::new(connection, request);
-        if was_idle {
-            exchange = exchange.without_kernel_timeouts();
-        }
         loop {
             if !exchange.was_sent() && !may_send() {
                 let source = io::ErrorKind::Interrupted.into();
@@ -453,6 +436,8 @@
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
+                // The other idle connections to the peer may have stopped answering as well.
+                pool.close(address);
                 return Err(CallError::Late {
                     sent: exchange.was_sent(),
                 });
--- a/crates/godwitspool-host/src/http/mod.rs
+++ b/crates/godwitspool-host/src/http/mod.rs
@@ -18,7 +18,7 @@
 pub use budget::{
     COVERED_BYTES, Candidate, LARGE_BYTES, Ledger, choose_closed, choose_refused, is_too_slow,
 };
-pub use connection::{Connection, Received};
+pub use connection::{Connection, KernelTimeouts, Received};
 pub use decode::{BodyDecoder, ChunkState, DecodeError, decode_request, decode_response};
 pub use exchange::{CallError, Exchange, Progress};
 pub use limits::{Limited, Limits};
--- a/crates/godwitspool-host/src/http/pool.rs
+++ b/crates/godwitspool-host/src/http/pool.rs
@@ -8,7 +8,7 @@
 
 use godwitspool_sync::{Mutex, MutexGuard};
 
-use super::Connection;
+use super::{Connection, KernelTimeouts};
 
 /// Maximum number of idle connections per address; more would only consume file descriptors.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
@@ -22,6 +22,7 @@
     interval: Duration,
     /// Maximum number of idle connections in all.
     limit: usize,
+    timeouts: KernelTimeouts,
 }
 
 #[derive(Debug)]
@@ -51,9 +52,17 @@
             idle: Mutex::new(idle),
             interval,
             limit: usize::MAX,
+            timeouts: KernelTimeouts::Off,
         }
     }
 
+    /// Returns the pool with connections that the kernel gives up, for exchanges without timeouts of their own.
+    #[must_use]
+    pub fn with_kernel_timeouts(mut self) -> Self {
+        self.timeouts = KernelTimeouts::On;
+        self
+    }
+
     /// Returns the pool with a maximum number of idle connections in all, so that they leave descriptors
     /// to those in use.
     #[must_use]
@@ -70,7 +79,7 @@
     pub fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         match self.take(address) {
             Some(connection) => Ok(connection),
-            None => Connection::connect(address),
+            None => Connection::connect(address, self.timeouts),
         }
     }
 
--- a/crates/godwitspool-host/src/process/shared.rs
+++ b/crates/godwitspool-host/src/process/shared.rs
@@ -77,8 +77,10 @@
     pub duties: Arc<dyn Duties>,
     /// Store of the platform, called directly or through another host.
     pub store: Arc<Relay>,
-    /// Idle connections to targets and other hosts.
+    /// Idle connections to targets and other hosts, for exchanges with timeouts of their own.
     pub pool: Arc<Pool>,
+    /// Idle connections to targets for callers' requests, which may take as long as the caller allows.
+    pub request_pool: Pool,
     /// Batches of the owned partitions.
     pub owned_batches: Arc<BatchRegistry>,
     /// Counts of requests for usage reports.
@@ -225,6 +227,8 @@
             member = standby_name(&member);
         }
         let (owned_batches, memory) = new_batches(&settings)?;
+        // Two pools share it.
+        let max_idle = max_idle_connections(&settings.resources) / 2;
         Ok(Self {
             owned_batches,
             memory,
@@ -266,7 +270,8 @@
             peers: Peers::default(),
             permits: Permits::new(permit_answers),
             suspicion: Suspicion::new(breaks, suspects),
-            pool: Arc::new(Pool::default().with_limit(max_idle_connections(&settings.resources))),
+            pool: Arc::new(Pool::default().with_limit(max_idle)),
+            request_pool: Pool::default().with_kernel_timeouts().with_limit(max_idle),
             store: Arc::new(Relay::new(
                 adapters.store,
                 &settings.seeds,
--- a/crates/godwitspool-host/src/request/forward.rs
+++ b/crates/godwitspool-host/src/request/forward.rs
@@ -545,7 +545,7 @@
             version: None,
         };
         let request = self.shared.dialect.forward_request(self.request, &context);
-        match self.shared.pool.connect(address) {
+        match self.shared.request_pool.connect(address) {
             Ok(connection) => {
                 let body = Arc::clone(&self.body);
                 let mut exchange = Exchange::with_body(connection, &request, body)
@@ -726,7 +726,7 @@
         );
         let (response, connection) = attempt.exchange.finish();
         if let Some(connection) = connection {
-            self.shared.pool.put(attempt.address, connection);
+            self.shared.request_pool.put(attempt.address, connection);
         }
         if refused {
             log::info!(request = self.call.request(), target_name:% = attempt.target, status; "target refused");
@@ -811,7 +811,7 @@
             caller.end()?;
             let connection = attempt.exchange.finish().1;
             if let Some(connection) = connection {
-                self.shared.pool.put(attempt.address, connection);
+                self.shared.request_pool.put(attempt.address, connection);
             }
         } else {
             // Closing the connection without the last chunk shows the caller that the stream is
