Runner: an item waits a bounded time for the version of its output

Cause: partial output was given up only if no target serves its version. Of the one that did nobody asked whether it has room, nor for how long not. Such an item also ended its batch's turn, so that the items behind it waited.

Change: if another version that the step allows has room, an item waits for its own no longer than it takes to generate the output again, and 3 s at most; then it starts over.

--- a/crates/godwitspool-host/src/batch/item_work.rs
+++ b/crates/godwitspool-host/src/batch/item_work.rs
@@ -7,7 +7,7 @@
 use super::{Batch, EVENT_TOKENS, RouteLengths};
 use crate::{
     process::Shared,
-    version::{Fleet, Work},
+    version::{Fleet, PlaceRequest, Work},
 };
 
 /// Discards the partial output of an item, given with the current time, if its version can't continue
@@ -34,6 +34,35 @@
     }
 }
 
+/// Returns whether an item is to be tried again later, since no target that serves the version of its partial output
+/// has room, while one with another version has. Once it has waited for long enough, its output is discarded.
+pub(super) fn awaits_version(
+    fleet: &Fleet,
+    batch: &mut Batch,
+    index: usize,
+    request: PlaceRequest<'_>,
+) -> bool {
+    let submission = Arc::clone(&batch.submission);
+    let versions = submission.min_version..=u64::MAX;
+    let Some(other) = fleet.place(&PlaceRequest {
+        versions: &versions,
+        ..request
+    }) else {
+        return false;
+    };
+    let done = batch.items[index].progress.last_event.unwrap_or_default();
+    let redo_ms = other.speed.run_ms(done as f64);
+    if !batch.await_version(index, Millis(redo_ms as u64), request.now) {
+        log::info!(
+            batch:% = submission.id, item = submission.items.view(index).map(|item| item.id), events = done,
+            redo_ms = redo_ms.round();
+            "output discarded: no target of its version has room"
+        );
+        batch.discard_output(index);
+    }
+    true
+}
+
 /// Returns the work that is left of an item.
 pub(super) fn work_left(
     lengths: &RouteLengths,
--- a/crates/godwitspool-host/src/batch/runner/start.rs
+++ b/crates/godwitspool-host/src/batch/runner/start.rs
@@ -1,24 +1,31 @@
 //! Starts the items that wait.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use godwitspool_request::stable_hash;
-use godwitspool_types::{Millis, ServiceName};
+use godwitspool_types::{Millis, ServiceName, TargetName};
 
 use super::{Run, Runner, is_stale};
 use crate::{
     batch::{
         Batch, EventBuffer, Finished, OwnedPartition, Pace, claimant,
-        item_work::{discard_stranded, work_left},
+        item_work::{awaits_version, discard_stranded, work_left},
     },
     dialect::ForwardContext,
-    http::{Exchange, MemoryBudget},
+    http::{Connection, Exchange, MemoryBudget},
     lease_clock,
+    process::Shared,
     version::{CHOICE_LIFETIME, Configuration, Outcome, PlaceRequest, Placement, Work},
 };
 
+/// Delay after which an item is tried again that waits for the version of its output.
+const BOUND_RETRY: Millis = Millis(100);
+
 /// The outcome of an attempt to start an item.
 enum Start {
+    /// The item waits for a target that serves the version of its output, while others have room, or has just given
+    /// its output up.
+    Bound,
     /// The item waits for a faster target, and a shorter one may start.
     Deferred,
     /// No target can run the item now.
@@ -162,6 +169,11 @@
                         });
                         continue 'batch;
                     }
+                    Start::Bound => {
+                        round.waiting = true;
+                        batch.postpone(item, round.now + BOUND_RETRY);
+                        continue 'batch;
+                    }
                     Start::Deferred => round.waiting = true,
                     Start::NoRoom => {
                         round.waiting = true;
@@ -207,7 +219,7 @@
             patient: ahead.is_some(),
             ..work_left(&self.lengths, shared, batch, index)
         };
-        let placed = fleet.place(&PlaceRequest {
+        let request = PlaceRequest {
             assigned: &assigned,
             dc: &shared.settings.dc,
             excluded: None,
@@ -217,7 +229,11 @@
             service,
             versions: &versions,
             work,
-        });
+        };
+        let placed = fleet.place(&request);
+        if placed.is_none() && pinned.is_some() && awaits_version(&fleet, batch, index, request) {
+            return Start::Bound;
+        }
         if placed.as_ref().is_some_and(|place| place.defer) && batch.defer(index, now) {
             return Start::Deferred;
         }
@@ -240,16 +256,11 @@
             version: pinned.or(place.expected),
         };
         let mut request = shared.dialect.item_request(&submission, &spec, &context);
-        let connection = match shared.pool.connect(address) {
-            Ok(connection) => connection,
-            Err(error) => {
-                log::warn!(target_name:% = name, error:%; "can't connect to a target");
-                fleet.start(&name);
-                fleet.finish(&name, Outcome::Failed, now);
-                return Start::NoRoom;
-            }
-        };
         fleet.start(&name);
+        let Some(connection) = connect(shared, &name, address) else {
+            fleet.finish(&name, Outcome::Failed, now);
+            return Start::NoRoom;
+        };
         drop(fleet);
         let body = Arc::new(std::mem::take(&mut request.body));
         memory.resize(sending);
@@ -286,3 +297,12 @@
         }))
     }
 }
+
+/// Returns a connection to a target; `None` if the attempt fails immediately.
+fn connect(shared: &Shared, target: &TargetName, address: SocketAddr) -> Option<Connection> {
+    let connection = shared.pool.connect(address);
+    let connection = connection.inspect_err(|error| {
+        log::warn!(target_name:% = target, error:%; "can't connect to a target");
+    });
+    connection.ok()
+}
--- a/crates/godwitspool-host/src/batch/state.rs
+++ b/crates/godwitspool-host/src/batch/state.rs
@@ -25,6 +25,9 @@
 /// Maximum time for which an item waits for a faster target: by then the slot that was expected has gone
 /// to another host's item. It is short compared with the seconds within which a step is due.
 const MAX_DEFERRAL: Millis = Millis(500);
+/// Maximum time for which an item waits for a target that serves the version of its output. An item that is at no
+/// target for 5 s counts as forgotten.
+const MAX_BOUND_WAIT: Millis = Millis(3_000);
 /// Time without a read after which a complete batch that its caller hasn't ended is removed. Without it the
 /// store would fill up with the batches of callers that have gone.
 const ABANDONED_AFTER: Duration = Duration::from_mins(15);
@@ -115,6 +118,8 @@
     pub moves: u32,
     /// Since when the item waits for a faster target although a slower one has a free slot.
     pub deferred_since: Option<Millis>,
+    /// Since when the item waits for a target that serves the version of its output although another has room.
+    pub bound_since: Option<Millis>,
     /// Partial output.
     pub progress: ItemProgress,
     /// Memory that the partial output takes.
@@ -140,6 +145,7 @@
         empty_runs: 0,
         moves: 0,
         deferred_since: None,
+        bound_since: None,
         progress: ItemProgress {
             text: Vec::new(),
             last_event: None,
@@ -560,10 +566,22 @@
         now - since < MAX_DEFERRAL
     }
 
+    /// Records that an item waits for a target that serves the version of its output although another has room.
+    /// Returns whether it may go on to wait: no longer than it takes to generate the output again, `redo`.
+    ///
+    /// Load pattern: the target of some items is lost, and the only other one of their version is full with long items.
+    /// How long it stays full isn't known; by this bound an item loses at most as much again as if it had started over
+    /// at once.
+    pub fn await_version(&mut self, item: usize, redo: Millis, now: Millis) -> bool {
+        let since = *self.items[item].bound_since.get_or_insert(now);
+        now - since < redo.min(MAX_BOUND_WAIT)
+    }
+
     /// Records that an item runs.
     pub fn start(&mut self, item: usize) {
         self.items[item].state = ItemState::Running;
         self.items[item].deferred_since = None;
+        self.items[item].bound_since = None;
     }
 
     /// Has a waiting item start no sooner than at the given time.
--- a/crates/godwitspool-host/tests/batches.rs
+++ b/crates/godwitspool-host/tests/batches.rs
@@ -575,3 +575,15 @@
     let bytes: Vec<&[u8]> = STREAM.chunks(1).collect();
     assert_eq!(read(&bytes), whole);
 }
+
+/// Guards against LOST: an item waits for the version of its output for as long as other items take.
+#[rstest]
+#[case::short_output(500, 500)]
+#[case::long_output(420_000, 3_000)]
+fn an_item_waits_for_its_version_for_a_bounded_time(#[case] redo: u64, #[case] bound: u64) {
+    let mut batch = batch(1, 1);
+    let mut waits = |at| batch.await_version(0, Millis(redo), Millis(at));
+    assert!(waits(100) && waits(99 + bound) && !waits(100 + bound));
+    batch.start(0);
+    assert!(batch.await_version(0, Millis(redo), Millis(100 + bound)));
+}
