HTTP: a response is counted once, and none is dropped

Cause: memory for an answer is taken as its pieces come, and was taken once more, on top, when it is sent. An answer of 33 to 64 KB so counted as a large one, which may not use the last part of the budget. A response without memory ended the connection.

Evidence: a_response_is_counted_once_and_none_is_dropped fails before the change for an answer that is counted in pieces, and for one that is too large: nothing is sent.

Change: what a handler has taken beyond the request is for its response, so only what is missing is taken. Without memory the caller gets 502.

--- a/crates/godwitspool-host/src/http/mod.rs
+++ b/crates/godwitspool-host/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod open_connection;
 mod pool;
+mod read_error;
 mod server;
 mod wait;
 
@@ -26,5 +27,6 @@
 pub use message::{Headers, Request, Response};
 pub use open_connection::{OpenConnection, Phase};
 pub use pool::Pool;
-pub use server::{Bounds, Caller, LastResponses, ReadError, Server};
+pub use read_error::ReadError;
+pub use server::{Bounds, Caller, LastResponses, Server};
 pub use wait::{Interest, Waker, wait};
--- a/crates/godwitspool-host/src/http/server.rs
+++ b/crates/godwitspool-host/src/http/server.rs
@@ -12,12 +12,11 @@
 };
 
 use godwitspool_sync::{Condvar, Mutex, MutexGuard};
-use snafu::Snafu;
 use socket2::SockRef;
 
 use super::{
-    BodyDecoder, COVERED_BYTES, Candidate, Connection, DecodeError, Interest, LARGE_BYTES, Limited,
-    Limits, OpenConnection, Phase, Received, Request, Response, Waker, choose_closed,
+    BodyDecoder, COVERED_BYTES, Candidate, Connection, Interest, LARGE_BYTES, Limited, Limits,
+    OpenConnection, Phase, ReadError, Received, Request, Response, Waker, choose_closed,
     choose_refused, decode_request, is_too_slow, wait,
 };
 use crate::lease_clock;
@@ -69,32 +68,6 @@
     }
 }
 
-/// Why no request was read.
-#[derive(Debug, Snafu)]
-pub enum ReadError {
-    /// The caller disconnected, the idle timeout expired, or the server was stopped.
-    #[snafu(display("connection ended"))]
-    Ended,
-    /// The request exceeds a limit or is malformed.
-    #[snafu(display("request refused with status {status}"))]
-    Refused {
-        /// HTTP status of the response.
-        status: u16,
-    },
-    /// The server has no memory for the request, or it arrives too slowly.
-    #[snafu(display("request refused by the limit of {}", limited.as_str()))]
-    Limited {
-        /// The limit that was reached.
-        limited: Limited,
-    },
-}
-
-impl From<DecodeError> for ReadError {
-    fn from(_: DecodeError) -> Self {
-        Self::Refused { status: 400 }
-    }
-}
-
 type Handler = dyn Fn(&mut Caller, Request) -> io::Result<()> + Send + Sync;
 type BoundsSource = dyn Fn() -> Bounds + Send + Sync;
 
@@ -641,6 +614,8 @@
     /// Whether the connection is closed after the response.
     pub close: bool,
     connection: Connection,
+    /// Bytes of the budget that the request took. What its handler has taken beyond is for the response.
+    request_bytes: usize,
     served: Served,
 }
 
@@ -650,11 +625,11 @@
         self.served.open.phase() == Phase::Closed
     }
 
-    /// Sends a complete response.
+    /// Sends a complete response. If there is no memory for it, the caller gets 502 in its place.
     ///
     /// # Errors
     ///
-    /// Fails if the caller has disconnected or accepts no bytes.
+    /// Fails if there is no memory, or the caller has disconnected or accepts no bytes.
     pub fn respond(&mut self, response: &Response) -> io::Result<()> {
         self.start_response()?;
         let mut head = response.encode_head(self.close);
@@ -663,8 +638,10 @@
             head.extend_from_slice(&response.body);
             return self.send(&head);
         }
-        if !self.hold(self.held() + response.body.len()) {
-            return Err(io::ErrorKind::ConnectionAborted.into());
+        let request_bytes = self.request_bytes.min(self.held());
+        if !self.hold(request_bytes + response.body.len()) {
+            self.send(&Response::new(502, Vec::new()).encode_head(true))?;
+            return Err(io::ErrorKind::OutOfMemory.into());
         }
         self.send(&head)?;
         self.send(&response.body)
@@ -777,6 +754,7 @@
     let mut caller = Caller {
         close: false,
         connection,
+        request_bytes: 0,
         served: accepted,
     };
     let server = Arc::clone(&caller.served.server);
@@ -800,6 +778,7 @@
         if !caller.served.open.enter(Phase::Handling) {
             return;
         }
+        caller.request_bytes = caller.held();
         let handled = (server.handler)(&mut caller, request);
         server.release(&caller.served.open);
         if let Err(error) = handled {
--- a/crates/godwitspool-host/tests/budget.rs
+++ b/crates/godwitspool-host/tests/budget.rs
@@ -244,6 +244,39 @@
     assert_eq!(limited.load(Ordering::SeqCst), 1);
 }
 
+/// Guards against LOST: an answer that its handler has counted as it came is counted again when it is sent, and the
+/// caller's connection is closed without one, also if there really is no memory for it.
+#[rstest]
+#[case::counted_in_pieces(56, &[33, 56], "200")]
+#[case::small(32, &[], "200")]
+#[case::too_large(100, &[], "502")]
+fn a_response_is_counted_once_and_none_is_dropped(
+    #[case] size_kb: usize,
+    #[case] held_kb: &'static [usize],
+    #[case] wanted: &str,
+) {
+    let memory = Arc::new(MemoryBudget::new(16 * MB));
+    // What is left is for ordinary callers.
+    let _taken = MemoryBudget::reserve(&memory, 15 * MB).unwrap();
+    let limits = Limits {
+        memory,
+        ..Limits::default()
+    };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = move |caller: &mut Caller, _: Request| {
+        for held in held_kb {
+            assert!(caller.hold(held * 1024));
+        }
+        caller.respond(&Response::new(200, vec![b'x'; size_kb * 1024]))
+    };
+    let server = Server::start_limited(any, limits, Bounds::default, answer).unwrap();
+    let status = response(begin(&server, 3, 3));
+    assert!(
+        status.starts_with(&format!("HTTP/1.1 {wanted}")),
+        "{status}"
+    );
+}
+
 /// Guards against connections and threads without bound.
 #[test]
 fn connections_stay_under_their_bound_and_new_ones_are_served() {
